--- /dev/null
+++ b/cmd/azurehatch/main.go
@@ -0,0 +1,13 @@
+// Command azurehatch is the router fleet's only binary: the daemon, the
+// operators' command line, the stand-ins and the load generator.
+package main
+
+import (
+	"os"
+
+	"github.com/azurehatch/azurehatch/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,60 @@
+// Package cli is the command line of azurehatch.
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Exit codes of the binary.
+const (
+	ExitOK = 0
+	// ExitFailure means that the command was understood and failed.
+	ExitFailure = 1
+	// ExitUsage means that the command line or an input file is wrong.
+	ExitUsage = 2
+)
+
+// Version is the version printed by "azurehatch version".
+const Version = "0.1.0"
+
+// command is one sub-command: it registers itself and returns what to run.
+type command func(app *kingpin.Application, out io.Writer) (name string, run func() error)
+
+var commands = []command{versionCommand}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	app := kingpin.New("azurehatch", "A router fleet for prepaid token budgets.")
+	app.UsageWriter(errOut).ErrorWriter(errOut).Terminate(nil)
+	app.HelpFlag.Short('h')
+	runs := make(map[string]func() error)
+	for _, c := range commands {
+		name, run := c(app, out)
+		runs[name] = run
+	}
+	selected, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintf(errOut, "azurehatch: %v\n", err)
+		return ExitUsage
+	}
+	run, ok := runs[selected]
+	if !ok {
+		return ExitOK
+	}
+	if err := run(); err != nil {
+		fmt.Fprintf(errOut, "azurehatch: %v\n", err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+func versionCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
+	cmd := app.Command("version", "Print the version.")
+	return cmd.FullCommand(), func() error {
+		_, err := fmt.Fprintln(out, "azurehatch", Version)
+		return err
+	}
+}
--- /dev/null
+++ b/internal/platform/errors.go
@@ -0,0 +1,45 @@
+package platform
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a Store. A caller may take an operation as not done for each of
+// them but ErrOutcomeUnknown.
+var (
+	// ErrNotFound means that the key does not exist.
+	ErrNotFound = errors.New("key not found")
+	// ErrUnavailable means that the store did not execute the call.
+	ErrUnavailable = errors.New("platform store unavailable")
+	// ErrOutcomeUnknown means that a write may or may not have taken effect.
+	ErrOutcomeUnknown = errors.New("outcome of the write is unknown")
+	// ErrLeaseExpired means that the lease does not exist any more.
+	ErrLeaseExpired = errors.New("lease expired")
+	// ErrLimited means that the daemon's own call limit refused the call.
+	ErrLimited = errors.New("platform call limit reached")
+	// ErrTooLarge means that the value is above MaxValueBytes.
+	ErrTooLarge = errors.New("value exceeds 1 MiB")
+)
+
+// ConflictError is returned by a compare-and-swap or a delete whose expected
+// revision did not match.
+type ConflictError struct {
+	Key      string
+	Expected Revision
+	// Actual is the item found; its Revision is 0 if the key does not exist.
+	Actual Item
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("key %q has revision %d, expected %d", e.Key, e.Actual.Revision, e.Expected)
+}
+
+// AsConflict returns the ConflictError in err's chain, if any.
+func AsConflict(err error) (*ConflictError, bool) {
+	var c *ConflictError
+	ok := errors.As(err, &c)
+	return c, ok
+}
--- /dev/null
+++ b/internal/platform/memstore/instances.go
@@ -0,0 +1,56 @@
+package memstore
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// listed is an instance with the history that the lagging list needs.
+type listed struct {
+	at       time.Time
+	instance platform.Instance
+	removed  bool
+}
+
+// SetInstance adds an instance to the list or changes its entry.
+func (s *Store) SetInstance(in platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = append(s.instances, listed{at: s.now(), instance: in})
+}
+
+// RemoveInstance removes an instance from the list.
+func (s *Store) RemoveInstance(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = append(s.instances, listed{at: s.now(), instance: platform.Instance{ID: id}, removed: true})
+}
+
+// Instances implements platform.Store. It shows the list as it was
+// Faults.ListLagMillis ago.
+func (s *Store) Instances(ctx context.Context) ([]platform.Instance, error) {
+	if err := s.enter(ctx, &s.calls.Reads); err != nil {
+		return nil, err
+	}
+	defer s.mu.Unlock()
+	horizon := s.now().Add(-time.Duration(s.faults.ListLagMillis) * time.Millisecond)
+	byID := make(map[string]platform.Instance)
+	for _, l := range s.instances {
+		switch {
+		case l.at.After(horizon):
+		case l.removed:
+			delete(byID, l.instance.ID)
+		default:
+			byID[l.instance.ID] = l.instance
+		}
+	}
+	list := make([]platform.Instance, 0, len(byID))
+	for _, in := range byID {
+		list = append(list, in)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list, nil
+}
--- /dev/null
+++ b/internal/platform/memstore/watch.go
@@ -0,0 +1,83 @@
+package memstore
+
+import (
+	"context"
+	"strings"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// historyLimit is the number of events kept for watches that start in the
+// past; an older start breaks with ErrUnavailable, like a compacted revision.
+const historyLimit = 8192
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after platform.Revision) (<-chan platform.Event, error) {
+	if err := s.enter(ctx, &s.calls.Watches); err != nil {
+		return nil, err
+	}
+	defer s.mu.Unlock()
+	w := &watcher{prefix: prefix, ch: make(chan platform.Event, watchBuffer)}
+	if !s.replay(w, after) {
+		return nil, platform.ErrUnavailable
+	}
+	s.watchers[w] = struct{}{}
+	context.AfterFunc(ctx, func() { s.stop(w, nil) })
+	return w.ch, nil
+}
+
+func (s *Store) replay(w *watcher, after platform.Revision) bool {
+	if len(s.history) > 0 && s.history[0].Item.Revision > after+1 {
+		return false
+	}
+	for _, ev := range s.history {
+		if ev.Item.Revision <= after || !strings.HasPrefix(ev.Item.Key, w.prefix) {
+			continue
+		}
+		if len(w.ch) == cap(w.ch) {
+			return false
+		}
+		w.ch <- ev
+	}
+	return true
+}
+
+func (s *Store) stop(w *watcher, cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopLocked(w, cause)
+}
+
+func (s *Store) stopLocked(w *watcher, cause error) {
+	if _, ok := s.watchers[w]; !ok {
+		return
+	}
+	delete(s.watchers, w)
+	if cause != nil && len(w.ch) < cap(w.ch) {
+		w.ch <- platform.Event{Err: cause}
+	}
+	close(w.ch)
+}
+
+func (s *Store) publish(ev platform.Event) {
+	s.history = append(s.history, ev)
+	if len(s.history) > historyLimit {
+		s.history = append([]platform.Event(nil), s.history[historyLimit/4:]...)
+	}
+	for w := range s.watchers {
+		if !strings.HasPrefix(ev.Item.Key, w.prefix) {
+			continue
+		}
+		if len(w.ch) >= cap(w.ch)-1 {
+			s.stopLocked(w, platform.ErrUnavailable)
+			continue
+		}
+		w.ch <- ev
+	}
+}
+
+func (s *Store) breakWatches() {
+	for w := range s.watchers {
+		s.stopLocked(w, platform.ErrUnavailable)
+	}
+}
