--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/azurehatch/azurehatch/internal/problem"
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeFleet implements the gateway's interfaces over a list of endpoints.
+type fakeFleet struct {
+	mu        sync.Mutex
+	endpoints []Endpoint
+	down      string
+	balance   int64
+	reserved  int64
+	bills     map[string]int64
+	claims    map[ClaimKey]*fakeClaim
+	next      int
+}
+
+const testKey = "secret"
+
+func (f *fakeFleet) Authenticate(key string) (Account, bool) {
+	return Account{Name: "shop", Weight: 1}, key == testKey
+}
+
+func (f *fakeFleet) Service(name string) (Service, bool) {
+	return Service{Name: "orders", Price: 10, NonIdempotent: func(method, path string) bool {
+		return method == http.MethodPost && path == "/reprint"
+	}}, name == "orders"
+}
+
+func (f *fakeFleet) Model(model string) (Service, bool) {
+	return Service{Name: "chat", Model: true, MaxOutput: 100}, model == "m1"
+}
+
+func (f *fakeFleet) Models() []string { return []string{"m1"} }
+
+func (f *fakeFleet) Endpoint(id string) (string, bool) {
+	for _, e := range f.endpoints {
+		if e.ID == id {
+			return e.Addr, true
+		}
+	}
+	return "", false
+}
+
+func (f *fakeFleet) DependencyDown(Service) string { return f.down }
+
+type fakeHold struct {
+	f      *fakeFleet
+	id     string
+	tokens int64
+}
+
+func (f *fakeFleet) Reserve(_ context.Context, c Charge) (Hold, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.balance-f.reserved < c.Tokens {
+		return nil, problem.New(problem.BudgetExhausted, "balance %d", f.balance-f.reserved)
+	}
+	f.reserved += c.Tokens
+	return &fakeHold{f: f, id: c.ID, tokens: c.Tokens}, nil
+}
+
+func (h *fakeHold) Extend(_ context.Context, total int64) error {
+	h.f.mu.Lock()
+	defer h.f.mu.Unlock()
+	if h.f.balance-h.f.reserved < total-h.tokens {
+		return problem.New(problem.BudgetExhausted, "no tokens left")
+	}
+	h.f.reserved += total - h.tokens
+	h.tokens = total
+	return nil
+}
+
+func (h *fakeHold) Settle(tokens int64) {
+	h.f.mu.Lock()
+	defer h.f.mu.Unlock()
+	if _, twice := h.f.bills[h.id]; twice {
+		panic("request " + h.id + " settled twice")
+	}
+	h.f.reserved -= h.tokens
+	h.f.balance -= tokens
+	h.f.bills[h.id] = tokens
+}
+
+func (h *fakeHold) Release() {
+	h.f.mu.Lock()
+	defer h.f.mu.Unlock()
+	h.f.reserved -= h.tokens
+}
+
+type fakeClaim struct {
+	f     *fakeFleet
+	key   ClaimKey
+	state string
+	kept  *Answer
+}
+
+func (f *fakeFleet) Claim(_ context.Context, k ClaimKey) (Claim, *Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c, ok := f.claims[k]; ok {
+		switch {
+		case c.kept != nil:
+			return nil, c.kept, nil
+		case c.state == "unknown":
+			return nil, nil, problem.New(problem.OutcomeUnknown, "sent before").Having(upstream.RanUnknown)
+		}
+		return nil, nil, problem.New(problem.AlreadyRan, "ran before").Having(upstream.RanYes)
+	}
+	c := &fakeClaim{f: f, key: k}
+	f.claims[k] = c
+	return c, nil, nil
+}
+
+func (c *fakeClaim) set(state string, a *Answer) {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	c.state, c.kept = state, a
+}
+
+func (c *fakeClaim) Done(a *Answer) { c.set("done", a) }
+func (c *fakeClaim) Unknown()       { c.set("unknown", nil) }
+func (c *fakeClaim) Release() {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	delete(c.f.claims, c.key)
+}
+
+type fakeTicket struct {
+	f     *fakeFleet
+	tried int
+}
+
+func (f *fakeFleet) Admit(context.Context, Work) (Ticket, error) { return &fakeTicket{f: f}, nil }
+
+func (t *fakeTicket) Choose() (Endpoint, error) {
+	t.f.mu.Lock()
+	defer t.f.mu.Unlock()
+	if t.tried == len(t.f.endpoints) {
+		return Endpoint{}, problem.New(problem.NoEndpoint, "all tried")
+	}
+	t.tried++
+	return t.f.endpoints[t.tried-1], nil
+}
+
+func (t *fakeTicket) FirstToken()                       {}
+func (t *fakeTicket) Token(int64)                       {}
+func (t *fakeTicket) Retry(error) (time.Duration, bool) { return 0, true }
+func (t *fakeTicket) Finish(bool, int64)                {}
+
+// fixture is a gateway over real sockets with small fakes behind it.
+type fixture struct {
+	t      *testing.T
+	fleet  *fakeFleet
+	g      *Gateway
+	server *httptest.Server
+}
+
+func newFixture(t *testing.T, engines ...http.HandlerFunc) *fixture {
+	f := &fakeFleet{balance: 100_000, bills: map[string]int64{}, claims: map[ClaimKey]*fakeClaim{}}
+	for i, h := range engines {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		f.endpoints = append(f.endpoints, Endpoint{ID: fmt.Sprint("e", i), Addr: s.Listener.Addr().String()})
+	}
+	client := upstream.New(upstream.Options{})
+	t.Cleanup(client.Close)
+	g := New(Options{
+		Directory: f, Ledger: f, Claims: f, Pools: f, Upstream: client, Log: zerolog.Nop(),
+		MaxBody: 4096, Timeout: time.Minute, Step: 4,
+	})
+	x := &fixture{t: t, fleet: f, g: g, server: httptest.NewServer(g.Handler())}
+	t.Cleanup(func() {
+		x.server.Close()
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return x
+}
+
+// addDeadEndpoint puts an address that refuses connections first.
+func (x *fixture) addDeadEndpoint() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	x.fleet.endpoints = append([]Endpoint{{ID: "dead", Addr: addr}}, x.fleet.endpoints...)
+}
+
+func (x *fixture) post(path, body string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(http.MethodPost, x.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+// settled waits until no request is in progress and checks that no reservation
+// is left behind.
+func (x *fixture) settled() map[string]int64 {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := x.g.Drain(ctx); err != nil {
+		x.t.Fatal(err)
+	}
+	x.fleet.mu.Lock()
+	defer x.fleet.mu.Unlock()
+	if x.fleet.reserved != 0 {
+		x.t.Errorf("%d tokens are still reserved", x.fleet.reserved)
+	}
+	return x.fleet.bills
+}
+
+// stream is an engine that sends n content chunks, then ends as told.
+func stream(n int, end string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; i <= n; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"w%d \"}}]}\n\n", i, i)
+			w.(http.Flusher).Flush()
+		}
+		switch end {
+		case "done":
+			fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", n)
+		case "cut":
+			panic(http.ErrAbortHandler)
+		case "garbage":
+			fmt.Fprint(w, "data: \x00\x01 not json\n\n")
+		case "hang":
+			<-r.Context().Done()
+		}
+	}
+}
+
+var errNoEvent = errors.New("stream ended")
+
+// readEvents reads n data lines of a stream.
+func readEvents(r io.Reader, n int) ([]string, error) {
+	var data []string
+	scan := bufio.NewScanner(r)
+	for len(data) < n {
+		if !scan.Scan() {
+			return data, errNoEvent
+		}
+		if d, ok := strings.CutPrefix(scan.Text(), "data: "); ok {
+			data = append(data, d)
+		}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/azurehatch/azurehatch/internal/problem"
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+const (
+	chatPath   = "/v1/chat/completions"
+	chatBody   = `{"model":"m1","messages":[{"role":"user","content":"hi"}],"stream":true,"x_custom":{"a":1}}`
+	wholeBody  = `{"model":"m1","messages":[{"role":"user","content":"hi"}]}`
+	wholeReply = `{"choices":[{"message":{"content":"ok"}}],"usage":{"prompt_tokens":3,"completion_tokens":2}}`
+)
+
+func whole(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprint(w, wholeReply)
+}
+
+// Guards against bad input that takes a daemon down, is billed, or is refused
+// without a typed document that says that the request did not run.
+func TestBadInputIsRefused(t *testing.T) {
+	x := newFixture(t, whole)
+	for _, c := range []struct {
+		name, path, body string
+		header           []string
+		want             problem.Kind
+	}{
+		{"malformed JSON", chatPath, `{"model":`, nil, problem.InvalidRequest},
+		{"not an object", chatPath, `[1]`, nil, problem.InvalidRequest},
+		{"no messages", chatPath, `{"model":"m1"}`, nil, problem.InvalidRequest},
+		{"negative limit", chatPath, `{"model":"m1","messages":[{}],"max_tokens":-1}`, nil, problem.InvalidRequest},
+		{"several answers", chatPath, `{"model":"m1","messages":[{}],"n":2}`, nil, problem.InvalidRequest},
+		{"unknown model", chatPath, `{"model":"m9","messages":[{}]}`, nil, problem.UnknownService},
+		{"unknown service", "/services/none/x", ``, nil, problem.UnknownService},
+		{"unknown path", "/v2/else", ``, nil, problem.UnknownService},
+		{"wrong key", chatPath, wholeBody, []string{"Authorization", "Bearer wrong"}, problem.Unauthorized},
+		{"no key", chatPath, wholeBody, []string{"Authorization", ""}, problem.Unauthorized},
+		{"oversize body", chatPath, `{"model":"` + strings.Repeat("x", 5000) + `"}`, nil, problem.TooLarge},
+		{"bad deadline", chatPath, wholeBody, []string{"X-Deadline-Ms", "soon"}, problem.InvalidRequest},
+		{"bad event id", chatPath, chatBody, []string{"Last-Event-ID", "7"}, problem.InvalidRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			resp, text, err := x.post(c.path, c.body, c.header...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var doc problem.Document
+			if err := json.Unmarshal([]byte(text), &doc); err != nil {
+				t.Fatalf("body %q: %v", text, err)
+			}
+			if !strings.HasSuffix(doc.Type, "/"+string(c.want)) || doc.Ran != upstream.RanNo || doc.Status != resp.StatusCode {
+				t.Errorf("status %d, got %+v, want type %s and ran no", resp.StatusCode, doc, c.want)
+			}
+			if got := resp.Header.Get("Content-Type"); got != problem.ContentType {
+				t.Errorf("content type %q", got)
+			}
+		})
+	}
+	if bills := x.settled(); len(bills) != 0 {
+		t.Errorf("refused requests were billed: %v", bills)
+	}
+}
+
+// Guards against lost fields, a lost stream end, and a bill that differs from
+// the engine's own count.
+func TestStreamIsRelayedWhole(t *testing.T) {
+	var forwarded atomic.Value
+	x := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		forwarded.Store(string(body))
+		stream(9, "done")(w, r)
+	})
+	_, text, err := x.post(chatPath, chatBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Count(text, `"content":"w`); got != 9 || !strings.HasSuffix(text, "data: [DONE]\n\n") {
+		t.Errorf("%d chunks in %q", got, text)
+	}
+	if strings.Contains(text, `"usage"`) {
+		t.Error("the usage chunk was sent to a caller that did not ask for it")
+	}
+	var body map[string]any
+	if err := json.Unmarshal([]byte(forwarded.Load().(string)), &body); err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]any{
+		"model": "m1", "stream": true, "x_custom": map[string]any{"a": 1.0}, "max_tokens": 100.0,
+		"messages":       []any{map[string]any{"role": "user", "content": "hi"}},
+		"stream_options": map[string]any{"include_usage": true},
+	}
+	if diff := cmp.Diff(want, body); diff != "" {
+		t.Errorf("forwarded body (-want +got):\n%s", diff)
+	}
+	for id, tokens := range x.settled() {
+		if tokens != 12 {
+			t.Errorf("request %s billed %d tokens, want 12", id, tokens)
+		}
+	}
+}
+
+// Guards against a cut or garbled stream that looks complete to the caller.
+func TestBrokenStreamIsNotComplete(t *testing.T) {
+	for _, end := range []string{"cut", "garbage"} {
+		t.Run(end, func(t *testing.T) {
+			x := newFixture(t, stream(3, end))
+			_, text, err := x.post(chatPath, chatBody)
+			if err == nil {
+				t.Error("the connection ended normally")
+			}
+			if strings.Contains(text, "[DONE]") || !strings.Contains(text, "event: error") {
+				t.Errorf("got %q, want an error event and no [DONE]", text)
+			}
+			if bills := x.settled(); len(bills) != 1 {
+				t.Errorf("bills %v, want one", bills)
+			}
+		})
+	}
+}
+
+// Guards against engine work that goes on, or is billed twice or never, after
+// the caller left.
+func TestCallerGoneCancelsEngine(t *testing.T) {
+	cancelled := make(chan struct{})
+	x := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		stream(3, "hang")(w, r)
+		close(cancelled)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, x.server.URL+chatPath, strings.NewReader(chatBody))
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readEvents(resp.Body, 3); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	resp.Body.Close()
+	<-cancelled
+	bills := x.settled()
+	if len(bills) != 1 {
+		t.Fatalf("bills %v, want one", bills)
+	}
+	for _, tokens := range bills {
+		if tokens < 3 {
+			t.Errorf("billed %d tokens, at least 3 ran", tokens)
+		}
+	}
+}
+
+// Guards against a request that is given up although another endpoint works,
+// and against a bill for each attempt.
+func TestRetryBeforeFirstByte(t *testing.T) {
+	crash := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	x := newFixture(t, crash, whole)
+	x.addDeadEndpoint()
+	resp, text, err := x.post(chatPath, wholeBody, "Idempotency-Key", "k1")
+	if err != nil || resp.StatusCode != http.StatusOK || text != wholeReply {
+		t.Fatalf("got %v %q, error %v", resp, text, err)
+	}
+	if diff := cmp.Diff(map[string]int64{keyedID("shop", "k1"): 5}, x.settled()); diff != "" {
+		t.Errorf("bills (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a second run of a non-idempotent request: after a dispatch
+// whose outcome is unknown no other endpoint may get it, and a repeat must
+// learn that; a connection that was refused is the one case for another try.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	var runs atomic.Int32
+	crash := func(http.ResponseWriter, *http.Request) { runs.Add(1); panic(http.ErrAbortHandler) }
+	x := newFixture(t, crash, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	x.addDeadEndpoint()
+	for _, want := range []string{"endpoint-failed", "outcome-unknown"} {
+		resp, text, err := x.post("/services/orders/reprint", `{}`, "Idempotency-Key", "k1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(text, "/"+want) || resp.Header.Get("X-Ran") != "unknown" {
+			t.Errorf("ran %q, body %q, want %s", resp.Header.Get("X-Ran"), text, want)
+		}
+	}
+	if runs.Load() != 1 {
+		t.Errorf("ran %d times", runs.Load())
+	}
+	if bills := x.settled(); len(bills) != 1 {
+		t.Errorf("bills %v, want one", bills)
+	}
+}
+
+// Guards against a lost first answer: a repeat gets it without another run.
+func TestNonIdempotentRepeatGetsFirstAnswer(t *testing.T) {
+	var runs atomic.Int32
+	x := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "badge %d %s", runs.Add(1), r.URL.Path)
+	})
+	for range 2 {
+		_, text, err := x.post("/services/orders/reprint", `{}`, "Idempotency-Key", "k1")
+		if err != nil || text != "badge 1 /reprint" {
+			t.Errorf("got %q, error %v", text, err)
+		}
+	}
+}
+
+// Guards against a stream that runs past what the account can pay.
+func TestStreamStopsAtBudget(t *testing.T) {
+	x := newFixture(t, stream(90, "done"))
+	body := strings.Replace(chatBody, `"stream":true`, `"stream":true,"max_tokens":90`, 1)
+	// The budget covers the prompt's bound and ten tokens of the answer.
+	x.fleet.balance = int64(len(body)) + templateTokens + templateTokensMessage + 10
+	_, text, err := x.post(chatPath, body)
+	x.settled()
+	if err == nil || strings.Contains(text, "[DONE]") || !strings.Contains(text, "budget-exhausted") {
+		t.Errorf("got %q, error %v, want a budget refusal in the stream", text, err)
+	}
+	if x.fleet.balance < 0 {
+		t.Errorf("balance is %d", x.fleet.balance)
+	}
+}
+
+// Guards against work for a service whose dependency is out.
+func TestDependencyDownIsNamed(t *testing.T) {
+	x := newFixture(t, whole)
+	x.fleet.down = "stock"
+	resp, text, err := x.post(chatPath, wholeBody)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(text, `"dependency":"stock"`) {
+		t.Errorf("got %v %q, error %v", resp, text, err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/job.go
@@ -0,0 +1,352 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/problem"
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// resumeGrace is how long the reservation of a resumable stream stays open
+// after the caller's connection broke.
+const resumeGrace = 5 * time.Second
+
+// job is a validated request: from the claim to the settlement.
+type job struct {
+	x *exchange
+	// q is nil for a plain service.
+	q          *chatRequest
+	path       string
+	body       []byte
+	idempotent bool
+	resumable  bool
+	resume     *upstream.EventID
+	deadline   time.Time
+	work       Work
+
+	hold   *meter
+	claim  Claim
+	ticket Ticket
+	// ran is what is known over all attempts so far.
+	ran upstream.Ran
+	// answer is what the claim keeps.
+	answer *Answer
+	// billed is the amount to settle once the request ran; it is what the
+	// endpoint reported, else an estimate.
+	billed int64
+	tokens int64
+}
+
+func (x *exchange) newJob(body []byte, q *chatRequest) (*job, error) {
+	deadline, err := x.deadline()
+	if err != nil {
+		return nil, err
+	}
+	j := &job{x: x, q: q, body: body, deadline: deadline, path: x.r.URL.RequestURI(), ran: upstream.RanNo}
+	j.idempotent = x.r.Header.Get(headerNonIdempotent) != "true"
+	if x.service.NonIdempotent != nil && x.service.NonIdempotent(x.r.Method, x.r.URL.Path) {
+		j.idempotent = false
+	}
+	if !j.idempotent && x.key == "" && x.service.RequireKey {
+		return nil, problem.New(problem.InvalidRequest, "non-idempotent requests to %q need an Idempotency-Key", x.service.Name)
+	}
+	j.resumable = j.idempotent && q != nil && q.stream && x.r.Header.Get(upstream.HeaderResumable) == "true"
+	if err := j.parseResume(); err != nil {
+		return nil, err
+	}
+	j.work = Work{
+		Account: x.account, Service: x.service, RequestID: x.id, Idempotent: j.idempotent, Deadline: deadline,
+		MaxOutput: x.service.Price,
+	}
+	if q != nil {
+		j.work.PromptTokens, j.work.MaxOutput = q.prompt, q.maxTokens
+		j.work.Digest, j.work.PrefixDigest = digests(x.service.Name, body, q.raw["messages"])
+	} else {
+		j.work.Digest, _ = digests(x.service.Name, append([]byte(x.r.Method+j.path), body...), nil)
+	}
+	return j, nil
+}
+
+func (j *job) parseResume() error {
+	last := j.x.r.Header.Get(upstream.HeaderLastEventID)
+	if last == "" || j.q == nil || !j.q.stream {
+		return nil
+	}
+	id, err := upstream.ParseEventID(last)
+	if err != nil {
+		return problem.New(problem.InvalidRequest, "%s: %v", upstream.HeaderLastEventID, err)
+	}
+	if j.x.key != "" && id.Request != j.x.id {
+		return problem.New(problem.InvalidRequest, "%s names another request", upstream.HeaderLastEventID)
+	}
+	j.x.id = id.Request
+	j.resume, j.resumable = &id, true
+	return nil
+}
+
+// run takes the job through its steps. The claim comes first: a refusal of a
+// keyed request may say "not run" only if no earlier attempt ran.
+func (j *job) run() error {
+	ctx, cancel := j.x.context(j.deadline)
+	defer cancel()
+	answered, err := j.makeClaim(ctx)
+	if answered || err != nil {
+		return err
+	}
+	err = j.admitted(ctx)
+	j.endClaim(err)
+	return err
+}
+
+func (j *job) admitted(ctx context.Context) error {
+	if down := j.x.g.Directory.DependencyDown(j.x.service); down != "" {
+		p := problem.New(problem.DependencyDown, "service %q depends on %q", j.x.service.Name, down).After(time.Second)
+		p.Dependency = down
+		return p
+	}
+	ticket, err := j.x.g.Pools.Admit(ctx, j.work)
+	if err != nil {
+		return err
+	}
+	j.ticket = ticket
+	finished := false
+	defer func() {
+		if !finished {
+			ticket.Finish(false, j.tokens)
+		}
+	}()
+	if err := j.reserve(ctx); err != nil {
+		return err
+	}
+	err = j.attempts(ctx)
+	finished = true
+	ticket.Finish(err == nil, j.tokens)
+	j.settle(ctx, err)
+	return err
+}
+
+func (j *job) makeClaim(ctx context.Context) (answered bool, err error) {
+	if j.idempotent {
+		return false, nil
+	}
+	key := j.x.key
+	if key == "" {
+		key = j.x.id
+	}
+	claim, kept, err := j.x.g.Claims.Claim(ctx, ClaimKey{Account: j.x.account.Name, Service: j.x.service.Name, Key: key})
+	if err != nil {
+		return false, err
+	}
+	if kept != nil {
+		return true, j.x.replay(kept)
+	}
+	j.claim = claim
+	return false, nil
+}
+
+// replay sends the kept answer of an earlier attempt.
+func (x *exchange) replay(a *Answer) error {
+	x.w.Header().Set("Content-Type", a.ContentType)
+	x.w.Header().Set("Idempotency-Replayed", "true")
+	x.committed = true
+	x.w.WriteHeader(a.Status)
+	_, err := x.w.Write(a.Body)
+	return errors.Wrap(err, "send kept answer")
+}
+
+func (j *job) endClaim(err error) {
+	switch {
+	case j.claim == nil:
+	case err == nil || j.ran == upstream.RanYes:
+		j.claim.Done(j.answer)
+	case j.ran == upstream.RanNo:
+		j.claim.Release()
+	default:
+		j.claim.Unknown()
+	}
+}
+
+func (j *job) reserve(ctx context.Context) error {
+	first := j.x.service.Price
+	limit := first
+	if j.q != nil {
+		limit = j.q.prompt + j.q.maxTokens
+		first = limit
+		if j.q.stream {
+			first = min(limit, j.q.prompt+j.x.g.Step)
+		}
+	}
+	hold, err := j.x.g.Ledger.Reserve(ctx, Charge{
+		ID: j.x.id, Account: j.x.account.Name, Service: j.x.service.Name, Tokens: first, Resume: j.resume != nil,
+	})
+	if err != nil {
+		return err
+	}
+	j.hold = newMeter(hold, first, limit, j.x.g.Step)
+	return nil
+}
+
+// settle bills what ran. A request that certainly did not run, or that an
+// endpoint failed before its first token, costs nothing.
+func (j *job) settle(ctx context.Context, err error) {
+	switch {
+	case j.ran == upstream.RanNo:
+		j.hold.release()
+	case err != nil && j.resumable && ctx.Err() != nil:
+		billed := j.billed
+		time.AfterFunc(resumeGrace, func() { j.hold.settle(billed) })
+	default:
+		j.hold.settle(j.billed)
+	}
+}
+
+// attempts dispatches the request until an answer, a failure after which it
+// must not be sent again, or the retry budget's end.
+func (j *job) attempts(ctx context.Context) error {
+	for {
+		endpoint, err := j.choose()
+		if err != nil {
+			return j.refusal(err)
+		}
+		err = j.attempt(ctx, endpoint)
+		if err == nil {
+			return nil
+		}
+		if j.x.committed || ctx.Err() != nil || (!j.idempotent && j.ran != upstream.RanNo) {
+			return j.refusal(err)
+		}
+		delay, ok := j.ticket.Retry(err)
+		if !ok {
+			return j.refusal(err)
+		}
+		j.x.log.Debug().Err(err).Dur("delay", delay).Msg("retrying at another endpoint")
+		if !sleep(ctx, delay) {
+			return j.refusal(err)
+		}
+	}
+}
+
+func (j *job) choose() (Endpoint, error) {
+	if j.resume == nil {
+		return j.ticket.Choose()
+	}
+	addr, ok := j.x.g.Directory.Endpoint(j.resume.Endpoint)
+	if !ok {
+		return Endpoint{}, problem.New(problem.OutcomeUnknown, "endpoint %q of the stream is gone; the stream can't be resumed", j.resume.Endpoint).
+			Having(upstream.RanYes)
+	}
+	return Endpoint{ID: j.resume.Endpoint, Addr: addr}, nil
+}
+
+// refusal turns an error into what the caller may know over all attempts.
+func (j *job) refusal(err error) error {
+	p := problem.From(err)
+	if p.Ran == upstream.RanNo && j.ran != upstream.RanNo {
+		p = &problem.Error{Kind: problem.EndpointFailed, Ran: j.ran, Detail: p.Detail, Err: err}
+	}
+	if p.Kind == problem.EndpointFailed && p.Detail == "unexpected failure" {
+		p.Detail = "no endpoint gave an answer"
+		if p.Ran == upstream.RanNo {
+			p.Kind = problem.NoEndpoint
+		}
+	}
+	return p
+}
+
+func (j *job) attempt(ctx context.Context, endpoint Endpoint) error {
+	call := upstream.Call{
+		Endpoint: endpoint.ID, Addr: endpoint.Addr, Method: j.x.r.Method, Path: j.path, Header: j.header(), Body: j.body,
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, err := j.x.g.Upstream.Do(ctx, call)
+	if err != nil {
+		j.note(upstream.RanOf(err))
+		return err
+	}
+	defer resp.Body.Close()
+	j.note(upstream.RanUnknown)
+	if j.q == nil {
+		return j.relayPlain(resp, endpoint)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return j.engineRefusal(resp, endpoint)
+	}
+	if j.q.stream {
+		return j.relayStream(ctx, resp, endpoint)
+	}
+	return j.relayWhole(resp, endpoint)
+}
+
+// note merges what an attempt tells about whether the request ran.
+func (j *job) note(ran upstream.Ran) {
+	if j.ran == upstream.RanYes || ran == upstream.RanNo {
+		return
+	}
+	j.ran = ran
+}
+
+// hopHeaders are not forwarded: they belong to one connection, or the daemon
+// sets them itself.
+var hopHeaders = map[string]bool{
+	"Authorization": true, "Connection": true, "Keep-Alive": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Accept-Encoding": true,
+	"X-Request-Id": true, "Last-Event-Id": true, "X-Non-Idempotent": true, "X-Resumable": true,
+}
+
+func (j *job) header() http.Header {
+	h := make(http.Header, len(j.x.r.Header)+4)
+	for name, values := range j.x.r.Header {
+		if !hopHeaders[name] {
+			h[name] = values
+		}
+	}
+	h.Set(upstream.HeaderRequestID, j.x.id)
+	left := j.deadline.Sub(j.x.g.Now()).Milliseconds()
+	h.Set(upstream.HeaderDeadline, strconv.FormatInt(max(left, 1), 10))
+	if j.resumable {
+		h.Set(upstream.HeaderResumable, "true")
+	}
+	if j.resume != nil {
+		h.Set(upstream.HeaderLastEventID, j.resume.Event)
+	}
+	return h
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isJSON reports whether an answer says that it is JSON.
+func isJSON(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "application/json")
+}
+
+// usageOf reads the usage of a whole chat completion.
+func usageOf(body []byte) (upstream.Usage, bool) {
+	var answer struct {
+		Choices []json.RawMessage `json:"choices"`
+		Usage   *upstream.Usage   `json:"usage"`
+	}
+	if json.Unmarshal(body, &answer) != nil || len(answer.Choices) == 0 {
+		return upstream.Usage{}, false
+	}
+	if answer.Usage == nil {
+		return upstream.Usage{}, true
+	}
+	return *answer.Usage, true
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/problem"
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// maxHeldAnswer is the part of a plain service's answer that is read before
+// its head goes to the caller; a shorter answer can still be retried.
+const maxHeldAnswer = 1 << 20
+
+const servicesPrefix = "/services/"
+
+func (g *Gateway) plain(x *exchange) error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(x.r.URL.Path, servicesPrefix), "/")
+	service, ok := g.Directory.Service(name)
+	if !ok {
+		return problem.New(problem.UnknownService, "service %q does not exist", name)
+	}
+	x.service = service
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	x.r.URL.Path = "/" + rest
+	x.r.URL.RawPath = ""
+	j, err := x.newJob(x.body, nil)
+	if err != nil {
+		return err
+	}
+	return j.run()
+}
+
+func (j *job) relayPlain(resp *http.Response, endpoint Endpoint) error {
+	held, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswer))
+	if err != nil {
+		return j.plainFailure(endpoint, err)
+	}
+	j.note(upstream.RanYes)
+	j.billed = j.x.service.Price
+	j.ticket.FirstToken()
+	if len(held) < maxHeldAnswer {
+		return j.sendWhole(resp, held)
+	}
+	copyHeader(j.x.w.Header(), resp.Header)
+	j.x.committed = true
+	j.x.w.WriteHeader(resp.StatusCode)
+	if _, err := j.x.w.Write(held); err != nil {
+		return j.plainFailure(endpoint, upstream.ErrCallerGone)
+	}
+	if _, err := io.Copy(j.x.w, resp.Body); err != nil {
+		return j.plainFailure(endpoint, err)
+	}
+	return nil
+}
+
+func (j *job) plainFailure(endpoint Endpoint, err error) error {
+	j.billed = j.x.service.Price
+	return failure.At(&upstream.Error{Endpoint: endpoint.ID, Ran: j.ran, Err: err}, "gateway.answer", endpoint.Addr)
+}
--- /dev/null
+++ b/internal/problem/problem.go
@@ -0,0 +1,176 @@
+// Package problem defines the refusals that callers see: RFC 9457 documents
+// with a stable type and a field that says whether the request ran.
+package problem
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// ContentType is the media type of a problem document (RFC 9457).
+const ContentType = "application/problem+json"
+
+// typeBase is the prefix of each problem type.
+const typeBase = "https://azurehatch.example/problems/"
+
+// Kind is the stable name of a refusal; the problem type is its URI.
+type Kind string
+
+// The kinds of refusals.
+const (
+	InvalidRequest      Kind = "invalid-request"
+	Unauthorized        Kind = "unauthorized"
+	UnknownService      Kind = "unknown-service"
+	TooLarge            Kind = "too-large"
+	BudgetExhausted     Kind = "budget-exhausted"
+	BudgetUnavailable   Kind = "budget-unavailable"
+	Overloaded          Kind = "overloaded"
+	DeadlineUnreachable Kind = "deadline-unreachable"
+	DependencyDown      Kind = "dependency-down"
+	NoEndpoint          Kind = "no-endpoint"
+	ClaimUnavailable    Kind = "claim-unavailable"
+	Poison              Kind = "poison"
+	Duplicate           Kind = "duplicate-in-progress"
+	AlreadyRan          Kind = "already-ran"
+	OutcomeUnknown      Kind = "outcome-unknown"
+	EndpointFailed      Kind = "endpoint-failed"
+	StreamTruncated     Kind = "stream-truncated"
+	ShuttingDown        Kind = "shutting-down"
+)
+
+// kinds holds the HTTP status and the title of each kind.
+var kinds = map[Kind]struct {
+	status int
+	title  string
+}{
+	InvalidRequest:      {http.StatusBadRequest, "The request is not valid."},
+	Unauthorized:        {http.StatusUnauthorized, "The API key is missing or wrong."},
+	UnknownService:      {http.StatusNotFound, "The model or service does not exist."},
+	TooLarge:            {http.StatusRequestEntityTooLarge, "The request body is too large."},
+	BudgetExhausted:     {http.StatusPaymentRequired, "The prepaid budget does not cover the request."},
+	BudgetUnavailable:   {http.StatusServiceUnavailable, "The budget can't be drawn on at the moment."},
+	Overloaded:          {http.StatusTooManyRequests, "The service is at its capacity."},
+	DeadlineUnreachable: {http.StatusServiceUnavailable, "The deadline can't be met."},
+	DependencyDown:      {http.StatusServiceUnavailable, "A service that this service depends on is unavailable."},
+	NoEndpoint:          {http.StatusServiceUnavailable, "No endpoint of the service is available."},
+	ClaimUnavailable:    {http.StatusServiceUnavailable, "A non-idempotent request can't be recorded at the moment."},
+	Poison:              {http.StatusUnprocessableEntity, "The request has crashed endpoints and is isolated."},
+	Duplicate:           {http.StatusConflict, "A request with this idempotency key is in progress."},
+	AlreadyRan:          {http.StatusConflict, "The request ran before; its answer is not kept."},
+	OutcomeUnknown:      {http.StatusGatewayTimeout, "The request was sent before; its outcome is unknown."},
+	EndpointFailed:      {http.StatusBadGateway, "The endpoint failed while it ran the request."},
+	StreamTruncated:     {http.StatusBadGateway, "The answer ended before it was complete."},
+	ShuttingDown:        {http.StatusServiceUnavailable, "The daemon is stopping."},
+}
+
+// Error is a refusal on its way to the caller.
+type Error struct {
+	Kind Kind
+	// Ran tells whether the request ran; RanNo only when that is certain.
+	Ran upstream.Ran
+	// Detail is for the caller; it must not hold secrets.
+	Detail string
+	// RetryAfter is sent to the caller if positive.
+	RetryAfter time.Duration
+	// Dependency names the unavailable service of a DependencyDown.
+	Dependency string
+	// Err is the cause, for the log; may be nil.
+	Err error
+}
+
+// New returns a refusal of a request that did not run.
+func New(kind Kind, format string, args ...any) *Error {
+	return &Error{Kind: kind, Ran: upstream.RanNo, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Because sets the cause and returns e.
+func (e *Error) Because(err error) *Error {
+	e.Err = err
+	return e
+}
+
+// After sets the time after which a retry may help and returns e.
+func (e *Error) After(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Having sets whether the request ran and returns e.
+func (e *Error) Having(ran upstream.Ran) *Error {
+	e.Ran = ran
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err != nil {
+		return string(e.Kind) + ": " + e.Detail + ": " + e.Err.Error()
+	}
+	return string(e.Kind) + ": " + e.Detail
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Status returns the HTTP status.
+func (e *Error) Status() int { return kinds[e.Kind].status }
+
+// From returns the refusal in err's chain; an unexpected error becomes an
+// EndpointFailed whose outcome is what err tells.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Kind: EndpointFailed, Ran: upstream.RanOf(err), Detail: "unexpected failure", Err: err}
+}
+
+// Document is the JSON body of a refusal.
+type Document struct {
+	Type       string       `json:"type"`
+	Title      string       `json:"title"`
+	Status     int          `json:"status"`
+	Detail     string       `json:"detail,omitempty"`
+	Instance   string       `json:"instance,omitempty"`
+	Ran        upstream.Ran `json:"ran"`
+	RetryAfter int          `json:"retry_after_seconds,omitempty"`
+	Dependency string       `json:"dependency,omitempty"`
+}
+
+// Document returns the document for the request with the id.
+func (e *Error) Document(requestID string) Document {
+	k := kinds[e.Kind]
+	return Document{
+		Type: typeBase + string(e.Kind), Title: k.title, Status: k.status, Detail: e.Detail,
+		Instance: "urn:request:" + requestID, Ran: e.Ran,
+		RetryAfter: e.retrySeconds(), Dependency: e.Dependency,
+	}
+}
+
+func (e *Error) retrySeconds() int {
+	return int(math.Ceil(e.RetryAfter.Seconds()))
+}
+
+// Write sends the refusal as an HTTP answer.
+func (e *Error) Write(w http.ResponseWriter, requestID string) error {
+	body, err := json.Marshal(e.Document(requestID))
+	if err != nil {
+		return errors.Wrap(err, "encode problem document")
+	}
+	h := w.Header()
+	h.Set("Content-Type", ContentType)
+	if s := e.retrySeconds(); s > 0 {
+		h.Set("Retry-After", strconv.Itoa(s))
+	}
+	w.WriteHeader(e.Status())
+	_, err = w.Write(append(body, '\n'))
+	return errors.Wrap(err, "write problem document")
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,178 @@
+// Package settings holds the settings of one process: a TOML file, decoded
+// strictly, with a default and a meaning for each key.
+package settings
+
+import (
+	"bytes"
+	"net/netip"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// Settings are the settings of a daemon.
+type Settings struct {
+	Instance Instance `toml:"instance" comment:"Who this daemon is. The platform's list must show the same id."`
+	Callers  Listener `toml:"callers" comment:"Listener for callers."`
+	Peers    Listener `toml:"peers" comment:"Listener for other daemons (gRPC)."`
+	Admin    Listener `toml:"admin" comment:"Listener for operators and metrics."`
+	Platform Platform `toml:"platform" comment:"The platform's key-value store."`
+	Limits   Limits   `toml:"limits" comment:"Limits on callers."`
+	Budget   Budget   `toml:"budget" comment:"Reservation of tokens."`
+	Shutdown Shutdown `toml:"shutdown" comment:"Graceful shutdown."`
+	Log      Log      `toml:"log" comment:"Logs are JSON lines on standard error."`
+}
+
+// Instance names the daemon.
+type Instance struct {
+	ID            string `toml:"id" comment:"Unique for the life of the instance; a replacement has a new one."`
+	FailureDomain string `toml:"failure_domain" comment:"Failure domain of this instance."`
+	Region        string `toml:"region" comment:"Region that holds the failure domain."`
+}
+
+// Listener is an address to listen on, with TLS unless plain text is allowed.
+type Listener struct {
+	Listen    string `toml:"listen" comment:"IP:port."`
+	CertFile  string `toml:"cert_file" comment:"PEM certificate; read again when it changes."`
+	KeyFile   string `toml:"key_file" comment:"PEM private key; read again when it changes."`
+	CAFile    string `toml:"ca_file" comment:"PEM certificates that clients must be signed by; empty: no client certificate."`
+	PlainText bool   `toml:"plain_text" comment:"Allow this listener without TLS."`
+}
+
+// TLS tells whether the listener uses TLS.
+func (l Listener) TLS() bool { return l.CertFile != "" || l.KeyFile != "" }
+
+// Platform names the key-value store.
+type Platform struct {
+	Addresses      []string `toml:"addresses" comment:"Base URLs of the store (etcd v3 HTTP/JSON API), tried in turn."`
+	Timeout        Duration `toml:"timeout" comment:"Timeout of one call."`
+	CallsPerSecond float64  `toml:"calls_per_second" comment:"Most calls a second that this daemon makes to the store."`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	Body          Size     `toml:"body" comment:"Largest request body."`
+	HeaderTimeout Duration `toml:"header_timeout" comment:"Longest time for a caller to send the request's headers."`
+	BodyTimeout   Duration `toml:"body_timeout" comment:"Longest time for a caller to send the whole request."`
+	Request       Duration `toml:"request" comment:"Longest time for a request without a deadline of its own."`
+	QueueWait     Duration `toml:"queue_wait" comment:"Longest time that a request waits for admission."`
+}
+
+// Budget sets how tokens are reserved.
+type Budget struct {
+	Step     int64    `toml:"step" comment:"Tokens by which the reservation of a stream is extended."`
+	Timeout  Duration `toml:"timeout" comment:"Longest wait for a reservation."`
+	FlushMin Duration `toml:"flush_min" comment:"Shortest time between two writes of one budget record."`
+}
+
+// Shutdown sets the graceful shutdown.
+type Shutdown struct {
+	Announce Duration `toml:"announce" comment:"Time between /readyz turning false and the listener closing."`
+	Drain    Duration `toml:"drain" comment:"Longest wait for requests in progress."`
+}
+
+// Log sets the logs.
+type Log struct {
+	Level string `toml:"level" comment:"debug, info, warn or error."`
+}
+
+// Default returns the settings that hold for absent keys.
+func Default() Settings {
+	return Settings{
+		Instance: Instance{FailureDomain: "default", Region: "default"},
+		Callers:  Listener{Listen: "127.0.0.1:8080", PlainText: true},
+		Peers:    Listener{Listen: "127.0.0.1:8081", PlainText: true},
+		Admin:    Listener{Listen: "127.0.0.1:8082", PlainText: true},
+		Platform: Platform{Addresses: []string{"http://127.0.0.1:2379"}, Timeout: Duration(2 * time.Second), CallsPerSecond: 50},
+		Limits: Limits{
+			Body: 8 << 20, HeaderTimeout: Duration(5 * time.Second), BodyTimeout: Duration(30 * time.Second),
+			Request: Duration(10 * time.Minute), QueueWait: Duration(10 * time.Second),
+		},
+		Budget:   Budget{Step: 256, Timeout: Duration(2 * time.Second), FlushMin: Duration(time.Second)},
+		Shutdown: Shutdown{Announce: Duration(2 * time.Second), Drain: Duration(60 * time.Second)},
+		Log:      Log{Level: "info"},
+	}
+}
+
+// Parse decodes text over the defaults and validates the result. The name is
+// used in errors only.
+func Parse(name string, text []byte) (Settings, error) {
+	s := Default()
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Settings{}, describe(name, err)
+	}
+	if err := s.Validate(); err != nil {
+		return Settings{}, errors.Wrap(err, name)
+	}
+	return s, nil
+}
+
+// Format returns the settings as commented TOML.
+func (s Settings) Format() ([]byte, error) {
+	var buf bytes.Buffer
+	err := toml.NewEncoder(&buf).Encode(s)
+	return buf.Bytes(), errors.Wrap(err, "encode settings")
+}
+
+// Validate checks the settings as a whole.
+func (s Settings) Validate() error {
+	if s.Instance.ID == "" {
+		return errors.New("instance.id is not set")
+	}
+	if s.Instance.FailureDomain == "" {
+		return errors.New("instance.failure_domain is not set")
+	}
+	if len(s.Platform.Addresses) == 0 {
+		return errors.New("platform.addresses is empty")
+	}
+	listeners := []struct {
+		name string
+		l    Listener
+	}{{"callers", s.Callers}, {"peers", s.Peers}, {"admin", s.Admin}}
+	for _, l := range listeners {
+		if err := l.l.validate(l.name); err != nil {
+			return err
+		}
+	}
+	return s.validateRanges()
+}
+
+func (s Settings) validateRanges() error {
+	positive := []struct {
+		name  string
+		value float64
+	}{
+		{"platform.timeout", float64(s.Platform.Timeout)},
+		{"platform.calls_per_second", s.Platform.CallsPerSecond},
+		{"limits.body", float64(s.Limits.Body)},
+		{"limits.header_timeout", float64(s.Limits.HeaderTimeout)},
+		{"limits.body_timeout", float64(s.Limits.BodyTimeout)},
+		{"limits.request", float64(s.Limits.Request)},
+		{"limits.queue_wait", float64(s.Limits.QueueWait)},
+		{"budget.step", float64(s.Budget.Step)},
+		{"budget.timeout", float64(s.Budget.Timeout)},
+		{"budget.flush_min", float64(s.Budget.FlushMin)},
+		{"shutdown.drain", float64(s.Shutdown.Drain)},
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			return errors.Errorf("%s must be positive", p.name)
+		}
+	}
+	return nil
+}
+
+func (l Listener) validate(name string) error {
+	if _, err := netip.ParseAddrPort(l.Listen); err != nil {
+		return errors.Errorf("%s.listen: %q is not IP:port", name, l.Listen)
+	}
+	if (l.CertFile == "") != (l.KeyFile == "") {
+		return errors.Errorf("%s: cert_file and key_file go together", name)
+	}
+	if !l.TLS() && !l.PlainText {
+		return errors.Errorf("%s: set cert_file and key_file, or plain_text = true", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/relay.go
@@ -0,0 +1,229 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Limits of a relayed stream.
+const (
+	// relayBufferBytes is the read buffer of one stream.
+	relayBufferBytes = 16 << 10
+	// maxEventBytes bounds one server-sent event.
+	maxEventBytes = 1 << 20
+)
+
+// Errors of a relayed stream.
+var (
+	// ErrTruncated means that the endpoint's stream ended before [DONE].
+	ErrTruncated = errors.New("the endpoint's stream ended before it was complete")
+	// ErrMalformed means that the endpoint sent what is not a chat stream.
+	ErrMalformed = errors.New("the endpoint sent a malformed event")
+	// ErrCallerGone means that the caller's connection broke.
+	ErrCallerGone = errors.New("the caller closed the connection")
+)
+
+// Usage is the token count that an engine reports.
+type Usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+// Total returns the billed tokens.
+func (u Usage) Total() int64 { return u.PromptTokens + u.CompletionTokens }
+
+// Progress is what has been relayed of a stream so far.
+type Progress struct {
+	// Tokens counts the content chunks relayed to the caller.
+	Tokens int64
+	// LastEventID is the engine's id of the last relayed event; empty if the
+	// engine sends none, and the stream then can't be resumed.
+	LastEventID string
+	// Usage is the engine's own count, once it has reported one.
+	Usage *Usage
+	// Done is true after [DONE].
+	Done bool
+}
+
+// Relay copies a chat completion stream to the caller.
+type Relay struct {
+	// IDPrefix is put before the engine's event ids.
+	IDPrefix string
+	// ForwardUsage is true if the caller asked for the usage chunk.
+	ForwardUsage bool
+	// OnToken is called after each content chunk with the count so far; an
+	// error ends the relay. May be nil.
+	OnToken func(tokens int64) error
+
+	progress Progress
+	out      []byte
+	id       []byte
+}
+
+// Progress returns what has been relayed so far.
+func (r *Relay) Progress() Progress { return r.progress }
+
+// Writer is where a stream goes.
+type Writer interface {
+	io.Writer
+	http.Flusher
+}
+
+// Copy relays events from src to dst until [DONE], an error or the end. It may
+// be called again with the resumed stream.
+func (r *Relay) Copy(dst Writer, src io.Reader) error {
+	in := bufio.NewReaderSize(src, relayBufferBytes)
+	for !r.progress.Done {
+		if err := r.event(dst, in); err != nil {
+			return err
+		}
+		if in.Buffered() == 0 || r.progress.Done {
+			dst.Flush()
+		}
+	}
+	return nil
+}
+
+// event relays one event, that is the lines up to a blank one.
+func (r *Relay) event(dst io.Writer, in *bufio.Reader) error {
+	r.out = r.out[:0]
+	kind := chunkNone
+	hasID := false
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return streamError(err)
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			break
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			hasID = true
+			r.id = append(r.id[:0], bytes.TrimSpace(id)...)
+			line = nil
+			r.out = append(append(append(append(r.out, "id: "...), r.IDPrefix...), r.id...), '\n')
+		} else if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			if kind, err = r.inspect(bytes.TrimSpace(data)); err != nil {
+				return err
+			}
+		}
+		if line != nil {
+			r.out = append(append(r.out, line...), '\n')
+		}
+		if len(r.out) > maxEventBytes {
+			return ErrMalformed
+		}
+	}
+	return r.deliver(dst, kind, hasID)
+}
+
+func (r *Relay) deliver(dst io.Writer, kind chunk, hasID bool) error {
+	if len(r.out) == 0 || (kind == chunkUsage && !r.ForwardUsage) {
+		return nil
+	}
+	r.out = append(r.out, '\n')
+	if _, err := dst.Write(r.out); err != nil {
+		return errors.Wrap(ErrCallerGone, err.Error())
+	}
+	if hasID && string(r.id) != r.progress.LastEventID {
+		r.progress.LastEventID = string(r.id)
+	}
+	switch kind {
+	case chunkDone:
+		r.progress.Done = true
+	case chunkContent:
+		r.progress.Tokens++
+		if r.OnToken != nil {
+			return r.OnToken(r.progress.Tokens)
+		}
+	}
+	return nil
+}
+
+func streamError(err error) error {
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return ErrMalformed
+	}
+	return errors.Wrap(ErrTruncated, err.Error())
+}
+
+// chunk is the kind of an event's data.
+type chunk int
+
+const (
+	chunkNone chunk = iota
+	chunkContent
+	chunkOther
+	chunkUsage
+	chunkDone
+)
+
+var (
+	doneMark    = []byte("[DONE]")
+	usageMark   = []byte(`"usage":{`)
+	choicesMark = []byte(`"choices":[]`)
+	contentMark = []byte(`"content":"`)
+	emptyMark   = []byte(`"content":""`)
+	toolMark    = []byte(`"tool_calls":[`)
+)
+
+// inspect classifies data without decoding it: a quote inside a JSON string is
+// escaped, so that the marks match keys only. Usage chunks alone are decoded.
+func (r *Relay) inspect(data []byte) (chunk, error) {
+	if bytes.Equal(data, doneMark) {
+		return chunkDone, nil
+	}
+	if len(data) == 0 || data[0] != '{' || data[len(data)-1] != '}' {
+		return chunkNone, ErrMalformed
+	}
+	kind := chunkOther
+	if bytes.Contains(data, toolMark) || (bytes.Contains(data, contentMark) && !bytes.Contains(data, emptyMark)) {
+		kind = chunkContent
+	}
+	if !bytes.Contains(data, usageMark) {
+		return kind, nil
+	}
+	var body struct {
+		Usage Usage `json:"usage"`
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return chunkNone, ErrMalformed
+	}
+	r.progress.Usage = &body.Usage
+	if bytes.Contains(data, choicesMark) {
+		kind = chunkUsage
+	}
+	return kind, nil
+}
+
+// EventID is the id of a relayed event: the request, the endpoint that runs
+// it, and the engine's own event number. It lets any daemon resume a stream.
+type EventID struct {
+	Request, Endpoint, Event string
+}
+
+const eventIDSeparator = "~"
+
+// Prefix returns what precedes the engine's event number.
+func (e EventID) Prefix() string {
+	return e.Request + eventIDSeparator + e.Endpoint + eventIDSeparator
+}
+
+// ParseEventID reads the id that a caller sends as Last-Event-ID.
+func ParseEventID(s string) (EventID, error) {
+	parts := bytes.Split([]byte(s), []byte(eventIDSeparator))
+	if len(parts) != 3 {
+		return EventID{}, errors.Errorf("event id %q does not have three parts", s)
+	}
+	if _, err := strconv.ParseUint(string(parts[2]), 10, 63); err != nil {
+		return EventID{}, errors.Errorf("event id %q does not end in a number", s)
+	}
+	return EventID{Request: string(parts[0]), Endpoint: string(parts[1]), Event: string(parts[2])}, nil
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,153 @@
+// Package upstream sends requests to endpoints over HTTP and relays their
+// answers. It reports for each failure whether the endpoint may have run the
+// request.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+)
+
+// Defaults of the connections to endpoints.
+const (
+	defaultConnectTimeout  = 500 * time.Millisecond
+	defaultIdleTimeout     = 90 * time.Second
+	defaultIdlePerEndpoint = 64
+	// keepAliveInterval detects a half-open connection within a few intervals.
+	keepAliveInterval = 2 * time.Second
+)
+
+// Headers that the daemon and an endpoint exchange besides HTTP's own.
+const (
+	HeaderRequestID   = "X-Request-ID"
+	HeaderLastEventID = "Last-Event-ID"
+	HeaderResumable   = "X-Resumable"
+	HeaderPriority    = "X-Priority"
+	HeaderDeadline    = "X-Deadline-Ms"
+)
+
+// Ran tells whether an endpoint ran a request.
+type Ran string
+
+// The values of Ran. RanNo is used only when it is certain.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Error is a failed exchange with an endpoint.
+type Error struct {
+	// Endpoint is the endpoint's id.
+	Endpoint string
+	// Ran tells whether the endpoint ran the request.
+	Ran Ran
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return "endpoint " + e.Endpoint + " (ran: " + string(e.Ran) + "): " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// RanOf returns whether the request ran according to err; RanUnknown if err
+// does not tell.
+func RanOf(err error) Ran {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Ran
+	}
+	return RanUnknown
+}
+
+// Call is one request to one endpoint.
+type Call struct {
+	// Endpoint is the endpoint's id, Addr its IP:port.
+	Endpoint, Addr string
+	Method         string
+	// Path is the URL path with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Options configure a Client. Zero values take the defaults.
+type Options struct {
+	ConnectTimeout  time.Duration
+	IdlePerEndpoint int
+}
+
+// Client sends calls to endpoints.
+type Client struct {
+	transport *http.Transport
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	if o.ConnectTimeout == 0 {
+		o.ConnectTimeout = defaultConnectTimeout
+	}
+	if o.IdlePerEndpoint == 0 {
+		o.IdlePerEndpoint = defaultIdlePerEndpoint
+	}
+	dialer := &net.Dialer{Timeout: o.ConnectTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3,
+	}}
+	return &Client{transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: o.IdlePerEndpoint,
+		IdleConnTimeout:     defaultIdleTimeout,
+		DisableCompression:  true,
+		ForceAttemptHTTP2:   false,
+	}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Do sends the call and returns the answer's head; the caller closes its body.
+// The error is an *Error. Do never sends the request twice.
+func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { wrote.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, "http://"+call.Addr+call.Path, singleUse(call.Body))
+	if err != nil {
+		return nil, c.fail(call, RanNo, err)
+	}
+	req.ContentLength = int64(len(call.Body))
+	req.Header = call.Header
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		ran := RanNo
+		if wrote.Load() {
+			ran = RanUnknown
+		}
+		return nil, c.fail(call, ran, err)
+	}
+	return resp, nil
+}
+
+func (c *Client) fail(call Call, ran Ran, err error) error {
+	return failure.At(&Error{Endpoint: call.Endpoint, Ran: ran, Err: err}, "upstream.request", call.Addr)
+}
+
+// singleUse returns a body that the transport can't rewind: the transport
+// replays a request with an Idempotency-Key, or without a body, on a broken
+// connection, and the daemon alone decides about retries.
+func singleUse(body []byte) io.ReadCloser {
+	return io.NopCloser(bytes.NewReader(body))
+}
