config: parse, validate and format the operators' text

Operators edit one TOML text; a fault must be reported with its place before it reaches the fleet. The parser checks keys, types and units while it walks the text, so that all faults are reported at once with line and column, and decodes strictly afterwards. Budgets are entries of their own, so that two offices can edit budgets of one account without a conflict.

--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// document is the layout of the TOML text.
+type document struct {
+	Service  map[string]Service         `toml:"service,omitempty"`
+	Endpoint map[string]Endpoint        `toml:"endpoint,omitempty"`
+	Account  map[string]accountDocument `toml:"account,omitempty"`
+	Operator map[string]Operator        `toml:"operator,omitempty"`
+}
+
+type accountDocument struct {
+	Keys   []string          `toml:"keys,omitempty"`
+	Weight int               `toml:"weight,omitempty"`
+	Budget map[string]Budget `toml:"budget,omitempty"`
+}
+
+// Parse reads and validates a whole configuration. The file name is used in
+// errors only. The error is of type Errors; a text with any fault yields no
+// configuration.
+func Parse(file string, text []byte) (*Config, error) {
+	pos := scan(file, text)
+	if len(pos.errs) > 0 {
+		return nil, sorted(pos.errs)
+	}
+	var doc document
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&doc); err != nil {
+		return nil, sorted(pos.decodeErrors(err))
+	}
+	c := doc.config()
+	if errs := c.validate(pos); len(errs) > 0 {
+		return nil, sorted(errs)
+	}
+	return c, nil
+}
+
+// Validate checks a configuration that did not come from a text. The error is
+// of type Errors.
+func (c *Config) Validate() error {
+	if errs := c.validate(nil); len(errs) > 0 {
+		return sorted(errs)
+	}
+	return nil
+}
+
+func sorted(errs Errors) Errors {
+	slices.SortStableFunc(errs, func(a, b *Error) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column),
+			cmp.Compare(a.Path, b.Path), cmp.Compare(a.Reason, b.Reason))
+	})
+	return errs
+}
+
+func (d *document) config() *Config {
+	c := New()
+	for name, s := range d.Service {
+		c.Services[name] = s
+	}
+	for name, e := range d.Endpoint {
+		c.Endpoints[name] = e
+	}
+	for name, a := range d.Account {
+		c.Accounts[name] = Account{Keys: a.Keys, Weight: a.Weight}
+		for budget, b := range a.Budget {
+			c.Budgets[BudgetID(name, budget)] = b
+		}
+	}
+	for name, o := range d.Operator {
+		c.Operators[name] = o
+	}
+	return c
+}
+
+// Format writes the configuration as text. Equal configurations give equal
+// texts, and Parse returns the same configuration.
+func Format(c *Config) []byte {
+	doc := document{Service: c.Services, Endpoint: c.Endpoints, Operator: c.Operators}
+	doc.Account = make(map[string]accountDocument, len(c.Accounts))
+	for name, a := range c.Accounts {
+		doc.Account[name] = accountDocument{Keys: a.Keys, Weight: a.Weight}
+	}
+	for id, b := range c.Budgets {
+		account, budget, _ := strings.Cut(id, "/")
+		a := doc.Account[account]
+		if a.Budget == nil {
+			a.Budget = make(map[string]Budget)
+		}
+		a.Budget[budget] = b
+		doc.Account[account] = a
+	}
+	var out bytes.Buffer
+	enc := toml.NewEncoder(&out).SetTablesInline(false)
+	if err := enc.Encode(doc); err != nil {
+		// The document has only strings, numbers, lists and maps, which always
+		// encode.
+		panic(errors.Wrap(err, "configuration does not encode"))
+	}
+	return out.Bytes()
+}
+
+// decodeErrors translates an error of the decoder. The checks of scan find the
+// usual faults first; this keeps the rest from being lost.
+func (p *positions) decodeErrors(err error) Errors {
+	e := &Error{Kind: ErrWrongType, File: p.file, Line: 1, Column: 1, Reason: strings.TrimPrefix(err.Error(), "toml: ")}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		e.Line, e.Column = de.Position()
+		e.Path = strings.Join(de.Key(), ".")
+		e.Reason = strings.TrimPrefix(de.Error(), "toml: ")
+	}
+	return Errors{e}
+}
--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"encoding"
+	"reflect"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// typeOf returns the Go type of the value at a path of the document. If there
+// is none, it returns the number of parts that exist.
+func typeOf(path []string) (t reflect.Type, known int, ok bool) {
+	t = reflect.TypeFor[document]()
+	for i, part := range path {
+		switch {
+		case t.Kind() == reflect.Map:
+			t = t.Elem()
+		case t.Kind() == reflect.Struct && !isText(t):
+			f, ok := fieldOf(t, part)
+			if !ok {
+				return t, i, false
+			}
+			t = f.Type
+		default:
+			return t, i, false
+		}
+	}
+	return t, len(path), true
+}
+
+func isText(t reflect.Type) bool {
+	return reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]())
+}
+
+func fieldOf(t reflect.Type, key string) (reflect.StructField, bool) {
+	for i := range t.NumField() {
+		if f := t.Field(i); tomlName(f) == key {
+			return f, true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+func tomlName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+	return name
+}
+
+// known reports a key that the document does not have.
+func (p *positions) known(path []string, offset int) bool {
+	t, n, ok := typeOf(path)
+	if ok {
+		return true
+	}
+	e := p.errorAt(offset, ErrUnknownKey, path[:n+1], "unknown key")
+	if t.Kind() == reflect.Struct && !isText(t) {
+		var keys []string
+		for i := range t.NumField() {
+			keys = append(keys, tomlName(t.Field(i)))
+		}
+		e.Nearest = nearest(path[n], keys)
+	}
+	p.errs = append(p.errs, e)
+	return false
+}
+
+func (p *positions) isTable(path []string, offset int) bool {
+	t, _, _ := typeOf(path)
+	if t.Kind() == reflect.Map || (t.Kind() == reflect.Struct && !isText(t)) {
+		return true
+	}
+	p.errs = append(p.errs, p.errorAt(offset, ErrWrongType, path, "key is not a table"))
+	return false
+}
+
+// valueFits reports a value of the wrong type or with a bad unit.
+func (p *positions) valueFits(path []string, offset int, value *unstable.Node) bool {
+	t, _, _ := typeOf(path)
+	want, kind := wantedKind(t)
+	if isText(t) {
+		text := reflect.New(t).Interface().(encoding.TextUnmarshaler)
+		if err := text.UnmarshalText(value.Data); err != nil || value.Kind != unstable.String {
+			reason := "write a string with a unit"
+			if err != nil {
+				reason = err.Error()
+			}
+			p.errs = append(p.errs, p.errorAt(offset, ErrUnit, path, reason))
+			return false
+		}
+		return true
+	}
+	if value.Kind != kind {
+		p.errs = append(p.errs, p.errorAt(offset, ErrWrongType, path, "value is "+describe(value.Kind)+", want "+want))
+		return false
+	}
+	if kind == unstable.Array {
+		for it := value.Children(); it.Next(); {
+			if it.Node().Kind != unstable.String && it.Node().Kind != unstable.Comment {
+				p.errs = append(p.errs, p.errorAt(offset, ErrWrongType, path,
+					"list holds "+describe(it.Node().Kind)+", want strings"))
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func wantedKind(t reflect.Type) (string, unstable.Kind) {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string", unstable.String
+	case reflect.Bool:
+		return "true or false", unstable.Bool
+	case reflect.Slice:
+		return "a list of strings", unstable.Array
+	case reflect.Int, reflect.Int64:
+		return "an integer", unstable.Integer
+	default:
+		return "a table", unstable.InlineTable
+	}
+}
+
+func describe(k unstable.Kind) string {
+	switch k {
+	case unstable.String:
+		return "a string"
+	case unstable.Bool:
+		return "a boolean"
+	case unstable.Integer:
+		return "an integer"
+	case unstable.Float:
+		return "a float"
+	case unstable.Array:
+		return "a list"
+	case unstable.InlineTable:
+		return "a table"
+	default:
+		return "a date or time"
+	}
+}
