--- /dev/null
+++ b/internal/config/merge.go
@@ -0,0 +1,85 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Conflict is an entry that both sides changed in different ways. A side is nil
+// if it does not have the entry.
+type Conflict struct {
+	ID
+	Base   any `json:"base"`
+	Mine   any `json:"mine"`
+	Theirs any `json:"theirs"`
+}
+
+// MergeError tells why two edits cannot be combined.
+type MergeError struct {
+	// Conflicts are entries changed on both sides.
+	Conflicts []Conflict `json:"conflicts,omitempty"`
+	// Invalid are the faults of the combination of two edits that are each
+	// valid, such as a budget added to an account that the other side removed.
+	Invalid Errors `json:"invalid,omitempty"`
+}
+
+// Error implements error.
+func (e *MergeError) Error() string {
+	if len(e.Conflicts) == 0 {
+		return "the combination of both edits is not valid: " + e.Invalid.Error()
+	}
+	parts := make([]string, len(e.Conflicts))
+	for i, c := range e.Conflicts {
+		parts[i] = fmt.Sprintf("%v: mine %s, theirs %s", c.ID, sideText(c.Base, c.Mine), sideText(c.Base, c.Theirs))
+	}
+	return "both edits change the same entry: " + strings.Join(parts, "; ")
+}
+
+// sideText describes what one side did to an entry.
+func sideText(base, side any) string {
+	if side == nil {
+		return "removes it"
+	}
+	var fields []string
+	for _, f := range fieldChanges(base, side) {
+		fields = append(fields, fmt.Sprintf("%s = %s", f.Key, f.New))
+	}
+	return "sets " + strings.Join(fields, ", ")
+}
+
+// Merge combines two edits of base. Entries that only one side changed, or that
+// both changed alike, are merged. The error is a *MergeError.
+func Merge(base, mine, theirs *Config) (*Config, error) {
+	merged := New()
+	var conflicts []Conflict
+	for _, id := range union(base, mine, theirs) {
+		b, m, t := base.side(id), mine.side(id), theirs.side(id)
+		result := m
+		switch {
+		case same(m, t), same(t, b):
+		case same(m, b):
+			result = t
+		default:
+			conflicts = append(conflicts, Conflict{ID: id, Base: b, Mine: m, Theirs: t})
+			continue
+		}
+		if result != nil {
+			merged.set(id, result)
+		}
+	}
+	if len(conflicts) > 0 {
+		return nil, &MergeError{Conflicts: conflicts}
+	}
+	if errs := merged.validate(nil); len(errs) > 0 {
+		return nil, &MergeError{Invalid: sorted(errs)}
+	}
+	return merged, nil
+}
+
+// side returns the entry or nil.
+func (c *Config) side(id ID) any {
+	if v, ok := c.Get(id); ok {
+		return v
+	}
+	return nil
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -63,14 +63,19 @@
 func (d *document) config() *Config {
 	c := New()
 	for name, s := range d.Service {
+		for _, list := range []*[]string{&s.Models, &s.DependsOn, &s.NonIdempotentCalls, &s.Adapters} {
+			dropEmpty(list)
+		}
 		c.Services[name] = s
 	}
 	for name, e := range d.Endpoint {
 		c.Endpoints[name] = e
 	}
 	for name, a := range d.Account {
+		dropEmpty(&a.Keys)
 		c.Accounts[name] = Account{Keys: a.Keys, Weight: a.Weight}
 		for budget, b := range a.Budget {
+			dropEmpty(&b.Services)
 			c.Budgets[BudgetID(name, budget)] = b
 		}
 	}
@@ -80,6 +85,14 @@
 	return c
 }
 
+// dropEmpty makes an empty list nil, so that a list written as [] is equal to
+// one that is not written.
+func dropEmpty(list *[]string) {
+	if len(*list) == 0 {
+		*list = nil
+	}
+}
+
 // Format writes the configuration as text. Equal configurations give equal
 // texts, and Parse returns the same configuration.
 func Format(c *Config) []byte {
--- /dev/null
+++ b/internal/config/section.go
@@ -0,0 +1,256 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// MaxSectionBytes bounds a section.
+const MaxSectionBytes = 64 << 10
+
+// mergeSectionBytes is the average size below which the number of sections is
+// halved. It is an eighth of the bound, so that a doubled number of sections is
+// not halved again by the next small edit.
+const mergeSectionBytes = MaxSectionBytes / 8
+
+// hashBytes is the length of the truncated SHA-256 that names a section. 24
+// bytes keep the manifest short; a collision takes about 2^96 attempts.
+const hashBytes = 24
+
+// Hash names the content of a section or manifest. "" stands for a section
+// without entries, which is not stored.
+type Hash string
+
+// HashOf returns the name of the content.
+func HashOf(content []byte) Hash {
+	sum := sha256.Sum256(content)
+	return Hash(base64.RawURLEncoding.EncodeToString(sum[:hashBytes]))
+}
+
+// Manifest lists the sections of a configuration. The entries of a kind are
+// spread by the hash of their names over a power of two of sections.
+type Manifest map[EntryKind][]Hash
+
+// Hashes returns all sections, sorted, each once.
+func (m Manifest) Hashes() []Hash {
+	var list []Hash
+	for _, hashes := range m {
+		list = append(list, hashes...)
+	}
+	slices.Sort(list)
+	list = slices.Compact(list)
+	if len(list) > 0 && list[0] == "" {
+		list = list[1:]
+	}
+	return list
+}
+
+// Encode returns the manifest as JSON; equal manifests give equal bytes.
+func (m Manifest) Encode() []byte {
+	b, err := json.Marshal(m)
+	if err != nil {
+		// A map of strings always encodes.
+		panic(errors.Wrap(err, "manifest does not encode"))
+	}
+	return b
+}
+
+// Hash names the manifest.
+func (m Manifest) Hash() Hash { return HashOf(m.Encode()) }
+
+// Equal reports whether both manifests name the same content.
+func (m Manifest) Equal(o Manifest) bool { return maps.EqualFunc(m, o, slices.Equal[[]Hash]) }
+
+// Split returns the manifest of c and its sections. The number of sections of
+// the previous manifest is kept where it fits, so that an edit of one entry
+// changes one section.
+func Split(c *Config, previous Manifest) (Manifest, map[Hash][]byte, error) {
+	s := splitter{manifest: make(Manifest), sections: make(map[Hash][]byte), previous: previous}
+	if err := errors.WithStack(firstError(
+		split(&s, EntryService, c.Services), split(&s, EntryEndpoint, c.Endpoints),
+		split(&s, EntryAccount, c.Accounts), split(&s, EntryBudget, c.Budgets),
+		split(&s, EntryOperator, c.Operators))); err != nil {
+		return nil, nil, err
+	}
+	return s.manifest, s.sections, nil
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type splitter struct {
+	manifest, previous Manifest
+	sections           map[Hash][]byte
+}
+
+// encodedEntry is an entry within a section, one JSON line.
+type encodedEntry struct {
+	Name  string          `json:"name"`
+	Value json.RawMessage `json:"value"`
+}
+
+func split[V any](s *splitter, kind EntryKind, entries map[string]V) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	names := slices.Sorted(maps.Keys(entries))
+	lines := make([][]byte, len(names))
+	total := 0
+	for i, name := range names {
+		line, err := encodeLine(name, entries[name])
+		if err != nil {
+			return err
+		}
+		if len(line)+len(header(kind)) > MaxSectionBytes {
+			return errors.Errorf("%s %s takes %d bytes, more than a section of %d bytes", kind, name, len(line), MaxSectionBytes)
+		}
+		lines[i] = line
+		total += len(line)
+	}
+	count := max(1, len(s.previous[kind]))
+	for count > 1 && total < count*mergeSectionBytes {
+		count /= 2
+	}
+	for {
+		contents, ok := distribute(kind, names, lines, count)
+		if ok {
+			s.add(kind, contents)
+			return nil
+		}
+		count *= 2
+	}
+}
+
+func encodeLine(name string, value any) ([]byte, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	line, err := json.Marshal(encodedEntry{Name: name, Value: raw})
+	return append(line, '\n'), errors.WithStack(err)
+}
+
+// header is the first line of a section. It keeps sections of two kinds apart.
+func header(kind EntryKind) []byte { return []byte(string(kind) + "\n") }
+
+func shardOf(name string, count int) int { return int(xxhash.Sum64String(name) & uint64(count-1)) }
+
+func distribute(kind EntryKind, names []string, lines [][]byte, count int) ([][]byte, bool) {
+	contents := make([][]byte, count)
+	for i, name := range names {
+		shard := shardOf(name, count)
+		if contents[shard] == nil {
+			contents[shard] = header(kind)
+		}
+		contents[shard] = append(contents[shard], lines[i]...)
+		if len(contents[shard]) > MaxSectionBytes {
+			return nil, false
+		}
+	}
+	return contents, true
+}
+
+func (s *splitter) add(kind EntryKind, contents [][]byte) {
+	hashes := make([]Hash, len(contents))
+	for i, content := range contents {
+		if content != nil {
+			hashes[i] = HashOf(content)
+			s.sections[hashes[i]] = content
+		}
+	}
+	s.manifest[kind] = hashes
+}
+
+// Join builds the configuration of a manifest. Sections that the previous
+// manifest has at the same place are taken from the previous configuration;
+// both may be nil. Section returns the content of a section.
+func Join(previous *Config, previousManifest, m Manifest, section func(Hash) ([]byte, bool)) (*Config, error) {
+	if previous == nil {
+		previous, previousManifest = New(), nil
+	}
+	j := joiner{old: previousManifest, manifest: m, section: section}
+	c := &Config{}
+	var errs [5]error
+	c.Services, errs[0] = join(&j, EntryService, previous.Services)
+	c.Endpoints, errs[1] = join(&j, EntryEndpoint, previous.Endpoints)
+	c.Accounts, errs[2] = join(&j, EntryAccount, previous.Accounts)
+	c.Budgets, errs[3] = join(&j, EntryBudget, previous.Budgets)
+	c.Operators, errs[4] = join(&j, EntryOperator, previous.Operators)
+	if err := firstError(errs[:]...); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+type joiner struct {
+	old, manifest Manifest
+	section       func(Hash) ([]byte, bool)
+}
+
+func join[V any](j *joiner, kind EntryKind, entries map[string]V) (map[string]V, error) {
+	before, after := j.old[kind], j.manifest[kind]
+	if slices.Equal(before, after) {
+		return entries, nil
+	}
+	count := len(after)
+	if count&(count-1) != 0 {
+		return nil, errors.Errorf("manifest has %d sections of kind %s, not a power of two", count, kind)
+	}
+	result := make(map[string]V, len(entries))
+	keep := len(before) == count
+	if keep {
+		for name, v := range entries {
+			if shard := shardOf(name, count); before[shard] == after[shard] {
+				result[name] = v
+			}
+		}
+	}
+	for i, hash := range after {
+		if hash == "" || (keep && before[i] == hash) {
+			continue
+		}
+		content, ok := j.section(hash)
+		if !ok {
+			return nil, errors.Errorf("section %s of kind %s is missing", hash, kind)
+		}
+		if err := decodeSection(kind, hash, content, result); err != nil {
+			return nil, err
+		}
+	}
+	return result, nil
+}
+
+func decodeSection[V any](kind EntryKind, hash Hash, content []byte, into map[string]V) error {
+	if HashOf(content) != hash {
+		return errors.Errorf("section %s of kind %s has other content", hash, kind)
+	}
+	rest, ok := bytes.CutPrefix(content, header(kind))
+	if !ok {
+		return errors.Errorf("section %s is not of kind %s", hash, kind)
+	}
+	for line := range bytes.Lines(rest) {
+		var e encodedEntry
+		if err := json.Unmarshal(line, &e); err != nil {
+			return errors.Wrapf(err, "section %s of kind %s", hash, kind)
+		}
+		var v V
+		if err := json.Unmarshal(e.Value, &v); err != nil {
+			return errors.Wrapf(err, "section %s, %s %s", hash, kind, e.Name)
+		}
+		into[e.Name] = v
+	}
+	return nil
+}
