--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	Service string
 	// Tokens is the amount reserved at first.
 	Tokens int64
+	// Keyed is true if the caller chose the id, so that it can come again.
+	Keyed bool
 	// Resume takes over the reservation of an earlier attempt with this id.
 	Resume bool
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -184,7 +184,8 @@
 		}
 	}
 	hold, err := j.x.g.Ledger.Reserve(ctx, Charge{
-		ID: j.x.id, Account: j.x.account.Name, Service: j.x.service.Name, Tokens: first, Resume: j.resume != nil,
+		ID: j.x.id, Account: j.x.account.Name, Service: j.x.service.Name, Tokens: first,
+		Keyed: j.x.key != "" || j.resume != nil, Resume: j.resume != nil,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,180 @@
+// Package ledger runs the budget state machines of one daemon: its holder and
+// the allocators of the shards that it owns. It sends their messages to other
+// daemons and their writes to the platform's store.
+package ledger
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// Timing of a ledger.
+const (
+	// tickInterval is the resolution of the allocators' timers.
+	tickInterval = 50 * time.Millisecond
+	// settleInterval groups settlements on their way to an allocator.
+	settleInterval = 100 * time.Millisecond
+	// announceInterval and announceFor repeat the notice of a new epoch, so
+	// that a daemon which missed it registers and the old grant is returned.
+	announceInterval = time.Second
+	announceFor      = 30 * time.Second
+	// retryInterval spaces attempts to register or reserve.
+	retryInterval = 20 * time.Millisecond
+	// callTimeout bounds one call to a peer.
+	callTimeout = 2 * time.Second
+)
+
+// ErrNotOwner tells that this daemon is not the allocator of the shard.
+var ErrNotOwner = errors.New("this daemon does not own the shard")
+
+// Members is the membership as the ledger needs it.
+type Members interface {
+	// Owner returns the live member of a failure domain that owns the key.
+	Owner(domain, key string) (membership.Member, bool)
+	// LiveIn returns the live members of a failure domain.
+	LiveIn(domain string) []membership.Member
+	// Addr returns a member's address.
+	Addr(id string) (string, bool)
+	// Domains returns the known failure domains.
+	Domains() []string
+}
+
+// Peers calls the ledgers of other daemons by address.
+type Peers interface {
+	Reserve(ctx context.Context, addr string, r budget.ReserveRequest) (budget.Reply, error)
+	Extend(ctx context.Context, addr string, r budget.ExtendRequest) (budget.Reply, error)
+	Settle(ctx context.Context, addr string, r budget.SettleRequest) (budget.Reply, error)
+	Register(ctx context.Context, addr string, r budget.RegisterRequest) (budget.Reply, error)
+	Mirror(ctx context.Context, addr string, m budget.MirrorRequest) (budget.MirrorAnswer, error)
+	Reclaim(ctx context.Context, addr string, r budget.ReclaimRequest) error
+	AnnounceEpoch(ctx context.Context, addr string, shard int, epoch uint64) error
+}
+
+// Options configure a Ledger.
+type Options struct {
+	// ID is the instance's id and Domain its failure domain.
+	ID, Domain string
+	Store      platform.Store
+	Members    Members
+	Peers      Peers
+	// BudgetFor returns the budget that pays for an account's use of a service.
+	BudgetFor func(account, service string) (string, bool)
+	// Interval is the time between periodic flushes of an allocator.
+	Interval time.Duration
+	// Step is the number of tokens of one extension.
+	Step int64
+	// Timeout bounds the wait for a reservation.
+	Timeout time.Duration
+	Log     zerolog.Logger
+	Scope   tally.Scope
+}
+
+// Ledger is the budget side of a daemon.
+type Ledger struct {
+	o    Options
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu     sync.Mutex
+	holder *budget.Holder
+	// offices holds the allocators of the shards that this daemon owns.
+	offices map[int]*office
+	// waits holds the callers that wait for an allocator's reply.
+	waits map[wait][]chan budget.Reply
+	// registering has a channel for each shard whose registration is in
+	// progress; it is closed at the end.
+	registering map[int]chan struct{}
+	// settling marks the shards with a settlement in progress.
+	settling map[int]bool
+}
+
+// office is an allocator with the state of its input and output.
+type office struct {
+	shard     int
+	allocator *budget.Allocator
+	next      time.Time
+	epoch     uint64
+	announced time.Time
+	since     time.Time
+	retired   bool
+}
+
+// wait names the reply that a caller waits for.
+type wait struct {
+	kind   budget.Kind
+	shard  int
+	holder string
+	key    budget.Key
+}
+
+// Key returns the store key of a shard's record.
+func Key(shard int) string { return "budget/" + strconv.Itoa(shard) }
+
+// New returns a running ledger; Close ends it.
+func New(o Options) *Ledger {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Ledger{
+		o: o, ctx: ctx, stop: stop, holder: budget.NewHolder(o.ID), offices: make(map[int]*office),
+		waits: make(map[wait][]chan budget.Reply), registering: make(map[int]chan struct{}), settling: make(map[int]bool),
+	}
+	l.spawn(func() { l.loop(tickInterval, l.tick) })
+	l.spawn(func() { l.loop(settleInterval, l.settleAll) })
+	return l
+}
+
+// Close ends the ledger at once. See Drain for a planned stop.
+func (l *Ledger) Close() {
+	l.stop()
+	l.wg.Wait()
+}
+
+func (l *Ledger) spawn(f func()) {
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		f()
+	}()
+}
+
+func (l *Ledger) loop(interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Ledger) owner(shard int) (membership.Member, bool) {
+	return l.o.Members.Owner(l.o.Domain, Key(shard))
+}
+
+// sleep waits for d; it reports false if ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/ledger/office.go
@@ -0,0 +1,221 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// office returns the allocator of a shard, creating it if this daemon owns the
+// shard now. The caller holds l.mu.
+func (l *Ledger) office(shard int) (*office, error) {
+	if shard < 0 || shard >= budget.Shards {
+		return nil, errors.Errorf("shard %d does not exist", shard)
+	}
+	if f, ok := l.offices[shard]; ok && !f.retired {
+		return f, nil
+	}
+	if m, ok := l.owner(shard); !ok || m.ID != l.o.ID {
+		return nil, ErrNotOwner
+	}
+	now := time.Now()
+	f := &office{shard: shard, next: now, allocator: budget.NewAllocator(now, budget.Options{
+		Domain: l.o.Domain, Shard: shard, Owner: l.o.ID, Interval: l.o.Interval, Step: l.o.Step,
+	})}
+	f.allocator.SetMembers(now, l.liveIDs())
+	l.offices[shard] = f
+	l.pump(f)
+	return f, nil
+}
+
+func (l *Ledger) liveIDs() []string {
+	live := l.o.Members.LiveIn(l.o.Domain)
+	ids := make([]string, len(live))
+	for i, m := range live {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
+// MembersChanged passes a change of the failure domain's live members on.
+func (l *Ledger) MembersChanged() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := l.liveIDs()
+	now := time.Now()
+	for shard, f := range l.offices {
+		f.allocator.SetMembers(now, ids)
+		if m, ok := l.owner(shard); ok && m.ID != l.o.ID && !f.retired {
+			f.retired = true
+			f.allocator.Retire(now)
+		}
+		l.pump(f)
+	}
+}
+
+// MemberGone tells the allocators that a daemon is dead or has left.
+func (l *Ledger) MemberGone(m membership.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range l.offices {
+		f.allocator.HolderGone(time.Now(), m.ID)
+		l.pump(f)
+	}
+}
+
+func (l *Ledger) tick() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for shard, f := range l.offices {
+		if f.allocator.Deposed() {
+			l.o.Log.Info().Int("shard", shard).Uint64("epoch", f.epoch).Msg("another daemon is the allocator now")
+			delete(l.offices, shard)
+			continue
+		}
+		if !now.Before(f.next) {
+			f.allocator.Tick(now)
+			l.pump(f)
+		}
+		l.announce(f, now)
+	}
+}
+
+// announce tells the failure domain's daemons of a new epoch, so that they
+// register and the rest of the old grant can be returned.
+func (l *Ledger) announce(f *office, now time.Time) {
+	epoch := f.allocator.Epoch()
+	if epoch == 0 {
+		return
+	}
+	if epoch != f.epoch {
+		f.epoch, f.since, f.announced = epoch, now, time.Time{}
+		l.o.Log.Info().Int("shard", f.shard).Uint64("epoch", epoch).Msg("this daemon is the allocator")
+	}
+	if now.Sub(f.since) > announceFor || now.Sub(f.announced) < announceInterval {
+		return
+	}
+	f.announced = now
+	l.observe(f.shard, epoch)
+	for _, m := range l.o.Members.LiveIn(l.o.Domain) {
+		if m.ID == l.o.ID {
+			continue
+		}
+		addr, shard := m.Addr, f.shard
+		l.send(func(ctx context.Context) {
+			if err := l.o.Peers.AnnounceEpoch(ctx, addr, shard, epoch); err != nil {
+				l.o.Log.Debug().Err(err).Msg("epoch notice not delivered")
+			}
+		})
+	}
+}
+
+// send runs a call to a peer or the store outside the lock.
+func (l *Ledger) send(f func(ctx context.Context)) {
+	l.spawn(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// pump does what the allocator wants done. The caller holds l.mu.
+func (l *Ledger) pump(f *office) {
+	out := f.allocator.Take()
+	f.next = out.Next
+	for _, r := range out.Replies {
+		l.deliver(r)
+	}
+	for _, m := range out.Mirrors {
+		l.sendMirror(f, m)
+	}
+	for _, r := range out.Reclaims {
+		l.sendReclaim(r)
+	}
+	if out.Read {
+		l.send(func(ctx context.Context) { l.read(ctx, f) })
+	}
+	if out.Write != nil {
+		w := *out.Write
+		l.send(func(ctx context.Context) { l.write(ctx, f, w) })
+	}
+}
+
+func (l *Ledger) sendMirror(f *office, m budget.MirrorRequest) {
+	addr, ok := l.o.Members.Addr(m.Member)
+	if !ok {
+		return
+	}
+	l.send(func(ctx context.Context) {
+		answer, err := l.o.Peers.Mirror(ctx, addr, m)
+		if err != nil {
+			l.o.Log.Debug().Err(err).Int("shard", f.shard).Msg("mirror request not answered")
+			return
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		f.allocator.MirrorAnswered(time.Now(), answer)
+		l.pump(f)
+	})
+}
+
+func (l *Ledger) sendReclaim(r budget.ReclaimRequest) {
+	for _, domain := range l.o.Members.Domains() {
+		if domain == l.o.Domain {
+			continue
+		}
+		m, ok := l.o.Members.Owner(domain, Key(r.Shard))
+		if !ok {
+			continue
+		}
+		l.send(func(ctx context.Context) {
+			if err := l.o.Peers.Reclaim(ctx, m.Addr, r); err != nil {
+				l.o.Log.Debug().Err(err).Msg("request for idle tokens not delivered")
+			}
+		})
+	}
+}
+
+func (l *Ledger) read(ctx context.Context, f *office) {
+	item, err := l.o.Store.Get(ctx, Key(f.shard))
+	missing := errors.Is(err, platform.ErrNotFound)
+	if err != nil && !missing {
+		l.o.Log.Warn().Err(err).Int("shard", f.shard).Msg("budget record can't be read")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f.allocator.Loaded(time.Now(), item.Value, int64(item.Revision), err == nil || missing)
+	l.pump(f)
+}
+
+func (l *Ledger) write(ctx context.Context, f *office, w budget.StoreWrite) {
+	item, err := l.o.Store.CompareAndSwap(ctx, platform.Write{
+		Key: Key(f.shard), Value: w.Value, Expected: platform.Revision(w.Expected), OpID: w.OpID,
+	})
+	result := storeResult(item, err)
+	if result.Outcome != budget.Applied && result.Outcome != budget.Conflict {
+		l.o.Log.Warn().Err(err).Int("shard", f.shard).Msg("budget record can't be written")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f.allocator.Stored(time.Now(), result)
+	l.pump(f)
+}
+
+func storeResult(item platform.Item, err error) budget.StoreResult {
+	if err == nil {
+		return budget.StoreResult{Outcome: budget.Applied, Revision: int64(item.Revision)}
+	}
+	if c, ok := platform.AsConflict(err); ok {
+		return budget.StoreResult{Outcome: budget.Conflict, Value: c.Actual.Value, Revision: int64(c.Actual.Revision)}
+	}
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrLimited) || errors.Is(err, platform.ErrTooLarge) {
+		return budget.StoreResult{Outcome: budget.Unavailable}
+	}
+	return budget.StoreResult{Outcome: budget.OutcomeUnknown}
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/peer/peerpb"
+)
+
+// Connection parameters. A half-open connection is noticed by a ping after
+// pingInterval without an answer for pingTimeout; gRPC's servers refuse pings
+// more often than each ten seconds unless told otherwise.
+const (
+	pingInterval   = 10 * time.Second
+	pingTimeout    = 3 * time.Second
+	connectBackoff = 100 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+)
+
+// Client calls other daemons by address. Connections are made on first use
+// and kept until Forget or Close.
+type Client struct {
+	creds credentials.TransportCredentials
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClient returns a client; creds nil means plain text.
+func NewClient(creds credentials.TransportCredentials) *Client {
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	return &Client{creds: creds, conns: make(map[string]*grpc.ClientConn)}
+}
+
+func (c *Client) stub(addr string) (peerpb.PeerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[addr]; ok {
+		return peerpb.NewPeerClient(conn), nil
+	}
+	bo := backoff.DefaultConfig
+	bo.BaseDelay, bo.MaxDelay = connectBackoff, maxBackoff
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(c.creds),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: bo, MinConnectTimeout: time.Second}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+	)
+	if err != nil {
+		return nil, failure.At(err, "peer.connect", addr)
+	}
+	c.conns[addr] = conn
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// Forget closes the connection to a daemon that is gone.
+func (c *Client) Forget(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[addr]; ok {
+		conn.Close()
+		delete(c.conns, addr)
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, conn := range c.conns {
+		conn.Close()
+		delete(c.conns, addr)
+	}
+}
+
+// call sends one request and converts its answer.
+func call[Q, A, R any](c *Client, ctx context.Context, addr, step string, q Q,
+	send func(peerpb.PeerClient, context.Context, Q, ...grpc.CallOption) (A, error), convert func(A) R,
+) (R, error) {
+	var zero R
+	stub, err := c.stub(addr)
+	if err != nil {
+		return zero, err
+	}
+	a, err := send(stub, ctx, q)
+	if err != nil {
+		return zero, failure.At(err, step, addr)
+	}
+	return convert(a), nil
+}
+
+func nothing(*peerpb.Empty) struct{} { return struct{}{} }
+
+// Reserve asks the allocator at addr for tokens.
+func (c *Client) Reserve(ctx context.Context, addr string, r budget.ReserveRequest) (budget.Reply, error) {
+	return call(c, ctx, addr, "budget.reserve", reserveToProto(r), peerpb.PeerClient.Reserve, replyFromProto)
+}
+
+// Extend asks the allocator at addr for a larger reservation.
+func (c *Client) Extend(ctx context.Context, addr string, r budget.ExtendRequest) (budget.Reply, error) {
+	return call(c, ctx, addr, "budget.extend", extendToProto(r), peerpb.PeerClient.Extend, replyFromProto)
+}
+
+// Settle sends settlements to the allocator at addr.
+func (c *Client) Settle(ctx context.Context, addr string, r budget.SettleRequest) (budget.Reply, error) {
+	return call(c, ctx, addr, "budget.settle", settleToProto(r), peerpb.PeerClient.Settle, replyFromProto)
+}
+
+// Register registers this daemon's holder with the allocator at addr.
+func (c *Client) Register(ctx context.Context, addr string, r budget.RegisterRequest) (budget.Reply, error) {
+	return call(c, ctx, addr, "budget.register", registerToProto(r), peerpb.PeerClient.Register, replyFromProto)
+}
+
+// Mirror sends reservations to be mirrored at addr.
+func (c *Client) Mirror(ctx context.Context, addr string, m budget.MirrorRequest) (budget.MirrorAnswer, error) {
+	return call(c, ctx, addr, "budget.mirror", mirrorToProto(m), peerpb.PeerClient.Mirror, mirrorAnswerFromProto)
+}
+
+// Reclaim asks the allocator at addr to return idle tokens.
+func (c *Client) Reclaim(ctx context.Context, addr string, r budget.ReclaimRequest) error {
+	_, err := call(c, ctx, addr, "budget.reclaim", reclaimToProto(r), peerpb.PeerClient.Reclaim, nothing)
+	return err
+}
+
+// AnnounceEpoch tells the daemon at addr of a new allocator.
+func (c *Client) AnnounceEpoch(ctx context.Context, addr string, shard int, epoch uint64) error {
+	n := &peerpb.EpochNotice{Shard: uint32(shard), Epoch: epoch}
+	_, err := call(c, ctx, addr, "budget.announce", n, peerpb.PeerClient.AnnounceEpoch, nothing)
+	return err
+}
+
+// Gossip sends a membership message.
+func (c *Client) Gossip(ctx context.Context, addr string, m membership.Message) error {
+	_, err := call(c, ctx, addr, "membership.send", gossipToProto(m), peerpb.PeerClient.Gossip, nothing)
+	return err
+}
+
+// ShareLoad sends a load digest of a service.
+func (c *Client) ShareLoad(ctx context.Context, addr, from, service string, body []byte) error {
+	m := &peerpb.LoadDigest{From: from, Service: service, Body: body}
+	_, err := call(c, ctx, addr, "load.share", m, peerpb.PeerClient.ShareLoad, nothing)
+	return err
+}
+
+// SharePoison sends crashes of requests.
+func (c *Client) SharePoison(ctx context.Context, addr, from string, body []byte) error {
+	m := &peerpb.PoisonEntries{From: from, Body: body}
+	_, err := call(c, ctx, addr, "poison.share", m, peerpb.PeerClient.SharePoison, nothing)
+	return err
+}
+
+// ShareRevision passes a configuration revision on.
+func (c *Client) ShareRevision(ctx context.Context, addr, from string, revision int64, body []byte) error {
+	m := &peerpb.RevisionNotice{From: from, Revision: revision, Body: body}
+	_, err := call(c, ctx, addr, "config.share", m, peerpb.PeerClient.ShareRevision, nothing)
+	return err
+}
