Add the public API of the routing and admission core

The gateway is written against route.Pool, predict.Predictor, admission.Queue, outlier.Detector, retry.Budget and poison.Registry, so their types and method signatures land first, with a first version of each policy.

--- /dev/null
+++ b/internal/admission/account.go
@@ -0,0 +1,178 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// entry is a request that is queued or running.
+type entry struct {
+	Item
+	account  *account
+	queuedAt time.Time
+	// bound is the time at which the request is refused if it still waits.
+	bound time.Time
+	// key orders the requests of an account: predicted work plus aging. A
+	// request that arrived s seconds earlier goes first if its work is at
+	// most s * AgingRate larger.
+	key float64
+	at  int
+}
+
+func (e *entry) less(f *entry) bool {
+	if e.key != f.key {
+		return e.key < f.key
+	}
+	return e.Ticket < f.Ticket
+}
+
+// entryHeap is a heap of queued requests by key.
+type entryHeap []*entry
+
+func (h entryHeap) Len() int           { return len(h) }
+func (h entryHeap) Less(i, j int) bool { return h[i].less(h[j]) }
+func (h entryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].at, h[j].at = i, j
+}
+
+// Push implements heap.Interface.
+func (h *entryHeap) Push(x any) {
+	e := x.(*entry)
+	e.at = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *entryHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
+
+var _ heap.Interface = (*entryHeap)(nil)
+
+// account is the state of one account.
+type account struct {
+	name   string
+	weight float64
+	// time is the account's virtual time: the work that it was given over its
+	// weight, moved forward to the queue's virtual time when it had no work.
+	time         float64
+	short, long  entryHeap
+	queuedTokens int
+	running      int
+}
+
+func (a *account) empty() bool { return len(a.short)+len(a.long) == 0 }
+
+func (a *account) queue(long bool) *entryHeap {
+	if long {
+		return &a.long
+	}
+	return &a.short
+}
+
+// head returns the first request of the classes that have room.
+func (a *account) head(short, long bool) *entry {
+	var e *entry
+	if short && len(a.short) > 0 {
+		e = a.short[0]
+	}
+	if long && len(a.long) > 0 && (e == nil || a.long[0].less(e)) {
+		e = a.long[0]
+	}
+	return e
+}
+
+// last returns the queued request with the greatest key.
+func (a *account) last() *entry {
+	var worst *entry
+	for _, h := range [2]entryHeap{a.short, a.long} {
+		for _, e := range h {
+			if worst == nil || worst.less(e) {
+				worst = e
+			}
+		}
+	}
+	return worst
+}
+
+// ahead returns the queued work of the account that goes before key.
+func (a *account) ahead(key float64) int {
+	sum := 0
+	for _, h := range [2]entryHeap{a.short, a.long} {
+		for _, e := range h {
+			if e.key < key {
+				sum += e.Tokens
+			}
+		}
+	}
+	return sum
+}
+
+func (q *Queue) account(it Item) *account {
+	a := q.accounts[it.Account]
+	if a == nil {
+		a = &account{name: it.Account, time: q.virtual}
+		q.accounts[it.Account] = a
+	}
+	a.weight = it.Weight
+	if a.weight <= 0 {
+		a.weight = 1
+	}
+	return a
+}
+
+// forgetIdle drops accounts without requests whose virtual time has passed;
+// they would start at the queue's virtual time anyway.
+func (q *Queue) forgetIdle() {
+	if len(q.accounts) < idleAccounts {
+		return
+	}
+	for name, a := range q.accounts {
+		if a.empty() && a.running == 0 && a.time <= q.virtual {
+			delete(q.accounts, name)
+		}
+	}
+}
+
+// makeRoom refuses queued work until e fits into the bound on queued tokens.
+// It takes from the account with the most queued work for its weight; ok is
+// false if that is e's own account.
+func (q *Queue) makeRoom(e *entry) (displaced []Refusal, ok bool) {
+	if e.Tokens > q.opts.MaxQueuedTokens {
+		return nil, false
+	}
+	if q.broken == "bound" {
+		return nil, true
+	}
+	need := q.queuedTokens + e.Tokens - q.opts.MaxQueuedTokens
+	if need <= 0 {
+		return nil, true
+	}
+	load := func(a *account) float64 {
+		n := a.queuedTokens
+		if a == e.account {
+			n += e.Tokens
+		}
+		return float64(n) / a.weight
+	}
+	for q.queuedTokens+e.Tokens > q.opts.MaxQueuedTokens {
+		most := e.account
+		for _, a := range q.waiting {
+			if load(a) > load(most) {
+				most = a
+			}
+		}
+		if most == e.account {
+			return displaced, false
+		}
+		victim := most.last()
+		q.dequeue(victim)
+		displaced = append(displaced, Refusal{Ticket: victim.Ticket, Reason: Displaced, RetryAfter: q.retryAfter(victim.Ticket)})
+	}
+	return displaced, true
+}
--- /dev/null
+++ b/internal/admission/limit.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// sampleDecay is the weight that earlier token gaps keep for each new
+	// one; about 5,000 gaps, a few seconds of one daemon's tokens, count.
+	sampleDecay = 0.9998
+	// minSamples is the weight of gaps from which the model is used.
+	minSamples = 300
+	// minSpread is the variance of the batch sizes from which the model's
+	// slope is used.
+	minSpread = 1
+	// headroom is the number of standard deviations between the mean gap and
+	// the target: 95 in 100 values of a normal distribution are below 1.65.
+	headroom = 1.65
+	// outlierRatio clips gaps of slowed endpoints, which say nothing about
+	// the batch size.
+	outlierRatio = 4
+	// window is the interval of the feedback on the model.
+	window = 500 * time.Millisecond
+	// minWindowGaps is the number of gaps from which a window counts.
+	minWindowGaps = 40
+	// tooMany and few are the shares of gaps above the target that lower and
+	// raise the limit.
+	tooMany = 0.05
+	few     = 0.025
+	// lower and raise are the steps of the feedback: multiplicative decrease
+	// and additive increase.
+	lower, raise         = 0.94, 0.01
+	minFactor, maxFactor = 0.4, 1.2
+	// minPerEndpoint keeps every endpoint in use.
+	minPerEndpoint = 1
+)
+
+// limiter is the adaptive limit of requests per endpoint. It predicts the
+// inter-token time for a batch size by a regression over observed gaps, so
+// that the limit is known before a swing reaches it, and corrects the
+// prediction by the share of gaps above the target.
+type limiter struct {
+	target   float64 // ns
+	services bool
+	// decayed sums of the regression of gap y on batch size x.
+	n, x, y, xx, xy, yy float64
+
+	factor         float64
+	windowEnd      time.Time
+	gaps, over     int
+	queuedInWindow bool
+}
+
+func newLimiter(o Options) limiter {
+	return limiter{target: float64(o.InterTokenTarget), services: o.Services, factor: 1}
+}
+
+func (l *limiter) observe(now time.Time, gap time.Duration, inFlight int, queued bool) {
+	y, x := float64(gap), float64(inFlight)
+	l.gaps++
+	if y > l.target {
+		l.over++
+	}
+	l.queuedInWindow = l.queuedInWindow || queued
+	if l.n > minSamples {
+		y = min(y, outlierRatio*l.y/l.n)
+	}
+	l.n = l.n*sampleDecay + 1
+	l.x = l.x*sampleDecay + x
+	l.y = l.y*sampleDecay + y
+	l.xx = l.xx*sampleDecay + x*x
+	l.xy = l.xy*sampleDecay + x*y
+	l.yy = l.yy*sampleDecay + y*y
+	if now.After(l.windowEnd) {
+		l.closeWindow(now)
+	}
+}
+
+func (l *limiter) closeWindow(now time.Time) {
+	if l.gaps >= minWindowGaps {
+		share := float64(l.over) / float64(l.gaps)
+		switch {
+		case share > tooMany:
+			l.factor = max(minFactor, l.factor*lower)
+		case share < few && l.queuedInWindow:
+			l.factor = min(maxFactor, l.factor+raise)
+		case share < few:
+			l.factor += (1 - l.factor) * raise
+		}
+	}
+	l.gaps, l.over, l.queuedInWindow = 0, 0, false
+	l.windowEnd = now.Add(window)
+}
+
+// perEndpoint returns the limit of requests for one endpoint of the pool.
+func (l *limiter) perEndpoint(c Capacity) float64 {
+	if c.Endpoints <= 0 {
+		return 0
+	}
+	slots := c.Slots / c.Endpoints
+	if l.services {
+		return slots
+	}
+	limit := slots
+	if m, ok := l.model(); ok {
+		limit = m
+	}
+	return max(minPerEndpoint, min(slots, limit*l.factor))
+}
+
+// model returns the batch size at which the predicted gap plus headroom
+// reaches the target.
+func (l *limiter) model() (float64, bool) {
+	if l.n < minSamples {
+		return 0, false
+	}
+	mx, my := l.x/l.n, l.y/l.n
+	varX := l.xx/l.n - mx*mx
+	if varX < minSpread {
+		return 0, false
+	}
+	slope := (l.xy/l.n - mx*my) / varX
+	if slope <= 0 {
+		return 0, false
+	}
+	varY := max(0, l.yy/l.n-my*my-slope*slope*varX)
+	return mx + (l.target-headroom*math.Sqrt(varY)-my)/slope, true
+}
+
+// drainRate measures the work per second that leaves the queue.
+type drainRate struct {
+	since  time.Time
+	tokens int
+	rate   float64 // tokens per second; 0 if not measured
+}
+
+const (
+	drainWindow = 500 * time.Millisecond
+	drainWeight = 0.3
+)
+
+func (d *drainRate) admitted(now time.Time, tokens int, queued bool) {
+	if !queued {
+		// Without a queue the rate is that of arrivals, not of the pool.
+		d.since, d.tokens = now, 0
+		return
+	}
+	d.tokens += tokens
+	span := now.Sub(d.since)
+	if span < drainWindow {
+		return
+	}
+	r := float64(d.tokens) / span.Seconds()
+	if d.rate == 0 || span > 4*drainWindow {
+		d.rate = r
+	} else {
+		d.rate += drainWeight * (r - d.rate)
+	}
+	d.since, d.tokens = now, 0
+}
+
+// expectedWait estimates the time until e starts, 0 if unknown: the work of
+// its account ahead of it, over the account's share of the drain rate.
+func (q *Queue) expectedWait(e *entry) time.Duration {
+	if q.drain.rate <= 0 || len(q.queued) == 0 {
+		return 0
+	}
+	weights := e.account.weight
+	for _, a := range q.waiting {
+		if a != e.account {
+			weights += a.weight
+		}
+	}
+	rate := q.drain.rate * e.account.weight / weights
+	return time.Duration(float64(e.account.ahead(e.key)) / rate * float64(time.Second))
+}
+
+// retryAfter is the advice to a refused caller: the time to drain the queue,
+// spread by the request's number so that refused callers do not return at the
+// same moment.
+func (q *Queue) retryAfter(t Ticket) time.Duration {
+	base := minRetry
+	if q.drain.rate > 0 {
+		base = time.Duration(float64(q.queuedTokens) / q.drain.rate * float64(time.Second))
+	}
+	base = min(max(base, minRetry), maxRetry)
+	h := (uint64(t) + 1) * 0x9e3779b97f4a7c15
+	return base + time.Duration(float64(base)*float64(h>>40)/float64(1<<24))
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,313 @@
+package admission
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+const (
+	defaultMaxWait      = 700 * time.Millisecond
+	defaultMaxLongWait  = 30 * time.Second
+	defaultQueuedTokens = 200_000
+	defaultTarget       = 75 * time.Millisecond
+	defaultAging        = 500.0
+	// longReserve is the share of the limit that long work leaves free while
+	// short work arrives, so that a burst of long work does not take every
+	// slot for its whole duration.
+	longReserve = 0.1
+	// shortRecent is the time after the last short request in which the
+	// reserve applies; without short work it would only waste slots.
+	shortRecent = 5 * time.Second
+	minRetry    = time.Second
+	maxRetry    = 30 * time.Second
+	// idleAccounts is the number of accounts from which idle ones are dropped.
+	idleAccounts = 1024
+)
+
+func (o Options) withDefaults() Options {
+	o.MaxWait = cmp.Or(o.MaxWait, defaultMaxWait)
+	o.MaxLongWait = cmp.Or(o.MaxLongWait, defaultMaxLongWait)
+	o.MaxQueuedTokens = cmp.Or(o.MaxQueuedTokens, defaultQueuedTokens)
+	o.InterTokenTarget = cmp.Or(o.InterTokenTarget, defaultTarget)
+	o.AgingRate = cmp.Or(o.AgingRate, defaultAging)
+	return o
+}
+
+// Queue is the admission state of one daemon for one pool.
+type Queue struct {
+	opts     Options
+	capacity Capacity
+	limit    limiter
+	accounts map[string]*account
+	// waiting lists the accounts with queued requests.
+	waiting []*account
+	// queued and running hold each request in exactly one of them.
+	queued  map[Ticket]*entry
+	running map[Ticket]*entry
+	// queuedTokens is the sum over queued, at most Options.MaxQueuedTokens.
+	queuedTokens int
+	runningLong  int
+	// virtual is the virtual time of fair sharing: the least time of the
+	// accounts that had queued work at the last admission.
+	virtual   float64
+	lastShort time.Time
+	drain     drainRate
+	// broken selects a deliberately broken variant in tests.
+	broken string
+}
+
+// New returns an empty Queue. It admits nothing before SetCapacity.
+func New(opts Options) *Queue {
+	opts = opts.withDefaults()
+	return &Queue{
+		opts:     opts,
+		accounts: make(map[string]*account),
+		queued:   make(map[Ticket]*entry),
+		running:  make(map[Ticket]*entry),
+		limit:    newLimiter(opts),
+	}
+}
+
+// SetCapacity records the state of the pool and returns the queued requests
+// that may start now.
+func (q *Queue) SetCapacity(now time.Time, c Capacity) []Ticket {
+	q.capacity = c
+	return q.next(now)
+}
+
+// Observe records an inter-token time on an endpoint with the given number of
+// requests (see route.Observation).
+func (q *Queue) Observe(now time.Time, gap time.Duration, inFlight int) {
+	if gap > 0 && !q.opts.Services {
+		q.limit.observe(now, gap, inFlight, len(q.queued) > 0)
+	}
+}
+
+// Offer asks for the admission of a request.
+func (q *Queue) Offer(now time.Time, it Item) Decision {
+	if _, ok := q.queued[it.Ticket]; ok {
+		return Decision{Verdict: Queued}
+	}
+	if _, ok := q.running[it.Ticket]; ok {
+		return Decision{Verdict: Admitted}
+	}
+	if q.capacity.Slots <= 0 {
+		return Decision{Verdict: Refused, Reason: NoCapacity, RetryAfter: q.retryAfter(it.Ticket)}
+	}
+	it.Tokens = max(it.Tokens, 1)
+	if !it.Long {
+		q.lastShort = now
+	}
+	a := q.account(it)
+	e := &entry{Item: it, account: a, queuedAt: now, bound: q.bound(now, it)}
+	e.key = float64(it.Tokens) + q.opts.AgingRate*float64(now.UnixNano())/1e9
+	if !q.anyEligible(now) && q.room(now, it.Long) {
+		q.admit(now, e)
+		return Decision{Verdict: Admitted}
+	}
+	if e.bound.Before(now.Add(q.expectedWait(e))) {
+		return Decision{Verdict: Refused, Reason: DeadlineUnreachable, RetryAfter: q.retryAfter(it.Ticket)}
+	}
+	displaced, ok := q.makeRoom(e)
+	if !ok {
+		return Decision{Verdict: Refused, Reason: QueueFull, RetryAfter: q.retryAfter(it.Ticket)}
+	}
+	q.enqueue(e)
+	return Decision{Verdict: Queued, Displaced: displaced}
+}
+
+func (q *Queue) bound(now time.Time, it Item) time.Time {
+	wait := q.opts.MaxWait
+	if it.Long {
+		wait = q.opts.MaxLongWait
+	}
+	b := now.Add(wait)
+	if !it.Deadline.IsZero() && it.Deadline.Before(b) {
+		return it.Deadline
+	}
+	return b
+}
+
+// Finished records the end of an admitted request and returns the queued
+// requests that may start now.
+func (q *Queue) Finished(now time.Time, t Ticket, u Usage) []Ticket {
+	e := q.running[t]
+	if e == nil {
+		return nil
+	}
+	delete(q.running, t)
+	if e.Long {
+		q.runningLong--
+	}
+	actual := u.Tokens
+	if !u.Ran {
+		actual = 0
+	}
+	// The account pays for the work that it got, not for the predicted one.
+	e.account.time += float64(actual-e.Tokens) / e.account.weight
+	e.account.running--
+	return q.next(now)
+}
+
+// Withdraw removes a queued request whose caller went away. It reports whether
+// the request was queued.
+func (q *Queue) Withdraw(t Ticket) bool {
+	e := q.queued[t]
+	if e == nil {
+		return false
+	}
+	q.dequeue(e)
+	return true
+}
+
+// Expire refuses the queued requests that have reached their bound.
+func (q *Queue) Expire(now time.Time) []Refusal {
+	var out []Refusal
+	for _, e := range q.queued {
+		if e.bound.After(now) {
+			continue
+		}
+		reason := WaitedTooLong
+		if !e.Deadline.IsZero() && !e.Deadline.After(now) {
+			reason = DeadlineUnreachable
+		}
+		out = append(out, Refusal{Ticket: e.Ticket, Reason: reason, RetryAfter: q.retryAfter(e.Ticket)})
+	}
+	slices.SortFunc(out, func(a, b Refusal) int { return cmp.Compare(a.Ticket, b.Ticket) })
+	for _, r := range out {
+		q.dequeue(q.queued[r.Ticket])
+	}
+	q.forgetIdle()
+	return out
+}
+
+// next admits queued requests while there is room: the account with the least
+// virtual time first, and of its requests the one with the least key.
+func (q *Queue) next(now time.Time) []Ticket {
+	var out []Ticket
+	for len(q.queued) > 0 {
+		e := q.pick(now)
+		if e == nil {
+			break
+		}
+		q.dequeue(e)
+		q.admit(now, e)
+		out = append(out, e.Ticket)
+	}
+	return out
+}
+
+func (q *Queue) pick(now time.Time) *entry {
+	short, long := q.room(now, false), q.room(now, true)
+	var best *entry
+	for _, a := range q.waiting {
+		e := a.head(short, long)
+		if e == nil {
+			continue
+		}
+		if best == nil || q.before(e, best) {
+			best = e
+		}
+	}
+	return best
+}
+
+func (q *Queue) before(e, f *entry) bool {
+	if q.broken == "unfair" {
+		return e.key < f.key
+	}
+	if e.account.time != f.account.time {
+		return e.account.time < f.account.time
+	}
+	return e.less(f)
+}
+
+func (q *Queue) admit(now time.Time, e *entry) {
+	a := e.account
+	a.time = max(a.time, q.virtual)
+	q.virtual = max(q.virtual, q.leastWaiting(a.time))
+	a.time += float64(e.Tokens) / a.weight
+	a.running++
+	q.running[e.Ticket] = e
+	if e.Long {
+		q.runningLong++
+	}
+	q.drain.admitted(now, e.Tokens, len(q.queued) > 0)
+}
+
+// leastWaiting is the least virtual time of accounts with queued work, or
+// limit if that is smaller.
+func (q *Queue) leastWaiting(limit float64) float64 {
+	for _, a := range q.waiting {
+		limit = min(limit, a.time)
+	}
+	return limit
+}
+
+// anyEligible reports whether a queued request could start now; it goes before
+// a new one.
+func (q *Queue) anyEligible(now time.Time) bool {
+	return len(q.queued) > 0 && q.pick(now) != nil
+}
+
+// room reports whether one more request of the class may run.
+func (q *Queue) room(now time.Time, long bool) bool {
+	limit := q.runLimit()
+	if len(q.running) >= limit {
+		return false
+	}
+	if !long || now.Sub(q.lastShort) > shortRecent {
+		return true
+	}
+	return float64(q.runningLong) < max(1, float64(limit)*(1-longReserve))
+}
+
+// runLimit is the number of requests that this daemon may run: its even share
+// of the pool's limit, or more while the other daemons leave room.
+func (q *Queue) runLimit() int {
+	if q.broken == "limit" {
+		return 1 << 30
+	}
+	c := q.capacity
+	total := q.limit.perEndpoint(c) * c.Endpoints
+	share := total / float64(c.Peers+1)
+	if c.Peers == 0 {
+		return max(1, int(total))
+	}
+	free := total - float64(len(q.running)) - float64(c.PeersInFlight)
+	return max(1, int(share), int(float64(len(q.running))+free))
+}
+
+// Stats returns the state for display and metrics.
+func (q *Queue) Stats() Stats {
+	return Stats{
+		Running: len(q.running), Queued: len(q.queued), QueuedTokens: q.queuedTokens,
+		Limit: q.runLimit(), PerEndpoint: q.limit.perEndpoint(q.capacity), RetryAfter: q.retryAfter(0),
+	}
+}
+
+// enqueue adds e to its account's queue.
+func (q *Queue) enqueue(e *entry) {
+	a := e.account
+	if a.empty() {
+		a.time = max(a.time, q.virtual)
+		q.waiting = append(q.waiting, a)
+	}
+	heap.Push(a.queue(e.Long), e)
+	a.queuedTokens += e.Tokens
+	q.queued[e.Ticket] = e
+	q.queuedTokens += e.Tokens
+}
+
+func (q *Queue) dequeue(e *entry) {
+	a := e.account
+	heap.Remove(a.queue(e.Long), e.at)
+	a.queuedTokens -= e.Tokens
+	delete(q.queued, e.Ticket)
+	q.queuedTokens -= e.Tokens
+	if a.empty() {
+		q.waiting = slices.DeleteFunc(q.waiting, func(x *account) bool { return x == a })
+	}
+}
--- /dev/null
+++ b/internal/outlier/outlier.go
@@ -0,0 +1,227 @@
+// Package outlier detects endpoints that are slow or dead relative to their
+// pool, from the daemon's own measurements, and returns them gradually.
+//
+// A Detector holds the state of all endpoints of one pool, each under the
+// index that its pool gave it. It does no input or output; the caller holds
+// the lock and passes the time, in nanoseconds, of any steady origin.
+package outlier
+
+import "time"
+
+// Reason says why an endpoint is ejected.
+type Reason uint8
+
+const (
+	// None means that the endpoint is not ejected.
+	None Reason = iota
+	// Slow means that its tokens come several times slower than the pool's.
+	Slow
+	// Stalled means that it has work and makes no progress.
+	Stalled
+	// Unreachable means that connections to it fail.
+	Unreachable
+	// Failing means that it breaks off requests.
+	Failing
+)
+
+var reasonNames = [...]string{"", "slow", "stalled", "unreachable", "failing"}
+
+// String returns the name of r, empty for None.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
+
+// Options configures a Detector. Zero values mean the defaults.
+type Options struct {
+	// SlowRatio is the ratio to the pool's median inter-token time from which
+	// an endpoint is slow. Default 3: batch sizes within a pool explain a
+	// ratio of up to 2.
+	SlowRatio float64
+	// StallFloor is the least time without progress that counts as a stall.
+	// Default 250 ms.
+	StallFloor time.Duration
+	// FirstTokenFloor is the least time without progress that counts as a
+	// stall while an endpoint has only requests without a first token.
+	// Default 700 ms.
+	FirstTokenFloor time.Duration
+	// MaxSlowShare caps the share of endpoints ejected as slow or stalled.
+	// Default 0.3: when more are slow, the pool is loaded, not broken.
+	MaxSlowShare float64
+	// MaxFailedShare caps the share ejected for any reason. Default 0.8.
+	MaxFailedShare float64
+	// BaseEjection is the time of a first ejection; it doubles up to
+	// MaxEjection for repeats. Defaults 2 s and 16 s.
+	BaseEjection, MaxEjection time.Duration
+	// RampUp is the time in which the weight of a new or returning endpoint
+	// rises from MinWeight to 1. Default 5 s.
+	RampUp time.Duration
+	// Failures is the number of connect errors, or of broken requests, in a
+	// row that eject an endpoint. Default 2.
+	Failures int
+}
+
+const (
+	// MinWeight is the weight at the start of ramp-up.
+	MinWeight = 0.1
+	// minSamples is the number of token gaps in a row behind a verdict.
+	minSamples = 3
+	// stallRatio relates a stall to the pool's median inter-token time. A
+	// prefill that blocks decoding for several steps stays below it.
+	stallRatio = 8
+	// firstTokenRatio relates a stall to the pool's median first-token time.
+	firstTokenRatio = 4
+	// gapWeight is the weight of a new token gap in the moving average: an
+	// endpoint that slows down 10 times passes a ratio of 3 with the first
+	// gap, and minSamples gaps decide.
+	gapWeight = 0.25
+	// baselineEndpoints is the number of measured endpoints from which the
+	// pool's median is taken.
+	baselineEndpoints = 3
+	// recoveredRatio is the ratio to the median below which an ejected
+	// endpoint returns early, by its remaining streams.
+	recoveredRatio = 1.8
+	// recoveredSamples is the number of gaps behind an early return.
+	recoveredSamples = 8
+	// recentWindow is the age up to which a measurement counts.
+	recentWindow = int64(2 * time.Second)
+	// repeatWindow is the time after a return in which a further ejection
+	// doubles the ejection time.
+	repeatWindow = int64(20 * time.Second)
+)
+
+func (o Options) withDefaults() Options {
+	setFloat(&o.SlowRatio, 3)
+	setFloat(&o.MaxSlowShare, 0.3)
+	setFloat(&o.MaxFailedShare, 0.8)
+	setTime(&o.StallFloor, 250*time.Millisecond)
+	setTime(&o.FirstTokenFloor, 700*time.Millisecond)
+	setTime(&o.BaseEjection, 2*time.Second)
+	setTime(&o.MaxEjection, 16*time.Second)
+	setTime(&o.RampUp, 5*time.Second)
+	if o.Failures <= 0 {
+		o.Failures = 2
+	}
+	return o
+}
+
+func setFloat(v *float64, def float64) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+func setTime(v *time.Duration, def time.Duration) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+// state is the state of one endpoint.
+type state struct {
+	present bool
+	reason  Reason
+	// until is the end of the ejection; meaningful while reason is not None.
+	until int64
+	// rampFrom is the start of ramp-up; 0 after it has ended.
+	rampFrom int64
+	returned int64
+	repeats  int
+
+	open    int   // attempts in progress
+	waiting int   // of these, without a first token
+	moved   int64 // last progress, or start of the first open attempt
+
+	gap        float64 // moving average in ns; 0 without samples
+	gapAt      int64
+	slowRun    int // gaps in a row above SlowRatio
+	fastRun    int // gaps in a row below recoveredRatio
+	firstToken float64
+	connect    int // connect errors in a row
+	broken     int // broken requests in a row
+}
+
+// Detector is the state of all endpoints of a pool.
+type Detector struct {
+	opts   Options
+	states []state
+	// present counts endpoints; slow and failed count ejections by kind.
+	present, slow, failed int
+	medianGap             float64
+	medianFirst           float64
+	scratch               []float64
+	// changed collects endpoints for the next Tick, reported is the result of
+	// the last one.
+	changed, reported []int32
+}
+
+// New returns a Detector without endpoints.
+func New(opts Options) *Detector {
+	return &Detector{opts: opts.withDefaults()}
+}
+
+// Add adds endpoint i. If ramp is true its weight rises gradually.
+func (d *Detector) Add(now int64, i int32, ramp bool) {
+	for int(i) >= len(d.states) {
+		d.states = append(d.states, state{})
+	}
+	d.states[i] = state{present: true}
+	if ramp {
+		d.states[i].rampFrom = now
+	}
+	d.present++
+}
+
+// Remove removes endpoint i.
+func (d *Detector) Remove(i int32) {
+	s := &d.states[i]
+	if !s.present {
+		return
+	}
+	d.uncount(s.reason)
+	*s = state{}
+	d.present--
+}
+
+// Weight returns the share of a full endpoint's work that endpoint i may get:
+// 0 while ejected, below 1 during ramp-up, else 1.
+func (d *Detector) Weight(now int64, i int32) float64 {
+	s := &d.states[i]
+	if !s.present || s.reason != None {
+		return 0
+	}
+	if s.rampFrom == 0 {
+		return 1
+	}
+	f := float64(now-s.rampFrom) / float64(d.opts.RampUp)
+	return min(1, max(MinWeight, f))
+}
+
+// Ramping reports whether the weight of endpoint i still rises.
+func (d *Detector) Ramping(i int32) bool { return d.states[i].rampFrom != 0 }
+
+// Reason returns why endpoint i is ejected.
+func (d *Detector) Reason(i int32) Reason { return d.states[i].reason }
+
+// Gap returns the recent inter-token time of endpoint i, 0 if unknown.
+func (d *Detector) Gap(i int32) time.Duration { return time.Duration(d.states[i].gap) }
+
+// FirstTokenTime returns the recent first-token time of endpoint i.
+func (d *Detector) FirstTokenTime(i int32) time.Duration {
+	return time.Duration(d.states[i].firstToken)
+}
+
+// MedianGap returns the pool's median inter-token time, 0 if unknown.
+func (d *Detector) MedianGap() time.Duration { return time.Duration(d.medianGap) }
+
+// Slowness returns the ratio of endpoint i's inter-token time to the pool's
+// median, at least 1; 1 if either is unknown or old.
+func (d *Detector) Slowness(now int64, i int32) float64 {
+	s := &d.states[i]
+	if s.gap == 0 || d.medianGap == 0 || now-s.gapAt > recentWindow {
+		return 1
+	}
+	return max(1, s.gap/d.medianGap)
+}
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,189 @@
+package retry
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+)
+
+// Options configures a Budget. Zero values mean the defaults.
+type Options struct {
+	// RetryShare is the work of retries over the work of first attempts.
+	// Default 0.1: each daemon keeps it for its own requests, so the whole
+	// fleet adds at most a tenth during an outage.
+	RetryShare float64
+	// HedgeShare is the same for hedges. Default 0.025, below the bound of 3%.
+	HedgeShare float64
+	// BurstWork bounds the saved-up budget in tokens. Default 4000, about ten
+	// requests.
+	BurstWork float64
+	// MaxAttempts bounds the attempts of a request. Default 3.
+	MaxAttempts int
+	// BaseDelay and MaxDelay bound the backoff. Defaults 20 ms and 1 s.
+	BaseDelay, MaxDelay time.Duration
+	// HedgeQuantile is the quantile of first-token time after which a hedge
+	// is sent. Default 0.95.
+	HedgeQuantile float64
+	// MinHedgeDelay is the least delay of a hedge. Default 20 ms.
+	MinHedgeDelay time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	o.RetryShare = cmp.Or(o.RetryShare, 0.1)
+	o.HedgeShare = cmp.Or(o.HedgeShare, 0.025)
+	o.BurstWork = cmp.Or(o.BurstWork, 4000)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, 3)
+	o.BaseDelay = cmp.Or(o.BaseDelay, 20*time.Millisecond)
+	o.MaxDelay = cmp.Or(o.MaxDelay, time.Second)
+	o.HedgeQuantile = cmp.Or(o.HedgeQuantile, 0.95)
+	o.MinHedgeDelay = cmp.Or(o.MinHedgeDelay, 20*time.Millisecond)
+	return o
+}
+
+const (
+	// connectWork is the charge in tokens of a retry after a connect error: no
+	// endpoint did any work, but the connection and the choice cost something.
+	connectWork = 16
+	// medianRatio bounds the hedge delay by the median, because the quantile
+	// itself rises while endpoints are slow.
+	medianRatio = 3
+	// minHedgeSamples is the number of first tokens from which hedges are sent.
+	minHedgeSamples = 20
+)
+
+// Budget is the state of one daemon for one pool.
+//
+// Invariant: the work of granted retries is at most RetryShare times the
+// offered work plus BurstWork, and the same for hedges with HedgeShare, less
+// refunds.
+type Budget struct {
+	opts         Options
+	retry, hedge bucket
+	firstToken   histogram
+	// broken selects a deliberately broken variant in tests.
+	broken string
+}
+
+// bucket is a token bucket filled by offered work instead of by time, so that
+// a budget without requests does not grow.
+type bucket struct{ level, limit float64 }
+
+func (b *bucket) add(x float64) { b.level = min(b.limit, b.level+x) }
+
+func (b *bucket) take(x float64) bool {
+	if b.level < x {
+		return false
+	}
+	b.level -= x
+	return true
+}
+
+// New returns a Budget. The retry budget starts with half of its burst, the
+// hedge budget empty.
+func New(opts Options) *Budget {
+	opts = opts.withDefaults()
+	return &Budget{
+		opts:  opts,
+		retry: bucket{level: opts.BurstWork / 2, limit: opts.BurstWork},
+		hedge: bucket{limit: opts.BurstWork},
+	}
+}
+
+// Offered records the first attempt of a request with the given work.
+func (b *Budget) Offered(work int) {
+	b.retry.add(b.opts.RetryShare * float64(work))
+	b.hedge.add(b.opts.HedgeShare * float64(work))
+}
+
+// FirstToken records the time to first token of an attempt that was not
+// cancelled.
+func (b *Budget) FirstToken(elapsed time.Duration) { b.firstToken.add(elapsed) }
+
+// Retry decides whether a request whose last attempt failed is tried again,
+// and charges the retry budget.
+func (b *Budget) Retry(now time.Time, a Attempt, rng *rand.Rand) Decision {
+	if r := b.denied(a); r != Allowed {
+		return Decision{Reason: r}
+	}
+	if a.Number >= b.opts.MaxAttempts {
+		return Decision{Reason: TooManyAttempts}
+	}
+	delay := b.backoff(a.Number, rng)
+	if !a.Deadline.IsZero() && !now.Add(delay).Before(a.Deadline) {
+		return Decision{Reason: DeadlinePassed}
+	}
+	work := float64(connectWork)
+	if a.Dispatched {
+		work = max(work, float64(a.Work))
+	}
+	if !b.retry.take(work) && b.broken != "budget" {
+		return Decision{Reason: BudgetSpent}
+	}
+	return Decision{OK: true, Delay: delay}
+}
+
+// denied applies the rules that retries and hedges share.
+func (b *Budget) denied(a Attempt) Reason {
+	switch {
+	case a.BytesToCaller:
+		return AnswerStarted
+	case !a.Idempotent && a.Dispatched && b.broken != "idempotent":
+		return NotIdempotent
+	case a.OtherLayerRetries:
+		return OtherLayer
+	case a.Suspect:
+		return PoisonSuspect
+	}
+	return Allowed
+}
+
+// backoff is exponential with jitter over its upper half.
+func (b *Budget) backoff(attempts int, rng *rand.Rand) time.Duration {
+	d := b.opts.BaseDelay << min(max(attempts-1, 0), 16)
+	d = min(d, b.opts.MaxDelay)
+	return d/2 + time.Duration(rng.Int64N(int64(d/2)+1))
+}
+
+// HedgeDelay returns the time without a first token after which a hedge may be
+// sent, and false while too few first tokens have been seen.
+func (b *Budget) HedgeDelay() (time.Duration, bool) {
+	if b.firstToken.total < minHedgeSamples {
+		return 0, false
+	}
+	q := b.firstToken.quantile(b.opts.HedgeQuantile)
+	d := min(q, medianRatio*b.firstToken.quantile(0.5))
+	return max(d, b.opts.MinHedgeDelay), true
+}
+
+// Hedge decides whether a request that has waited for its first token for the
+// given time is sent to a second endpoint, and charges the hedge budget. The
+// attempt that answers first wins; the caller cancels the other one and calls
+// HedgeDone.
+func (b *Budget) Hedge(now time.Time, a Attempt, waited time.Duration) Decision {
+	if !a.Idempotent {
+		return Decision{Reason: NotIdempotent}
+	}
+	if r := b.denied(a); r != Allowed {
+		return Decision{Reason: r}
+	}
+	delay, ok := b.HedgeDelay()
+	switch {
+	case !a.Short:
+		return Decision{Reason: TooLong}
+	case a.Number > 1:
+		return Decision{Reason: AlreadyHedged}
+	case !a.Deadline.IsZero() && !now.Before(a.Deadline):
+		return Decision{Reason: DeadlinePassed}
+	case !ok || waited < delay:
+		return Decision{Reason: TooEarly, Delay: max(0, delay-waited)}
+	case !b.hedge.take(float64(a.Work)) && b.broken != "hedge":
+		return Decision{Reason: BudgetSpent}
+	}
+	return Decision{OK: true}
+}
+
+// HedgeDone returns the part of a hedge's work that was not done: reserved is
+// the work charged, done the extra work of the attempt that was cancelled.
+func (b *Budget) HedgeDone(reserved, done int) {
+	b.hedge.add(float64(max(0, reserved-max(done, 0))))
+}
--- /dev/null
+++ b/internal/retry/histogram.go
@@ -0,0 +1,54 @@
+package retry
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// buckets of a ratio of 1.15 from 1 ms reach 6,600 s.
+	buckets     = 112
+	bucketRatio = 1.15
+	firstBucket = float64(time.Millisecond)
+	// window is the number of samples at which all counts are halved, so that
+	// the quantiles follow changes.
+	window = 2048
+)
+
+var logRatio = math.Log(bucketRatio)
+
+// histogram counts durations in logarithmic buckets with decay.
+type histogram struct {
+	counts [buckets]int32
+	total  int32
+}
+
+func (h *histogram) add(d time.Duration) {
+	k := 0
+	if x := float64(d) / firstBucket; x > 1 {
+		k = min(buckets-1, int(math.Ceil(math.Log(x)/logRatio)))
+	}
+	h.counts[k]++
+	h.total++
+	if h.total < window {
+		return
+	}
+	h.total = 0
+	for i := range h.counts {
+		h.counts[i] /= 2
+		h.total += h.counts[i]
+	}
+}
+
+// quantile returns the upper bound of the bucket that holds quantile q.
+func (h *histogram) quantile(q float64) time.Duration {
+	rank := int32(math.Ceil(q * float64(h.total)))
+	sum := int32(0)
+	for k, n := range h.counts {
+		sum += n
+		if sum >= rank && sum > 0 {
+			return time.Duration(firstBucket * math.Pow(bucketRatio, float64(k)))
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/route/digest.go
@@ -0,0 +1,202 @@
+package route
+
+import (
+	"encoding/binary"
+	"errors"
+	"time"
+)
+
+// A digest is a header of five bytes (version, hash of the endpoint set) and
+// a run-length code over the endpoints sorted by domain and id: 0 and a count
+// for endpoints without work, else one byte with the coded number of requests
+// in the high and the coded number of tokens in the low four bits.
+
+const (
+	digestVersion = 1
+	digestHeader  = 5
+	// maxDigest is the default bound: 30 daemons of a failure domain at the
+	// target size that send it to 29 peers twice a second stay below 21 KB/s.
+	maxDigest = 300
+	maxRun    = 255
+)
+
+// Errors of PeerLoad.
+var (
+	// ErrDigestFormat reports a digest that cannot be decoded.
+	ErrDigestFormat = errors.New("route: malformed load digest")
+	// ErrDigestLayout reports a digest over another set of endpoints; it is
+	// ignored until both daemons know the same set.
+	ErrDigestLayout = errors.New("route: load digest of another endpoint set")
+)
+
+// countCode lists the numbers of requests that a digest can express.
+var countCode = [16]int32{0, 1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 16, 20, 28, 40, 60}
+
+// tokenUnit and tokenStep define the token code: code k stands for
+// tokenUnit * 1.75^k tokens, from 16 to 70,000.
+const (
+	tokenUnit = 16
+	tokenStep = 1.75
+)
+
+var tokenCode = func() (v [16]int64) {
+	x := float64(tokenUnit)
+	for k := range v {
+		v[k] = int64(x)
+		x *= tokenStep
+	}
+	return v
+}()
+
+func nearestCount(n int32) byte {
+	for k := 1; k < len(countCode); k++ {
+		if n < countCode[k] {
+			if n-countCode[k-1] < countCode[k]-n {
+				return byte(k - 1)
+			}
+			return byte(k)
+		}
+	}
+	return byte(len(countCode) - 1)
+}
+
+func nearestTokens(n int64) byte {
+	for k := 1; k < len(tokenCode); k++ {
+		if n < tokenCode[k] {
+			if n-tokenCode[k-1] < tokenCode[k]-n {
+				return byte(k - 1)
+			}
+			return byte(k)
+		}
+	}
+	return byte(len(tokenCode) - 1)
+}
+
+// Digest appends the digest of this daemon's work to buf, in at most limit
+// bytes (0 means 300). If it does not fit, endpoints with the least work are
+// left out.
+func (p *Pool) Digest(buf []byte, limit int) []byte {
+	if limit <= 0 {
+		limit = maxDigest
+	}
+	start := len(buf)
+	for least := int32(1); ; least *= 2 {
+		buf = p.appendDigest(buf[:start], least)
+		if len(buf)-start <= max(limit, digestHeader) || least > 1<<16 {
+			return buf
+		}
+	}
+}
+
+func (p *Pool) appendDigest(buf []byte, least int32) []byte {
+	buf = append(buf, digestVersion)
+	buf = binary.LittleEndian.AppendUint32(buf, p.layoutHash)
+	run := 0
+	flush := func() {
+		for run > 0 {
+			n := min(run, maxRun)
+			buf = append(buf, 0, byte(n))
+			run -= n
+		}
+	}
+	for _, i := range p.layout {
+		ep := &p.eps[i]
+		if ep.own < least {
+			run++
+			continue
+		}
+		flush()
+		buf = append(buf, nearestCount(ep.own)<<4|nearestTokens(ep.ownTokens))
+	}
+	return buf
+}
+
+// peerLoad is the last digest of one peer.
+type peerLoad struct {
+	at      int64
+	entries []peerEntry
+}
+
+type peerEntry struct {
+	index  int32
+	count  int32
+	tokens int64
+}
+
+func (l *peerLoad) drop(i int32) {
+	for k := range l.entries {
+		if l.entries[k].index == i {
+			l.entries[k].count, l.entries[k].tokens = 0, 0
+		}
+	}
+}
+
+// apply adds (sign 1) or subtracts (sign -1) a peer's entries.
+func (p *Pool) apply(l *peerLoad, sign int32) {
+	for _, e := range l.entries {
+		ep := &p.eps[e.index]
+		if !ep.present {
+			continue
+		}
+		ep.peers += sign * e.count
+		ep.peersTokens += int64(sign) * e.tokens
+		p.peersInFlight += int(sign * e.count)
+	}
+}
+
+// PeerLoad records the digest of the daemon named peer, in place of its last
+// one.
+func (p *Pool) PeerLoad(now time.Time, peer string, digest []byte) error {
+	if len(digest) < digestHeader || digest[0] != digestVersion {
+		return ErrDigestFormat
+	}
+	if binary.LittleEndian.Uint32(digest[1:]) != p.layoutHash {
+		return ErrDigestLayout
+	}
+	l := p.peers[peer]
+	if l == nil {
+		l = &peerLoad{}
+	} else {
+		p.apply(l, -1)
+	}
+	l.at = now.UnixNano()
+	l.entries = l.entries[:0]
+	ok := p.decode(l, digest[digestHeader:])
+	if !ok {
+		delete(p.peers, peer)
+		return ErrDigestFormat
+	}
+	p.peers[peer] = l
+	p.apply(l, 1)
+	return nil
+}
+
+// decode fills l from the body of a digest; false if it is malformed.
+func (p *Pool) decode(l *peerLoad, body []byte) bool {
+	at := 0
+	for k := 0; k < len(body); k++ {
+		b := body[k]
+		if b == 0 {
+			k++
+			if k == len(body) || body[k] == 0 {
+				return false
+			}
+			at += int(body[k])
+			continue
+		}
+		if at >= len(p.layout) {
+			return false
+		}
+		l.entries = append(l.entries, peerEntry{index: p.layout[at], count: countCode[b>>4], tokens: tokenCode[b&15]})
+		at++
+	}
+	return at <= len(p.layout)
+}
+
+// Forget drops the digest of a peer that is gone.
+func (p *Pool) Forget(peer string) {
+	if l := p.peers[peer]; l != nil {
+		p.apply(l, -1)
+		delete(p.peers, peer)
+	}
+}
--- /dev/null
+++ b/internal/route/pool.go
@@ -0,0 +1,309 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/outlier"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Options configures a Pool. Zero values mean the defaults.
+type Options struct {
+	// DefaultSlots is the number of slots of an endpoint that states none.
+	// Default 16.
+	DefaultSlots int
+	// Candidates is the number of random endpoints weighed for a choice.
+	// Default 3.
+	Candidates int
+	// LoadBound is the ratio to the mean load above which a prompt prefix no
+	// longer attracts requests to an endpoint. Default 1.25.
+	LoadBound float64
+	// RemotePenalty multiplies the score of endpoints outside the daemon's
+	// failure domain. Default 1.1.
+	RemotePenalty float64
+	// DigestMaxAge is the age at which a peer's digest is dropped. Default 3 s.
+	DigestMaxAge time.Duration
+	// PrefixEntries bounds the prefix history, rounded up to a power of two.
+	// Default 8192 entries of 24 bytes.
+	PrefixEntries int
+	// Outlier configures the detection of slow and dead endpoints.
+	Outlier outlier.Options
+}
+
+func (o Options) withDefaults() Options {
+	if o.DefaultSlots <= 0 {
+		o.DefaultSlots = 16
+	}
+	if o.Candidates <= 0 {
+		o.Candidates = 3
+	}
+	if o.LoadBound <= 1 {
+		o.LoadBound = 1.25
+	}
+	if o.RemotePenalty < 1 {
+		o.RemotePenalty = 1.1
+	}
+	if o.DigestMaxAge <= 0 {
+		o.DigestMaxAge = 3 * time.Second
+	}
+	if o.PrefixEntries <= 0 {
+		o.PrefixEntries = 8192
+	}
+	return o
+}
+
+// endpoint is the pool's state of one endpoint.
+type endpoint struct {
+	Endpoint
+	present    bool
+	generation uint32
+	slots      float32
+	weight     float32
+
+	// own work: open attempts and their predicted tokens not yet seen.
+	// Invariant: both are the sums over the open attempts.
+	own       int32
+	ownTokens int64
+	// other daemons' work by their digests.
+	// Invariant: both are the sums over the entries of peers.
+	peers       int32
+	peersTokens int64
+
+	// foreign is the part of the last load report that the known load at the
+	// time of the report does not explain.
+	foreign   int32
+	foreignAt int64
+	history   loadHistory
+
+	// readyAt and localAt are the positions in ready and the domain's list,
+	// -1 if the endpoint is in neither.
+	readyAt, localAt int32
+}
+
+// Pool is the state of one daemon for the endpoints of one service.
+type Pool struct {
+	opts Options
+	eps  []endpoint
+	byID map[EndpointID]int32
+	free []int32
+	det  *outlier.Detector
+
+	// ready lists the endpoints that take new work: live and not ejected.
+	ready   []int32
+	domains map[string][]int32
+	live    int
+
+	// layout lists the endpoints sorted by domain and id; layoutHash
+	// identifies it in digests.
+	layout     []int32
+	layoutHash uint32
+
+	ring   []ringPoint
+	prefix prefixTable
+	peers  map[string]*peerLoad
+
+	// own and peersInFlight are sums over the endpoints.
+	own           int
+	peersInFlight int
+	// memory is the runner-up of the last choice, a candidate of the next
+	// one; -1 if there is none.
+	memory int32
+	// broken selects a deliberately broken variant in tests.
+	broken string
+}
+
+// New returns a Pool without endpoints.
+func New(opts Options) *Pool {
+	opts = opts.withDefaults()
+	return &Pool{
+		opts:    opts,
+		byID:    make(map[EndpointID]int32),
+		domains: make(map[string][]int32),
+		det:     outlier.New(opts.Outlier),
+		peers:   make(map[string]*peerLoad),
+		prefix:  newPrefixTable(opts.PrefixEntries),
+		memory:  -1,
+	}
+}
+
+// Update replaces the set of endpoints. Endpoints that were not in the first
+// set ramp up; a missing endpoint is forgotten with its work.
+func (p *Pool) Update(now time.Time, set []Endpoint) {
+	t := now.UnixNano()
+	first := len(p.byID) == 0
+	seen := make(map[EndpointID]bool, len(set))
+	for _, e := range set {
+		if seen[e.ID] {
+			continue
+		}
+		seen[e.ID] = true
+		i, ok := p.byID[e.ID]
+		if !ok {
+			i = p.add(t, e, !first)
+		}
+		ep := &p.eps[i]
+		if ok && ep.State == Leaving && e.State == Live {
+			p.det.Remove(i)
+			p.det.Add(t, i, true)
+		}
+		ep.Endpoint = e
+		ep.slots = float32(e.Slots)
+		if e.Slots <= 0 {
+			ep.slots = float32(p.opts.DefaultSlots)
+		}
+	}
+	for id, i := range p.byID {
+		if !seen[id] {
+			p.remove(id, i)
+		}
+	}
+	p.rebuild(t)
+}
+
+func (p *Pool) add(now int64, e Endpoint, ramp bool) int32 {
+	var i int32
+	if n := len(p.free); n > 0 {
+		i, p.free = p.free[n-1], p.free[:n-1]
+	} else {
+		i = int32(len(p.eps))
+		p.eps = append(p.eps, endpoint{})
+	}
+	p.eps[i] = endpoint{present: true, generation: p.eps[i].generation + 1, readyAt: -1, localAt: -1}
+	p.byID[e.ID] = i
+	p.det.Add(now, i, ramp)
+	return i
+}
+
+func (p *Pool) remove(id EndpointID, i int32) {
+	ep := &p.eps[i]
+	p.own -= int(ep.own)
+	p.peersInFlight -= int(ep.peers)
+	for _, peer := range p.peers {
+		peer.drop(i)
+	}
+	p.det.Remove(i)
+	*ep = endpoint{generation: ep.generation + 1, readyAt: -1, localAt: -1}
+	delete(p.byID, id)
+	p.free = append(p.free, i)
+}
+
+// rebuild derives the lists, the ring and the layout after a change of the
+// set.
+func (p *Pool) rebuild(now int64) {
+	p.ready, p.live, p.memory = p.ready[:0], 0, -1
+	clear(p.domains)
+	p.layout = p.layout[:0]
+	for i := range p.eps {
+		ep := &p.eps[i]
+		ep.readyAt, ep.localAt = -1, -1
+		if !ep.present {
+			continue
+		}
+		p.layout = append(p.layout, int32(i))
+		if ep.State == Live {
+			p.live++
+		}
+		p.refresh(now, int32(i))
+	}
+	slices.SortFunc(p.layout, func(a, b int32) int {
+		x, y := &p.eps[a], &p.eps[b]
+		return cmp.Or(cmp.Compare(x.Domain, y.Domain), cmp.Compare(x.ID, y.ID))
+	})
+	h := xxhash.New()
+	for _, i := range p.layout {
+		_, _ = h.WriteString(string(p.eps[i].ID))
+		_, _ = h.Write([]byte{0})
+	}
+	p.layoutHash = uint32(h.Sum64())
+	p.buildRing()
+}
+
+// refresh updates the weight of endpoint i and its place in the lists.
+func (p *Pool) refresh(now int64, i int32) {
+	ep := &p.eps[i]
+	ep.weight = 0
+	if ep.present && (ep.State == Live || p.broken == "leaving") {
+		ep.weight = float32(p.det.Weight(now, i))
+	}
+	in := ep.readyAt >= 0
+	switch {
+	case ep.weight > 0 && !in:
+		ep.readyAt = int32(len(p.ready))
+		p.ready = append(p.ready, i)
+		local := p.domains[ep.Domain]
+		ep.localAt = int32(len(local))
+		p.domains[ep.Domain] = append(local, i)
+	case ep.weight == 0 && in:
+		p.unready(i)
+	}
+}
+
+// unready takes endpoint i out of the lists; the last entry takes its place.
+func (p *Pool) unready(i int32) {
+	ep := &p.eps[i]
+	last := p.ready[len(p.ready)-1]
+	p.ready[ep.readyAt] = last
+	p.eps[last].readyAt = ep.readyAt
+	p.ready = p.ready[:len(p.ready)-1]
+	local := p.domains[ep.Domain]
+	last = local[len(local)-1]
+	local[ep.localAt] = last
+	p.eps[last].localAt = ep.localAt
+	p.domains[ep.Domain] = local[:len(local)-1]
+	ep.readyAt, ep.localAt = -1, -1
+	if p.memory == i {
+		p.memory = -1
+	}
+}
+
+// Tick updates the outlier verdicts and drops old digests. The caller calls it
+// every 100 ms.
+func (p *Pool) Tick(now time.Time) {
+	t := now.UnixNano()
+	for _, i := range p.det.Tick(t) {
+		p.refresh(t, i)
+	}
+	for name, peer := range p.peers {
+		if t-peer.at > int64(p.opts.DigestMaxAge) {
+			p.apply(peer, -1)
+			delete(p.peers, name)
+		}
+	}
+	for i := range p.eps {
+		ep := &p.eps[i]
+		if !ep.present {
+			continue
+		}
+		ep.history.push(t, ep.own+ep.peers)
+		if ep.foreign > 0 && t-ep.foreignAt > foreignMaxAge {
+			ep.foreign = 0
+		}
+	}
+}
+
+// Capacity returns the summary for admission.
+func (p *Pool) Capacity() Capacity {
+	c := Capacity{OwnInFlight: p.own, PeersInFlight: p.peersInFlight, Peers: len(p.peers)}
+	for _, i := range p.ready {
+		ep := &p.eps[i]
+		c.Endpoints += float64(ep.weight)
+		c.Slots += float64(ep.weight * ep.slots)
+	}
+	return c
+}
+
+// Status returns the pool's view of each endpoint, sorted by domain and id.
+func (p *Pool) Status() []EndpointStatus {
+	out := make([]EndpointStatus, 0, len(p.layout))
+	for _, i := range p.layout {
+		ep := &p.eps[i]
+		out = append(out, EndpointStatus{
+			Endpoint: ep.Endpoint, OwnInFlight: int(ep.own), PeersInFlight: int(ep.peers),
+			OwnTokens: int(ep.ownTokens), PeersTokens: int(ep.peersTokens), Weight: float64(ep.weight),
+			FirstToken: p.det.FirstTokenTime(i), InterToken: p.det.Gap(i), EjectReason: p.det.Reason(i).String(),
+		})
+	}
+	return out
+}
