Add the stand-in engine

Cause: the request path needs an engine with batching, resume, cancel, orders and faults to run against; no third-party engine may be started. Change: internal/standin/engine, an http.Handler that emulates one. Event number k of a stream is answer token k; usage is counted by request id so that bills can be compared with the engine's own counts.

--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"container/list"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+)
+
+// BlockTokens is the number of prompt tokens in a block of the prefix cache.
+const BlockTokens = 16
+
+// maxCacheEvents limits the cache events kept for readers.
+const maxCacheEvents = 4096
+
+// CacheEvent tells that a block of the prefix cache was stored or removed.
+type CacheEvent struct {
+	// Seq numbers the events from 1; a reader sees a gap by a missing number.
+	Seq int64 `json:"seq"`
+	// Kind is "stored" or "removed".
+	Kind string `json:"kind"`
+	// Block is the hash of the prompt up to and including the block.
+	Block string    `json:"block"`
+	At    time.Time `json:"at"`
+}
+
+// prefixCache holds hashes of prompt prefixes, the least recently
+// used leaves first. Engine.mu guards it.
+type prefixCache struct {
+	limit  int
+	gap    int
+	blocks map[uint64]*list.Element
+	lru    *list.List // most recently used in front
+	seq    int64
+	events []CacheEvent
+}
+
+func newPrefixCache(limit, gap int) *prefixCache {
+	return &prefixCache{limit: limit, gap: gap, blocks: make(map[uint64]*list.Element), lru: list.New()}
+}
+
+// BlockHashes returns the hash of each whole block of the prompt; each hash
+// covers the prompt from its start.
+func BlockHashes(prompt []string) []uint64 {
+	hashes := make([]uint64, 0, len(prompt)/BlockTokens)
+	d := xxhash.New()
+	for i, word := range prompt {
+		_, _ = d.WriteString(word) // a Digest's writes never fail
+		_, _ = d.WriteString(" ")
+		if (i+1)%BlockTokens == 0 {
+			hashes = append(hashes, d.Sum64())
+		}
+	}
+	return hashes
+}
+
+// insert stores the prompt's blocks and returns the number of tokens that were
+// already there.
+func (p *prefixCache) insert(prompt []string, now time.Time) (cached int) {
+	hit := true
+	for _, h := range BlockHashes(prompt) {
+		if el, ok := p.blocks[h]; ok {
+			p.lru.MoveToFront(el)
+			if hit {
+				cached += BlockTokens
+			}
+			continue
+		}
+		hit = false
+		p.blocks[h] = p.lru.PushFront(h)
+		p.publish("stored", h, now)
+		if p.lru.Len() > p.limit {
+			p.remove(p.lru.Back(), now)
+		}
+	}
+	return cached
+}
+
+func (p *prefixCache) remove(el *list.Element, now time.Time) {
+	h := p.lru.Remove(el).(uint64)
+	delete(p.blocks, h)
+	p.publish("removed", h, now)
+}
+
+// clear empties the cache without events, as a crash does.
+func (p *prefixCache) clear() {
+	p.blocks = make(map[uint64]*list.Element)
+	p.lru.Init()
+}
+
+func (p *prefixCache) publish(kind string, h uint64, now time.Time) {
+	p.seq++
+	if p.gap > 0 && p.seq%int64(p.gap) == 0 {
+		return
+	}
+	p.events = append(p.events, CacheEvent{Seq: p.seq, Kind: kind, Block: strconv.FormatUint(h, 16), At: now})
+	if len(p.events) > maxCacheEvents {
+		p.events = append([]CacheEvent(nil), p.events[maxCacheEvents/4:]...)
+	}
+}
+
+// CacheEvents returns the published events with numbers above after.
+func (e *Engine) CacheEvents(after int64) []CacheEvent {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	horizon := time.Now().Add(-e.opts.CacheEventLag)
+	events := []CacheEvent{}
+	for _, ev := range e.cache.events {
+		if ev.Seq > after && !ev.At.After(horizon) {
+			events = append(events, ev)
+		}
+	}
+	return events
+}
+
+func (e *Engine) serveCacheEvents(c echo.Context) error {
+	var after int64
+	if text := c.QueryParam("after"); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return refuse(c, http.StatusBadRequest, "invalid_request_error", "after is not a number")
+		}
+		after = n
+	}
+	return c.JSON(http.StatusOK, map[string]any{"events": e.CacheEvents(after)})
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,191 @@
+// Package engine is a small emulator of a language model engine with
+// continuous batching. It serves the OpenAI-compatible chat API, a lagging load
+// report, orders and prefix cache events, and injects faults that are set over
+// HTTP.
+//
+// A token is one whitespace-separated word, in prompts and in answers.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Defaults of Options.
+const (
+	DefaultSlots       = 32
+	DefaultWords       = 32
+	DefaultCacheBlocks = 4096
+	DefaultModel       = "standin"
+	DefaultRole        = "mixed"
+	DefaultUsageLimit  = 100_000
+)
+
+// Options set the emulated engine's capacity and timing. A duration of zero
+// means no delay.
+type Options struct {
+	// ID and Domain are shown in the load report.
+	ID, Domain string
+	// Models are the models loaded at the start; empty means DefaultModel.
+	Models []string
+	// Role is the role at the start; empty means DefaultRole.
+	Role string
+	// Slots is the largest batch; 0 means DefaultSlots.
+	Slots int
+	// MaxQueue refuses requests with 429 when so many wait; 0 means no limit.
+	MaxQueue int
+	// PrefillTokensPerSecond is the rate at which uncached prompt tokens are
+	// read, shared by all requests; 0 means that it takes no time.
+	PrefillTokensPerSecond float64
+	// InterToken is the time between two tokens in a batch of one.
+	InterToken time.Duration
+	// InterTokenPerSlot is added for each further request in the batch.
+	InterTokenPerSlot time.Duration
+	// ReportLag is the age of the load report.
+	ReportLag time.Duration
+	// ResumeGrace is how long a resumable generation outlives its connection.
+	ResumeGrace time.Duration
+	// OrderTime is how long an order takes.
+	OrderTime time.Duration
+	// RefuseStaleOrders refuses orders whose fencing number is below the
+	// highest one seen.
+	RefuseStaleOrders bool
+	// Words is the answer length without "words:NN" in the prompt; 0 means
+	// DefaultWords.
+	Words int
+	// CacheBlocks limits the prefix cache; 0 means DefaultCacheBlocks.
+	CacheBlocks int
+	// CacheEventLag is the delay before a cache event is published.
+	CacheEventLag time.Duration
+	// CacheEventGap drops each n-th cache event; 0 drops none.
+	CacheEventGap int
+	// UsageLimit is the number of request ids whose usage is kept; 0 means
+	// DefaultUsageLimit.
+	UsageLimit int
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Slots, DefaultSlots)
+	setDefault(&o.Words, DefaultWords)
+	setDefault(&o.CacheBlocks, DefaultCacheBlocks)
+	setDefault(&o.UsageLimit, DefaultUsageLimit)
+	setDefault(&o.Role, DefaultRole)
+	if len(o.Models) == 0 {
+		o.Models = []string{DefaultModel}
+	}
+}
+
+func setDefault[T comparable](value *T, def T) {
+	var zero T
+	if *value == zero {
+		*value = def
+	}
+}
+
+// Engine is an emulated engine and its http.Handler.
+type Engine struct {
+	opts Options
+	mux  *echo.Echo
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	faults  Faults
+	down    time.Time // requests are dropped until then
+	crashes int
+	models  []string
+	role    string
+
+	running     int // generations that hold a slot; never above Slots
+	queue       queue
+	nextSeq     int64
+	prefillFree time.Time // end of the last prefill handed out
+	active      map[*generation]struct{}
+	byID        map[string]*generation // resumable generations
+
+	cache   *prefixCache
+	load    loadHistory
+	usage   usageLog
+	orders  []*Order
+	fencing int64 // highest fencing number seen
+}
+
+// New returns an engine that is up. Close ends it.
+func New(opts Options) *Engine {
+	opts.setDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Engine{
+		opts:   opts,
+		ctx:    ctx,
+		stop:   stop,
+		faults: Faults{IgnoreFencing: !opts.RefuseStaleOrders},
+		models: append([]string(nil), opts.Models...),
+		role:   opts.Role,
+		active: make(map[*generation]struct{}),
+		byID:   make(map[string]*generation),
+		cache:  newPrefixCache(opts.CacheBlocks, opts.CacheEventGap),
+		usage:  newUsageLog(opts.UsageLimit),
+	}
+	e.mux = e.routes()
+	return e
+}
+
+func (e *Engine) routes() *echo.Echo {
+	mux := echo.New()
+	mux.HideBanner = true
+	api := mux.Group("", e.applyConnectionFaults)
+	api.POST("/v1/chat/completions", e.chat)
+	api.GET("/v1/models", e.listModels)
+	api.GET("/health", e.health)
+	api.GET("/load", e.serveLoad)
+	api.POST("/admin/orders", e.placeOrder)
+	mux.GET("/admin/orders", e.listOrders)
+	mux.GET("/admin/usage", e.serveUsage)
+	mux.GET("/admin/cache-events", e.serveCacheEvents)
+	mux.GET("/admin/faults", e.getFaults)
+	mux.PUT("/admin/faults", e.putFaults)
+	mux.DELETE("/admin/faults", e.resetFaults)
+	return mux
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// Close cancels all generations and waits for them. Requests in progress lose
+// their connection.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.closed = true
+	for g := range e.active {
+		e.abort(g)
+	}
+	e.mu.Unlock()
+	e.stop()
+	e.wg.Wait()
+}
+
+func (e *Engine) health(c echo.Context) error {
+	return c.JSON(http.StatusOK, map[string]string{"status": "ok", "id": e.opts.ID})
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Engine) listModels(c echo.Context) error {
+	e.mu.Lock()
+	entries := make([]modelEntry, 0, len(e.models))
+	for _, m := range e.models {
+		entries = append(entries, modelEntry{ID: m, Object: "model", OwnedBy: "azurehatch"})
+	}
+	e.mu.Unlock()
+	return c.JSON(http.StatusOK, map[string]any{"object": "list", "data": entries})
+}
--- /dev/null
+++ b/internal/standin/engine/faults.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Faults are the engine's injected faults. The zero value injects none.
+type Faults struct {
+	// Slowdown multiplies prefill and inter-token times; 0 means 1.
+	Slowdown float64 `json:"slowdown"`
+	// ReportLagMillis replaces Options.ReportLag if it is above 0.
+	ReportLagMillis int64 `json:"report_lag_millis"`
+	// CrashMarker crashes the engine when a request whose body holds it takes
+	// a slot; empty disables it.
+	CrashMarker string `json:"crash_marker"`
+	// CrashDownMillis is how long the engine stays down after a crash.
+	CrashDownMillis int64 `json:"crash_down_millis"`
+	// Garbage makes chat answers malformed; the request runs nevertheless.
+	Garbage bool `json:"garbage"`
+	// CloseAfterTokens closes the connection of a stream after so many
+	// tokens, counted anew for a resumed stream; 0 disables it.
+	CloseAfterTokens int `json:"close_after_tokens"`
+	// BlackHole accepts requests and never answers them; they do not run.
+	BlackHole bool `json:"black_hole"`
+	// IgnoreFencing accepts orders with any fencing number. It starts as the
+	// opposite of Options.RefuseStaleOrders.
+	IgnoreFencing bool `json:"ignore_fencing"`
+}
+
+func (f Faults) slowdown() float64 {
+	if f.Slowdown <= 0 {
+		return 1
+	}
+	return f.Slowdown
+}
+
+// SetFaults replaces the injected faults. A downtime after a crash goes on.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Faults returns the injected faults in force.
+func (e *Engine) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// ResetFaults removes all faults and ends a downtime.
+func (e *Engine) ResetFaults() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = Faults{IgnoreFencing: !e.opts.RefuseStaleOrders}
+	e.down = time.Time{}
+}
+
+// Crashes returns the number of crashes so far.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// crash drops all generations and the cache. e.mu is held.
+func (e *Engine) crash() {
+	e.crashes++
+	e.down = time.Now().Add(time.Duration(e.faults.CrashDownMillis) * time.Millisecond)
+	for g := range e.active {
+		e.abort(g)
+	}
+	for id := range e.byID {
+		delete(e.byID, id)
+	}
+	e.cache.clear()
+	e.prefillFree = time.Time{}
+	e.noteLoad()
+}
+
+// applyConnectionFaults drops requests while the engine is down and holds them
+// while it is a black hole. The other paths under /admin stay reachable, as
+// they are the tests' means of control.
+func (e *Engine) applyConnectionFaults(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		e.mu.Lock()
+		down := e.closed || time.Now().Before(e.down)
+		hole := e.faults.BlackHole
+		e.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		if hole {
+			select {
+			case <-c.Request().Context().Done():
+			case <-e.ctx.Done():
+			}
+			panic(http.ErrAbortHandler)
+		}
+		return next(c)
+	}
+}
+
+func (e *Engine) getFaults(c echo.Context) error {
+	return c.JSON(http.StatusOK, e.Faults())
+}
+
+func (e *Engine) putFaults(c echo.Context) error {
+	f := Faults{IgnoreFencing: !e.opts.RefuseStaleOrders}
+	if err := c.Bind(&f); err != nil {
+		return err
+	}
+	e.SetFaults(f)
+	return c.JSON(http.StatusOK, f)
+}
+
+func (e *Engine) resetFaults(c echo.Context) error {
+	e.ResetFaults()
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/engine/generation.go
@@ -0,0 +1,293 @@
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"time"
+)
+
+type state int
+
+const (
+	stateQueued state = iota
+	stateRunning
+	stateCompleted
+	stateCancelled
+	stateAborted // the engine crashed or was closed
+)
+
+// generation is one run of a request. Its mutable fields are guarded by
+// Engine.mu.
+type generation struct {
+	id        string
+	model     string
+	prompt    []string
+	answer    []string
+	finish    string // finish_reason
+	priority  int
+	resumable bool
+	withUsage bool // the stream ends with a usage chunk
+	poison    bool // the body held the crash marker when it arrived
+
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	seq      int64
+	heapPos  int // position in the queue; -1 if it is not queued
+	state    state
+	cached   int           // prompt tokens found in the prefix cache
+	produced int           // answer tokens generated; never above len(answer)
+	changed  chan struct{} // closed and replaced at each change
+	readers  int           // connections attached
+	grace    *time.Timer   // runs while a resumable generation has no reader
+}
+
+// queue orders waiting generations by priority (lower first), then arrival. It
+// implements heap.Interface.
+type queue []*generation
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].priority != q[j].priority {
+		return q[i].priority < q[j].priority
+	}
+	return q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].heapPos, q[j].heapPos = i, j
+}
+func (q *queue) Push(x any) {
+	g := x.(*generation)
+	g.heapPos = len(*q)
+	*q = append(*q, g)
+}
+func (q *queue) Pop() any {
+	old := *q
+	g := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	g.heapPos = -1
+	return g
+}
+
+// submit queues g and attaches the caller to it. It returns false if the queue
+// is full or the engine is closed.
+func (e *Engine) submit(g *generation) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.usage.get(g.id).Received++
+	full := e.opts.MaxQueue > 0 && e.running >= e.opts.Slots && len(e.queue) >= e.opts.MaxQueue
+	if full || e.closed {
+		return false
+	}
+	g.ctx, g.cancel = context.WithCancel(e.ctx)
+	g.changed = make(chan struct{})
+	g.readers = 1
+	e.nextSeq++
+	g.seq = e.nextSeq
+	e.active[g] = struct{}{}
+	if g.resumable {
+		e.byID[g.id] = g
+	}
+	heap.Push(&e.queue, g)
+	e.fillSlots()
+	return true
+}
+
+// fillSlots starts waiting generations while slots are free. e.mu is held.
+func (e *Engine) fillSlots() {
+	for e.running < e.opts.Slots && len(e.queue) > 0 {
+		g := heap.Pop(&e.queue).(*generation)
+		g.state = stateRunning
+		e.running++
+		u := e.usage.get(g.id)
+		u.Runs++
+		u.PromptTokens += len(g.prompt)
+		e.usage.total.Runs++
+		e.usage.total.PromptTokens += len(g.prompt)
+		if g.poison {
+			e.crash()
+			return
+		}
+		g.cached = e.cache.insert(g.prompt, time.Now())
+		e.wg.Add(1)
+		go e.run(g, e.reservePrefill(g))
+	}
+	e.noteLoad()
+}
+
+// reservePrefill returns the time at which g's prompt has been read. Prompts
+// are read one after the other. e.mu is held.
+func (e *Engine) reservePrefill(g *generation) time.Time {
+	start := time.Now()
+	if e.opts.PrefillTokensPerSecond <= 0 {
+		return start
+	}
+	if e.prefillFree.After(start) {
+		start = e.prefillFree
+	}
+	seconds := float64(len(g.prompt)-g.cached) / e.opts.PrefillTokensPerSecond * e.faults.slowdown()
+	e.prefillFree = start.Add(time.Duration(seconds * float64(time.Second)))
+	return e.prefillFree
+}
+
+// run generates g's tokens and gives its slot to the next generation.
+func (e *Engine) run(g *generation, prefilled time.Time) {
+	defer e.wg.Done()
+	next := prefilled
+	for sleepUntil(g.ctx, next) && e.step(g) {
+		next = next.Add(e.interToken())
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g.state != stateAborted {
+		e.running--
+	}
+	if g.state == stateRunning {
+		e.end(g, stateCancelled)
+	}
+	e.fillSlots()
+}
+
+// step generates one token and reports whether more follow.
+func (e *Engine) step(g *generation) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g.state != stateRunning || g.ctx.Err() != nil {
+		return false
+	}
+	if g.produced < len(g.answer) {
+		g.produced++
+		e.usage.get(g.id).CompletionTokens++
+		e.usage.total.CompletionTokens++
+	}
+	if g.produced == len(g.answer) {
+		e.end(g, stateCompleted)
+		return false
+	}
+	g.notify()
+	e.noteLoad()
+	return true
+}
+
+func (e *Engine) interToken() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := e.opts.InterToken + time.Duration(e.running-1)*e.opts.InterTokenPerSlot
+	return time.Duration(float64(d) * e.faults.slowdown())
+}
+
+// end moves g to a final state. e.mu is held.
+func (e *Engine) end(g *generation, s state) {
+	g.state = s
+	u := e.usage.get(g.id)
+	switch s {
+	case stateCompleted:
+		u.Completed++
+		e.usage.total.Completed++
+	default:
+		u.Cancelled++
+		e.usage.total.Cancelled++
+	}
+	delete(e.active, g)
+	g.cancel()
+	g.notify()
+}
+
+// abort ends g as if the process had died; the slot is free at once. e.mu is
+// held.
+func (e *Engine) abort(g *generation) {
+	switch g.state {
+	case stateQueued:
+		heap.Remove(&e.queue, g.heapPos)
+	case stateRunning:
+		e.running--
+	default:
+		return
+	}
+	e.end(g, stateAborted)
+	e.forget(g)
+}
+
+// attach finds a generation to resume and adds a reader to it.
+func (e *Engine) attach(id string) *generation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.byID[id]
+	if g == nil {
+		return nil
+	}
+	e.usage.get(id).Resumes++
+	g.readers++
+	if g.grace != nil {
+		g.grace.Stop()
+		g.grace = nil
+	}
+	return g
+}
+
+// detach removes a reader. A generation without readers is cancelled, a
+// resumable one after the grace time.
+func (e *Engine) detach(g *generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.readers--
+	if g.readers > 0 || e.closed {
+		return
+	}
+	if !g.resumable {
+		e.abandon(g)
+		return
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(e.opts.ResumeGrace, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if g.grace == timer {
+			e.abandon(g)
+		}
+	})
+	g.grace = timer
+}
+
+// abandon cancels g if it has not ended. e.mu is held.
+func (e *Engine) abandon(g *generation) {
+	e.forget(g)
+	switch g.state {
+	case stateQueued:
+		heap.Remove(&e.queue, g.heapPos)
+		e.end(g, stateCancelled)
+		e.noteLoad()
+	case stateRunning:
+		g.cancel() // run frees the slot
+	default:
+	}
+}
+
+func (e *Engine) forget(g *generation) {
+	if e.byID[g.id] == g {
+		delete(e.byID, g.id)
+	}
+}
+
+func (g *generation) notify() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// sleepUntil returns false if ctx ends first.
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/order.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Kinds of orders.
+const (
+	OrderLoadModel   = "load-model"
+	OrderLoadAdapter = "load-adapter"
+	OrderLoadVersion = "load-version"
+	OrderSetRole     = "set-role"
+)
+
+// States of an order.
+const (
+	OrderRunning = "running"
+	OrderDone    = "done"
+	OrderRefused = "refused"
+)
+
+// Order is an order to the engine and its result. The engine does not check
+// who sends it and runs an order again if it is sent again.
+type Order struct {
+	// ID is chosen by the sender.
+	ID string `json:"id"`
+	// Kind is one of the Order kinds.
+	Kind string `json:"kind"`
+	// Target is the name of the model, adapter or version, or the role. Models,
+	// adapters and versions appear in /v1/models under this name.
+	Target string `json:"target"`
+	// Fencing is the sender's fencing number.
+	Fencing int64 `json:"fencing"`
+	// State is set by the engine.
+	State string `json:"state"`
+	// Reason tells why an order was refused.
+	Reason string `json:"reason,omitempty"`
+}
+
+func (e *Engine) placeOrder(c echo.Context) error {
+	var o Order
+	if err := c.Bind(&o); err != nil {
+		return err
+	}
+	switch o.Kind {
+	case OrderLoadModel, OrderLoadAdapter, OrderLoadVersion, OrderSetRole:
+	default:
+		return refuse(c, http.StatusBadRequest, "invalid_request_error", "unknown kind of order")
+	}
+	if placed := e.Place(o); placed.State == OrderRefused {
+		return c.JSON(http.StatusConflict, placed)
+	}
+	o.State = OrderRunning
+	return c.JSON(http.StatusAccepted, o)
+}
+
+// Place starts an order or refuses it because of its fencing number.
+func (e *Engine) Place(o Order) Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o.State, o.Reason = OrderRunning, ""
+	if !e.faults.IgnoreFencing && o.Fencing < e.fencing {
+		o.State, o.Reason = OrderRefused, "fencing number is too old"
+	}
+	e.fencing = max(e.fencing, o.Fencing)
+	kept := o
+	e.orders = append(e.orders, &kept)
+	if o.State == OrderRunning && !e.closed {
+		until := time.Now().Add(time.Duration(float64(e.opts.OrderTime) * e.faults.slowdown()))
+		e.wg.Add(1)
+		go e.execute(&kept, until)
+	}
+	return o
+}
+
+func (e *Engine) execute(o *Order, until time.Time) {
+	defer e.wg.Done()
+	if !sleepUntil(e.ctx, until) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o.State = OrderDone
+	if o.Kind == OrderSetRole {
+		e.role = o.Target
+		return
+	}
+	for _, m := range e.models {
+		if m == o.Target {
+			return
+		}
+	}
+	e.models = append(e.models, o.Target)
+}
+
+// Orders returns all orders in the order of arrival, repeats included.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	orders := make([]Order, 0, len(e.orders))
+	for _, o := range e.orders {
+		orders = append(orders, *o)
+	}
+	return orders
+}
+
+func (e *Engine) listOrders(c echo.Context) error {
+	return c.JSON(http.StatusOK, map[string]any{"orders": e.Orders()})
+}
--- /dev/null
+++ b/internal/standin/engine/stream.go
@@ -0,0 +1,154 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// completion is a chat completion or one chunk of a streamed one.
+type completion struct {
+	ID      string     `json:"id"`
+	Object  string     `json:"object"`
+	Created int64      `json:"created"`
+	Model   string     `json:"model"`
+	Choices []choice   `json:"choices"`
+	Usage   *chatUsage `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Message      *delta  `json:"message,omitempty"`
+	Delta        *delta  `json:"delta,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string  `json:"role,omitempty"`
+	Content *string `json:"content,omitempty"`
+}
+
+type chatUsage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	Details          promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+func (e *Engine) usageOf(g *generation) *chatUsage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &chatUsage{
+		PromptTokens:     len(g.prompt),
+		CompletionTokens: g.produced,
+		TotalTokens:      len(g.prompt) + g.produced,
+		Details:          promptDetails{CachedTokens: g.cached},
+	}
+}
+
+// sseWriter writes the events of one connection. The event number of answer
+// token k (counted from 1) is k; the role chunk has number 0, and the finish
+// and usage chunks follow the last token.
+type sseWriter struct {
+	c       echo.Context
+	g       *generation
+	created int64
+	garbage bool
+}
+
+// stream sends g's events with numbers above after. With opening, the role
+// chunk comes first.
+func (e *Engine) stream(c echo.Context, g *generation, after int, opening bool) error {
+	faults := e.Faults()
+	w := sseWriter{c: c, g: g, created: time.Now().Unix(), garbage: faults.Garbage}
+	sent := min(after, len(g.answer))
+	quota := faults.CloseAfterTokens
+	started := false
+	for {
+		n, s, ok := e.wait(c, g, sent)
+		if !ok || s == stateAborted {
+			panic(http.ErrAbortHandler)
+		}
+		if !started {
+			started = true
+			w.start(opening)
+		}
+		for ; sent < n; sent++ {
+			w.token(sent)
+			if quota--; quota == 0 {
+				c.Response().Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if s == stateCompleted && sent >= n {
+			break
+		}
+		if s == stateCancelled {
+			panic(http.ErrAbortHandler)
+		}
+		c.Response().Flush()
+	}
+	w.finish(after, e.usageOf(g))
+	return nil
+}
+
+func (w *sseWriter) start(opening bool) {
+	h := w.c.Response().Header()
+	h.Set(echo.HeaderContentType, "text/event-stream")
+	h.Set(echo.HeaderCacheControl, "no-cache")
+	w.c.Response().WriteHeader(http.StatusOK)
+	if opening {
+		empty := ""
+		w.event(0, []choice{{Delta: &delta{Role: "assistant", Content: &empty}}}, nil)
+	}
+}
+
+func (w *sseWriter) token(i int) {
+	text := w.g.answer[i]
+	if i > 0 {
+		text = " " + text
+	}
+	w.event(i+1, []choice{{Delta: &delta{Content: &text}}}, nil)
+}
+
+func (w *sseWriter) finish(after int, usage *chatUsage) {
+	last := len(w.g.answer)
+	if after < last+1 {
+		w.event(last+1, []choice{{Delta: &delta{}, FinishReason: &w.g.finish}}, nil)
+	}
+	if w.g.withUsage && after < last+2 {
+		w.event(last+2, []choice{}, usage)
+	}
+	w.write([]byte("data: [DONE]\n\n"))
+	w.c.Response().Flush()
+}
+
+func (w *sseWriter) event(number int, choices []choice, usage *chatUsage) {
+	data, err := json.Marshal(completion{
+		ID: "chatcmpl-" + w.g.id, Object: "chat.completion.chunk", Created: w.created, Model: w.g.model,
+		Choices: choices, Usage: usage,
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if w.garbage {
+		data = data[:len(data)/2]
+	}
+	buf := append([]byte("id: "), strconv.Itoa(number)...)
+	buf = append(append(append(buf, "\ndata: "...), data...), "\n\n"...)
+	w.write(buf)
+}
+
+// write aborts the handler if the connection is gone.
+func (w *sseWriter) write(data []byte) {
+	if _, err := w.c.Response().Write(data); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/usage.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+)
+
+// RequestUsage counts what ran for a request id.
+type RequestUsage struct {
+	// Received counts the requests that asked for a new generation.
+	Received int `json:"received"`
+	// Runs counts the generations that took a slot.
+	Runs int `json:"runs"`
+	// Resumes counts the connections that resumed a generation.
+	Resumes int `json:"resumes"`
+	// Completed and Cancelled count how generations ended. A crash and the
+	// cancellation of a queued request count as Cancelled.
+	Completed int `json:"completed"`
+	Cancelled int `json:"cancelled"`
+	// PromptTokens and CompletionTokens are summed over all runs.
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// usageLog holds the usage of the most recent request ids. total covers all
+// ids, but has no Received and Resumes.
+type usageLog struct {
+	limit int
+	byID  map[string]*RequestUsage
+	order []string // ids by first use
+	total RequestUsage
+}
+
+func newUsageLog(limit int) usageLog {
+	return usageLog{limit: limit, byID: make(map[string]*RequestUsage)}
+}
+
+func (l *usageLog) get(id string) *RequestUsage {
+	u := l.byID[id]
+	if u == nil {
+		u = &RequestUsage{}
+		l.byID[id] = u
+		l.order = append(l.order, id)
+		if len(l.order) > l.limit {
+			delete(l.byID, l.order[0])
+			l.order = l.order[1:]
+		}
+	}
+	return u
+}
+
+// Usage returns what ran, by request id, and the totals of all requests.
+func (e *Engine) Usage() (byID map[string]RequestUsage, total RequestUsage) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	byID = make(map[string]RequestUsage, len(e.usage.byID))
+	for id, u := range e.usage.byID {
+		byID[id] = *u
+	}
+	return byID, e.usage.total
+}
+
+type usageReport struct {
+	Crashes  int                     `json:"crashes"`
+	Total    RequestUsage            `json:"total"`
+	Requests map[string]RequestUsage `json:"requests"`
+}
+
+func (e *Engine) serveUsage(c echo.Context) error {
+	byID, total := e.Usage()
+	return c.JSON(http.StatusOK, usageReport{Crashes: e.Crashes(), Total: total, Requests: byID})
+}
