Add the stand-in service

Cause: plain services run beside the engines, and the tests of non-idempotent requests need to count what really ran. Change: internal/standin/service, an echo with runs counted by idempotency key and faults; internal/standin/delayed, the lagging history that the load reports of both stand-ins use. Conclusion: a lost answer can be told from a request that did not run.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/azurehatch/azurehatch/internal/standin/delayed"
 )
 
 // Defaults of Options.
@@ -110,7 +112,7 @@
 	byID        map[string]*generation // resumable generations
 
 	cache   *prefixCache
-	load    loadHistory
+	load    delayed.History[loadSample]
 	usage   usageLog
 	orders  []*Order
 	fencing int64 // highest fencing number seen
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -21,49 +21,18 @@
 	TokensPerSecond float64   `json:"tokens_per_second"`
 }
 
-const (
-	// loadResolution limits the samples kept for a lagging report.
-	loadResolution = 5 * time.Millisecond
-	// rateWindow is the time over which tokens per second are counted.
-	rateWindow = time.Second
-)
+// rateWindow is the time over which tokens per second are counted.
+const rateWindow = time.Second
 
 type loadSample struct {
-	at              time.Time
 	running, queued int
 	generated       int
 }
 
-// loadHistory holds samples in the order of time, back to the report's lag and
-// the rate window.
-type loadHistory []loadSample
-
 // noteLoad records the present load. e.mu is held.
 func (e *Engine) noteLoad() {
-	now := time.Now()
-	s := loadSample{at: now, running: e.running, queued: len(e.queue), generated: e.usage.total.CompletionTokens}
-	if n := len(e.load); n > 0 && now.Sub(e.load[n-1].at) < loadResolution {
-		s.at = e.load[n-1].at
-		e.load[n-1] = s
-		return
-	}
-	e.load = append(e.load, s)
-	oldest := now.Add(-e.lag() - 2*rateWindow)
-	drop := 0
-	for drop+1 < len(e.load) && e.load[drop+1].at.Before(oldest) {
-		drop++
-	}
-	e.load = e.load[drop:]
-}
-
-// at returns the last sample taken at t or before.
-func (h loadHistory) at(t time.Time) loadSample {
-	for i := len(h) - 1; i >= 0; i-- {
-		if !h[i].at.After(t) {
-			return h[i]
-		}
-	}
-	return loadSample{}
+	s := loadSample{running: e.running, queued: len(e.queue), generated: e.usage.total.CompletionTokens}
+	e.load.Put(time.Now(), s, e.lag()+2*rateWindow)
 }
 
 func (e *Engine) lag() time.Duration {
@@ -78,8 +47,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	at := time.Now().Add(-e.lag())
-	s := e.load.at(at)
-	window := s.generated - e.load.at(at.Add(-rateWindow)).generated
+	s := e.load.At(at)
+	window := s.generated - e.load.At(at.Add(-rateWindow)).generated
 	return Load{
 		ID: e.opts.ID, Domain: e.opts.Domain, Role: e.role, Models: append([]string(nil), e.models...),
 		At: at, Running: s.running, Queued: s.queued, Slots: e.opts.Slots,
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,158 @@
+// Package service is a small emulator of a plain HTTP service. It echoes each
+// request, counts the runs of each idempotency key, reports its load with a lag
+// and injects faults that are set over HTTP.
+package service
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/azurehatch/azurehatch/internal/standin/delayed"
+)
+
+// DefaultSlots is the default number of requests that run at once.
+const DefaultSlots = 64
+
+// maxBodyBytes limits a request's body.
+const maxBodyBytes = 16 << 20
+
+// Options set the emulated service's capacity and timing.
+type Options struct {
+	// ID and Domain are shown in the answers and the load report.
+	ID, Domain string
+	// Latency is the time that a request runs.
+	Latency time.Duration
+	// Slots is the number of requests that run at once; 0 means DefaultSlots.
+	Slots int
+	// ReportLag is the age of the load report.
+	ReportLag time.Duration
+}
+
+// Service is an emulated service and its http.Handler.
+type Service struct {
+	opts  Options
+	mux   *echo.Echo
+	ctx   context.Context
+	stop  context.CancelFunc
+	slots chan struct{}
+
+	mu      sync.Mutex
+	faults  Faults
+	down    time.Time          // requests are dropped until then
+	alive   context.Context    // ends at a crash
+	crash   context.CancelFunc // ends alive
+	crashes int
+	running int
+	queued  int
+	load    delayed.History[Load]
+	runs    map[string]Runs
+	total   Runs
+}
+
+// New returns a service that is up. Close ends it.
+func New(opts Options) *Service {
+	if opts.Slots <= 0 {
+		opts.Slots = DefaultSlots
+	}
+	s := &Service{opts: opts, slots: make(chan struct{}, opts.Slots), runs: make(map[string]Runs)}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.alive, s.crash = context.WithCancel(s.ctx)
+	s.mux = echo.New()
+	s.mux.HideBanner = true
+	s.mux.GET("/admin/runs", s.serveRuns)
+	s.mux.GET("/admin/faults", s.getFaults)
+	s.mux.PUT("/admin/faults", s.putFaults)
+	s.mux.DELETE("/admin/faults", s.resetFaults)
+	s.mux.GET("/health", s.health, s.applyConnectionFaults)
+	s.mux.GET("/load", s.serveLoad, s.applyConnectionFaults)
+	s.mux.Any("/*", s.echo, s.applyConnectionFaults)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Close ends the requests in progress; they lose their connection.
+func (s *Service) Close() { s.stop() }
+
+// Runs counts the runs of one idempotency key.
+type Runs struct {
+	// Started counts the requests that began to run.
+	Started int `json:"started"`
+	// Completed counts the runs that took effect, whether or not the answer
+	// reached the caller.
+	Completed int `json:"completed"`
+}
+
+// Runs returns the runs by idempotency key and of all requests.
+func (s *Service) Runs() (byKey map[string]Runs, total Runs) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byKey = make(map[string]Runs, len(s.runs))
+	for k, r := range s.runs {
+		byKey[k] = r
+	}
+	return byKey, s.total
+}
+
+func (s *Service) serveRuns(c echo.Context) error {
+	byKey, total := s.Runs()
+	return c.JSON(http.StatusOK, map[string]any{"total": total, "runs": byKey})
+}
+
+// Load is the service's load report.
+type Load struct {
+	ID     string `json:"id"`
+	Domain string `json:"domain"`
+	// At is the time of the state that the report shows.
+	At      time.Time `json:"at"`
+	Running int       `json:"running"`
+	Queued  int       `json:"queued"`
+	Slots   int       `json:"slots"`
+}
+
+// noteLoad records the present load. s.mu is held.
+func (s *Service) noteLoad() {
+	s.load.Put(time.Now(), Load{Running: s.running, Queued: s.queued}, s.lag()+time.Second)
+}
+
+func (s *Service) lag() time.Duration {
+	if s.faults.ReportLagMillis > 0 {
+		return time.Duration(s.faults.ReportLagMillis) * time.Millisecond
+	}
+	return s.opts.ReportLag
+}
+
+func (s *Service) serveLoad(c echo.Context) error {
+	s.mu.Lock()
+	at := time.Now().Add(-s.lag())
+	l := s.load.At(at)
+	s.mu.Unlock()
+	l.ID, l.Domain, l.At, l.Slots = s.opts.ID, s.opts.Domain, at, s.opts.Slots
+	return c.JSON(http.StatusOK, l)
+}
+
+func (s *Service) health(c echo.Context) error {
+	return c.JSON(http.StatusOK, map[string]string{"status": "ok", "id": s.opts.ID})
+}
+
+// Echo is the service's answer.
+type Echo struct {
+	Instance string `json:"instance"`
+	Method   string `json:"method"`
+	Path     string `json:"path"`
+	Query    string `json:"query,omitempty"`
+	Body     string `json:"body"`
+}
+
+// requestKey names a request in the count of runs.
+func requestKey(h http.Header) string {
+	if key := h.Get("Idempotency-Key"); key != "" {
+		return key
+	}
+	return h.Get("X-Request-ID")
+}
