--- /dev/null
+++ b/internal/standin/engine/report.go
@@ -0,0 +1,61 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Load is the engine's load report.
+type Load struct {
+	ID     string   `json:"id"`
+	Domain string   `json:"domain"`
+	Role   string   `json:"role"`
+	Models []string `json:"models"`
+	// At is the time of the state that the report shows.
+	At              time.Time `json:"at"`
+	Running         int       `json:"running"`
+	Queued          int       `json:"queued"`
+	Slots           int       `json:"slots"`
+	TokensPerSecond float64   `json:"tokens_per_second"`
+}
+
+// rateWindow is the time over which tokens per second are counted.
+const rateWindow = time.Second
+
+type loadSample struct {
+	running, queued int
+	generated       int
+}
+
+// noteLoad records the present load. e.mu is held.
+func (e *Engine) noteLoad() {
+	s := loadSample{running: e.running, queued: len(e.queue), generated: e.usage.total.CompletionTokens}
+	e.load.Put(time.Now(), s, e.lag()+2*rateWindow)
+}
+
+func (e *Engine) lag() time.Duration {
+	if e.faults.ReportLagMillis > 0 {
+		return time.Duration(e.faults.ReportLagMillis) * time.Millisecond
+	}
+	return e.opts.ReportLag
+}
+
+// Load returns the report as callers of /load see it.
+func (e *Engine) Load() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at := time.Now().Add(-e.lag())
+	s := e.load.At(at)
+	window := s.generated - e.load.At(at.Add(-rateWindow)).generated
+	return Load{
+		ID: e.opts.ID, Domain: e.opts.Domain, Role: e.role, Models: append([]string(nil), e.models...),
+		At: at, Running: s.running, Queued: s.queued, Slots: e.opts.Slots,
+		TokensPerSecond: float64(window) / rateWindow.Seconds(),
+	}
+}
+
+func (e *Engine) serveLoad(c echo.Context) error {
+	return c.JSON(http.StatusOK, e.Load())
+}
