--- /dev/null
+++ b/internal/audit/filter.go
@@ -0,0 +1,66 @@
+package audit
+
+import (
+	"strings"
+	"time"
+)
+
+// Filter selects entries; a zero field matches all.
+type Filter struct {
+	From, To time.Time
+	Actor    string
+	Office   string
+	Account  string
+	Service  string
+	Kind     Kind
+	Result   Result
+}
+
+// Match reports whether the filter selects e. An entry with more subjects than
+// it lists matches each account and service, because it may be about them.
+func (f Filter) Match(e Entry) bool {
+	if (!f.From.IsZero() && e.At.Before(f.From)) || (!f.To.IsZero() && !e.At.Before(f.To)) {
+		return false
+	}
+	switch {
+	case f.Actor != "" && e.Actor != f.Actor,
+		f.Office != "" && e.Office != f.Office,
+		f.Kind != "" && e.Kind != f.Kind,
+		f.Result != "" && e.Result != f.Result:
+		return false
+	}
+	return (f.Account == "" || e.about(f.Account, isAccount)) && (f.Service == "" || e.about(f.Service, isService))
+}
+
+func (e Entry) about(name string, match func(s Subject, name string) bool) bool {
+	for _, s := range e.Subjects {
+		if match(s, name) {
+			return true
+		}
+	}
+	return e.MoreSubjects > 0
+}
+
+// isAccount matches the account itself and its budgets "<account>/<budget>".
+func isAccount(s Subject, name string) bool {
+	switch s.Kind {
+	case "account":
+		return s.Name == name
+	case "budget":
+		return strings.HasPrefix(s.Name, name+"/")
+	}
+	return false
+}
+
+func isService(s Subject, name string) bool { return s.Kind == "service" && s.Name == name }
+
+// Select returns the entries that match, in their order.
+func (f Filter) Select(entries []Entry) []Entry {
+	var list []Entry
+	for _, e := range entries {
+		if f.Match(e) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
