--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/dev"
+	"github.com/azurehatch/azurehatch/internal/settings"
+)
+
+// newLog returns a logger of JSON lines on standard error.
+func newLog(level string) (zerolog.Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Errorf("log level %q is not one of debug, info, warn, error", level)
+	}
+	return zerolog.New(os.Stderr).Level(l).With().Timestamp().Logger(), nil
+}
+
+// untilSignal returns a context that ends with SIGTERM or SIGINT.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+func devCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
+	cmd := app.Command("dev", "Run a whole fleet in one process on loopback.")
+	name := cmd.Flag("deployment", "Shape of the fleet: "+strings.Join(dev.DeploymentNames(), " or ")+".").Default("maracas").String()
+	port := cmd.Flag("port", "Callers' port of the first daemon; 0 lets the system choose.").Default("8080").Int()
+	level := cmd.Flag("log-level", "debug, info, warn or error.").Default("warn").String()
+	return cmd.FullCommand(), func() error {
+		log, err := newLog(*level)
+		if err != nil {
+			return err
+		}
+		deployment, err := dev.DeploymentByName(*name)
+		if err != nil {
+			return err
+		}
+		f, err := dev.Start(dev.Options{Deployment: deployment, Port: *port, Log: log})
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		for i, d := range f.Daemons {
+			fmt.Fprintf(out, "daemon %d  callers http://%s  admin http://%s\n", i+1, d.CallersAddr(), d.AdminAddr())
+		}
+		fmt.Fprintf(out, "\nTry:\n\n%s\n\nStop with Ctrl-C.\n", f.Curl())
+		ctx, cancel := untilSignal()
+		defer cancel()
+		<-ctx.Done()
+		return nil
+	}
+}
+
+func settingsPrintCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
+	cmd := app.GetCommand("settings")
+	if cmd == nil {
+		cmd = app.Command("settings", "Settings of one process.")
+	}
+	printed := cmd.Command("print", "Print each key with its default and its meaning.")
+	return printed.FullCommand(), func() error {
+		text, err := settings.Default().Format()
+		if err != nil {
+			return err
+		}
+		_, err = out.Write(text)
+		return err
+	}
+}
+
+func settingsCheckCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
+	cmd := app.GetCommand("settings")
+	check := cmd.Command("check", "Check a settings file.")
+	file := check.Arg("file", "Settings file.").Required().String()
+	return check.FullCommand(), func() error {
+		s, err := readSettings(*file)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(out, "%s: settings of instance %s are valid\n", *file, s.Instance.ID)
+		return err
+	}
+}
+
+func readSettings(file string) (settings.Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Settings{}, errors.Wrap(err, "read settings")
+	}
+	return settings.Parse(file, text)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,234 @@
+// Package daemon assembles a daemon from its settings and runs its life cycle.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/directory"
+	"github.com/azurehatch/azurehatch/internal/fleet"
+	"github.com/azurehatch/azurehatch/internal/gateway"
+	"github.com/azurehatch/azurehatch/internal/ledger"
+	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/peer"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/pool"
+	"github.com/azurehatch/azurehatch/internal/settings"
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// idleTimeout closes a caller's connection that is not used.
+const idleTimeout = 2 * time.Minute
+
+// Options configure a Daemon besides its settings.
+type Options struct {
+	Settings settings.Settings
+	Store    platform.Store
+	Log      zerolog.Logger
+}
+
+// Daemon is one running daemon.
+type Daemon struct {
+	s     settings.Settings
+	log   zerolog.Logger
+	store platform.Store
+
+	scope       tally.Scope
+	closeScope  func()
+	metricsHTTP http.Handler
+
+	directory *directory.Directory
+	fleet     *fleet.Fleet
+	peers     *peer.Client
+	ledger    *ledger.Ledger
+	pools     *pool.Set
+	gateway   *gateway.Gateway
+	upstream  *upstream.Client
+	control   *control
+
+	callers net.Listener
+	admin   net.Listener
+	peering net.Listener
+
+	callersHTTP *http.Server
+	adminHTTP   *http.Server
+	peerGRPC    *grpc.Server
+	servers     sync.WaitGroup
+
+	ready atomic.Bool
+	// configured is true once a configuration is in force.
+	configured atomic.Bool
+}
+
+// New opens the listeners and starts the daemon.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{s: o.Settings, store: o.Store}
+	d.log = o.Log.With().Str("instance", d.s.Instance.ID).Str("domain", d.s.Instance.FailureDomain).Logger()
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	if err := d.assemble(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	if err := d.serve(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.ready.Store(true)
+	d.log.Info().Str("callers", d.CallersAddr()).Str("peers", d.PeersAddr()).Str("admin", d.AdminAddr()).Msg("daemon started")
+	return d, nil
+}
+
+func (d *Daemon) listen() (err error) {
+	for _, l := range []struct {
+		name string
+		addr string
+		to   *net.Listener
+	}{{"callers", d.s.Callers.Listen, &d.callers}, {"peers", d.s.Peers.Listen, &d.peering}, {"admin", d.s.Admin.Listen, &d.admin}} {
+		if *l.to, err = net.Listen("tcp", l.addr); err != nil {
+			d.closeListeners()
+			return errors.Wrapf(err, "listener %s", l.name)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.callers, d.peering, d.admin} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// CallersAddr returns the address of the callers' listener.
+func (d *Daemon) CallersAddr() string { return d.callers.Addr().String() }
+
+// PeersAddr returns the address of the peers' listener.
+func (d *Daemon) PeersAddr() string { return d.peering.Addr().String() }
+
+// AdminAddr returns the address of the administration listener.
+func (d *Daemon) AdminAddr() string { return d.admin.Addr().String() }
+
+func (d *Daemon) assemble() error {
+	d.scope, d.closeScope, d.metricsHTTP = newScope(d.s.Instance)
+	creds, err := peerCredentials(d.s.Peers)
+	if err != nil {
+		return err
+	}
+	d.peers = peer.NewClient(creds.client)
+	d.pools = pool.New(pool.Options{Domain: d.s.Instance.FailureDomain, Seed: uint64(time.Now().UnixNano()), Log: d.log, Scope: d.scope})
+	d.directory = &directory.Directory{Up: d.pools.Up}
+	self := membership.Identity{
+		ID: d.s.Instance.ID, Addr: d.PeersAddr(), Domain: d.s.Instance.FailureDomain, Region: d.s.Instance.Region,
+	}
+	d.fleet = fleet.New(fleet.Options{Self: self, Sender: d.peers, Lister: d.store, OnEvents: d.onEvents, Log: d.log})
+	d.ledger = ledger.New(ledger.Options{
+		ID: self.ID, Domain: self.Domain, Store: d.store, Members: d.fleet, Peers: d.peers, BudgetFor: d.directory.BudgetFor,
+		Interval: d.s.Budget.FlushMin.Std(), Step: d.s.Budget.Step, Timeout: d.s.Budget.Timeout.Std(), Log: d.log, Scope: d.scope,
+	})
+	d.upstream = upstream.New(upstream.Options{})
+	d.gateway = gateway.New(gateway.Options{
+		Directory: d.directory, Ledger: d.ledger.Gateway(), Claims: d.claims(), Pools: d.pools, Upstream: d.upstream,
+		Log: d.log, Scope: d.scope, MaxBody: int64(d.s.Limits.Body), Timeout: d.s.Limits.Request.Std(), Step: d.s.Budget.Step,
+	})
+	d.peerGRPC = peer.NewServer(d.ledger, d, creds.server, d.log)
+	d.control = newControl(d)
+	return nil
+}
+
+func (d *Daemon) serve() error {
+	d.callersHTTP = &http.Server{
+		Handler: d.gateway.Handler(), ReadHeaderTimeout: d.s.Limits.HeaderTimeout.Std(),
+		ReadTimeout: d.s.Limits.BodyTimeout.Std(), IdleTimeout: idleTimeout,
+	}
+	d.adminHTTP = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: d.s.Limits.HeaderTimeout.Std(), IdleTimeout: idleTimeout}
+	callers, err := secure(d.callers, d.s.Callers)
+	if err != nil {
+		return err
+	}
+	admin, err := secure(d.admin, d.s.Admin)
+	if err != nil {
+		return err
+	}
+	d.run("callers", func() error { return d.callersHTTP.Serve(callers) })
+	d.run("admin", func() error { return d.adminHTTP.Serve(admin) })
+	d.run("peers", func() error { return d.peerGRPC.Serve(d.peering) })
+	return nil
+}
+
+func (d *Daemon) run(name string, serve func() error) {
+	d.servers.Add(1)
+	go func() {
+		defer d.servers.Done()
+		if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error().Err(err).Str("listener", name).Msg("listener ended")
+		}
+	}()
+}
+
+// SetConfig puts a configuration in force.
+func (d *Daemon) SetConfig(revision int64, c *config.Config) {
+	d.directory.Set(c)
+	d.refreshPools()
+	d.configured.Store(true)
+	d.log.Info().Int64("revision", revision).Msg("configuration in force")
+}
+
+// Stop ends the daemon gracefully: it is taken out of service first, then
+// requests in progress end, then bills become durable. It returns an error if
+// ctx ends before that.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.ready.Store(false)
+	d.fleet.Drain()
+	d.log.Info().Int("active", d.gateway.Active()).Msg("daemon is leaving")
+	wait(ctx, d.s.Shutdown.Announce.Std())
+	drain, cancel := context.WithTimeout(ctx, d.s.Shutdown.Drain.Std())
+	defer cancel()
+	err := d.gateway.Drain(drain)
+	if err != nil {
+		err = errors.Wrap(err, "requests are still in progress")
+	}
+	if lerr := d.ledger.Drain(drain); err == nil {
+		err = lerr
+	}
+	d.Close()
+	return err
+}
+
+// Close ends the daemon at once, as a crash would.
+func (d *Daemon) Close() {
+	d.ready.Store(false)
+	d.callersHTTP.Close()
+	d.adminHTTP.Close()
+	d.peerGRPC.Stop()
+	d.servers.Wait()
+	d.control.close()
+	d.ledger.Close()
+	d.fleet.Close()
+	d.pools.Close()
+	d.peers.Close()
+	d.upstream.Close()
+	d.closeScope()
+	d.log.Info().Msg("daemon stopped")
+}
+
+func wait(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/daemon/listeners.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/azurehatch/azurehatch/internal/certs"
+	"github.com/azurehatch/azurehatch/internal/settings"
+)
+
+// metricsInterval is how often counters reach the Prometheus reporter.
+const metricsInterval = time.Second
+
+func newScope(in settings.Instance) (tally.Scope, func(), http.Handler) {
+	// A registry of its own, since several daemons may share a process.
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "azurehatch", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
+		Tags:            map[string]string{"instance": in.ID, "domain": in.FailureDomain},
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, metricsInterval)
+	return scope, func() { _ = closer.Close() }, reporter.HTTPHandler()
+}
+
+// peerCreds are nil for plain text.
+type peerCreds struct {
+	client, server credentials.TransportCredentials
+}
+
+func peerCredentials(l settings.Listener) (peerCreds, error) {
+	if !l.TLS() {
+		return peerCreds{}, nil
+	}
+	pair, err := certs.Load(certs.Files{Cert: l.CertFile, Key: l.KeyFile, CA: l.CAFile}, nil)
+	if err != nil {
+		return peerCreds{}, err
+	}
+	return peerCreds{client: credentials.NewTLS(pair.Client()), server: credentials.NewTLS(pair.Server())}, nil
+}
+
+func secure(l net.Listener, s settings.Listener) (net.Listener, error) {
+	if !s.TLS() {
+		return l, nil
+	}
+	pair, err := certs.Load(certs.Files{Cert: s.CertFile, Key: s.KeyFile, CA: s.CAFile}, nil)
+	if err != nil {
+		return nil, err
+	}
+	return tls.NewListener(l, pair.Server()), nil
+}
+
+// adminHandler serves health, metrics and the administration API.
+func (d *Daemon) adminHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c echo.Context) error {
+		if !d.ready.Load() || !d.configured.Load() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	e.GET("/metrics", echo.WrapHandler(d.metricsHTTP))
+	return e
+}
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,198 @@
+// Package dev runs a whole fleet in one process on loopback: a platform
+// stand-in, engines, service endpoints and daemons.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/daemon"
+	"github.com/azurehatch/azurehatch/internal/ledger"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/azurehatch/azurehatch/internal/settings"
+	"github.com/azurehatch/azurehatch/internal/standin/engine"
+	"github.com/azurehatch/azurehatch/internal/standin/service"
+)
+
+// Shape of the development fleet's emulators.
+const (
+	engineSlots       = 16
+	interTokenPerSlot = 500 * time.Microsecond
+	prefillRate       = 20_000 // prompt tokens a second
+	reportLag         = 2 * time.Second
+	serviceLatency    = 5 * time.Millisecond
+	resumeGrace       = 10 * time.Second
+)
+
+// Prepaid is the number of tokens of each account at the start.
+const Prepaid = 1_000_000
+
+// Options configure a development fleet.
+type Options struct {
+	Deployment Deployment
+	// Port is the callers' port of the first daemon; 0 lets the system choose.
+	Port int
+	Log  zerolog.Logger
+}
+
+// Fleet is a running development fleet.
+type Fleet struct {
+	Deployment Deployment
+	Store      *memstore.Store
+	Engines    []*engine.Engine
+	Services   []*service.Service
+	Daemons    []*daemon.Daemon
+
+	servers []*http.Server
+}
+
+// Start starts a fleet; Close ends it.
+func Start(o Options) (*Fleet, error) {
+	f := &Fleet{Deployment: o.Deployment, Store: memstore.New(nil)}
+	if err := f.start(o); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(o Options) error {
+	engines, err := f.startEngines()
+	if err != nil {
+		return err
+	}
+	services, err := f.startServices()
+	if err != nil {
+		return err
+	}
+	c := f.Deployment.configuration(engines, services)
+	if err := c.Validate(); err != nil {
+		return errors.Wrap(err, "sample configuration")
+	}
+	if err := f.topUp(); err != nil {
+		return err
+	}
+	for i := range f.Deployment.Daemons {
+		port := 0
+		if i == 0 {
+			port = o.Port
+		}
+		if err := f.startDaemon(i, port, c, o.Log); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startEngines() ([]string, error) {
+	addrs := make([]string, f.Deployment.Engines)
+	for i := range addrs {
+		id := fmt.Sprintf("engine-%d", i+1)
+		e := engine.New(engine.Options{
+			ID: id, Domain: f.Deployment.domain(i), Models: []string{f.Deployment.Model}, Slots: engineSlots,
+			InterToken: f.Deployment.InterToken, InterTokenPerSlot: interTokenPerSlot, PrefillTokensPerSecond: prefillRate,
+			ReportLag: reportLag, ResumeGrace: resumeGrace, RefuseStaleOrders: true,
+		})
+		f.Engines = append(f.Engines, e)
+		addr, err := f.listen(e)
+		if err != nil {
+			return nil, err
+		}
+		addrs[i] = addr
+		f.list(id, addr, f.Deployment.domain(i), platform.RoleEngine)
+	}
+	return addrs, nil
+}
+
+func (f *Fleet) startServices() ([]string, error) {
+	addrs := make([]string, f.Deployment.ServiceEndpoints)
+	for i := range addrs {
+		id := fmt.Sprintf("service-%d", i+1)
+		s := service.New(service.Options{ID: id, Domain: f.Deployment.domain(i), Latency: serviceLatency, ReportLag: reportLag})
+		f.Services = append(f.Services, s)
+		addr, err := f.listen(s)
+		if err != nil {
+			return nil, err
+		}
+		addrs[i] = addr
+		f.list(id, addr, f.Deployment.domain(i), platform.RoleService)
+	}
+	return addrs, nil
+}
+
+func (f *Fleet) list(id, addr, domain string, role platform.Role) {
+	f.Store.SetInstance(platform.Instance{
+		ID: id, Addr: addr, Domain: domain, Region: f.Deployment.Name, Role: role, State: platform.InstanceLive,
+	})
+}
+
+func (f *Fleet) listen(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	f.servers = append(f.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+func (f *Fleet) topUp() error {
+	books := ledger.Books{Store: f.Store}
+	for _, account := range f.Deployment.Accounts {
+		id := config.BudgetID(account, budgetName)
+		if err := books.TopUp(context.Background(), "dev-"+id, id, Prepaid); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startDaemon(i, port int, c *config.Config, log zerolog.Logger) error {
+	s := settings.Default()
+	s.Instance = settings.Instance{
+		ID: fmt.Sprintf("daemon-%d-%d", i+1, time.Now().UnixNano()), FailureDomain: f.Deployment.domain(i), Region: f.Deployment.Name,
+	}
+	s.Callers.Listen = fmt.Sprintf("127.0.0.1:%d", port)
+	s.Peers.Listen, s.Admin.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	s.Shutdown.Announce = settings.Duration(200 * time.Millisecond)
+	d, err := daemon.New(daemon.Options{Settings: s, Store: f.Store, Log: log})
+	if err != nil {
+		return err
+	}
+	f.Daemons = append(f.Daemons, d)
+	f.list(s.Instance.ID, d.PeersAddr(), s.Instance.FailureDomain, platform.RoleDaemon)
+	d.SetConfig(1, c)
+	return nil
+}
+
+// Curl returns the command that sends a streamed chat completion.
+func (f *Fleet) Curl() string {
+	return fmt.Sprintf(`curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' `+
+		`-d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"hello words:12"}]}'`,
+		f.Daemons[0].CallersAddr(), Key(f.Deployment.Accounts[0]), f.Deployment.Model)
+}
+
+// Close ends the fleet at once.
+func (f *Fleet) Close() {
+	for _, d := range f.Daemons {
+		d.Close()
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+	for _, s := range f.Services {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,266 @@
+// Package fleet runs the membership state machine of a daemon: its timers, its
+// messages to other daemons and its reads of the platform's list.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// Bounds of the input and output.
+const (
+	sendTimeout = time.Second
+	listTimeout = 2 * time.Second
+	// sendQueue bounds the messages waiting for a slow member; older news is
+	// repeated by the state machine, so that messages above it are dropped.
+	sendQueue = 64
+)
+
+// Sender sends membership messages.
+type Sender interface {
+	Gossip(ctx context.Context, addr string, m membership.Message) error
+	Forget(addr string)
+}
+
+// Lister reads the platform's list.
+type Lister interface {
+	Instances(ctx context.Context) ([]platform.Instance, error)
+}
+
+// Options configure a Fleet.
+type Options struct {
+	Self   membership.Identity
+	Sender Sender
+	Lister Lister
+	// OnEvents is called after changes, without a lock held, from one
+	// goroutine at a time.
+	OnEvents func([]membership.Event)
+	Log      zerolog.Logger
+}
+
+// Fleet is a daemon's view of the other daemons.
+type Fleet struct {
+	o    Options
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu      sync.Mutex
+	table   *membership.Table
+	queues  map[string]chan membership.Message
+	listing bool
+	// events are not yet published; wake has an element if there are any. The
+	// list is not a channel, since OnEvents may call back into the fleet.
+	events []membership.Event
+	wake   chan struct{}
+}
+
+// New returns a running fleet; Close ends it.
+func New(o Options) *Fleet {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &Fleet{
+		o: o, ctx: ctx, stop: stop, table: membership.New(membership.Options{Self: o.Self}, time.Now()),
+		queues: make(map[string]chan membership.Message), wake: make(chan struct{}, 1),
+	}
+	f.spawn(f.loop)
+	f.spawn(f.publish)
+	return f
+}
+
+// Close stops the fleet without announcing it. See Drain.
+func (f *Fleet) Close() {
+	f.stop()
+	f.wg.Wait()
+}
+
+func (f *Fleet) spawn(run func()) {
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		run()
+	}()
+}
+
+func (f *Fleet) loop() {
+	ticker := time.NewTicker(membership.TickInterval)
+	defer ticker.Stop()
+	for {
+		f.tick()
+		select {
+		case <-ticker.C:
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Fleet) tick() {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.table.Tick(now))
+	if !f.listing && f.table.WantList(now) {
+		f.listing = true
+		f.spawn(f.list)
+	}
+}
+
+func (f *Fleet) list() {
+	ctx, cancel := context.WithTimeout(f.ctx, listTimeout)
+	defer cancel()
+	list, err := f.o.Lister.Instances(ctx)
+	if err != nil {
+		f.o.Log.Warn().Err(err).Msg("the platform's instance list can't be read")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listing = false
+	if err == nil {
+		f.apply(f.table.List(time.Now(), list))
+	}
+}
+
+// apply sends messages and publishes events. The caller holds f.mu.
+func (f *Fleet) apply(out membership.Output) {
+	for _, m := range out.Messages {
+		f.enqueue(m)
+	}
+	if len(out.Events) == 0 {
+		return
+	}
+	f.events = append(f.events, out.Events...)
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// enqueue hands m to the goroutine that sends to its receiver, so that one
+// slow receiver does not delay the others.
+func (f *Fleet) enqueue(m membership.Message) {
+	q, ok := f.queues[m.Addr]
+	if !ok {
+		q = make(chan membership.Message, sendQueue)
+		f.queues[m.Addr] = q
+		f.spawn(func() { f.sendAll(m.Addr, q) })
+	}
+	select {
+	case q <- m:
+	default:
+		f.o.Log.Debug().Str("peer", m.Addr).Msg("membership message dropped")
+	}
+}
+
+func (f *Fleet) sendAll(addr string, q chan membership.Message) {
+	for {
+		select {
+		case m := <-q:
+			f.send(addr, m)
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Fleet) send(addr string, m membership.Message) {
+	ctx, cancel := context.WithTimeout(f.ctx, sendTimeout)
+	defer cancel()
+	if err := f.o.Sender.Gossip(ctx, addr, m); err != nil && f.ctx.Err() == nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.apply(f.table.SendFailed(time.Now(), m.To))
+	}
+}
+
+func (f *Fleet) publish() {
+	for {
+		select {
+		case <-f.wake:
+		case <-f.ctx.Done():
+			return
+		}
+		f.mu.Lock()
+		events := f.events
+		f.events = nil
+		f.mu.Unlock()
+		for _, ev := range events {
+			f.log(ev)
+		}
+		if f.o.OnEvents != nil {
+			f.o.OnEvents(events)
+		}
+	}
+}
+
+func (f *Fleet) log(ev membership.Event) {
+	switch ev.Kind {
+	case membership.MemberChanged:
+		f.o.Log.Info().Str("member", ev.Member.ID).Str("from", ev.Previous.String()).Str("to", ev.Member.State.String()).
+			Str("cause", ev.Cause).Msg("member changed")
+	case membership.DomainSilent, membership.DomainHeard:
+		f.o.Log.Warn().Str("domain", ev.Domain).Bool("heard", ev.Kind == membership.DomainHeard).Msg("failure domain changed")
+	}
+}
+
+// Step takes a message from another daemon.
+func (f *Fleet) Step(m membership.Message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.table.Step(time.Now(), m))
+}
+
+// Drain announces that this daemon leaves.
+func (f *Fleet) Drain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.table.Drain(time.Now()))
+}
+
+// Owner returns the live member of a failure domain that owns the key.
+func (f *Fleet) Owner(domain, key string) (membership.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Owner(domain, key)
+}
+
+// LiveIn returns the live members of a failure domain.
+func (f *Fleet) LiveIn(domain string) []membership.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.LiveIn(domain)
+}
+
+// Addr returns a member's address.
+func (f *Fleet) Addr(id string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.table.Member(id)
+	return m.Addr, ok
+}
+
+// Members returns all known members.
+func (f *Fleet) Members() []membership.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Members()
+}
+
+// Domains returns the known failure domains.
+func (f *Fleet) Domains() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Domains()
+}
+
+// Endpoints returns the endpoints of the platform's list.
+func (f *Fleet) Endpoints() []membership.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Endpoints()
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -178,7 +178,7 @@
 func (j *job) engineRefusal(resp *http.Response, endpoint Endpoint) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEngineError))
 	if err != nil || resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
-		cause := errors.Errorf("status %d: %.200s", resp.StatusCode, body)
+		cause := errors.Wrapf(upstream.ErrStatus, "status %d: %.200s", resp.StatusCode, body)
 		return failure.At(&upstream.Error{Endpoint: endpoint.ID, Ran: upstream.RanUnknown, Err: cause}, "gateway.answer", endpoint.Addr)
 	}
 	j.billed = 0
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,170 @@
+// Package load sends a stated mix of requests to daemons at a stated rate and
+// reports latency percentiles, goodput, refusals by type and cut answers.
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+)
+
+// Options describe the load.
+type Options struct {
+	// Targets are base URLs of daemons; requests go to them in turn.
+	Targets []string
+	// Keys are API keys of client accounts, drawn at random.
+	Keys []string
+	// Model receives chat completions; Service and OrderPath plain calls.
+	Model, Service, OrderPath string
+	// Rate is the number of requests a second.
+	Rate float64
+	// Duration is how long requests are sent.
+	Duration time.Duration
+	// Swing multiplies Rate in the middle third of Duration; 0 means 1.
+	Swing float64
+	// ShortTokens and LongTokens are answer lengths.
+	ShortTokens, LongTokens int
+	// LongShare, StreamShare, PlainShare and OrderShare are shares of the
+	// requests from 0 to 1: long answers and streams among chat completions,
+	// plain calls among all, non-idempotent orders among plain calls.
+	LongShare, StreamShare, PlainShare, OrderShare float64
+	// MaxInFlight bounds the open requests; above it a request is counted as
+	// not sent.
+	MaxInFlight int
+	// Seed makes the mix repeatable.
+	Seed uint64
+	// Progress is called once a second with the report so far; may be nil.
+	Progress func(Report)
+}
+
+// Validate checks the options.
+func (o Options) Validate() error {
+	switch {
+	case len(o.Targets) == 0:
+		return errors.New("no target is given")
+	case len(o.Keys) == 0:
+		return errors.New("no API key is given")
+	case o.Rate <= 0 || o.Duration <= 0:
+		return errors.New("rate and duration must be positive")
+	case o.Model == "" && o.PlainShare < 1:
+		return errors.New("no model is given")
+	case o.Service == "" && o.PlainShare > 0:
+		return errors.New("no service is given")
+	}
+	for name, share := range map[string]float64{
+		"long": o.LongShare, "stream": o.StreamShare, "plain": o.PlainShare, "order": o.OrderShare,
+	} {
+		if share < 0 || share > 1 {
+			return errors.Errorf("share %q must be from 0 to 1", name)
+		}
+	}
+	return nil
+}
+
+// Defaults of Options.
+const (
+	defaultMaxInFlight = 2000
+	progressInterval   = time.Second
+)
+
+// Run sends the load until its end or the end of ctx, waits for the open
+// requests and returns the report.
+func Run(ctx context.Context, o Options) (Report, error) {
+	if err := o.Validate(); err != nil {
+		return Report{}, err
+	}
+	if o.MaxInFlight == 0 {
+		o.MaxInFlight = defaultMaxInFlight
+	}
+	if o.Swing == 0 {
+		o.Swing = 1
+	}
+	r := &runner{
+		o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), stats: newStats(),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.MaxInFlight, DisableCompression: true}},
+	}
+	defer r.client.CloseIdleConnections()
+	r.run(ctx)
+	return r.stats.report(time.Since(r.started)), nil
+}
+
+type runner struct {
+	o       Options
+	rng     *rand.Rand
+	client  *http.Client
+	stats   *stats
+	started time.Time
+	wg      sync.WaitGroup
+}
+
+func (r *runner) run(ctx context.Context) {
+	r.started = time.Now()
+	stopProgress := r.progress()
+	defer stopProgress()
+	limiter := rate.NewLimiter(rate.Limit(r.o.Rate), 1)
+	slots := make(chan struct{}, r.o.MaxInFlight)
+	for n := 0; ; n++ {
+		elapsed := time.Since(r.started)
+		if elapsed >= r.o.Duration {
+			break
+		}
+		limiter.SetLimit(rate.Limit(r.rateAt(elapsed)))
+		if limiter.Wait(ctx) != nil {
+			break
+		}
+		req := r.next(n)
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.stats.unsent()
+			continue
+		}
+		r.wg.Add(1)
+		go func() {
+			defer r.wg.Done()
+			defer func() { <-slots }()
+			r.send(ctx, req)
+		}()
+	}
+	r.wg.Wait()
+}
+
+// rateAt is the request rate; the middle third of the run is the swing.
+func (r *runner) rateAt(elapsed time.Duration) float64 {
+	third := r.o.Duration / 3
+	if elapsed >= third && elapsed < 2*third {
+		return r.o.Rate * r.o.Swing
+	}
+	return r.o.Rate
+}
+
+func (r *runner) progress() (stop func()) {
+	if r.o.Progress == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				r.o.Progress(r.stats.report(time.Since(r.started)))
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,179 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range and precision of the histograms, in microseconds.
+const (
+	minMicros    = 1
+	maxMicros    = int64(time.Hour / time.Microsecond)
+	significance = 3
+)
+
+// Latency summarises a histogram, in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Report is the result of a load.
+type Report struct {
+	Seconds float64 `json:"seconds"`
+	Sent    int64   `json:"sent"`
+	// Whole counts complete answers, Unsent requests above MaxInFlight.
+	Whole  int64 `json:"whole"`
+	Unsent int64 `json:"unsent"`
+	// Refused counts refusals by problem type, Failed other failures; "cut"
+	// are answers that ended before they were complete.
+	Refused map[string]int64 `json:"refused"`
+	Failed  map[string]int64 `json:"failed"`
+	Tokens  int64            `json:"tokens"`
+	// Goodput is complete answers a second.
+	Goodput    float64 `json:"goodput_per_second"`
+	Total      Latency `json:"total"`
+	FirstToken Latency `json:"first_token"`
+	InterToken Latency `json:"inter_token"`
+}
+
+// stats collects results under one lock.
+type stats struct {
+	mu                sync.Mutex
+	r                 Report
+	total, first, itl *hdrhistogram.Histogram
+}
+
+func newStats() *stats {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(minMicros, maxMicros, significance) }
+	return &stats{
+		r:     Report{Refused: map[string]int64{}, Failed: map[string]int64{}},
+		total: histogram(), first: histogram(), itl: histogram(),
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), minMicros), maxMicros)) // within the range
+}
+
+func (s *stats) unsent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.r.Unsent++
+}
+
+func (s *stats) failed(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.r.Sent++
+	s.r.Failed[reason]++
+}
+
+func (s *stats) refused(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.r.Sent++
+	s.r.Refused[kind]++
+}
+
+func (s *stats) whole(d time.Duration, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.r.Sent++
+	s.r.Whole++
+	s.r.Tokens += int64(tokens)
+	record(s.total, d)
+}
+
+func (s *stats) streamed(started, first time.Time, tokens int) {
+	s.whole(time.Since(started), tokens)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if tokens > 0 {
+		record(s.first, first.Sub(started))
+	}
+}
+
+func (s *stats) gap(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record(s.itl, d)
+}
+
+func summary(h *hdrhistogram.Histogram) Latency {
+	ms := func(micros int64) float64 { return float64(micros) / 1000 }
+	return Latency{
+		Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
+		P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+	}
+}
+
+func (s *stats) report(elapsed time.Duration) Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.r
+	r.Refused, r.Failed = copyCounts(s.r.Refused), copyCounts(s.r.Failed)
+	r.Seconds = elapsed.Seconds()
+	r.Goodput = float64(r.Whole) / max(r.Seconds, 1e-9)
+	r.Total, r.FirstToken, r.InterToken = summary(s.total), summary(s.first), summary(s.itl)
+	return r
+}
+
+func copyCounts(m map[string]int64) map[string]int64 {
+	c := make(map[string]int64, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+// Line returns the report on one line, for a display of progress.
+func (r Report) Line() string {
+	return fmt.Sprintf("%4.0fs sent %d whole %d refused %d failed %d  first token p95 %.0f ms  total p99 %.0f ms",
+		r.Seconds, r.Sent, r.Whole, sum(r.Refused), sum(r.Failed), r.FirstToken.P95, r.Total.P99)
+}
+
+func sum(m map[string]int64) (n int64) {
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+// WriteText writes the report as a table.
+func (r Report) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "seconds\t%.1f\nsent\t%d\nwhole answers\t%d\ngoodput/s\t%.1f\ntokens\t%d\nnot sent\t%d\n",
+		r.Seconds, r.Sent, r.Whole, r.Goodput, r.Tokens, r.Unsent)
+	fmt.Fprintf(tw, "refused\t%s\nfailed\t%s\n", counts(r.Refused), counts(r.Failed))
+	fmt.Fprintf(tw, "latency (ms)\tcount\tp50\tp95\tp99\tmax\n")
+	for _, l := range []struct {
+		name string
+		Latency
+	}{{"total", r.Total}, {"first token", r.FirstToken}, {"inter token", r.InterToken}} {
+		fmt.Fprintf(tw, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\n", l.name, l.Count, l.P50, l.P95, l.P99, l.Max)
+	}
+	return tw.Flush()
+}
+
+func counts(m map[string]int64) string {
+	parts := make([]string, 0, len(m))
+	for k, v := range m {
+		parts = append(parts, fmt.Sprintf("%s=%d", k, v))
+	}
+	sort.Strings(parts)
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/internal/load/request.go
@@ -0,0 +1,154 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/azurehatch/azurehatch/internal/problem"
+)
+
+// kind is the kind of a request.
+type kind int
+
+const (
+	kindWhole kind = iota
+	kindStream
+	kindPlain
+	kindOrder
+)
+
+// request is one request of the mix.
+type request struct {
+	kind   kind
+	target string
+	key    string
+	tokens int
+}
+
+// next draws the n-th request; it is called from one goroutine.
+func (r *runner) next(n int) request {
+	o := r.o
+	q := request{target: o.Targets[n%len(o.Targets)], key: o.Keys[r.rng.IntN(len(o.Keys))], tokens: o.ShortTokens}
+	plain, order := r.rng.Float64() < o.PlainShare, r.rng.Float64() < o.OrderShare
+	long, stream := r.rng.Float64() < o.LongShare, r.rng.Float64() < o.StreamShare
+	switch {
+	case plain && order && o.OrderPath != "":
+		q.kind = kindOrder
+	case plain:
+		q.kind = kindPlain
+	case stream:
+		q.kind = kindStream
+	}
+	if long {
+		q.tokens = o.LongTokens
+	}
+	return q
+}
+
+func (r *runner) build(ctx context.Context, q request) (*http.Request, error) {
+	method, path := http.MethodPost, "/v1/chat/completions"
+	body := fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"load words:%d"}]}`,
+		r.o.Model, q.kind == kindStream, q.tokens, q.tokens)
+	switch q.kind {
+	case kindPlain:
+		method, path, body = http.MethodGet, "/services/"+r.o.Service+"/lookup", ""
+	case kindOrder:
+		path, body = "/services/"+r.o.Service+r.o.OrderPath, `{"item":"load"}`
+	}
+	req, err := http.NewRequestWithContext(ctx, method, q.target+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+q.key)
+	req.Header.Set("Content-Type", "application/json")
+	if q.kind == kindOrder {
+		req.Header.Set("Idempotency-Key", uuid.NewString())
+	}
+	return req, nil
+}
+
+func (r *runner) send(ctx context.Context, q request) {
+	req, err := r.build(ctx, q)
+	if err != nil {
+		r.stats.failed("not-built")
+		return
+	}
+	started := time.Now()
+	resp, err := r.client.Do(req)
+	if err != nil {
+		r.stats.failed("connection")
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		r.stats.refused(refusalType(resp))
+		return
+	}
+	if q.kind == kindStream {
+		r.readStream(resp.Body, started)
+		return
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.stats.failed("cut")
+		return
+	}
+	r.stats.whole(time.Since(started), tokensOf(body))
+}
+
+func refusalType(resp *http.Response) string {
+	var doc problem.Document
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
+	if err != nil || json.Unmarshal(body, &doc) != nil || doc.Type == "" {
+		return fmt.Sprintf("status-%d", resp.StatusCode)
+	}
+	return doc.Type[strings.LastIndex(doc.Type, "/")+1:]
+}
+
+func tokensOf(body []byte) int {
+	var answer struct {
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	_ = json.Unmarshal(body, &answer) // a plain service's answer has no usage
+	return answer.Usage.CompletionTokens
+}
+
+// readStream counts a stream as complete only if it ends in [DONE].
+func (r *runner) readStream(body io.Reader, started time.Time) {
+	scan := bufio.NewScanner(body)
+	scan.Buffer(make([]byte, 0, 16<<10), 1<<20)
+	var first, last time.Time
+	tokens := 0
+	for scan.Scan() {
+		data, ok := bytes.CutPrefix(scan.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			r.stats.streamed(started, first, tokens)
+			return
+		}
+		now := time.Now()
+		if bytes.Contains(data, []byte(`"content":`)) && !bytes.Contains(data, []byte(`"content":""`)) {
+			if tokens == 0 {
+				first = now
+			} else {
+				r.stats.gap(now.Sub(last))
+			}
+			last = now
+			tokens++
+		}
+	}
+	r.stats.failed("cut")
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -74,6 +74,9 @@
 	return RanUnknown
 }
 
+// ErrStatus marks an answer with an error status: the endpoint is up.
+var ErrStatus = errors.New("the endpoint answered with an error status")
+
 // Call is one request to one endpoint.
 type Call struct {
 	// Endpoint is the endpoint's id, Addr its IP:port.
