--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -1,6 +1,33 @@
 package budget
 
-import "time"
+import (
+	"time"
+)
+
+// Defaults and limits of an Allocator.
+const (
+	defaultInterval = time.Second
+	defaultStep     = 256
+	// waitLimit is how long a request waits for a draw, a mirror or a reclaim
+	// before it is refused. The time to first token is bounded by 1300 ms.
+	waitLimit = 600 * time.Millisecond
+	// mirrorResend is the time after which an unanswered mirror request is sent
+	// again, and its member is no longer chosen for new ones.
+	mirrorResend = 200 * time.Millisecond
+	// retryMin and retryMax bound the backoff after a store failure.
+	retryMin = 100 * time.Millisecond
+	retryMax = 10 * time.Second
+	// maxWaiters bounds the requests that wait for tokens in one allocator.
+	maxWaiters = 4096
+	// decisionPoll is the time between reads for an operator's decision while
+	// old grants wait for a holder.
+	decisionPoll = 10 * time.Second
+	// emptyFresh is the age up to which a record that shows no tokens is
+	// believed without another read.
+	emptyFresh = time.Second
+	// reviewEvery is the time between reviews of idle grants.
+	reviewEvery = time.Minute
+)
 
 // Options configures an Allocator.
 type Options struct {
@@ -12,66 +39,310 @@
 	Interval time.Duration
 	// Step is the number of tokens of one extension, for sizing.
 	Step int64
+	// flaws switches rules off; tests only.
+	flaws flaw
 }
 
+// flaw is a set of rules that tests switch off to see that a check fails.
+type flaw uint
+
+const (
+	flawReclaimOnTime flaw = 1 << iota
+	flawNoSequence
+	flawReleaseDead
+	flawOldAck
+	flawNoMirror
+	flawNoWatermark
+	flawReuseMirrored
+)
+
 // Allocator serves the daemons of one failure domain from the grant of one
 // shard. It is not safe for concurrent use.
 type Allocator struct {
 	opts Options
 	out  Output
+
+	// rec is the newest record known; value and rev are its stored form.
+	rec *Record
+	rev int64
+	// epoch is 0 until the takeover is durable.
+	epoch   uint64
+	seq     uint64
+	deposed bool
+	fault   error
+	retired bool
+	// recovering is true while old grants are held for holders that have not
+	// registered.
+	recovering bool
+	tookOver   time.Time
+
+	pools   map[string]*pool
+	clients map[string]*client
+	open    map[Key]*entry
+	byID    map[string]*entry
+	// billed holds the request ids of bills that are keyed and recent; the
+	// value is true if the bill is provisional.
+	billed  map[string]bool
+	bills   []Bill
+	waiters []*entry
+	live    map[string]bool
+	gone    map[string]bool
+	// short is the sum that waiting requests lack, by budget.
+	short map[string]int64
+	// cleared are finished reservations that a mirror may still show; the
+	// value is true once the record says so.
+	cleared map[Cleared]bool
+	streams map[string]*stream
+	mirror  string
+	// members are the holders to be named in the record.
+	members map[string]bool
+	// solo is true if the record says that own requests go without a mirror.
+	solo, wantSolo bool
+
+	flight  *flight
+	reading bool
+	// urgent asks for a flush before the period ends.
+	urgent     bool
+	wantRead   bool
+	dirty      bool
+	nextFlush  time.Time
+	lastUrgent time.Time
+	lastRead   time.Time
+	lastReview time.Time
+	lastLoaded time.Time
+	// now is the time of the last input.
+	now     time.Time
+	retryAt time.Time
+	backoff time.Duration
+}
+
+// pool is the allocator's view of one budget.
+// Invariant: free() >= 0, so that open reservations and bills are covered by
+// the grant in the record.
+type pool struct {
+	// granted and old are the grant in the last durable record.
+	granted, old int64
+	// reserved and reservedOld are covered by granted and old.
+	reserved, reservedOld int64
+	// pending and pendingOld are bills that are not durable.
+	pending, pendingOld int64
+	// held are released tokens that a mirror still shows as reserved.
+	held int64
+	// heldOld is the same for old grants, since the flush that ends them.
+	heldOld int64
+	// returning are tokens that the flush under way gives back.
+	returning int64
+	// reclaim are tokens that another failure domain asks for.
+	reclaim   int64
+	reclaimed time.Time
+	use       meter
+}
+
+func (p *pool) free() int64 {
+	return p.granted - p.reserved - p.pending - p.held - p.returning
+}
+
+// client is the allocator's view of one holder.
+type client struct {
+	gen uint64
+	// accepted is the highest settlement number taken, durable the highest in
+	// the record.
+	accepted, durable uint64
+	low               uint64
+	// done are reservation numbers >= low that are finished or refused; a
+	// delayed request for them is stale.
+	done       map[uint64]bool
+	registered bool
+	// closing is true between the charge of the open reservations and its
+	// durability; closed from then on.
+	closing, closed bool
+	// member is true if the record names the holder, so that a successor waits
+	// for it.
+	member bool
+}
+
+// entry is an open reservation.
+type entry struct {
+	res Reservation
+	// old is the part of res.Tokens covered by the old grant.
+	old int64
+	// want is the total asked for but not acknowledged; 0 if none.
+	want int64
+	kind Kind
+	// deadline is when a waiting request is refused.
+	deadline time.Time
+	// granted is true once an acknowledgement was sent or the holder
+	// registered the reservation.
+	granted bool
+	// taken is true if want is covered and only the mirror is awaited.
+	taken bool
+	// mirrors holds the tokens that each member confirmed, -1 if none yet.
+	mirrors map[string]int64
+}
+
+// flight is the store write under way.
+type flight struct {
+	flush *Flush // nil for a takeover
+	epoch uint64
+	write StoreWrite
+	sent  bool
+	// held are the tokens held for mirrors that the flush sets free.
+	held map[string]int64
 }
 
 // NewAllocator returns an allocator that takes the shard over.
 func NewAllocator(now time.Time, opts Options) *Allocator {
-	return &Allocator{opts: opts, out: Output{Read: true, Next: now}}
+	if opts.Interval <= 0 {
+		opts.Interval = defaultInterval
+	}
+	if opts.Step <= 0 {
+		opts.Step = defaultStep
+	}
+	a := &Allocator{
+		opts:    opts,
+		pools:   make(map[string]*pool),
+		clients: make(map[string]*client),
+		open:    make(map[Key]*entry),
+		byID:    make(map[string]*entry),
+		billed:  make(map[string]bool),
+		live:    make(map[string]bool),
+		gone:    make(map[string]bool),
+		cleared: make(map[Cleared]bool),
+		short:   make(map[string]int64),
+		members: make(map[string]bool),
+		streams: make(map[string]*stream),
+		backoff: retryMin,
+	}
+	a.read(now)
+	return a
 }
 
 // Take returns what is to be done since the last call.
-func (a *Allocator) Take() Output { return a.out }
+func (a *Allocator) Take() Output {
+	out := a.out
+	a.out = Output{}
+	return out
+}
 
 // Epoch returns the epoch in office; 0 before the takeover is durable.
-func (a *Allocator) Epoch() uint64 { return 0 }
+func (a *Allocator) Epoch() uint64 { return a.epoch }
 
 // Deposed reports whether a newer epoch exists.
-func (a *Allocator) Deposed() bool { return false }
+func (a *Allocator) Deposed() bool { return a.deposed }
+
+// Fault returns the violated invariant that made the allocator give up its
+// office, if any. It shows a defect of this package or a damaged record.
+func (a *Allocator) Fault() error { return a.fault }
 
-// Loaded passes the record that Output.Read asked for; rec is empty and the
-// revision 0 if the key does not exist. A failed read is ok = false.
-func (a *Allocator) Loaded(now time.Time, value []byte, revision int64, ok bool) {}
+// Record returns the newest record that the allocator knows; it must not be
+// changed. It is nil before the first read.
+func (a *Allocator) Record() *Record { return a.rec }
+
+// SetInterval changes the time between periodic flushes.
+func (a *Allocator) SetInterval(d time.Duration) { a.opts.Interval = max(d, 10*time.Millisecond) }
 
-// Stored passes the outcome of Output.Write.
-func (a *Allocator) Stored(now time.Time, r StoreResult) {}
+// SetMembers passes the ids of the live holders of the failure domain.
+func (a *Allocator) SetMembers(now time.Time, holders []string) {
+	clear(a.live)
+	for _, h := range holders {
+		a.live[h] = true
+		if c := a.clients[h]; c == nil || !c.closing {
+			delete(a.gone, h)
+		}
+	}
+	a.advance(now)
+}
 
-// Reserve handles a request for tokens.
-func (a *Allocator) Reserve(now time.Time, r ReserveRequest) {}
+// HolderGone tells that a holder is dead or has left. Its open reservations
+// are charged at the tokens reserved.
+func (a *Allocator) HolderGone(now time.Time, holder string) {
+	delete(a.live, holder)
+	if holder != a.opts.Owner {
+		a.gone[holder] = true
+	}
+	a.advance(now)
+}
 
-// Extend handles a request for a larger reservation.
-func (a *Allocator) Extend(now time.Time, r ExtendRequest) {}
+// Retire stops new reservations and returns idle tokens before a planned stop.
+func (a *Allocator) Retire(now time.Time) {
+	a.retired, a.dirty, a.urgent = true, true, true
+	a.advance(now)
+}
 
-// Settle handles a holder's settlements.
-func (a *Allocator) Settle(now time.Time, r SettleRequest) {}
+// Tick handles the passing of time.
+func (a *Allocator) Tick(now time.Time) { a.advance(now) }
 
-// Register handles a holder's registration.
-func (a *Allocator) Register(now time.Time, r RegisterRequest) {}
+// advance does what the state and the time allow. Each input ends with it.
+func (a *Allocator) advance(now time.Time) {
+	a.now = now
+	if a.deposed {
+		a.refuseAll(StatusStale)
+		return
+	}
+	if a.epoch != 0 {
+		a.closeGone()
+		a.serveWaiters(now)
+		a.remirror(now)
+		a.sendMirrors(now)
+		a.checkPolls(now)
+	}
+	a.checkStore(now)
+	a.schedule(now)
+}
 
-// MirrorAnswered passes a member's answer to a MirrorRequest.
-func (a *Allocator) MirrorAnswered(now time.Time, m MirrorAnswer) {}
+// schedule sets the time of the next Tick.
+func (a *Allocator) schedule(now time.Time) {
+	next := now.Add(a.opts.Interval)
+	if a.nextFlush.After(now) && a.nextFlush.Before(next) {
+		next = a.nextFlush
+	}
+	if soon := now.Add(mirrorResend / 4); soon.Before(next) && a.busy() {
+		next = soon
+	}
+	a.out.Next = next
+}
 
-// SetMembers passes the ids of the live holders of the failure domain.
-func (a *Allocator) SetMembers(now time.Time, holders []string) {}
+func (a *Allocator) busy() bool {
+	if a.urgent || len(a.waiters) > 0 || a.wantRead {
+		return true
+	}
+	for _, s := range a.streams {
+		if s.sent != nil {
+			return true
+		}
+	}
+	return false
+}
 
-// HolderGone tells that a holder is dead or has left. Its open reservations
-// are charged at the tokens reserved.
-func (a *Allocator) HolderGone(now time.Time, holder string) {}
+func (a *Allocator) depose() { a.deposed = true }
 
-// Reclaim handles the request of another failure domain for idle tokens.
-func (a *Allocator) Reclaim(now time.Time, r ReclaimRequest) {}
+func (a *Allocator) fail(err error) { a.deposed, a.fault = true, err }
 
-// SetInterval changes the time between periodic flushes.
-func (a *Allocator) SetInterval(d time.Duration) {}
+func (a *Allocator) pool(id string) *pool {
+	p := a.pools[id]
+	if p == nil {
+		p = &pool{}
+		a.pools[id] = p
+	}
+	return p
+}
 
-// Retire stops new reservations and returns idle tokens before a planned stop.
-func (a *Allocator) Retire(now time.Time) {}
+func (a *Allocator) client(id string) *client {
+	c := a.clients[id]
+	if c == nil {
+		c = &client{done: make(map[uint64]bool)}
+		a.clients[id] = c
+	}
+	return c
+}
 
-// Tick handles the passing of time.
-func (a *Allocator) Tick(now time.Time) {}
+func (a *Allocator) reply(k Kind, key Key, s Status, tokens int64) {
+	r := Reply{Kind: k, Shard: a.opts.Shard, Holder: key.Holder, Gen: key.Gen, Key: key, Epoch: a.epoch, Status: s, Tokens: tokens}
+	if c := a.clients[key.Holder]; c != nil {
+		r.Durable = c.durable
+		if s == StatusClosed {
+			r.Gen = c.gen
+		}
+	}
+	a.out.Replies = append(a.out.Replies, r)
+}
--- /dev/null
+++ b/internal/budget/bills.go
@@ -0,0 +1,115 @@
+package budget
+
+import "slices"
+
+// Bounds of the list of recent bills of a shard.
+const (
+	maxBills = 2000
+	// maxUnkeyedBills bounds the final bills whose request id cannot come
+	// again. They are kept for display only.
+	maxUnkeyedBills = 200
+)
+
+// applyBills charges the bills of a flush. A request id has one bill: a second
+// bill replaces a provisional one if it is smaller, and is otherwise ignored.
+func (r *Record) applyBills(f *Flush) {
+	if len(f.Bills) == 0 {
+		return
+	}
+	index := make(map[string]int, len(r.Bills)+len(f.Bills))
+	for i, e := range r.Bills {
+		if e.Keyed || e.Provisional {
+			index[e.ID] = i // any other id never comes again
+		}
+	}
+	for _, bill := range f.Bills {
+		b := r.Budgets[bill.Budget]
+		if b == nil {
+			continue
+		}
+		i, known := index[bill.ID]
+		switch {
+		case known:
+			r.replaceBill(&r.Bills[i], bill)
+			if r.Bills[i].Tokens == 0 {
+				delete(index, bill.ID) // lifted: the request has no bill now
+			}
+		case bill.Late || bill.Tokens == 0:
+		default:
+			g := b.Grants[f.Domain]
+			g.Old -= bill.Old
+			g.Tokens -= bill.Tokens - bill.Old
+			b.setGrant(f.Domain, g)
+			b.Spent += bill.Tokens
+			t := r.totals(bill.Budget)
+			t.Spent += bill.Tokens
+			t.Requests++
+			e := RecentBill{ID: bill.ID, Budget: bill.Budget, Tokens: bill.Tokens, Unix: f.Unix, Keyed: bill.Keyed}
+			if bill.Provisional {
+				e.Provisional, e.Key = true, bill.Key
+			}
+			if e.Keyed || e.Provisional {
+				index[bill.ID] = len(r.Bills)
+			}
+			r.Bills = append(r.Bills, e)
+		}
+	}
+	r.trimBills()
+}
+
+// replaceBill applies a bill whose request id is already billed. A provisional
+// bill of the same or another run never replaces anything.
+func (r *Record) replaceBill(e *RecentBill, bill Bill) {
+	if !e.Provisional || bill.Provisional || (bill.Late && bill.Key != e.Key) {
+		return
+	}
+	if bill.Tokens == 0 && !bill.Late {
+		return // another attempt that did not run
+	}
+	if less := e.Tokens - bill.Tokens; less > 0 {
+		r.Budgets[e.Budget].Spent -= less
+		t := r.totals(e.Budget)
+		t.Spent -= less
+		if bill.Tokens == 0 {
+			t.Requests--
+		}
+		e.Tokens = bill.Tokens
+	}
+	e.Provisional, e.Key = false, Key{}
+}
+
+// trimBills drops bills above the bounds: unkeyed final ones first, then keyed
+// final ones, then provisional ones, each oldest first. An entry with 0 tokens
+// is a provisional bill that was lifted.
+func (r *Record) trimBills() {
+	class := func(e RecentBill) int {
+		switch {
+		case e.Provisional:
+			return 2
+		case e.Keyed:
+			return 1
+		}
+		return 0
+	}
+	var n [3]int
+	r.Bills = slices.DeleteFunc(r.Bills, func(e RecentBill) bool { return e.Tokens == 0 })
+	for _, e := range r.Bills {
+		n[class(e)]++
+	}
+	var drop [3]int
+	drop[0] = max(0, n[0]-maxUnkeyedBills)
+	over := max(0, n[0]+n[1]+n[2]-drop[0]-maxBills)
+	for c := range drop {
+		extra := min(over, n[c]-drop[c])
+		drop[c] += extra
+		over -= extra
+	}
+	r.Bills = slices.DeleteFunc(r.Bills, func(e RecentBill) bool {
+		c := class(e)
+		if drop[c] == 0 {
+			return false
+		}
+		drop[c]--
+		return true
+	})
+}
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -1,6 +1,11 @@
 package budget
 
-import "github.com/pkg/errors"
+import (
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+)
 
 // Errors of a Holder.
 var (
@@ -9,6 +14,9 @@
 	ErrNotRegistered = errors.New("not registered with the shard's allocator")
 	// ErrNoReservation tells that the holder has no such reservation.
 	ErrNoReservation = errors.New("no such reservation")
+	// ErrCharged tells that the reservation was charged while this daemon was
+	// taken for dead; it cannot be extended.
+	ErrCharged = errors.New("reservation was charged while the daemon was taken for dead")
 )
 
 // Verdict is what a reply means for the request that waits for it.
@@ -18,10 +26,11 @@
 const (
 	// Ignored: the reply answers nothing that is awaited.
 	Ignored Verdict = iota
-	// Granted: the request may be dispatched, or the extension is in force.
+	// Granted: the request may be dispatched, the extension is in force, or
+	// the registration or settlement was taken.
 	Granted
-	// Refused: Reply.Status tells why; a reservation that was to be made does
-	// not exist, one that was to be extended is as it was.
+	// Refused: Reply.Status tells why. A reservation that was to be made does
+	// not exist; one that was to be extended is as it was.
 	Refused
 	// Again: register, then try again with a new reservation.
 	Again
@@ -30,62 +39,210 @@
 // Holder keeps a daemon's reservations and settlements, and mirrors those of
 // other daemons. It is not safe for concurrent use.
 type Holder struct {
-	id string
+	id     string
+	shards map[int]*holding
+	flaws  flaw
+}
+
+// holding is a holder's state of one shard.
+type holding struct {
+	// epoch is the newest epoch seen. Invariant: no acknowledgement of an
+	// older epoch is accepted.
+	epoch      uint64
+	registered bool
+	gen        uint64
+	// next and settled are the last reservation and settlement numbers used.
+	next, settled uint64
+	open          map[Key]*held
+	bills         []Bill
+	mirrored      map[Key]Reservation
+	mirrorSeq     uint64
+	// dropped are keys whose answer can no longer be accepted.
+	dropped []Key
+}
+
+// held is one reservation of this daemon.
+type held struct {
+	res     Reservation
+	granted bool
+	late    bool
 }
 
 // NewHolder returns a holder. No other process may ever use the id.
-func NewHolder(id string) *Holder { return &Holder{id: id} }
+func NewHolder(id string) *Holder { return &Holder{id: id, shards: make(map[int]*holding)} }
+
+// ID returns the holder's id.
+func (h *Holder) ID() string { return h.id }
+
+func (h *Holder) shard(n int) *holding {
+	s := h.shards[n]
+	if s == nil {
+		s = &holding{gen: 1, open: make(map[Key]*held), mirrored: make(map[Key]Reservation)}
+		h.shards[n] = s
+	}
+	return s
+}
+
+// Shards returns the shards in use, in order.
+func (h *Holder) Shards() []int { return slices.Sorted(maps.Keys(h.shards)) }
 
 // ObserveEpoch notes that an allocator of the epoch exists. It reports whether
 // the holder has to register with it.
-func (h *Holder) ObserveEpoch(shard int, epoch uint64) bool { return false }
+func (h *Holder) ObserveEpoch(shard int, epoch uint64) bool {
+	s := h.shard(shard)
+	if epoch > s.epoch {
+		s.epoch, s.registered, s.mirrorSeq = epoch, false, 0
+	}
+	return !s.registered && s.epoch > 0
+}
 
 // Epoch returns the newest epoch of a shard that the holder has seen.
-func (h *Holder) Epoch(shard int) uint64 { return 0 }
+func (h *Holder) Epoch(shard int) uint64 { return h.shard(shard).epoch }
 
 // Registered reports whether the holder is registered with the newest epoch.
-func (h *Holder) Registered(shard int) bool { return false }
+func (h *Holder) Registered(shard int) bool { return h.shard(shard).registered }
+
+// low returns the lowest reservation number whose answer is awaited.
+func (s *holding) low() uint64 {
+	low := s.next + 1
+	for key, r := range s.open {
+		if !r.granted && key.N < low {
+			low = key.N
+		}
+	}
+	return low
+}
+
+// dropPending gives up the reservations that are not acknowledged. Each is
+// released by a settlement, because the allocator may have made it.
+func (s *holding) dropPending() {
+	for _, key := range slices.SortedFunc(maps.Keys(s.open), Key.compare) {
+		if !s.open[key].granted {
+			s.release(key)
+		}
+	}
+}
 
 // Register returns the registration with the newest epoch seen, and the keys
 // whose answer can no longer be accepted: their requests reserve again.
-func (h *Holder) Register(shard int) (RegisterRequest, []Key) { return RegisterRequest{}, nil }
+func (h *Holder) Register(shard int) (RegisterRequest, []Key) {
+	s := h.shard(shard)
+	if !s.registered {
+		s.dropPending()
+	}
+	r := RegisterRequest{Shard: shard, Epoch: s.epoch, Holder: h.id, Gen: s.gen, Low: s.low(), Bills: slices.Clone(s.bills)}
+	for _, key := range slices.SortedFunc(maps.Keys(s.open), Key.compare) {
+		if o := s.open[key]; o.granted && !o.late {
+			r.Open = append(r.Open, o.res)
+		}
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(s.mirrored), Key.compare) {
+		r.Mirrored = append(r.Mirrored, s.mirrored[key])
+	}
+	dropped := s.dropped
+	s.dropped = nil
+	return r, dropped
+}
 
 // RegisterAnswered passes the reply; it returns Granted, Ignored, Refused (not
 // in office) or Again (send Register once more).
-func (h *Holder) RegisterAnswered(r Reply) Verdict { return Ignored }
-
-// Reserve starts a reservation.
-func (h *Holder) Reserve(shard int, id, budget string, tokens int64, keyed bool) (ReserveRequest, error) {
-	return ReserveRequest{}, nil
+func (h *Holder) RegisterAnswered(r Reply) Verdict {
+	s := h.shard(r.Shard)
+	if v, done := h.common(s, r); done {
+		return v
+	}
+	if r.Status != StatusOK {
+		return Refused
+	}
+	s.registered = true
+	s.confirmSettled(r.Durable)
+	return Granted
 }
 
-// ReserveAnswered passes the reply to a ReserveRequest.
-func (h *Holder) ReserveAnswered(r Reply) Verdict { return Ignored }
-
-// Extend asks for a larger total of a granted reservation.
-func (h *Holder) Extend(shard int, key Key, tokens int64) (ExtendRequest, error) {
-	return ExtendRequest{}, nil
+// common handles what all replies have in common; done is true if nothing is
+// left to do with the reply.
+func (h *Holder) common(s *holding, r Reply) (v Verdict, done bool) {
+	stale := r.Epoch < s.epoch && h.flaws&flawOldAck == 0
+	if r.Holder != h.id || r.Gen != s.gen || (stale && r.Status != StatusStale) {
+		return Ignored, true
+	}
+	switch r.Status {
+	case StatusClosed:
+		h.reopen(s, r)
+		h.ObserveEpoch(r.Shard, r.Epoch)
+		return Again, true
+	case StatusRegister:
+		if r.Epoch > s.epoch {
+			h.ObserveEpoch(r.Shard, r.Epoch)
+		} else {
+			s.registered = false
+		}
+		return Again, true
+	}
+	if r.Epoch > s.epoch {
+		h.ObserveEpoch(r.Shard, r.Epoch)
+		return Again, true
+	}
+	return Ignored, false
 }
 
-// ExtendAnswered passes the reply to an ExtendRequest.
-func (h *Holder) ExtendAnswered(r Reply) Verdict { return Ignored }
-
-// Reserved returns the tokens acknowledged for a reservation.
-func (h *Holder) Reserved(shard int, key Key) int64 { return 0 }
-
-// Settle ends a reservation at its actual use, which is at most Reserved. With
-// 0 it also gives up a reservation that has not been answered.
-func (h *Holder) Settle(shard int, key Key, tokens int64) error { return nil }
+// reopen starts a new generation: the allocator charged all reservations of
+// the present one. What they really used is reported as late bills.
+func (h *Holder) reopen(s *holding, r Reply) {
+	s.confirmSettled(r.Durable)
+	s.gen++
+	s.registered, s.settled = false, 0
+	bills := s.bills
+	s.bills = nil
+	for _, b := range bills {
+		b.Late = true
+		s.addBill(b)
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(s.open), Key.compare) {
+		s.open[key].late = s.open[key].granted
+	}
+	s.dropPending()
+	s.next, s.mirrorSeq = 0, 0
+	clear(s.mirrored)
+}
 
-// Unsettled returns the settlements of a shard that are not durable; ok is
-// false if there are none or the holder has to register.
-func (h *Holder) Unsettled(shard int) (r SettleRequest, ok bool) { return SettleRequest{}, false }
+// release gives up one reservation that is not acknowledged.
+func (s *holding) release(key Key) {
+	res := s.open[key].res
+	// After a change of generation the allocator may have charged it.
+	s.addBill(Bill{Key: key, ID: res.ID, Budget: res.Budget, Keyed: res.Keyed, Late: key.Gen != s.gen})
+	s.dropped = append(s.dropped, key)
+	delete(s.open, key)
+}
 
-// SettleAnswered passes the reply to a SettleRequest.
-func (h *Holder) SettleAnswered(r Reply) Verdict { return Ignored }
+func (s *holding) addBill(b Bill) {
+	s.settled++
+	b.N = s.settled
+	s.bills = append(s.bills, b)
+}
 
-// Mirror handles an allocator's request to mirror reservations.
-func (h *Holder) Mirror(m MirrorRequest) MirrorAnswer { return MirrorAnswer{} }
+func (s *holding) confirmSettled(durable uint64) {
+	s.bills = slices.DeleteFunc(s.bills, func(b Bill) bool { return b.N <= durable })
+}
 
-// Shards returns the shards in use, in order.
-func (h *Holder) Shards() []int { return nil }
+// Mirror handles an allocator's request to mirror reservations. It is refused
+// if a newer allocator may already rely on what this holder reported.
+func (h *Holder) Mirror(m MirrorRequest) MirrorAnswer {
+	s := h.shard(m.Shard)
+	h.ObserveEpoch(m.Shard, m.Epoch)
+	a := MirrorAnswer{Shard: m.Shard, Member: h.id, Gen: m.Gen, Epoch: s.epoch}
+	if m.Epoch < s.epoch || m.Gen != s.gen || m.Member != h.id {
+		return a
+	}
+	if m.Seq == s.mirrorSeq+1 {
+		s.mirrorSeq = m.Seq
+		for _, r := range m.Put {
+			s.mirrored[r.Key] = r
+		}
+		for _, key := range m.Clear {
+			delete(s.mirrored, key)
+		}
+	}
+	a.Seq, a.OK = s.mirrorSeq, m.Seq <= s.mirrorSeq
+	return a
+}
--- /dev/null
+++ b/internal/budget/holder_request.go
@@ -0,0 +1,145 @@
+package budget
+
+import "slices"
+
+// Reserve starts a reservation.
+func (h *Holder) Reserve(shard int, id, budget string, tokens int64, keyed bool) (ReserveRequest, error) {
+	s := h.shard(shard)
+	if !s.registered {
+		return ReserveRequest{}, ErrNotRegistered
+	}
+	s.next++
+	key := Key{Holder: h.id, Gen: s.gen, N: s.next}
+	res := Reservation{Key: key, ID: id, Budget: budget, Tokens: tokens, Keyed: keyed}
+	s.open[key] = &held{res: res}
+	return ReserveRequest{Shard: shard, Epoch: s.epoch, Low: s.low(), Reservation: res}, nil
+}
+
+// ReserveAnswered passes the reply to a ReserveRequest. After Granted the
+// request may be dispatched; only then.
+func (h *Holder) ReserveAnswered(r Reply) Verdict {
+	s := h.shard(r.Shard)
+	o := s.open[r.Key]
+	v, done := h.common(s, r)
+	if o == nil || o.granted || s.open[r.Key] != o {
+		if v == Again && o != nil && !o.granted {
+			return Again
+		}
+		return Ignored
+	}
+	if done {
+		if v == Again {
+			s.release(r.Key)
+		}
+		return v
+	}
+	switch r.Status {
+	case StatusOK:
+	case StatusStale:
+		s.release(r.Key) // another copy of the request may reach an allocator in office
+		return Again
+	default:
+		delete(s.open, r.Key)
+		return Refused
+	}
+	o.granted = true
+	return Granted
+}
+
+// Extend asks for a larger total of a granted reservation.
+func (h *Holder) Extend(shard int, key Key, tokens int64) (ExtendRequest, error) {
+	s := h.shard(shard)
+	o := s.open[key]
+	switch {
+	case o == nil || !o.granted:
+		return ExtendRequest{}, ErrNoReservation
+	case o.late:
+		return ExtendRequest{}, ErrCharged
+	case !s.registered:
+		return ExtendRequest{}, ErrNotRegistered
+	}
+	return ExtendRequest{Shard: shard, Epoch: s.epoch, Key: key, Tokens: tokens}, nil
+}
+
+// ExtendAnswered passes the reply to an ExtendRequest. Again means that the
+// same extension can be tried after a registration.
+func (h *Holder) ExtendAnswered(r Reply) Verdict {
+	s := h.shard(r.Shard)
+	if v, done := h.common(s, r); done {
+		return v
+	}
+	o := s.open[r.Key]
+	if o == nil || !o.granted || o.late {
+		return Ignored
+	}
+	if r.Status != StatusOK {
+		return Refused
+	}
+	o.res.Tokens = max(o.res.Tokens, r.Tokens)
+	return Granted
+}
+
+// Reserved returns the tokens acknowledged for a reservation; 0 if there is
+// no acknowledged reservation.
+func (h *Holder) Reserved(shard int, key Key) int64 {
+	if o := h.shard(shard).open[key]; o != nil && o.granted {
+		return o.res.Tokens
+	}
+	return 0
+}
+
+// Settle ends a reservation at its actual use; more than Reserved is billed as
+// Reserved. It also gives up a reservation that has not been answered; that
+// request must not be dispatched any more.
+func (h *Holder) Settle(shard int, key Key, tokens int64) error {
+	s := h.shard(shard)
+	o := s.open[key]
+	if o == nil {
+		return ErrNoReservation
+	}
+	if !o.granted {
+		tokens = 0
+	}
+	delete(s.open, key)
+	s.addBill(Bill{
+		Key: key, ID: o.res.ID, Budget: o.res.Budget, Keyed: o.res.Keyed, Late: o.late,
+		Tokens: min(max(tokens, 0), o.res.Tokens),
+	})
+	return nil
+}
+
+// Unsettled returns the settlements of a shard that are not durable; ok is
+// false if there are none or the holder has to register.
+func (h *Holder) Unsettled(shard int) (r SettleRequest, ok bool) {
+	s := h.shard(shard)
+	if len(s.bills) == 0 || !s.registered {
+		return SettleRequest{}, false
+	}
+	return SettleRequest{
+		Shard: shard, Epoch: s.epoch, Holder: h.id, Gen: s.gen, Low: s.low(), Bills: slices.Clone(s.bills),
+	}, true
+}
+
+// SettleAnswered passes the reply to a SettleRequest.
+func (h *Holder) SettleAnswered(r Reply) Verdict {
+	s := h.shard(r.Shard)
+	if v, done := h.common(s, r); done {
+		return v
+	}
+	if r.Status != StatusOK {
+		return Refused
+	}
+	s.confirmSettled(r.Durable)
+	return Granted
+}
+
+// Idle reports whether the holder has no reservation and no settlement that is
+// not durable in any shard, so that its daemon can leave.
+func (h *Holder) Idle() bool {
+	for _, s := range h.shards {
+		if len(s.open) > 0 || len(s.bills) > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/budget/message.go
+++ b/internal/budget/message.go
@@ -151,16 +151,20 @@
 type MirrorRequest struct {
 	Shard  int
 	Epoch  uint64
-	Seq    uint64
 	Member string
-	Put    []Reservation
-	Clear  []Key
+	// Gen is the member's generation; Seq restarts with each.
+	Gen   uint64
+	Seq   uint64
+	Put   []Reservation
+	Clear []Key
 }
 
 // MirrorAnswer answers a MirrorRequest.
 type MirrorAnswer struct {
 	Shard  int
 	Member string
+	// Gen is the member's generation.
+	Gen uint64
 	// Epoch is the newest epoch that the member has seen.
 	Epoch uint64
 	// Seq is the last request applied in the request's epoch.
--- /dev/null
+++ b/internal/budget/mirror.go
@@ -0,0 +1,238 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// stream is the ordered sequence of mirror requests to one member. One request
+// is under way at a time, so that a delayed one cannot undo a later one.
+type stream struct {
+	gen, seq uint64
+	puts     map[Key]Reservation
+	clears   map[Key]bool
+	sent     *MirrorRequest
+	// firstAt and sentAt are the times at which sent was first and last sent.
+	firstAt, sentAt time.Time
+}
+
+func (a *Allocator) stream(member string) *stream {
+	s := a.streams[member]
+	if s == nil {
+		s = &stream{gen: a.clients[member].gen, puts: make(map[Key]Reservation), clears: make(map[Key]bool)}
+		a.streams[member] = s
+	}
+	return s
+}
+
+// covered reports whether a successor would learn of the entry if this
+// allocator died now; if not, it starts what is needed for that.
+func (a *Allocator) covered(now time.Time, e *entry) bool {
+	if a.safe(e, "") {
+		return true
+	}
+	if m := a.chooseMirror(now, e.res.Key.Holder); m != "" {
+		a.put(m, e)
+		return false
+	}
+	if e.res.Key.Holder == a.opts.Owner {
+		alone := !slices.ContainsFunc(slices.Collect(maps.Keys(a.live)), func(h string) bool { return h != a.opts.Owner && !a.gone[h] })
+		a.wantSolo = a.wantSolo || alone || now.Sub(a.tookOver) > waitLimit
+	}
+	a.dirty, a.urgent = true, true // the record must name a member or say solo
+	return false
+}
+
+// safe reports whether the entry is known to a holder that a successor waits
+// for, without counting the holder except.
+func (a *Allocator) safe(e *entry, except string) bool {
+	h := e.res.Key.Holder
+	if a.opts.flaws&flawNoMirror != 0 || (h == a.opts.Owner && a.solo) {
+		return true
+	}
+	if h != a.opts.Owner && h != except && a.awaited(h) {
+		return true
+	}
+	for m, tokens := range e.mirrors {
+		if m != except && tokens >= e.res.Tokens && a.awaited(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// awaited reports whether a successor would wait for the holder.
+func (a *Allocator) awaited(holder string) bool {
+	c := a.clients[holder]
+	return c != nil && c.member && c.registered && !c.closing
+}
+
+// neededMirror reports whether an open reservation is known only to h and to
+// this process.
+func (a *Allocator) neededMirror(h string) bool {
+	for _, e := range a.open {
+		if _, ok := e.mirrors[h]; ok && e.granted && e.res.Key.Holder != h && !a.safe(e, h) {
+			return true
+		}
+	}
+	return false
+}
+
+// remirror moves the reservations that rely on a mirror which is gone, and
+// mirrors adopted ones.
+func (a *Allocator) remirror(now time.Time) {
+	if len(a.gone) == 0 && !a.recovering && !a.solo {
+		return
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(a.open), Key.compare) {
+		e := a.open[key]
+		if !e.granted || e.want > 0 || a.mirrored(e) {
+			continue
+		}
+		if m := a.chooseMirror(now, key.Holder); m != "" {
+			a.put(m, e)
+		} else {
+			a.covered(now, e)
+		}
+	}
+}
+
+// mirrored reports whether the entry is safe for as long as this process and
+// the present members live.
+func (a *Allocator) mirrored(e *entry) bool {
+	solo := a.solo
+	a.solo = false
+	defer func() { a.solo = solo }()
+	for m := range e.mirrors {
+		if a.gone[m] {
+			return a.safe(e, m)
+		}
+	}
+	return a.safe(e, "")
+}
+
+// chooseMirror returns a member that can mirror reservations of holder, empty
+// if there is none.
+func (a *Allocator) chooseMirror(now time.Time, holder string) string {
+	usable := func(m string) bool {
+		if m == a.opts.Owner || m == holder || !a.live[m] || a.gone[m] || !a.awaited(m) {
+			return false
+		}
+		s := a.streams[m]
+		return s == nil || s.sent == nil || now.Sub(s.firstAt) < 2*mirrorResend
+	}
+	if usable(a.mirror) {
+		return a.mirror
+	}
+	for _, m := range slices.Sorted(maps.Keys(a.clients)) {
+		if usable(m) {
+			a.mirror = m
+			return m
+		}
+	}
+	return ""
+}
+
+func (a *Allocator) put(member string, e *entry) {
+	if tokens, ok := e.mirrors[member]; ok && tokens >= e.res.Tokens {
+		return
+	}
+	s := a.stream(member)
+	if s.sent != nil && slices.Contains(s.sent.Put, e.res) {
+		return
+	}
+	if e.mirrors == nil {
+		e.mirrors = make(map[string]int64)
+	}
+	if _, ok := e.mirrors[member]; !ok {
+		e.mirrors[member] = -1
+	}
+	s.puts[e.res.Key] = e.res
+}
+
+// queueClears queues the removal of reservations that the record calls cleared
+// with the members that may mirror them.
+func (a *Allocator) queueClears() {
+	for c, durable := range a.cleared {
+		if cl := a.clients[c.Member]; durable && cl != nil && cl.registered && !cl.closing {
+			s := a.stream(c.Member)
+			delete(s.puts, c.Key)
+			if s.sent == nil || !slices.Contains(s.sent.Clear, c.Key) {
+				s.clears[c.Key] = true
+			}
+		}
+	}
+}
+
+// sendMirrors sends what is queued and repeats what is unanswered.
+func (a *Allocator) sendMirrors(now time.Time) {
+	for _, m := range slices.Sorted(maps.Keys(a.streams)) {
+		s := a.streams[m]
+		switch {
+		case s.sent == nil && len(s.puts)+len(s.clears) > 0:
+			s.seq++
+			r := MirrorRequest{Shard: a.opts.Shard, Epoch: a.epoch, Member: m, Gen: s.gen, Seq: s.seq}
+			r.Put = slices.SortedFunc(maps.Values(s.puts), func(x, y Reservation) int { return x.Key.compare(y.Key) })
+			r.Clear = slices.SortedFunc(maps.Keys(s.clears), Key.compare)
+			clear(s.puts)
+			clear(s.clears)
+			s.sent, s.firstAt = &r, now
+		case s.sent == nil || now.Sub(s.sentAt) < mirrorResend:
+			continue
+		}
+		s.sentAt = now
+		a.out.Mirrors = append(a.out.Mirrors, *s.sent)
+	}
+}
+
+// MirrorAnswered passes a member's answer to a MirrorRequest.
+func (a *Allocator) MirrorAnswered(now time.Time, m MirrorAnswer) {
+	if m.Epoch > a.epoch && a.epoch != 0 {
+		a.depose()
+	}
+	if s := a.streams[m.Member]; s != nil && m.OK && m.Gen == s.gen && s.sent != nil && m.Seq == s.sent.Seq && m.Epoch == a.epoch {
+		for _, res := range s.sent.Put {
+			if e := a.open[res.Key]; e != nil {
+				e.mirrors[m.Member] = res.Tokens
+			}
+		}
+		for _, key := range s.sent.Clear {
+			delete(a.cleared, Cleared{m.Member, key})
+		}
+		s.sent = nil
+	}
+	a.advance(now)
+}
+
+// forgetMirror drops what a member mirrored, after its generation was closed:
+// it drops its mirror when it learns of that.
+func (a *Allocator) forgetMirror(member string) {
+	delete(a.streams, member)
+	for _, e := range a.open {
+		delete(e.mirrors, member)
+	}
+	for c := range a.cleared {
+		if c.Member == member {
+			delete(a.cleared, c)
+		}
+	}
+}
+
+func (k Key) compare(o Key) int {
+	if c := strings.Compare(k.Holder, o.Holder); c != 0 {
+		return c
+	}
+	if k.Gen != o.Gen {
+		return int(int64(k.Gen - o.Gen))
+	}
+	return int(int64(k.N - o.N))
+}
+
+func (c Cleared) compare(o Cleared) int {
+	if n := c.Key.compare(o.Key); n != 0 {
+		return n
+	}
+	return strings.Compare(c.Member, o.Member)
+}
--- a/internal/budget/operator.go
+++ b/internal/budget/operator.go
@@ -1,35 +1,117 @@
 package budget
 
-import "time"
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// maxTopUps bounds the top-up operations remembered for each shard.
+const maxTopUps = 256
 
 // Spec is a budget as the configuration names it.
 type Spec struct {
 	ID string
-	// Initial is the prepaid amount of a budget that does not exist yet.
+	// Initial is the prepaid amount of a budget that does not exist yet; a
+	// later change of it has no effect.
 	Initial int64
 }
 
 // SetBudgets creates the budgets that the configuration names and marks the
-// others of the shard as removed. It reports whether the record changed.
-func (r *Record) SetBudgets(specs []Spec) bool { return false }
+// others of the shard as removed: nothing more is drawn on them. It reports
+// whether the record changed.
+func (r *Record) SetBudgets(specs []Spec) bool {
+	changed := false
+	named := make(map[string]bool, len(specs))
+	for _, s := range specs {
+		named[s.ID] = true
+		b := r.Budgets[s.ID]
+		if b == nil {
+			r.Budgets[s.ID] = &Budget{Prepaid: max(0, s.Initial)}
+			changed = true
+		} else if b.Removed {
+			b.Removed = false
+			changed = true
+		}
+	}
+	for id, b := range r.Budgets {
+		if !named[id] && !b.Removed {
+			b.Removed = true
+			changed = true
+		}
+	}
+	return changed
+}
 
-// TopUp adds prepaid tokens (or takes back available ones if negative). A
+// TopUp adds prepaid tokens, or takes back available ones if negative. A
 // repeat with the same operation id has no effect.
-func (r *Record) TopUp(op, budget string, tokens int64) error { return nil }
+func (r *Record) TopUp(op, budget string, tokens int64) error {
+	if op == "" {
+		return errors.New("top-up without an operation id")
+	}
+	if slices.Contains(r.TopUps, op) {
+		return nil
+	}
+	b := r.Budgets[budget]
+	if b == nil {
+		return errors.Errorf("budget %q does not exist", budget)
+	}
+	if b.Available()+tokens < 0 {
+		return errors.Errorf("budget %q: %d tokens cannot be taken back, %d are available", budget, -tokens, b.Available())
+	}
+	b.Prepaid += tokens
+	r.TopUps = append(r.TopUps, op)
+	if over := len(r.TopUps) - maxTopUps; over > 0 {
+		r.TopUps = slices.Delete(r.TopUps, 0, over)
+	}
+	return nil
+}
 
 // Dispute is the part of a failure domain's old grants that cannot be told
 // from spend until the holders in Waiting register.
 type Dispute struct {
-	Domain  string
-	Waiting []string
-	// Tokens holds the amounts by budget.
+	Domain   string
+	Waiting  []string
+	Decision Decision
+	// Tokens holds the amounts by budget. They include open reservations that
+	// the allocator already knows.
 	Tokens map[string]int64
 }
 
-// Disputes returns the old grants that wait for holders.
-func (r *Record) Disputes() []Dispute { return nil }
+// Disputes returns the old grants that wait for holders, by failure domain.
+// After a change of allocator this lasts until the holders have registered;
+// it needs an operator only if one of them is gone.
+func (r *Record) Disputes() []Dispute {
+	var list []Dispute
+	for name, d := range r.Domains {
+		if len(d.Waiting) == 0 {
+			continue
+		}
+		tokens := make(map[string]int64)
+		for id, b := range r.Budgets {
+			if g := b.Grants[name]; g.Old > 0 {
+				tokens[id] = g.Old
+			}
+		}
+		list = append(list, Dispute{Domain: name, Waiting: d.Waiting, Decision: d.Decision, Tokens: tokens})
+	}
+	slices.SortFunc(list, func(x, y Dispute) int { return strings.Compare(x.Domain, y.Domain) })
+	return list
+}
 
-// Resolve ends the dispute of a failure domain on an operator's order; the
-// tokens are booked as spent, or returned if release is true. Release only
-// when the processes in Waiting are known to have ended without spend.
-func (r *Record) Resolve(domain string, release bool, now time.Time) error { return nil }
+// Decide records an operator's order on the disputed tokens of a failure
+// domain. The allocator in office carries it out with its next flush, so that
+// reservations which it knows stay covered. Release is safe only if the
+// processes in Waiting have ended and their unsettled requests need no bill.
+func (r *Record) Decide(domain string, decision Decision) error {
+	d := r.Domains[domain]
+	if d == nil || len(d.Waiting) == 0 {
+		return errors.Errorf("failure domain %q has no disputed tokens", domain)
+	}
+	if decision != Spend && decision != Release {
+		return errors.Errorf("decision %d is neither spend nor release", decision)
+	}
+	d.Decision = decision
+	return nil
+}
--- a/internal/budget/record.go
+++ b/internal/budget/record.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,7 +29,7 @@
 	Domains map[string]*Domain
 	// Accounts holds the totals of each account.
 	Accounts map[string]*Totals
-	// Bills are the recent bills, oldest first; see recordBill.
+	// Bills are the recent bills, oldest first; see trimBills for the bounds.
 	Bills []RecentBill
 	// TopUps are the ids of the recent top-up operations, oldest first.
 	TopUps []string
@@ -40,7 +41,7 @@
 	Prepaid int64
 	Spent   int64
 	// Grants holds the tokens moved to each failure domain.
-	Grants map[string]*Grant
+	Grants map[string]Grant
 	// Removed is true if the configuration no longer names the budget.
 	Removed bool
 }
@@ -49,7 +50,7 @@
 type Grant struct {
 	// Tokens is the grant of the current epoch.
 	Tokens int64
-	// Old is the rest of the grants of earlier epochs. It is returned only
+	// Old is the rest of the grants of all earlier epochs. It is returned only
 	// when all holders that Domain.Waiting names have registered.
 	Old int64
 	// Rate is the recent use in tokens a minute, for sizing.
@@ -60,22 +61,38 @@
 type Domain struct {
 	// Epoch is the fencing number of the allocator; it only grows.
 	Epoch uint64
+	// Owner is the id of the holder in the allocator's process.
 	Owner string
 	// Seq is the last flush applied in Epoch.
 	Seq uint64
 	// Solo is true if the owner serves its own requests without a mirror.
 	Solo bool
 	// Members are the holders that may have reservations of Epoch which no
-	// mirror knows.
+	// mirror knows, and the mirrors. The owner is not one of them.
 	Members []string
 	// Waiting are the holders that must register before Grant.Old is returned.
 	Waiting []string
+	// Decision is the operator's order on the rest of Grant.Old.
+	Decision Decision
 	// Holders has the settlements applied for each holder.
 	Holders map[string]Mark
-	// Cleared are reservations that are billed but may still be in a mirror.
+	// Cleared are finished reservations that may still be in a mirror.
 	Cleared []Cleared
 }
 
+// Decision is an operator's order on disputed tokens.
+type Decision uint8
+
+// The decisions on disputed tokens.
+const (
+	// Wait: no order; the tokens stay held.
+	Wait Decision = iota
+	// Spend: book the tokens as spent.
+	Spend
+	// Release: return the tokens to the budget.
+	Release
+)
+
 // Mark is the state of a holder's generation in the record.
 type Mark struct {
 	Gen uint64
@@ -83,9 +100,11 @@
 	Settled uint64
 	// Closed is true if all reservations of the generation are charged.
 	Closed bool
+	// Unix is the time of the closure.
+	Unix int64
 }
 
-// Cleared is a billed reservation that Member may still mirror.
+// Cleared is a finished reservation that Member may still mirror.
 type Cleared struct {
 	Member string
 	Key    Key
@@ -154,14 +173,58 @@
 	return d
 }
 
-func (b *Budget) grant(domain string) *Grant {
-	g := b.Grants[domain]
-	if g == nil {
-		g = &Grant{}
-		if b.Grants == nil {
-			b.Grants = make(map[string]*Grant)
+func (r *Record) totals(budget string) *Totals {
+	account := AccountOf(budget)
+	t := r.Accounts[account]
+	if t == nil {
+		t = &Totals{}
+		r.Accounts[account] = t
+	}
+	return t
+}
+
+func (b *Budget) setGrant(domain string, g Grant) {
+	if b.Grants == nil {
+		b.Grants = make(map[string]Grant)
+	}
+	if g == (Grant{}) {
+		delete(b.Grants, domain)
+		return
+	}
+	b.Grants[domain] = g
+}
+
+// TakeOver raises the epoch of a failure domain for a new owner and returns
+// it. The grants of earlier epochs become old: they stay held until each
+// holder that may have unmirrored reservations of them has registered. The
+// previous owner need not register, because its reservations are mirrored,
+// unless it served without a mirror.
+func (r *Record) TakeOver(domain, owner string, members []string) uint64 {
+	d := r.domain(domain)
+	waiting := append(slices.Clone(d.Waiting), d.Members...)
+	if d.Solo {
+		waiting = append(waiting, d.Owner)
+	}
+	d.Waiting = sortedSet(waiting)
+	d.Members = sortedSet(slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == owner }))
+	d.Epoch++
+	d.Owner, d.Seq, d.Solo = owner, 0, len(d.Members) == 0
+	var old int64
+	for _, b := range r.Budgets {
+		if g, ok := b.Grants[domain]; ok {
+			g.Old += g.Tokens
+			g.Tokens = 0
+			old += g.Old
+			b.setGrant(domain, g)
 		}
-		b.Grants[domain] = g
 	}
-	return g
+	if old == 0 {
+		d.Waiting = nil
+	}
+	return d.Epoch
+}
+
+func sortedSet(list []string) []string {
+	slices.Sort(list)
+	return slices.Compact(list)
 }
--- /dev/null
+++ b/internal/budget/register.go
@@ -0,0 +1,194 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Register handles a holder's registration.
+func (a *Allocator) Register(now time.Time, r RegisterRequest) {
+	key := Key{Holder: r.Holder, Gen: r.Gen}
+	s := a.admit(r.Epoch, r.Holder, r.Gen)
+	if s == StatusRegister && r.Epoch == a.epoch {
+		a.adopt(a.client(r.Holder), r)
+		s = StatusOK
+	} else if s == StatusOK {
+		a.acceptAll(a.clients[r.Holder], r.Bills) // a repeat
+	}
+	a.reply(KindRegister, key, s, 0)
+	a.advance(now)
+}
+
+// adopt takes a holder's state over. What the holder says of its own
+// reservations overrides what mirrors say.
+func (a *Allocator) adopt(c *client, r RegisterRequest) {
+	if r.Gen > c.gen {
+		a.startGeneration(c, r)
+	}
+	c.registered = true
+	c.raiseLow(r.Low)
+	delete(a.gone, r.Holder)
+	if r.Holder != a.opts.Owner {
+		a.members[r.Holder] = true
+	}
+	a.dirty = true
+	a.urgent = a.urgent || a.recovering || len(a.members) == 1
+	a.adoptOwn(c, r)
+	a.acceptAll(c, r.Bills)
+	a.adoptMirrored(r)
+	a.queueClears()
+}
+
+func (a *Allocator) startGeneration(c *client, r RegisterRequest) {
+	if c.gen > 0 {
+		a.forgetMirror(r.Holder)
+		c.member = false
+	}
+	c.accepted, c.durable = 0, 0
+	if c.gen == 0 && len(r.Bills) > 0 {
+		c.accepted = r.Bills[0].N - 1
+	}
+	clear(c.done)
+	c.gen, c.low, c.closed, c.closing = r.Gen, 0, false, false
+}
+
+// adoptOwn takes over what the holder says of its own reservations.
+func (a *Allocator) adoptOwn(c *client, r RegisterRequest) {
+	own := make(map[Key]bool, len(r.Open))
+	for _, res := range r.Open {
+		own[res.Key] = true
+		a.adoptEntry(res)
+	}
+	for _, b := range r.Bills {
+		if b.N <= c.accepted || b.Late {
+			continue
+		}
+		own[b.Key] = true
+		if a.open[b.Key] == nil && b.Tokens > 0 {
+			a.adoptEntry(Reservation{Key: b.Key, ID: b.ID, Budget: b.Budget, Tokens: b.Tokens, Keyed: b.Keyed})
+		}
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(a.open), Key.compare) {
+		if key.Holder == r.Holder && !own[key] {
+			a.finish(a.open[key], 0)
+		}
+	}
+}
+
+// adoptEntry notes an open reservation of an earlier epoch.
+func (a *Allocator) adoptEntry(res Reservation) {
+	p := a.pool(res.Budget)
+	e := a.open[res.Key]
+	if e == nil {
+		e = &entry{res: res, granted: true}
+		e.res.Tokens = 0
+		a.open[res.Key] = e
+		if a.byID[res.ID] == nil {
+			a.byID[res.ID] = e
+		}
+	}
+	e.granted = true
+	diff := res.Tokens - e.res.Tokens
+	if !a.recovering {
+		diff = min(diff, max(0, p.free())) // never more than the grant covers
+	}
+	e.res.Tokens += diff
+	if a.recovering {
+		e.old += diff
+		p.reservedOld += diff
+	} else {
+		p.reserved += diff
+	}
+}
+
+// adoptMirrored notes the reservations that a member mirrors for others. Those
+// that are finished are cleared.
+func (a *Allocator) adoptMirrored(r RegisterRequest) {
+	for _, res := range r.Mirrored {
+		c := a.client(res.Key.Holder)
+		if res.Key.Gen > c.gen && !c.registered {
+			c.gen, c.accepted, c.durable, c.closed = res.Key.Gen, 0, 0, false
+		}
+		e := a.open[res.Key]
+		mark := Cleared{r.Holder, res.Key}
+		_, finished := a.cleared[mark]
+		if e == nil && (finished || !a.recovering || c.registered || a.isStale(c, res.Key)) {
+			if !finished {
+				a.cleared[mark] = false
+			}
+			continue
+		}
+		if e == nil || (!c.registered && res.Tokens > e.res.Tokens) {
+			a.adoptEntry(res)
+			e = a.open[res.Key]
+		}
+		if e.mirrors == nil {
+			e.mirrors = make(map[string]int64)
+		}
+		e.mirrors[r.Holder] = res.Tokens
+	}
+}
+
+// isStale reports whether the record shows that a mirrored reservation is
+// finished or charged.
+func (a *Allocator) isStale(c *client, key Key) bool {
+	if key.Gen < c.gen || (c.closed && key.Gen == c.gen) {
+		return true
+	}
+	for c := range a.cleared {
+		if c.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Holders returns the ids that the allocator has state of or waits for, so
+// that the shell can check them against its membership (HolderGone).
+func (a *Allocator) Holders() []string {
+	ids := slices.Collect(maps.Keys(a.clients))
+	if a.rec != nil {
+		if d := a.rec.Domains[a.opts.Domain]; d != nil {
+			ids = append(ids, d.Waiting...)
+			ids = append(ids, d.Members...)
+		}
+	}
+	return sortedSet(ids)
+}
+
+// recoverReady reports whether the old grants can be ended: each holder waited
+// for has registered or is charged, and each adopted reservation is safe.
+func (a *Allocator) recoverReady(now time.Time) bool {
+	d := a.rec.Domains[a.opts.Domain]
+	timeout := a.opts.flaws&flawReclaimOnTime != 0 && now.Sub(a.tookOver) > 5*time.Second
+	for _, h := range d.Waiting {
+		if c := a.clients[h]; (c == nil || (!c.registered && !c.closed)) && d.Decision == Wait && !timeout {
+			return false
+		}
+	}
+	for _, e := range a.open {
+		if e.old > 0 && !a.safe(e, "") {
+			return false
+		}
+	}
+	if d.Decision != Wait {
+		a.closeUnregistered(d.Waiting)
+	}
+	return true
+}
+
+// closeUnregistered closes the holders whose tokens an operator decided on:
+// what they report later cannot be told from what was decided.
+func (a *Allocator) closeUnregistered(waiting []string) {
+	for _, h := range waiting {
+		c := a.client(h)
+		if c.registered || c.closing || c.closed {
+			continue
+		}
+		a.chargeAll(h)
+		c.gen = max(c.gen, 1)
+		c.closing = true
+		delete(a.members, h)
+	}
+}
--- /dev/null
+++ b/internal/budget/reserve.go
@@ -0,0 +1,200 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Reserve handles a request for tokens. A repeat of a request is answered as
+// before.
+func (a *Allocator) Reserve(now time.Time, r ReserveRequest) {
+	key := r.Reservation.Key
+	if s := a.admit(r.Epoch, key.Holder, key.Gen); s != StatusOK {
+		a.reply(KindReserve, key, s, 0)
+		a.advance(now)
+		return
+	}
+	c := a.clients[key.Holder]
+	c.raiseLow(r.Low)
+	if e := a.open[key]; e != nil {
+		if e.granted {
+			a.reply(KindReserve, key, StatusOK, e.res.Tokens)
+		}
+		return // an unanswered one is answered later
+	}
+	if s := a.acceptable(c, r.Reservation); s != StatusOK {
+		a.reply(KindReserve, key, s, 0)
+		a.advance(now)
+		return
+	}
+	e := &entry{res: r.Reservation, want: r.Reservation.Tokens, kind: KindReserve, deadline: now.Add(waitLimit)}
+	e.res.Tokens = 0
+	a.open[key] = e
+	a.byID[e.res.ID] = e
+	a.waiters = append(a.waiters, e)
+	a.advance(now)
+}
+
+// acceptable tells why a new reservation must be refused, or StatusOK.
+func (a *Allocator) acceptable(c *client, res Reservation) Status {
+	switch provisional, billed := a.billed[res.ID]; {
+	case res.Key.N < c.low || c.done[res.Key.N]:
+		return StatusStale
+	case a.byID[res.ID] != nil:
+		c.done[res.Key.N] = true
+		return StatusDuplicate
+	case billed && !provisional:
+		c.done[res.Key.N] = true
+		return StatusBilled
+	}
+	c.done[res.Key.N] = true
+	if b := a.rec.Budgets[res.Budget]; b == nil || b.Removed {
+		a.wantRead = true
+		return StatusUnknown
+	}
+	if a.retired || len(a.waiters) >= maxWaiters || res.Tokens <= 0 {
+		return StatusUnavailable
+	}
+	delete(c.done, res.Key.N)
+	return StatusOK
+}
+
+// Extend handles a request for a larger reservation.
+func (a *Allocator) Extend(now time.Time, r ExtendRequest) {
+	if s := a.admit(r.Epoch, r.Key.Holder, r.Key.Gen); s != StatusOK {
+		a.reply(KindExtend, r.Key, s, 0)
+		a.advance(now)
+		return
+	}
+	e := a.open[r.Key]
+	switch {
+	case e == nil || !e.granted:
+		a.reply(KindExtend, r.Key, StatusStale, 0)
+	case e.want >= r.Tokens:
+		// A repeat; it is answered with the first.
+	case e.want > 0:
+		a.reply(KindExtend, r.Key, StatusUnavailable, e.res.Tokens) // one at a time
+	default:
+		e.want, e.kind, e.deadline = r.Tokens, KindExtend, now.Add(waitLimit)
+		e.taken = r.Tokens <= e.res.Tokens
+		a.waiters = append(a.waiters, e)
+	}
+	a.advance(now)
+}
+
+// admit checks the epoch and the generation of a request.
+func (a *Allocator) admit(epoch uint64, holder string, gen uint64) Status {
+	if epoch > a.epoch && a.epoch != 0 {
+		a.depose()
+	}
+	if a.deposed || a.epoch == 0 {
+		return StatusStale
+	}
+	c := a.clients[holder]
+	switch {
+	case c == nil:
+		return StatusRegister
+	case c.closed && gen <= c.gen:
+		return StatusClosed
+	case c.closing:
+		return StatusUnavailable
+	case epoch < a.epoch || !c.registered || gen > c.gen:
+		return StatusRegister
+	case gen < c.gen:
+		return StatusStale
+	}
+	return StatusOK
+}
+
+func (c *client) raiseLow(low uint64) {
+	if low <= c.low {
+		return
+	}
+	c.low = low
+	for n := range c.done {
+		if n < low {
+			delete(c.done, n)
+		}
+	}
+}
+
+// serveWaiters answers the waiting requests that can be answered.
+func (a *Allocator) serveWaiters(now time.Time) {
+	clear(a.short)
+	a.waiters = slices.DeleteFunc(a.waiters, func(e *entry) bool { return a.serve(now, e) })
+	for _, id := range slices.Sorted(maps.Keys(a.short)) {
+		a.askForTokens(now, id)
+	}
+}
+
+// serve reports whether the entry no longer waits.
+func (a *Allocator) serve(now time.Time, e *entry) bool {
+	if a.open[e.res.Key] != e || e.want == 0 {
+		return true
+	}
+	p := a.pool(e.res.Budget)
+	if need := e.want - e.res.Tokens; !e.taken && p.free() >= need+a.short[e.res.Budget] {
+		p.reserved += need
+		p.use.add(now, need)
+		e.res.Tokens, e.taken = e.want, true
+	}
+	if e.taken && a.covered(now, e) {
+		e.granted, e.want = true, 0
+		a.reply(e.kind, e.res.Key, StatusOK, e.res.Tokens)
+		return true
+	}
+	if !now.Before(e.deadline) || (!e.taken && a.knownEmpty(now, e.res.Budget)) {
+		a.refuse(e, a.refusal(e.res.Budget))
+		return true
+	}
+	if !e.taken {
+		a.short[e.res.Budget] += e.want - e.res.Tokens
+	}
+	return false
+}
+
+// knownEmpty reports whether a fresh record shows no tokens outside this
+// failure domain, so that waiting cannot help.
+func (a *Allocator) knownEmpty(now time.Time, budget string) bool {
+	return now.Sub(a.lastLoaded) < emptyFresh && a.flight == nil && a.refusal(budget) == StatusExhausted
+}
+
+// refusal tells whether unspent tokens may exist outside this allocator.
+func (a *Allocator) refusal(budget string) Status {
+	b := a.rec.Budgets[budget]
+	if b == nil {
+		return StatusUnknown
+	}
+	elsewhere := b.Available()
+	for name, g := range b.Grants {
+		if name != a.opts.Domain {
+			elsewhere += g.Tokens
+		}
+	}
+	if elsewhere > 0 || a.pool(budget).free() > 0 || a.recovering {
+		return StatusUnavailable
+	}
+	return StatusExhausted
+}
+
+// refuse answers a waiting request with a refusal. An extension leaves the
+// reservation as it was; its tokens stay reserved if a mirror may know them.
+func (a *Allocator) refuse(e *entry, s Status) {
+	a.reply(e.kind, e.res.Key, s, 0)
+	e.want = 0
+	if e.granted {
+		return
+	}
+	a.clients[e.res.Key.Holder].done[e.res.Key.N] = true
+	a.finish(e, 0)
+}
+
+func (a *Allocator) refuseAll(s Status) {
+	for _, e := range a.waiters {
+		if a.open[e.res.Key] == e && e.want > 0 {
+			a.reply(e.kind, e.res.Key, s, 0)
+		}
+	}
+	a.waiters = nil
+}
--- /dev/null
+++ b/internal/budget/settle.go
@@ -0,0 +1,139 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Settle handles a holder's settlements. They are taken in the order of their
+// numbers; after a gap the holder sends again.
+func (a *Allocator) Settle(now time.Time, r SettleRequest) {
+	s := a.admit(r.Epoch, r.Holder, r.Gen)
+	if s == StatusOK {
+		c := a.clients[r.Holder]
+		c.raiseLow(r.Low)
+		a.acceptAll(c, r.Bills)
+	}
+	a.reply(KindSettle, Key{Holder: r.Holder, Gen: r.Gen}, s, 0)
+	a.advance(now)
+}
+
+func (a *Allocator) acceptAll(c *client, bills []Bill) {
+	for _, b := range bills {
+		if b.N == c.accepted+1 || (a.opts.flaws&flawNoWatermark != 0 && b.N > c.accepted) {
+			c.accepted = b.N
+			a.accept(c, b)
+		}
+	}
+}
+
+// accept books one settlement.
+func (a *Allocator) accept(c *client, b Bill) {
+	a.dirty = true
+	if b.Late {
+		a.bills = append(a.bills, b)
+		return
+	}
+	if b.Key.N >= c.low {
+		c.done[b.Key.N] = true
+	}
+	e := a.open[b.Key]
+	if e == nil {
+		// Given up before the allocator knew of it, so nothing is reserved.
+		b.Tokens = 0
+		a.bills = append(a.bills, b)
+		return
+	}
+	b.Tokens = min(b.Tokens, e.res.Tokens)
+	b.Old = min(e.old, b.Tokens)
+	a.finish(e, b.Tokens)
+	a.bills = append(a.bills, b)
+	a.noteBilled(b)
+}
+
+// finish closes an entry of which tokens are billed. What a mirror may still
+// show as reserved is not used again before the record says that it is
+// cleared: a successor would otherwise count it twice.
+func (a *Allocator) finish(e *entry, tokens int64) {
+	p := a.pool(e.res.Budget)
+	p.reservedOld -= e.old
+	p.reserved -= e.res.Tokens - e.old
+	old := min(e.old, tokens)
+	p.pendingOld += old
+	p.pending += tokens - old
+	p.use.add(a.now, tokens-e.res.Tokens)
+	if len(e.mirrors) > 0 {
+		if a.opts.flaws&flawReuseMirrored == 0 {
+			p.held += e.res.Tokens - e.old - (tokens - old)
+			p.heldOld += e.old - old
+		}
+		for m := range e.mirrors {
+			a.cleared[Cleared{m, e.res.Key}] = false
+		}
+		a.dirty = true
+	}
+	delete(a.open, e.res.Key)
+	if a.byID[e.res.ID] == e {
+		delete(a.byID, e.res.ID)
+	}
+}
+
+func (a *Allocator) noteBilled(b Bill) {
+	if b.Keyed && b.Tokens > 0 {
+		a.billed[b.ID] = b.Provisional
+	}
+}
+
+// closeGone charges the open reservations of holders that are gone.
+func (a *Allocator) closeGone() {
+	if len(a.gone) == 0 {
+		return
+	}
+	for _, h := range slices.Sorted(maps.Keys(a.gone)) {
+		c := a.clients[h]
+		if c == nil || (c.gen == 0 && !a.hasOpen(h)) {
+			continue // nothing is known of it
+		}
+		// A holder that did not register may have reservations that nobody
+		// else knows; it is waited for. Once nobody is waited for, all
+		// reservations are known.
+		if c.closing || c.closed || (!c.registered && a.recovering) || a.neededMirror(h) {
+			continue
+		}
+		a.chargeAll(h)
+		c.closing, a.dirty = true, true
+		delete(a.members, h)
+	}
+}
+
+func (a *Allocator) hasOpen(holder string) bool {
+	for key := range a.open {
+		if key.Holder == holder {
+			return true
+		}
+	}
+	return false
+}
+
+// chargeAll charges each open reservation of a holder provisionally at the
+// tokens reserved.
+func (a *Allocator) chargeAll(holder string) {
+	var list []*entry
+	for key, e := range a.open {
+		if key.Holder == holder {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(x, y *entry) int { return int(x.res.Key.N) - int(y.res.Key.N) })
+	for _, e := range list {
+		b := Bill{Key: e.res.Key, ID: e.res.ID, Budget: e.res.Budget, Tokens: e.res.Tokens, Keyed: e.res.Keyed, Provisional: true}
+		if !e.granted || a.opts.flaws&flawReleaseDead != 0 {
+			b.Tokens = 0 // never acknowledged, so never dispatched
+		}
+		b.Old = min(e.old, b.Tokens)
+		a.finish(e, b.Tokens)
+		a.bills = append(a.bills, b)
+		a.noteBilled(b)
+	}
+}
--- /dev/null
+++ b/internal/budget/sizing.go
@@ -0,0 +1,177 @@
+package budget
+
+import (
+	"math"
+	"time"
+)
+
+// Sizing of grants.
+const (
+	// horizon is the time that a grant lasts at the recent rate if the balance
+	// allows it: a partition of four hours and a margin of an eighth.
+	horizon = 4*time.Hour + 30*time.Minute
+	// shareOfLeft is the part of the unspent balance that grants may take
+	// together; the rest stays in the store for demand that moves.
+	shareOfLeft = 0.9
+	// standingSteps is the standing grant of a rarely used budget.
+	standingSteps = 8
+	// keepWhenAsked is the own use kept back when another failure domain asks
+	// for idle tokens.
+	keepWhenAsked = 2 * time.Second
+	// reclaimEvery is the time between requests for idle tokens of a budget.
+	reclaimEvery = 150 * time.Millisecond
+)
+
+// meter measures a rate as the larger of a fast and a slow moving average, so
+// that a rise is followed within seconds and a pause is not taken for the end.
+type meter struct {
+	fast, slow float64 // tokens a second
+	last       time.Time
+}
+
+const (
+	fastWindow = 10 * time.Second
+	slowWindow = 10 * time.Minute
+)
+
+func (m *meter) add(now time.Time, tokens int64) {
+	m.decay(now)
+	m.fast += float64(tokens) / fastWindow.Seconds()
+	m.slow += float64(tokens) / slowWindow.Seconds()
+}
+
+func (m *meter) decay(now time.Time) {
+	if dt := now.Sub(m.last); dt > 0 && !m.last.IsZero() {
+		m.fast *= math.Exp(-dt.Seconds() / fastWindow.Seconds())
+		m.slow *= math.Exp(-dt.Seconds() / slowWindow.Seconds())
+	}
+	if now.After(m.last) {
+		m.last = now
+	}
+}
+
+func (m *meter) rate(now time.Time) float64 {
+	m.decay(now)
+	return max(0, m.fast, m.slow)
+}
+
+// FlushInterval returns the time between the flushes of one (failure domain,
+// shard) that keeps a fleet with so many of them in use within its allowance
+// of writes/s.
+func FlushInterval(pairs int, writesPerSecond float64) time.Duration {
+	if writesPerSecond <= 0 {
+		return 30 * time.Second
+	}
+	d := time.Duration(float64(pairs) / writesPerSecond * float64(time.Second))
+	return min(max(d, time.Second), 30*time.Second)
+}
+
+// urgentGap is the shortest time between two flushes that do not wait for the
+// period. It grows with the interval, because both share the allowance.
+func (a *Allocator) urgentGap() time.Duration {
+	return min(max(a.opts.Interval/25, 50*time.Millisecond), time.Second)
+}
+
+// target returns the unreserved tokens that this failure domain should hold of
+// a budget.
+func (a *Allocator) target(now time.Time, b *Budget, p *pool) int64 {
+	if b.Removed || a.retired {
+		return 0
+	}
+	domains := float64(len(a.rec.Domains))
+	rate := p.use.rate(now)
+	others := 0.0
+	for name, g := range b.Grants {
+		if name != a.opts.Domain {
+			others += float64(g.Rate) / 60
+		}
+	}
+	left := float64(b.Prepaid - b.Spent)
+	// One token a second for each failure domain keeps an idle one in the
+	// division.
+	share := shareOfLeft * left * (rate + 1) / (rate + others + domains)
+	standing := min(float64(standingSteps*a.opts.Step), left/(8*domains))
+	return int64(min(rate*horizon.Seconds()+standing, share))
+}
+
+// size fills in the draws and returns of a flush.
+func (a *Allocator) size(now time.Time, f *Flush) {
+	for id, b := range a.rec.Budgets {
+		p := a.pools[id]
+		if p == nil {
+			p = a.pool(id)
+		}
+		target, free, short := a.target(now, b, p), p.free(), a.short[id]
+		switch back := a.idle(p, target); {
+		case short > 0 || (free < target*3/4 && b.Available() > 0):
+			f.Draw[id] = max(target, 0) + short - free
+		case back > 0 && !a.recovering:
+			f.Return[id] = back
+			p.returning = back
+		}
+		p.reclaim = 0
+		if rate := int64(p.use.rate(now) * 60); rate != b.Grants[a.opts.Domain].Rate {
+			f.Rates[id] = rate
+		}
+	}
+}
+
+// idle returns the tokens that a pool gives back: what is far above its
+// target, or what another failure domain asked for.
+func (a *Allocator) idle(p *pool, target int64) int64 {
+	free := p.free()
+	back := min(p.reclaim, free)
+	if free > target*3/2+a.opts.Step || (target == 0 && free > 0) {
+		back = max(back, free-target)
+	}
+	return back
+}
+
+// review marks the allocator dirty if a pool holds far more than it needs.
+func (a *Allocator) review(now time.Time) {
+	if now.Sub(a.lastReview) < reviewEvery {
+		return
+	}
+	a.lastReview = now
+	for id, p := range a.pools {
+		if b := a.rec.Budgets[id]; b != nil && a.idle(p, a.target(now, b, p)) > 0 {
+			a.dirty = true
+			return
+		}
+	}
+}
+
+// askForTokens looks for tokens for waiting requests: in the store if the last
+// record shows some, otherwise with the other failure domains.
+func (a *Allocator) askForTokens(now time.Time, id string) {
+	b, p := a.rec.Budgets[id], a.pool(id)
+	if b == nil || a.flight != nil {
+		return
+	}
+	if b.Available() > 0 {
+		a.dirty, a.urgent = true, true
+		return
+	}
+	a.wantRead = true
+	elsewhere := b.Held() - b.Grants[a.opts.Domain].Tokens - b.Grants[a.opts.Domain].Old
+	if elsewhere > 0 && now.Sub(p.reclaimed) >= reclaimEvery {
+		p.reclaimed = now
+		a.out.Reclaims = append(a.out.Reclaims, ReclaimRequest{
+			Shard: a.opts.Shard, From: a.opts.Domain, Budget: id, Tokens: a.short[id] + int64(p.use.rate(now)),
+		})
+	}
+}
+
+// Reclaim handles the request of another failure domain for idle tokens: half
+// of what is idle, or what was asked for if that is more.
+func (a *Allocator) Reclaim(now time.Time, r ReclaimRequest) {
+	if a.epoch != 0 && !a.deposed && !a.recovering && r.From != a.opts.Domain {
+		p := a.pool(r.Budget)
+		idle := p.free() - int64(p.use.rate(now)*keepWhenAsked.Seconds())
+		if give := min(idle, max(r.Tokens, idle/2)); give > 0 {
+			p.reclaim = max(p.reclaim, give)
+			a.dirty, a.urgent = true, true
+		}
+	}
+	a.advance(now)
+}
--- /dev/null
+++ b/internal/budget/store.go
@@ -0,0 +1,378 @@
+package budget
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+func (a *Allocator) read(now time.Time) {
+	a.out.Read, a.reading, a.wantRead, a.lastRead = true, true, false, now
+}
+
+// Loaded passes the record that Output.Read asked for: an empty value and
+// revision 0 if the key does not exist, ok = false if the read failed.
+func (a *Allocator) Loaded(now time.Time, value []byte, revision int64, ok bool) {
+	a.reading = false
+	rec, err := Unmarshal(value)
+	switch {
+	case !ok || err != nil:
+		a.backOff(now)
+	case a.flight == nil:
+		a.backoff = retryMin
+		a.setRecord(now, rec, revision)
+	}
+	a.advance(now)
+}
+
+// setRecord installs a newer record without a change of this allocator.
+func (a *Allocator) setRecord(now time.Time, rec *Record, rev int64) {
+	a.rec, a.rev, a.lastLoaded = rec, rev, now
+	if a.epoch == 0 {
+		return
+	}
+	if rec.domain(a.opts.Domain).Epoch != a.epoch {
+		a.depose()
+		return
+	}
+	a.noteBills()
+}
+
+// noteBills collects the request ids that must not run again.
+func (a *Allocator) noteBills() {
+	clear(a.billed)
+	for _, e := range a.rec.Bills {
+		if e.Keyed {
+			a.billed[e.ID] = e.Provisional
+		}
+	}
+	for _, b := range a.bills {
+		a.noteBilled(b)
+	}
+}
+
+// checkPolls asks for a read when an operator's decision may have come, and
+// reviews idle grants.
+func (a *Allocator) checkPolls(now time.Time) {
+	if a.recovering && len(a.rec.domain(a.opts.Domain).Waiting) > 0 && now.Sub(a.lastRead) >= decisionPoll {
+		a.wantRead = true
+	}
+	if a.recovering && a.flight == nil && a.recoverReady(now) {
+		a.dirty, a.urgent = true, true
+	}
+	a.review(now)
+}
+
+// checkStore starts the next read or write if one is due.
+func (a *Allocator) checkStore(now time.Time) {
+	if a.reading || now.Before(a.retryAt) || a.deposed {
+		return
+	}
+	if a.flight != nil {
+		if !a.flight.sent {
+			a.send()
+		}
+		return
+	}
+	urgentDue := now.Sub(a.lastUrgent) >= a.urgentGap()
+	switch {
+	case a.rec == nil:
+		a.read(now)
+	case a.epoch == 0:
+		a.startTakeover()
+	case a.wantRead && now.Sub(a.lastRead) >= max(a.urgentGap(), 100*time.Millisecond):
+		a.read(now)
+	case a.dirty && (!now.Before(a.nextFlush) || (a.urgent && urgentDue)):
+		if a.urgent {
+			a.lastUrgent = now
+		}
+		a.startFlush(now)
+	}
+}
+
+func (a *Allocator) startTakeover() {
+	epoch := a.rec.TakeOver(a.opts.Domain, a.opts.Owner, slices.Collect(maps.Keys(a.live)))
+	a.flight = &flight{epoch: epoch, write: StoreWrite{OpID: fmt.Sprintf("%s/%d/%s", a.opts.Domain, epoch, a.opts.Owner)}}
+	a.encode()
+}
+
+func (a *Allocator) startFlush(now time.Time) {
+	a.dirty, a.urgent = false, false
+	a.nextFlush = now.Add(a.opts.Interval - a.phase(now))
+	f := a.buildFlush(now)
+	a.flight = &flight{
+		flush: f, epoch: a.epoch, held: make(map[string]int64),
+		write: StoreWrite{OpID: fmt.Sprintf("%s/%d/%d", a.opts.Domain, a.epoch, f.Seq)},
+	}
+	for id, p := range a.pools {
+		if p.held > 0 {
+			a.flight.held[id] = p.held
+		}
+	}
+	if err := a.rec.Apply(f); err != nil {
+		a.fail(err) // a successor starts from the stored record
+		return
+	}
+	a.encode()
+}
+
+// phase spreads the periodic flushes of the fleet over the interval.
+func (a *Allocator) phase(now time.Time) time.Duration {
+	offset := xxhash.Sum64String(fmt.Sprint(a.opts.Domain, a.opts.Shard))
+	return time.Duration((uint64(now.UnixNano()) + offset) % uint64(a.opts.Interval))
+}
+
+func (a *Allocator) encode() {
+	value, err := a.rec.Marshal()
+	if err != nil {
+		a.fail(err)
+		return
+	}
+	a.flight.write.Value, a.flight.write.Expected = value, a.rev
+	a.send()
+}
+
+func (a *Allocator) send() {
+	w := a.flight.write
+	a.out.Write, a.flight.sent = &w, true
+}
+
+// buildFlush fixes the content of the next flush.
+func (a *Allocator) buildFlush(now time.Time) *Flush {
+	a.seq++
+	f := &Flush{
+		Domain: a.opts.Domain, Epoch: a.epoch, Seq: a.seq, Unix: now.Unix(),
+		Return: make(map[string]int64), Draw: make(map[string]int64), Rates: make(map[string]int64),
+	}
+	f.Recover = a.recovering && a.recoverReady(now)
+	f.Bills, a.bills = a.bills, nil
+	f.Marks = a.marks(now)
+	for h := range a.members {
+		if c := a.clients[h]; a.gone[h] && (c == nil || !c.registered) {
+			delete(a.members, h) // it never had a reservation of this epoch
+		}
+	}
+	f.Members = slices.Sorted(maps.Keys(a.members))
+	f.Solo = a.wantSolo || len(f.Members) == 0 || a.ownUnmirrored()
+	a.wantSolo = false
+	f.Cleared = slices.SortedFunc(maps.Keys(a.cleared), Cleared.compare)
+	if f.Recover {
+		f.Keep = a.keep(f.Bills)
+	}
+	a.size(now, f)
+	return f
+}
+
+// marks returns the state of each holder for the record.
+func (a *Allocator) marks(now time.Time) map[string]Mark {
+	marks := make(map[string]Mark, len(a.clients))
+	for h, c := range a.clients {
+		if c.gen == 0 {
+			continue
+		}
+		m := Mark{Gen: c.gen, Settled: c.accepted, Closed: c.closing || c.closed}
+		if m.Closed {
+			m.Unix = now.Unix()
+			if old := a.rec.domain(a.opts.Domain).Holders[h]; old.Closed && old.Gen == c.gen {
+				m.Unix = old.Unix
+			}
+		}
+		marks[h] = m
+	}
+	return marks
+}
+
+// keep returns what of the old grants is known to be open or billed later than
+// by the given bills.
+func (a *Allocator) keep(bills []Bill) map[string]int64 {
+	keep := make(map[string]int64, len(a.pools))
+	for id, p := range a.pools {
+		keep[id] = p.reservedOld + p.pendingOld
+		p.heldOld = 0 // cleared by this flush
+	}
+	for _, b := range bills {
+		keep[b.Budget] -= b.Old
+	}
+	return keep
+}
+
+// ownUnmirrored reports whether an own reservation goes without a mirror.
+func (a *Allocator) ownUnmirrored() bool {
+	if !a.solo {
+		return false
+	}
+	for key, e := range a.open {
+		if key.Holder == a.opts.Owner && e.granted && !a.mirrored(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// Stored passes the outcome of Output.Write.
+func (a *Allocator) Stored(now time.Time, r StoreResult) {
+	if fl := a.flight; fl != nil && fl.sent && !a.deposed {
+		fl.sent = false
+		switch r.Outcome {
+		case Applied:
+			a.rev = r.Revision
+			a.confirm(now)
+		case Conflict:
+			a.rebase(now, r)
+		default:
+			a.backOff(now)
+		}
+	}
+	a.advance(now)
+}
+
+func (a *Allocator) backOff(now time.Time) {
+	jitter := xxhash.Sum64String(fmt.Sprint(a.opts.Owner, a.opts.Domain, a.opts.Shard, now.UnixNano())) % 1000
+	a.retryAt = now.Add(a.backoff/2 + a.backoff*time.Duration(jitter)/2000)
+	a.backoff = min(2*a.backoff, retryMax)
+}
+
+// rebase applies the write under way to a newer record, or recognises it there.
+func (a *Allocator) rebase(now time.Time, r StoreResult) {
+	rec, err := Unmarshal(r.Value)
+	if err != nil {
+		a.backOff(now)
+		return
+	}
+	a.rec, a.rev = rec, r.Revision
+	d := rec.domain(a.opts.Domain)
+	fl := a.flight
+	if fl.flush == nil {
+		switch {
+		case d.Epoch == fl.epoch && d.Owner == a.opts.Owner:
+			a.confirm(now)
+		case d.Epoch >= fl.epoch:
+			a.depose()
+		default:
+			a.flight = nil
+			a.startTakeover()
+		}
+		return
+	}
+	if a.opts.flaws&flawNoSequence != 0 {
+		d.Seq = fl.flush.Seq - 1
+	}
+	switch err := rec.Apply(fl.flush); {
+	case errors.Is(err, ErrRepeated):
+		a.confirm(now)
+	case errors.Is(err, ErrDeposed):
+		a.depose()
+	case err != nil:
+		a.fail(err)
+	default:
+		a.encode()
+	}
+}
+
+// confirm books the write under way as durable.
+func (a *Allocator) confirm(now time.Time) {
+	fl := a.flight
+	a.flight, a.backoff, a.retryAt, a.lastLoaded = nil, retryMin, time.Time{}, now
+	if fl.flush == nil {
+		a.begin(now, fl.epoch)
+	} else {
+		a.confirmFlush(fl)
+	}
+	for id, b := range a.rec.Budgets {
+		g := b.Grants[a.opts.Domain]
+		p := a.pool(id)
+		p.granted, p.old = g.Tokens, g.Old
+	}
+	a.noteBills()
+}
+
+// begin takes office with what the record says of the failure domain.
+func (a *Allocator) begin(now time.Time, epoch uint64) {
+	a.epoch, a.tookOver, a.lastReview = epoch, now, now
+	a.dirty, a.urgent = true, true
+	d := a.rec.domain(a.opts.Domain)
+	for h, m := range d.Holders {
+		c := a.client(h)
+		c.gen, c.accepted, c.durable, c.closed = m.Gen, m.Settled, m.Settled, m.Closed
+	}
+	for _, h := range d.Members {
+		a.members[h] = true
+		a.client(h).member = !d.Holders[h].Closed
+	}
+	a.solo = d.Solo
+	for _, c := range d.Cleared {
+		a.cleared[c] = true
+	}
+	a.recovering = len(d.Waiting) > 0
+	for _, b := range a.rec.Budgets {
+		a.recovering = a.recovering || b.Grants[a.opts.Domain].Old > 0
+	}
+}
+
+func (a *Allocator) confirmFlush(fl *flight) {
+	f := fl.flush
+	for _, b := range f.Bills {
+		p := a.pool(b.Budget)
+		p.pending -= b.Tokens - b.Old
+		p.pendingOld -= b.Old
+		if b.Late {
+			p.pending += b.Tokens // a late bill has no tokens here
+		}
+	}
+	for id := range f.Return {
+		a.pool(id).returning = 0
+	}
+	for id, held := range fl.held {
+		a.pool(id).held -= held
+	}
+	for _, c := range f.Cleared {
+		if _, ok := a.cleared[c]; ok {
+			a.cleared[c] = true
+		}
+	}
+	members := make(map[string]bool, len(f.Members))
+	for _, h := range f.Members {
+		members[h] = true
+	}
+	a.solo = f.Solo
+	for h, m := range f.Marks {
+		c := a.client(h)
+		if m.Gen == c.gen {
+			c.durable = m.Settled
+			if m.Closed && c.closing {
+				c.closing, c.closed, c.registered = false, true, false
+				a.forgetMirror(h)
+				delete(a.gone, h)
+			}
+		}
+	}
+	for h, c := range a.clients {
+		// A successor does not wait for a holder that the record calls closed.
+		c.member = members[h] && !a.rec.domain(a.opts.Domain).Holders[h].Closed
+	}
+	if f.Recover {
+		a.endRecovery()
+	}
+	a.queueClears()
+}
+
+// endRecovery moves what is known of the old grants to the current one.
+func (a *Allocator) endRecovery() {
+	a.recovering = false
+	for _, p := range a.pools {
+		p.reserved += p.reservedOld
+		p.pending += p.pendingOld
+		p.held += p.heldOld
+		p.reservedOld, p.pendingOld, p.heldOld = 0, 0, 0
+	}
+	for _, e := range a.open {
+		e.old = 0
+	}
+	for i := range a.bills {
+		a.bills[i].Old = 0
+	}
+}
