Bound the queue and the latency through a demand swing

Change: accounts keep up to 2000 tokens of unused share, accounts below their share may exceed the limit by 12%, half of the ending requests are replaced while the limit is exceeded, the limit's headroom grows with the batch size, and a request waits at most 900 ms.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -17,8 +17,12 @@
 	// most s * AgingRate larger.
 	key float64
 	at  int
+	// borrowed marks a running request that was admitted above the limit.
+	borrowed bool
 }
 
+func (e *entry) short() bool { return !e.Long }
+
 func (e *entry) less(f *entry) bool {
 	if e.key != f.key {
 		return e.key < f.key
@@ -116,7 +120,7 @@
 func (q *Queue) account(it Item) *account {
 	a := q.accounts[it.Account]
 	if a == nil {
-		a = &account{name: it.Account, time: q.virtual}
+		a = &account{name: it.Account, time: q.virtual - saved}
 		q.accounts[it.Account] = a
 	}
 	a.weight = it.Weight
@@ -133,7 +137,7 @@
 		return
 	}
 	for name, a := range q.accounts {
-		if a.empty() && a.running == 0 && a.time <= q.virtual {
+		if a.empty() && a.running == 0 && a.time <= q.virtual-saved {
 			delete(q.accounts, name)
 		}
 	}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -105,8 +105,8 @@
 
 // Options configures a Queue. Zero values mean the defaults.
 type Options struct {
-	// MaxWait bounds the time in the queue. Default 700 ms, which leaves
-	// 600 ms of the bound of 1300 ms to first token for dispatch and prefill.
+	// MaxWait bounds the time in the queue. Default 900 ms, which leaves
+	// 400 ms of the bound of 1300 ms to first token for dispatch and prefill.
 	MaxWait time.Duration
 	// MaxLongWait bounds the time in the queue of long work. Default 30 s.
 	MaxLongWait time.Duration
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -125,7 +125,16 @@
 		return 0, false
 	}
 	varY := max(0, l.yy/l.n-my*my-slope*slope*varX)
-	return mx + (l.target-headroom*math.Sqrt(varY)-my)/slope, true
+	base := my - slope*mx
+	if base >= l.target {
+		return minPerEndpoint, true
+	}
+	// Prefills cause most of the spread, and their number grows with the
+	// batch size, so the standard deviation grows with its square root. The
+	// limit b solves base + slope*b + k*sqrt(b) = target.
+	k := headroom * math.Sqrt(varY/max(mx, 1))
+	root := (math.Sqrt(k*k+4*slope*(l.target-base)) - k) / (2 * slope)
+	return root * root, true
 }
 
 // drainRate measures the work per second that leaves the queue.
@@ -160,20 +169,22 @@
 	d.since, d.tokens = now, 0
 }
 
-// expectedWait estimates the time until e starts, 0 if unknown: the work of
-// its account ahead of it, over the account's share of the drain rate.
+// expectedWait estimates the time until e starts, 0 if unknown: the queued
+// work that goes before it in the order of fair sharing, over the drain rate.
 func (q *Queue) expectedWait(e *entry) time.Duration {
 	if q.drain.rate <= 0 || len(q.queued) == 0 {
 		return 0
 	}
-	weights := e.account.weight
+	own := float64(e.account.ahead(e.key))
+	// start is the account's virtual time when e is its next request.
+	start := max(e.account.time, q.virtual-saved) + own/e.account.weight
+	work := own
 	for _, a := range q.waiting {
 		if a != e.account {
-			weights += a.weight
+			work += min(float64(a.queuedTokens), max(0, (start-a.time)*a.weight))
 		}
 	}
-	rate := q.drain.rate * e.account.weight / weights
-	return time.Duration(float64(e.account.ahead(e.key)) / rate * float64(time.Second))
+	return time.Duration(work / q.drain.rate * float64(time.Second))
 }
 
 // retryAfter is the advice to a refused caller: the time to drain the queue,
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	defaultMaxWait      = 700 * time.Millisecond
+	defaultMaxWait      = 900 * time.Millisecond
 	defaultMaxLongWait  = 30 * time.Second
 	defaultQueuedTokens = 200_000
 	defaultTarget       = 75 * time.Millisecond
@@ -22,6 +22,19 @@
 	shortRecent = 5 * time.Second
 	minRetry    = time.Second
 	maxRetry    = 30 * time.Second
+	// borrowShare is the part of the limit by which accounts below their fair
+	// share may exceed it, so that they need not wait for a request of a
+	// larger account to end. The adaptive limit settles lower by as much.
+	borrowShare = 0.12
+	// overCredit is the number of requests that may start for each one that
+	// ends while more run than the limit allows. With 0, a limit that falls
+	// by a fifth stopped all admissions for seconds.
+	overCredit = 0.5
+	// saved is the work, for a weight of 1, by which an account's virtual time
+	// may stay behind. Requests wait less than a second, so an account with
+	// one request a second in this daemon has no queue most of the time;
+	// without saved work it lost its turn to accounts that always queue.
+	saved = 2000
 	// idleAccounts is the number of accounts from which idle ones are dropped.
 	idleAccounts = 1024
 )
@@ -49,6 +62,12 @@
 	// queuedTokens is the sum over queued, at most Options.MaxQueuedTokens.
 	queuedTokens int
 	runningLong  int
+	// borrowed counts running requests that were admitted above the limit
+	// for accounts below their share; see borrowShare.
+	borrowed int
+	// credit is the number of requests that may start although the limit is
+	// exceeded; see overCredit.
+	credit float64
 	// virtual is the virtual time of fair sharing: the least time of the
 	// accounts that had queued work at the last admission.
 	virtual   float64
@@ -103,7 +122,7 @@
 	a := q.account(it)
 	e := &entry{Item: it, account: a, queuedAt: now, bound: q.bound(now, it)}
 	e.key = float64(it.Tokens) + q.opts.AgingRate*float64(now.UnixNano())/1e9
-	if !q.anyEligible(now) && q.room(now, it.Long) {
+	if e.short() && q.mayBorrow(a) || !q.anyEligible(now) && q.room(now, it.Long) {
 		q.admit(now, e)
 		return Decision{Verdict: Admitted}
 	}
@@ -141,6 +160,9 @@
 	if e.Long {
 		q.runningLong--
 	}
+	if e.borrowed {
+		q.borrowed--
+	}
 	actual := u.Tokens
 	if !u.Ran {
 		actual = 0
@@ -148,6 +170,9 @@
 	// The account pays for the work that it got, not for the predicted one.
 	e.account.time += float64(actual-e.Tokens) / e.account.weight
 	e.account.running--
+	if len(q.running) >= q.runLimit() {
+		q.credit = min(1, q.credit+overCredit)
+	}
 	return q.next(now)
 }
 
@@ -204,6 +229,9 @@
 	var best *entry
 	for _, a := range q.waiting {
 		e := a.head(short, long)
+		if e == nil && len(a.short) > 0 && q.mayBorrow(a) {
+			e = a.short[0]
+		}
 		if e == nil {
 			continue
 		}
@@ -226,13 +254,20 @@
 
 func (q *Queue) admit(now time.Time, e *entry) {
 	a := e.account
-	a.time = max(a.time, q.virtual)
+	a.time = max(a.time, q.virtual-saved)
 	q.virtual = max(q.virtual, q.leastWaiting(a.time))
 	a.time += float64(e.Tokens) / a.weight
 	a.running++
 	q.running[e.Ticket] = e
 	if e.Long {
 		q.runningLong++
+	} else if len(q.running) > q.runLimit() {
+		if q.credit >= 1 {
+			q.credit--
+		} else {
+			e.borrowed = true
+			q.borrowed++
+		}
 	}
 	q.drain.admitted(now, e.Tokens, len(q.queued) > 0)
 }
@@ -255,7 +290,7 @@
 // room reports whether one more request of the class may run.
 func (q *Queue) room(now time.Time, long bool) bool {
 	limit := q.runLimit()
-	if len(q.running) >= limit {
+	if len(q.running) >= limit && q.credit < 1 {
 		return false
 	}
 	if !long || now.Sub(q.lastShort) > shortRecent {
@@ -264,6 +299,35 @@
 	return float64(q.runningLong) < max(1, float64(limit)*(1-longReserve))
 }
 
+// mayBorrow reports whether a short request of account a may run above the
+// limit: the pool is full, and a runs less than its share of it.
+func (q *Queue) mayBorrow(a *account) bool {
+	if q.opts.Services || len(q.running) < q.runLimit() {
+		return false
+	}
+	if float64(q.borrowed) >= max(1, borrowShare*q.share()) {
+		return false
+	}
+	return float64(a.running+1) <= q.share()*a.weight/q.activeWeight(a)
+}
+
+// activeWeight is the sum of the weights of a and of all accounts with
+// running or queued requests.
+func (q *Queue) activeWeight(a *account) float64 {
+	sum := 0.0
+	for _, x := range q.accounts {
+		if x == a || x.running > 0 || !x.empty() {
+			sum += x.weight
+		}
+	}
+	return sum
+}
+
+// share is this daemon's even share of the pool's limit.
+func (q *Queue) share() float64 {
+	return q.limit.perEndpoint(q.capacity) * q.capacity.Endpoints / float64(q.capacity.Peers+1)
+}
+
 // runLimit is the number of requests that this daemon may run: its even share
 // of the pool's limit, or more while the other daemons leave room.
 func (q *Queue) runLimit() int {
@@ -292,7 +356,7 @@
 func (q *Queue) enqueue(e *entry) {
 	a := e.account
 	if a.empty() {
-		a.time = max(a.time, q.virtual)
+		a.time = max(a.time, q.virtual-saved)
 		q.waiting = append(q.waiting, a)
 	}
 	heap.Push(a.queue(e.Long), e)
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,269 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/rapidtest"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_000_000_000, 0)
+
+// slotsOnly is a pool of one endpoint whose limit is its slots.
+func slotsOnly(slots int, o Options) *Queue {
+	o.Services = true
+	q := New(o)
+	q.SetCapacity(t0, Capacity{Endpoints: 1, Slots: float64(slots)})
+	return q
+}
+
+// Guards against an admission order that ignores account, size or age.
+func TestOrder(t *testing.T) {
+	long := Item{Tokens: 4000, Long: true}
+	short := Item{Tokens: 100}
+	for _, c := range []struct {
+		name  string
+		items []Item          // offered while the only slot is taken
+		gaps  []time.Duration // time before each offer
+		want  []Ticket        // order of starts; items have tickets 1, 2, ...
+	}{
+		{"short before long", []Item{long, short}, nil, []Ticket{2, 1}},
+		{"long goes first after aging", []Item{long, short}, []time.Duration{0, 9 * time.Second}, []Ticket{1, 2}},
+		{"accounts take turns", []Item{{Account: "a", Tokens: 100}, {Account: "a", Tokens: 100},
+			{Account: "b", Tokens: 100}}, nil, []Ticket{1, 3, 2}},
+		{"weight counts", []Item{{Account: "a", Tokens: 100}, {Account: "b", Weight: 3, Tokens: 100},
+			{Account: "b", Weight: 3, Tokens: 100}, {Account: "a", Tokens: 100}}, nil, []Ticket{1, 2, 3, 4}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := slotsOnly(1, Options{MaxWait: time.Hour, MaxLongWait: time.Hour})
+			now := t0
+			q.Offer(now, Item{Ticket: 99, Account: "z", Tokens: 1})
+			for k, it := range c.items {
+				if c.gaps != nil {
+					now = now.Add(c.gaps[k])
+				}
+				it.Ticket = Ticket(k + 1)
+				if d := q.Offer(now, it); d.Verdict != Queued {
+					t.Fatalf("Offer(%d) = %v, want Queued", k+1, d)
+				}
+			}
+			var got []Ticket
+			now = now.Add(10 * time.Second) // the reserve for short work has ended
+			for last := Ticket(99); ; last = got[len(got)-1] {
+				started := q.Finished(now, last, Usage{Tokens: 100, Ran: true})
+				if len(started) == 0 {
+					break
+				}
+				got = append(got, started...)
+			}
+			if d := cmp.Diff(c.want, got); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+// Guards against a refusal without its reason and advice.
+func TestRefusals(t *testing.T) {
+	q := New(Options{})
+	if d := q.Offer(t0, Item{Ticket: 1}); d.Reason != NoCapacity || d.RetryAfter < time.Second {
+		t.Errorf("without capacity: %+v", d)
+	}
+	q = slotsOnly(1, Options{MaxQueuedTokens: 100})
+	q.Offer(t0, Item{Ticket: 1, Account: "a", Tokens: 10})
+	if d := q.Offer(t0, Item{Ticket: 2, Account: "a", Tokens: 101}); d.Reason != QueueFull {
+		t.Errorf("larger than the queue: %+v", d)
+	}
+	q.Offer(t0, Item{Ticket: 3, Account: "a", Tokens: 90})
+	d := q.Offer(t0, Item{Ticket: 4, Account: "b", Tokens: 50})
+	if d.Verdict != Queued || len(d.Displaced) != 1 || d.Displaced[0].Ticket != 3 || d.Displaced[0].Reason != Displaced {
+		t.Errorf("account below its share: %+v", d)
+	}
+	q.Offer(t0, Item{Ticket: 5, Account: "c", Tokens: 10, Deadline: t0.Add(50 * time.Millisecond)})
+	late := q.Expire(t0.Add(2 * time.Second))
+	want := map[Ticket]Reason{4: WaitedTooLong, 5: DeadlineUnreachable}
+	if len(late) != 2 || late[0].Reason != want[late[0].Ticket] || late[1].Reason != want[late[1].Ticket] {
+		t.Errorf("Expire = %+v", late)
+	}
+	if !slices.Equal(q.Finished(t0, 1, Usage{}), nil) || q.Stats().Running != 0 {
+		t.Errorf("after the end: %+v", q.Stats())
+	}
+}
+
+// Guards against a limit that does not follow the inter-token times: too high
+// a limit breaks the latency bound, too low a limit wastes the pool.
+func TestAdaptiveLimit(t *testing.T) {
+	q := New(Options{})
+	c := Capacity{Endpoints: 4, Slots: 4 * 64}
+	q.SetCapacity(t0, c)
+	now := t0
+	for k := range 4000 {
+		batch := 8 + k%9 // a pool far below its limit
+		now = now.Add(time.Millisecond)
+		q.Observe(now, 25*time.Millisecond+time.Duration(batch)*time.Millisecond, batch)
+	}
+	// 25 ms + 1 ms a request reaches 75 ms at 50 requests.
+	if got := q.Stats().PerEndpoint; got < 45 || got > 51 {
+		t.Errorf("limit by the model = %.1f, want 45 to 51", got)
+	}
+	for k := range 4000 {
+		now = now.Add(time.Millisecond)
+		q.Observe(now, 90*time.Millisecond, 48+k%3)
+	}
+	if got := q.Stats().PerEndpoint; got > 40 {
+		t.Errorf("limit after 4 s above the target = %.1f, want at most 40", got)
+	}
+}
+
+// checkQueue drives a queue with random calls and checks its invariants after
+// each one.
+func checkQueue(t *rapid.T, broken string) {
+	o := Options{MaxQueuedTokens: 2000, MaxWait: time.Second, MaxLongWait: 3 * time.Second, Services: true}
+	q := New(o)
+	q.broken = broken
+	slots := rapid.IntRange(1, 6).Draw(t, "slots")
+	q.SetCapacity(t0, Capacity{Endpoints: 1, Slots: float64(slots)})
+	now, next := t0, Ticket(0)
+	state := map[Ticket]string{}
+	since := map[Ticket]time.Time{}
+	mark := func(ids []Ticket, from, to string) {
+		for _, id := range ids {
+			if state[id] != from {
+				t.Fatalf("ticket %d goes from %q to %q", id, state[id], to)
+			}
+			state[id] = to
+		}
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"offer": func(t *rapid.T) {
+			next++
+			long := rapid.Bool().Draw(t, "long")
+			d := q.Offer(now, Item{Ticket: next, Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
+				Tokens: rapid.IntRange(1, 600).Draw(t, "tokens"), Long: long})
+			state[next] = []string{"running", "queued", "refused"}[d.Verdict]
+			since[next] = now
+			for _, x := range d.Displaced {
+				mark([]Ticket{x.Ticket}, "queued", "refused")
+			}
+		},
+		"finish": func(t *rapid.T) {
+			for id := Ticket(1); id <= next; id++ {
+				if state[id] == "running" {
+					state[id] = "done"
+					mark(q.Finished(now, id, Usage{Tokens: rapid.IntRange(0, 900).Draw(t, "actual"), Ran: true}), "queued", "running")
+					return
+				}
+			}
+		},
+		"wait": func(t *rapid.T) {
+			now = now.Add(time.Duration(rapid.IntRange(1, 800).Draw(t, "ms")) * time.Millisecond)
+			for _, x := range q.Expire(now) {
+				mark([]Ticket{x.Ticket}, "queued", "refused")
+			}
+			mark(q.SetCapacity(now, q.capacity), "queued", "running")
+		},
+		"": func(t *rapid.T) {
+			running, queued := 0, 0
+			for id, s := range state {
+				switch s {
+				case "running":
+					running++
+				case "queued":
+					queued++
+					if now.Sub(since[id]) >= o.MaxLongWait {
+						t.Fatalf("ticket %d has waited %v", id, now.Sub(since[id]))
+					}
+				}
+			}
+			s := q.Stats()
+			if s.Running != running || s.Queued != queued {
+				t.Fatalf("stats %+v, want %d running, %d queued", s, running, queued)
+			}
+			if running > slots {
+				t.Fatalf("%d running with %d slots", running, slots)
+			}
+			if s.QueuedTokens > o.MaxQueuedTokens {
+				t.Fatalf("%d tokens queued, bound %d", s.QueuedTokens, o.MaxQueuedTokens)
+			}
+			// Work conservation: a free slot beside a queue is only the
+			// reserve that long work leaves to short work.
+			if queued > 0 && running < slots {
+				reserve := slots - int(float64(slots)*(1-longReserve))
+				for _, e := range q.queued {
+					if !e.Long {
+						t.Fatalf("short ticket %d waits beside a free slot", e.Ticket)
+					}
+				}
+				if running < slots-reserve {
+					t.Fatalf("long work waits beside %d free slots", slots-running)
+				}
+			}
+		},
+	})
+}
+
+func TestQueueInvariants(t *testing.T) { rapid.Check(t, func(t *rapid.T) { checkQueue(t, "") }) }
+
+// fairShares keeps three accounts queued and returns the work of each.
+func fairShares(broken string) map[string]int {
+	q := slotsOnly(4, Options{MaxWait: time.Hour, MaxLongWait: time.Hour, MaxQueuedTokens: 1 << 30})
+	q.broken = broken
+	weights := map[string]float64{"a": 1, "b": 1, "c": 2}
+	sizes := map[string]int{"a": 50, "b": 400, "c": 100}
+	served, owner, next := map[string]int{}, map[Ticket]string{}, Ticket(0)
+	var running []Ticket
+	offer := func(a string) {
+		next++
+		owner[next] = a
+		if q.Offer(t0, Item{Ticket: next, Account: a, Weight: weights[a], Tokens: sizes[a]}).Verdict == Admitted {
+			running = append(running, next)
+		}
+	}
+	for range 30 {
+		for _, a := range []string{"a", "b", "c"} {
+			offer(a)
+		}
+	}
+	for range 2000 {
+		id := running[0]
+		a := owner[id]
+		served[a] += sizes[a]
+		running = append(running[1:], q.Finished(t0, id, Usage{Tokens: sizes[a], Ran: true})...)
+		offer(a)
+	}
+	return served
+}
+
+func fairError(served map[string]int) error {
+	total := served["a"] + served["b"] + served["c"]
+	for a, share := range map[string]float64{"a": 0.25, "b": 0.25, "c": 0.5} {
+		if got := float64(served[a]) / float64(total); got < share-0.02 {
+			return fmt.Errorf("account %s got %.3f of the work, its share is %.2f", a, got, share)
+		}
+	}
+	return nil
+}
+
+// Guards against an account below its weighted share while the pool is full.
+func TestFairness(t *testing.T) {
+	if err := fairError(fairShares("")); err != nil {
+		t.Error(err)
+	}
+	if fairError(fairShares("unfair")) == nil {
+		t.Error("the check accepts a queue that ignores accounts")
+	}
+}
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+func TestBrokenVariantsFail(t *testing.T) {
+	for _, name := range []string{"limit", "bound"} {
+		t.Run(name, func(t *testing.T) {
+			rapidtest.MustFail(t, func(t *rapid.T) { checkQueue(t, name) })
+		})
+	}
+}
--- /dev/null
+++ b/internal/enginefake/engine.go
@@ -0,0 +1,259 @@
+// Package enginefake has small fakes in virtual time for the benchmarks and
+// tests of the routing core: an engine with continuous batching, and a fleet
+// of daemons that use the core packages or a baseline policy. Only tests use
+// it.
+package enginefake
+
+import (
+	"container/heap"
+	"errors"
+	"slices"
+	"time"
+)
+
+// Loop is a discrete-event loop in virtual time. Events of the same time run
+// in the order in which they were added.
+type Loop struct {
+	now    time.Duration
+	seq    int
+	events eventHeap
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	fn  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return e
+}
+
+// After runs fn after d.
+func (l *Loop) After(d time.Duration, fn func()) {
+	l.seq++
+	heap.Push(&l.events, event{at: l.now + max(d, 0), seq: l.seq, fn: fn})
+}
+
+// Every runs fn at each multiple of d up to end.
+func (l *Loop) Every(d, end time.Duration, fn func()) {
+	l.After(d, func() {
+		fn()
+		if l.now < end {
+			l.Every(d, end, fn)
+		}
+	})
+}
+
+// Run runs all events up to end.
+func (l *Loop) Run(end time.Duration) {
+	for len(l.events) > 0 && l.events[0].at <= end {
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.fn()
+	}
+	l.now = end
+}
+
+// EngineConfig describes an engine. A step of the batch takes
+// Base + PerSequence*decoding + PerPrompt*prefilled.
+type EngineConfig struct {
+	Slots       int
+	Base        time.Duration
+	PerSequence time.Duration
+	PerPrompt   time.Duration // per prompt token
+	Chunk       int           // prompt tokens computed in one step at most
+	CacheSize   int           // prefixes in the cache
+	Restart     time.Duration // time down after a crash
+}
+
+// DefaultEngine is a model engine: 24 ms a step for one sequence, 10,000
+// prompt tokens a second, chunked prefill.
+func DefaultEngine(slots int) EngineConfig {
+	return EngineConfig{Slots: slots, Base: 24 * time.Millisecond, PerSequence: 600 * time.Microsecond,
+		PerPrompt: 100 * time.Microsecond, Chunk: 256, CacheSize: 16, Restart: 30 * time.Second}
+}
+
+// Job is one request on an engine.
+type Job struct {
+	Prompt, Tokens int
+	Prefix         uint64
+	PrefixTokens   int
+	// Poison crashes the engine when its prompt has been computed.
+	Poison bool
+	// OnToken is called for each token; OnFail if the engine crashes.
+	OnToken func(first, last bool)
+	OnFail  func()
+
+	prefill   int
+	done      int
+	cancelled bool
+}
+
+// Engine is a fake of an engine with continuous batching.
+type Engine struct {
+	loop    *Loop
+	cfg     EngineConfig
+	waiting []*Job
+	running []*Job
+	gone    int // jobs of running that ended in the present step
+	busy    bool
+	down    bool
+	epoch   int
+	cache   []uint64 // most recently used last
+	// Slow multiplies the time of a step; hidden from the daemons.
+	Slow float64
+	// Crashes, Hits, Lookups and Generated count events since the start.
+	Crashes, Hits, Lookups, Generated int
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(l *Loop, cfg EngineConfig) *Engine {
+	return &Engine{loop: l, cfg: cfg, Slow: 1}
+}
+
+// ErrDown reports a refused connection.
+var ErrDown = errors.New("enginefake: connection refused")
+
+// Submit adds a job to the engine's queue.
+func (e *Engine) Submit(j *Job) error {
+	if e.down {
+		return ErrDown
+	}
+	e.waiting = append(e.waiting, j)
+	e.kick()
+	return nil
+}
+
+// Cancel ends a job at the end of the present step.
+func (e *Engine) Cancel(j *Job) { j.cancelled = true }
+
+// Load returns the numbers of running and waiting jobs.
+func (e *Engine) Load() (running, waiting int) { return len(e.running) - e.gone, len(e.waiting) }
+
+func (e *Engine) kick() {
+	if e.busy || e.down || len(e.running)+len(e.waiting) == 0 {
+		return
+	}
+	e.busy = true
+	e.fill()
+	chunk, decoding := e.cfg.Chunk, 0
+	var prefilled int
+	for _, j := range e.running {
+		if j.prefill == 0 {
+			decoding++
+			continue
+		}
+		n := min(chunk-prefilled, j.prefill)
+		j.prefill -= n
+		prefilled += n
+	}
+	d := e.cfg.Base + time.Duration(decoding)*e.cfg.PerSequence + time.Duration(prefilled)*e.cfg.PerPrompt
+	epoch := e.epoch
+	e.loop.After(time.Duration(float64(d)*e.Slow), func() {
+		if e.epoch == epoch {
+			e.finishStep()
+		}
+	})
+}
+
+// fill moves waiting jobs into the batch.
+func (e *Engine) fill() {
+	for len(e.running) < e.cfg.Slots && len(e.waiting) > 0 {
+		j := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		if j.cancelled {
+			continue
+		}
+		j.prefill = max(1, j.Prompt)
+		if j.Prefix != 0 {
+			e.Lookups++
+			if e.touch(j.Prefix) {
+				e.Hits++
+				j.prefill = max(1, j.Prompt-j.PrefixTokens)
+			}
+		}
+		e.running = append(e.running, j)
+	}
+}
+
+// touch reports whether the prefix is cached, and makes it the newest one.
+func (e *Engine) touch(prefix uint64) bool {
+	at := slices.Index(e.cache, prefix)
+	if at >= 0 {
+		e.cache = append(slices.Delete(e.cache, at, at+1), prefix)
+		return true
+	}
+	if len(e.cache) >= e.cfg.CacheSize {
+		e.cache = slices.Delete(e.cache, 0, 1)
+	}
+	e.cache = append(e.cache, prefix)
+	return false
+}
+
+func (e *Engine) finishStep() {
+	batch := e.running
+	kept := make([]*Job, 0, len(batch))
+	for _, j := range batch {
+		switch {
+		case j.cancelled:
+			e.gone++
+			continue
+		case j.prefill > 0:
+			kept = append(kept, j)
+			continue
+		case j.Poison:
+			e.Crash()
+			return
+		}
+		j.done++
+		e.Generated++
+		if j.done < j.Tokens {
+			kept = append(kept, j)
+		} else {
+			e.gone++
+		}
+		j.OnToken(j.done == 1, j.done >= j.Tokens)
+	}
+	e.running, e.gone, e.busy = kept, 0, false
+	e.kick()
+}
+
+// Crash fails all jobs; the engine refuses connections until it has restarted.
+func (e *Engine) Crash() {
+	var lost []*Job
+	for _, j := range slices.Concat(e.running, e.waiting) {
+		if j.done < j.Tokens {
+			lost = append(lost, j)
+		}
+	}
+	e.running, e.waiting, e.cache, e.gone = nil, nil, nil, 0
+	e.down, e.busy = true, false
+	e.epoch++
+	e.Crashes++
+	e.loop.After(e.cfg.Restart, func() { e.down = false })
+	for _, j := range lost {
+		if !j.cancelled {
+			j.OnFail()
+		}
+	}
+}
--- /dev/null
+++ b/internal/enginefake/fleet.go
@@ -0,0 +1,311 @@
+package enginefake
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Policy says how a fleet chooses endpoints.
+type Policy int
+
+const (
+	// Core uses the core packages with all their parts.
+	Core Policy = iota
+	// CoreNoHedge is Core without hedges.
+	CoreNoHedge
+	// CoreNoAffinity is Core without prefix affinity.
+	CoreNoAffinity
+	// Random is a baseline without admission control, like the next three: a
+	// uniform choice.
+	Random
+	// RoundRobin is a rotation over the engines.
+	RoundRobin
+	// LeastReported takes the least load by the late reports.
+	LeastReported
+	// TwoChoices takes the lesser of two random engines by the daemon's own
+	// requests in flight.
+	TwoChoices
+	// Oracle is one scheduler that knows the true state at once: a common
+	// queue and the best batch size.
+	Oracle
+)
+
+var policyNames = [...]string{"core", "core-no-hedge", "core-no-affinity", "random", "round-robin", "least-reported", "two-choices", "oracle"}
+
+// String returns the name of p for benchmark metrics.
+func (p Policy) String() string { return policyNames[p] }
+
+// Config describes a fleet.
+type Config struct {
+	Engines, Daemons, Domains int
+	Engine                    EngineConfig
+	Policy                    Policy
+	Seed                      uint64
+	// DigestEvery is the interval of load digests, 200 ms by default; they
+	// arrive 2 ms later. Reports have an age of 2 s.
+	DigestEvery time.Duration
+	// Batch is the oracle's limit of requests per engine.
+	Batch int
+	// Patience is the longest wait in the oracle's queue.
+	Patience time.Duration
+	// Slowdowns slows one engine for a time each.
+	Slowdowns []Slowdown
+	// GapsFrom and GapsTo limit the inter-token times that are counted.
+	GapsFrom, GapsTo time.Duration
+	// ResendPoison makes the callers of failed poison requests send them
+	// again at once.
+	ResendPoison bool
+}
+
+// Slowdown is a hidden slowdown of one engine.
+type Slowdown struct {
+	Engine   int
+	From, To time.Duration
+	Factor   float64
+}
+
+// Record is what the caller of one request saw.
+type Record struct {
+	*Request
+	First, End      time.Duration
+	Done            bool
+	Refused, Failed bool
+	// GapSum and Gaps are the sum and number of inter-token times.
+	GapSum time.Duration
+	Gaps   int
+}
+
+// TTFT returns the time to first token from the arrival.
+func (r *Record) TTFT() time.Duration { return r.First - r.At }
+
+// Result is the outcome of a run.
+type Result struct {
+	Records []*Record
+	// GapCounts counts inter-token times in bins of 1 ms.
+	GapCounts [2000]int
+	// HedgeTokens are the tokens and prompt shares of hedges that lost.
+	HedgeTokens, Generated int
+	Hits, Lookups, Crashes int
+	// DigestBytes is the size of all digests sent to one peer by all daemons.
+	DigestBytes, Digests int
+	// QueueEmpty is the last time at which a daemon had a queue.
+	QueueEmpty time.Duration
+	MaxBatch   int
+}
+
+// GapPercentile returns the p-th percentile of inter-token times in ms.
+func (r *Result) GapPercentile(p float64) float64 {
+	total, sum := 0, 0
+	for _, n := range r.GapCounts {
+		total += n
+	}
+	for ms, n := range r.GapCounts {
+		if sum += n; float64(sum) >= p/100*float64(total) {
+			return float64(ms + 1)
+		}
+	}
+	return 0
+}
+
+type fleet struct {
+	*Loop
+	cfg     Config
+	engines []*Engine
+	daemons []*daemon
+	rng     *rand.Rand
+	res     *Result
+	reports [][]int // load of each engine at each report time, oldest first
+	queue   []*Record
+	turn    int
+}
+
+// Run runs requests through a fleet until end.
+func Run(cfg Config, requests []Request, end time.Duration) *Result {
+	if cfg.DigestEvery == 0 {
+		cfg.DigestEvery = 200 * time.Millisecond
+	}
+	f := &fleet{Loop: &Loop{}, cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), res: &Result{}}
+	for range cfg.Engines {
+		f.engines = append(f.engines, NewEngine(f.Loop, cfg.Engine))
+	}
+	for _, s := range cfg.Slowdowns {
+		e := f.engines[s.Engine]
+		f.After(s.From, func() { e.Slow = s.Factor })
+		f.After(s.To, func() { e.Slow = 1 })
+	}
+	f.Every(250*time.Millisecond, end, f.sampleLoad)
+	if cfg.Policy <= CoreNoAffinity {
+		f.startDaemons(end)
+	}
+	lb := rand.New(rand.NewPCG(cfg.Seed, 2))
+	for k := range requests {
+		r := &Record{Request: &requests[k]}
+		f.res.Records = append(f.res.Records, r)
+		home := lb.IntN(cfg.Daemons)
+		f.After(r.At, func() { f.arrive(r, home) })
+	}
+	f.Run(end)
+	for _, e := range f.engines {
+		f.res.Hits += e.Hits
+		f.res.Lookups += e.Lookups
+		f.res.Crashes += e.Crashes
+		f.res.Generated += e.Generated
+	}
+	return f.res
+}
+
+// sampleLoad keeps the true loads of the last 2 s as late reports.
+func (f *fleet) sampleLoad() {
+	row := make([]int, len(f.engines))
+	for k, e := range f.engines {
+		running, waiting := e.Load()
+		row[k] = running + waiting
+		f.res.MaxBatch = max(f.res.MaxBatch, row[k])
+	}
+	f.reports = append(f.reports, row)
+	if len(f.reports) > 9 {
+		f.reports = f.reports[1:]
+	}
+}
+
+func (f *fleet) arrive(r *Record, home int) {
+	switch f.cfg.Policy {
+	case Core, CoreNoHedge, CoreNoAffinity:
+		f.daemons[home].arrive(r)
+	case Oracle:
+		f.queue = append(f.queue, r)
+		f.serveOracle()
+	default:
+		f.submit(r, f.baseline(home), home)
+	}
+}
+
+// baseline chooses an engine by a simple policy.
+func (f *fleet) baseline(home int) int {
+	n := len(f.engines)
+	switch f.cfg.Policy {
+	case RoundRobin:
+		f.turn++
+		return (f.turn + home) % n
+	case LeastReported:
+		best := f.rng.IntN(n)
+		if len(f.reports) == 0 {
+			return best
+		}
+		for k, load := range f.reports[0] {
+			if load < f.reports[0][best] {
+				best = k
+			}
+		}
+		return best
+	case TwoChoices:
+		a, b := f.rng.IntN(n), f.rng.IntN(n)
+		if f.own(home, b) < f.own(home, a) {
+			return b
+		}
+		return a
+	}
+	return f.rng.IntN(n)
+}
+
+// own is a baseline daemon's number of requests on an engine.
+func (f *fleet) own(home, k int) int {
+	f.grow()
+	return f.daemons[home].inFlight[k]
+}
+
+func (f *fleet) grow() {
+	for len(f.daemons) < f.cfg.Daemons {
+		f.daemons = append(f.daemons, &daemon{inFlight: make([]int, len(f.engines))})
+	}
+}
+
+// submit sends r to engine k without any of the core packages.
+func (f *fleet) submit(r *Record, k, daemon int) {
+	var last time.Duration
+	f.grow()
+	home := f.daemons[daemon]
+	home.inFlight[k]++
+	j := r.job()
+	j.OnToken = func(first, done bool) {
+		f.seen(r, &last, first, done)
+		if done {
+			home.inFlight[k]--
+			f.serveOracle()
+		}
+	}
+	j.OnFail = func() { r.Failed = true; home.inFlight[k]-- }
+	if f.engines[k].Submit(j) != nil {
+		r.Failed = true
+		home.inFlight[k]--
+	}
+}
+
+func (r *Record) job() *Job {
+	return &Job{Prompt: r.Prompt, Tokens: r.Tokens, Prefix: r.Prefix, PrefixTokens: r.PrefixTokens, Poison: r.Poison}
+}
+
+// seen records what the caller sees.
+func (f *fleet) seen(r *Record, last *time.Duration, first, done bool) {
+	if first {
+		r.First = f.now
+	} else {
+		gap := f.now - *last
+		r.GapSum += gap
+		r.Gaps++
+		if f.now >= f.cfg.GapsFrom && (f.cfg.GapsTo == 0 || f.now < f.cfg.GapsTo) {
+			f.res.GapCounts[min(int(gap/time.Millisecond), len(f.res.GapCounts)-1)]++
+		}
+	}
+	*last = f.now
+	if done {
+		r.Done, r.End = true, f.now
+	}
+}
+
+// serveOracle starts queued requests on the engine with the least true load,
+// weighted by its hidden slowdown, while the best batch size allows.
+func (f *fleet) serveOracle() {
+	if f.cfg.Policy != Oracle {
+		return
+	}
+	for len(f.queue) > 0 {
+		r := f.queue[0]
+		if f.cfg.Patience > 0 && f.now-r.At > f.cfg.Patience {
+			r.Refused = true
+			f.queue = f.queue[1:]
+			continue
+		}
+		best, cost := -1, 0.0
+		for k, e := range f.engines {
+			running, waiting := e.Load()
+			n := running + waiting
+			if e.down || n >= f.cfg.Batch {
+				continue
+			}
+			if c := float64(n+1) * e.Slow; best < 0 || c < cost {
+				best, cost = k, c
+			}
+		}
+		if best < 0 {
+			return
+		}
+		f.queue = f.queue[1:]
+		f.submit(r, best, 0)
+	}
+}
+
+func engineID(k int) string { return "engine-" + strconv.Itoa(k) }
+
+// Select returns metric(r) of the finished records that keep selects.
+func (r *Result) Select(keep func(*Record) bool, metric func(*Record) float64) []float64 {
+	var out []float64
+	for _, x := range r.Records {
+		if x.Done && keep(x) {
+			out = append(out, metric(x))
+		}
+	}
+	return slices.Clip(out)
+}
--- /dev/null
+++ b/internal/enginefake/workload.go
@@ -0,0 +1,129 @@
+package enginefake
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Request is one request of a workload.
+type Request struct {
+	At           time.Duration
+	Account      string
+	Prompt       int
+	Tokens       int
+	Cap          int
+	Prefix       uint64
+	PrefixTokens int
+	Long         bool
+	Poison       bool
+	// Content is the digest of the request.
+	Content uint64
+}
+
+// Shape describes the requests of a workload.
+type Shape struct {
+	// Rate returns the requests per second at time t, at most MaxRate.
+	Rate    func(t time.Duration) float64
+	MaxRate float64
+	End     time.Duration
+	// MeanTokens and MeanPrompt are the mean lengths of short requests;
+	// lengths are spread uniformly between half and one and a half of it.
+	MeanTokens, MeanPrompt int
+	// LongShare of the requests are LongRatio times longer.
+	LongShare, LongRatio float64
+	// Accounts are drawn by these weights.
+	Accounts []float64
+	// Prefixes is the number of shared prompt prefixes, drawn by Zipf's law;
+	// PrefixTokens is their length, part of the prompt.
+	Prefixes, PrefixTokens int
+}
+
+// Generate returns the requests of a workload in order of time.
+func Generate(s Shape, seed uint64) []Request {
+	rng := rand.New(rand.NewPCG(seed, 0x5eed))
+	var out []Request
+	total := 0.0
+	for _, w := range s.Accounts {
+		total += w
+	}
+	var zipf *rand.Zipf
+	if s.Prefixes > 0 {
+		zipf = rand.NewZipf(rng, 1.1, 4, uint64(s.Prefixes-1))
+	}
+	for t := time.Duration(0); ; {
+		t += time.Duration(rng.ExpFloat64() / s.MaxRate * float64(time.Second))
+		if t >= s.End {
+			return out
+		}
+		if rng.Float64()*s.MaxRate > s.Rate(t) {
+			continue
+		}
+		r := Request{At: t, Account: pick(rng, s.Accounts, total), Content: rng.Uint64()}
+		r.Tokens = spread(rng, float64(s.MeanTokens))
+		r.Prompt = spread(rng, float64(s.MeanPrompt))
+		r.Cap = 2 * s.MeanTokens
+		if rng.Float64() < s.LongShare {
+			r.Long = true
+			r.Tokens = int(float64(r.Tokens) * s.LongRatio)
+			r.Cap = int(float64(r.Cap) * s.LongRatio)
+		}
+		if zipf != nil {
+			r.Prefix = zipf.Uint64()*0x9e3779b97f4a7c15 + 1
+			r.PrefixTokens = s.PrefixTokens
+			r.Prompt += s.PrefixTokens
+		}
+		out = append(out, r)
+	}
+}
+
+func spread(rng *rand.Rand, mean float64) int {
+	return max(1, int(mean*(0.5+rng.Float64())))
+}
+
+func pick(rng *rand.Rand, weights []float64, total float64) string {
+	x := rng.Float64() * total
+	for k, w := range weights {
+		if x -= w; x < 0 {
+			return "account-" + strconv.Itoa(k)
+		}
+	}
+	return "account-0"
+}
+
+// Capacity is the number of requests per second that one engine completes in
+// the long run with the given batch size.
+func (c EngineConfig) Capacity(batch int, tokens, prompt float64) float64 {
+	// Each sequence in the batch gets a token a step; a step also computes
+	// the prompts of the sequences that replace the finished ones.
+	step := float64(c.Base) + float64(batch)*float64(c.PerSequence) +
+		float64(batch)/tokens*prompt*float64(c.PerPrompt)
+	return float64(batch) / tokens / (step / float64(time.Second))
+}
+
+// BatchWithin is the largest batch whose steps, with a full chunk of prefill
+// in one of twenty, keep the target.
+func (c EngineConfig) BatchWithin(target time.Duration, tokens, prompt float64) int {
+	best := 1
+	for b := 1; b <= c.Slots; b++ {
+		// The number of prompts in a step is close to Poisson; its 95th
+		// percentile is taken as mean plus 1.65 standard deviations.
+		mean := float64(b) / tokens
+		prefill := min(float64(c.Chunk), (mean+1.65*math.Sqrt(mean))*prompt)
+		if float64(c.Base)+float64(b)*float64(c.PerSequence)+prefill*float64(c.PerPrompt) <= float64(target) {
+			best = b
+		}
+	}
+	return best
+}
+
+// Percentile returns the p-th percentile of v, 0 without values; v is sorted.
+func Percentile(v []float64, p float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[min(len(v)-1, int(p/100*float64(len(v))))]
+}
