--- /dev/null
+++ b/cmd/benchcheck/main.go
@@ -0,0 +1,26 @@
+// Command benchcheck compares benchmark output with the project's bounds. It is
+// a tool of the build and is not shipped.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/azurehatch/azurehatch/internal/benchcheck"
+)
+
+func main() {
+	app := kingpin.New("benchcheck", "Compare benchmark output with bounds.")
+	var o benchcheck.Options
+	app.Flag("bounds", "File of bounds.").Default("bench/bounds.toml").StringVar(&o.Bounds)
+	app.Flag("json", "Write the results as JSON.").StringVar(&o.JSON)
+	app.Flag("html", "Write a report.").StringVar(&o.HTML)
+	app.Arg("results", "Output of go test -bench.").Required().StringVar(&o.Input)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := benchcheck.Run(o, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "benchcheck:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/benchcheck/benchcheck_test.go
@@ -0,0 +1,100 @@
+package benchcheck
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const output = `goos: linux
+pkg: example/budget
+BenchmarkBudget/maracas/ordinary-10   	       1	 1000 ns/op	         0 overspend_tokens	         0.25 false_refusal_pct
+BenchmarkSize/members=7-10   	       1	 1 ns/op	 100 bytes/s
+BenchmarkSize/members=42-10   	       1	 1 ns/op	 600 bytes/s
+BenchmarkSize/members=420-10   	       1	 1 ns/op	 6000 bytes/s
+`
+
+const bounds = `
+[[bound]]
+benchmark = "Budget/.*"
+metric = "overspend_tokens"
+max = 0
+source = "invariant 1"
+
+[[bound]]
+benchmark = "Budget/.*"
+metric = "false_refusal_pct"
+max = 0.1
+source = "section 2.2"
+
+[[bound]]
+benchmark = "Renamed"
+metric = "x"
+min = 1
+source = "section 2.2"
+`
+
+// Guards against a check that passes although a bound is broken, or although
+// the benchmark that it limits did not run.
+func TestCheck(t *testing.T) {
+	parsed, err := ParseBounds([]byte(bounds))
+	if err != nil {
+		t.Fatal(err)
+	}
+	results, err := Read(strings.NewReader(output), "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	type row struct {
+		Name    string
+		Value   float64
+		Missing bool
+		OK      bool
+	}
+	var got []row
+	for _, v := range Check(parsed, results) {
+		got = append(got, row{v.Benchmark, v.Value, v.Missing, v.OK})
+	}
+	want := []row{
+		{"Budget/maracas/ordinary", 0, false, true},
+		{"Budget/maracas/ordinary", 0.25, false, false},
+		{"", 0, true, false},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+	if err := summarize(&bytes.Buffer{}, Check(parsed, results)); err != ErrBroken {
+		t.Errorf("got %v, want ErrBroken", err)
+	}
+}
+
+// Guards against bounds that nobody can trace, and against misspelt keys.
+func TestParseBoundsRefuses(t *testing.T) {
+	for _, text := range []string{
+		"[[bound]]\nbenchmark = \"a\"\nmetric = \"m\"\nmax = 1",
+		"[[bound]]\nbenchmark = \"a\"\nmetric = \"m\"\nsource = \"s\"",
+		"[[bound]]\nbenchmark = \"a\"\nmetric = \"m\"\nmaximum = 1\nsource = \"s\"",
+	} {
+		if _, err := ParseBounds([]byte(text)); err == nil {
+			t.Errorf("bounds %q were accepted", text)
+		}
+	}
+}
+
+// Guards against a report that loads anything from outside or lacks the curves.
+func TestReportIsSelfContained(t *testing.T) {
+	results, err := Read(strings.NewReader(output), "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var buf bytes.Buffer
+	if err := WriteHTML(&buf, nil, results, Curves(results)); err != nil {
+		t.Fatal(err)
+	}
+	page := buf.String()
+	if !strings.Contains(page, "<svg") || strings.Contains(page, "src=") || strings.Contains(page, "<link") {
+		t.Error("the page has no plot or loads something")
+	}
+}
--- /dev/null
+++ b/internal/benchcheck/bounds.go
@@ -0,0 +1,83 @@
+// Package benchcheck compares benchmark results with bounds and writes them as
+// JSON and as a report.
+package benchcheck
+
+import (
+	"bytes"
+	"regexp"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// Bound limits one metric of the benchmarks whose full name matches. Each
+// bound names the requirement that it comes from.
+type Bound struct {
+	// Benchmark is a regular expression for the whole name without the
+	// "Benchmark" prefix and the "-N" suffix.
+	Benchmark string   `toml:"benchmark" json:"benchmark"`
+	Metric    string   `toml:"metric" json:"metric"`
+	Max       *float64 `toml:"max" json:"max,omitempty"`
+	Min       *float64 `toml:"min" json:"min,omitempty"`
+	Source    string   `toml:"source" json:"source"`
+
+	match *regexp.Regexp
+}
+
+// ParseBounds reads the bounds; unknown keys and bounds without a source are
+// errors.
+func ParseBounds(text []byte) ([]Bound, error) {
+	var file struct {
+		Bound []Bound `toml:"bound"`
+	}
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&file); err != nil {
+		return nil, errors.Wrap(err, "bounds")
+	}
+	for i := range file.Bound {
+		b := &file.Bound[i]
+		if b.Source == "" || b.Metric == "" || (b.Max == nil && b.Min == nil) {
+			return nil, errors.Errorf("bound %d (%s): metric, source and max or min are needed", i+1, b.Benchmark)
+		}
+		m, err := regexp.Compile("^(?:" + b.Benchmark + ")$")
+		if err != nil {
+			return nil, errors.Wrapf(err, "bound %d", i+1)
+		}
+		b.match = m
+	}
+	return file.Bound, nil
+}
+
+// Verdict is the result of one bound for one benchmark.
+type Verdict struct {
+	Bound     Bound   `json:"bound"`
+	Benchmark string  `json:"benchmark"`
+	Value     float64 `json:"value"`
+	// Missing is true if no benchmark reported the metric.
+	Missing bool `json:"missing,omitempty"`
+	OK      bool `json:"ok"`
+}
+
+func (b Bound) holds(v float64) bool {
+	return (b.Max == nil || v <= *b.Max) && (b.Min == nil || v >= *b.Min)
+}
+
+// Check applies the bounds. A bound that no result reports is broken: a
+// benchmark that was renamed or did not run must not pass.
+func Check(bounds []Bound, results []Result) []Verdict {
+	var verdicts []Verdict
+	for _, b := range bounds {
+		found := false
+		for _, r := range results {
+			value, ok := r.Metrics[b.Metric]
+			if !ok || !b.match.MatchString(r.Name) {
+				continue
+			}
+			found = true
+			verdicts = append(verdicts, Verdict{Bound: b, Benchmark: r.Name, Value: value, OK: b.holds(value)})
+		}
+		if !found {
+			verdicts = append(verdicts, Verdict{Bound: b, Missing: true})
+		}
+	}
+	return verdicts
+}
--- /dev/null
+++ b/internal/benchcheck/run.go
@@ -0,0 +1,151 @@
+package benchcheck
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sort"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Options name the files of a check.
+type Options struct {
+	// Input is Go's benchmark output.
+	Input  string
+	Bounds string
+	// JSON and HTML are written if set.
+	JSON, HTML string
+}
+
+// ErrBroken means that a bound does not hold.
+var ErrBroken = errors.New("bounds are broken")
+
+// Run checks the results and writes the reports. It returns ErrBroken after it
+// has named each broken bound on out.
+func Run(o Options, out io.Writer) error {
+	text, err := os.ReadFile(o.Bounds)
+	if err != nil {
+		return errors.Wrap(err, "read bounds")
+	}
+	bounds, err := ParseBounds(text)
+	if err != nil {
+		return err
+	}
+	in, err := os.Open(o.Input)
+	if err != nil {
+		return errors.Wrap(err, "read results")
+	}
+	defer in.Close()
+	results, err := Read(in, filepath.Base(o.Input))
+	if err != nil {
+		return err
+	}
+	verdicts := Check(bounds, results)
+	if err := write(o, verdicts, results); err != nil {
+		return err
+	}
+	return summarize(out, verdicts)
+}
+
+func summarize(out io.Writer, verdicts []Verdict) error {
+	broken := 0
+	for _, v := range verdicts {
+		if v.OK {
+			continue
+		}
+		broken++
+		if v.Missing {
+			fmt.Fprintf(out, "BROKEN %s %s: no result (%s)\n", v.Bound.Benchmark, v.Bound.Metric, v.Bound.Source)
+			continue
+		}
+		fmt.Fprintf(out, "BROKEN %s %s = %.4g, bound%s (%s)\n", v.Benchmark, v.Bound.Metric, v.Value, v.Bound.text(), v.Bound.Source)
+	}
+	fmt.Fprintf(out, "%d bounds hold, %d are broken\n", len(verdicts)-broken, broken)
+	if broken > 0 {
+		return ErrBroken
+	}
+	return nil
+}
+
+func (b Bound) text() string {
+	s := ""
+	if b.Min != nil {
+		s += fmt.Sprintf(" >= %.4g", *b.Min)
+	}
+	if b.Max != nil {
+		s += fmt.Sprintf(" <= %.4g", *b.Max)
+	}
+	return s
+}
+
+func write(o Options, verdicts []Verdict, results []Result) error {
+	if o.JSON != "" {
+		body, err := json.MarshalIndent(struct {
+			Verdicts []Verdict `json:"verdicts"`
+			Results  []Result  `json:"results"`
+		}{verdicts, results}, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode results")
+		}
+		if err := os.WriteFile(o.JSON, append(body, '\n'), 0o644); err != nil {
+			return errors.Wrap(err, "write results")
+		}
+	}
+	if o.HTML == "" {
+		return nil
+	}
+	page, err := os.Create(o.HTML)
+	if err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	if err := WriteHTML(page, verdicts, results, Curves(results)); err != nil {
+		page.Close()
+		return err
+	}
+	return errors.Wrap(page.Close(), "write report")
+}
+
+// sized matches a benchmark with a size in its name, such as "members=42".
+var sized = regexp.MustCompile(`^(.*?)([a-z]+)=(\d+)(.*)$`)
+
+// minCurvePoints is the number of sizes from which a curve is drawn.
+const minCurvePoints = 3
+
+// Curves collects the metrics of benchmarks that ran at three or more sizes.
+func Curves(results []Result) []Curve {
+	byTitle := make(map[string]*Curve)
+	for _, r := range results {
+		m := sized.FindStringSubmatch(r.Name)
+		if m == nil {
+			continue
+		}
+		x, err := strconv.ParseFloat(m[3], 64)
+		if err != nil {
+			continue
+		}
+		for metric, y := range r.Metrics {
+			title := m[1] + m[2] + m[4] + ": " + metric
+			c := byTitle[title]
+			if c == nil {
+				c = &Curve{Title: title, X: m[2], Y: metric}
+				byTitle[title] = c
+			}
+			c.Points = append(c.Points, Point{X: x, Y: y})
+		}
+	}
+	var curves []Curve
+	for _, c := range byTitle {
+		if len(c.Points) < minCurvePoints {
+			continue
+		}
+		sort.Slice(c.Points, func(i, j int) bool { return c.Points[i].X < c.Points[j].X })
+		curves = append(curves, *c)
+	}
+	sort.Slice(curves, func(i, j int) bool { return curves[i].Title < curves[j].Title })
+	return curves
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -36,6 +36,7 @@
 	name := cmd.Flag("deployment", "Shape of the fleet: "+strings.Join(dev.DeploymentNames(), " or ")+".").Default("maracas").String()
 	port := cmd.Flag("port", "Callers' port of the first daemon; 0 lets the system choose.").Default("8080").Int()
 	level := cmd.Flag("log-level", "debug, info, warn or error.").Default("warn").String()
+	demo := cmd.Flag("demo", "Send a few requests, show what came back and stop.").Bool()
 	return cmd.FullCommand(), func() error {
 		log, err := newLog(*level)
 		if err != nil {
@@ -50,6 +51,11 @@
 			return err
 		}
 		defer f.Close()
+		if *demo {
+			ctx, cancel := untilSignal()
+			defer cancel()
+			return f.Demo(ctx, out)
+		}
 		for i, d := range f.Daemons {
 			fmt.Fprintf(out, "daemon %d  callers http://%s  admin http://%s\n", i+1, d.CallersAddr(), d.AdminAddr())
 		}
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -97,7 +97,7 @@
 	for i, addr := range services {
 		c.Endpoints[fmt.Sprintf("%s-%d", d.Service, i+1)] = config.Endpoint{Service: d.Service, Address: addr, Domain: d.domain(i)}
 	}
-	for _, name := range d.Accounts {
+	for _, name := range append([]string{TrialAccount}, d.Accounts...) {
 		c.Accounts[name] = config.Account{Keys: []string{hashed(Key(name))}, Weight: 1}
 		c.Budgets[config.BudgetID(name, budgetName)] = config.Budget{}
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -147,9 +147,13 @@
 
 func (f *Fleet) topUp() error {
 	books := ledger.Books{Store: f.Store}
+	prepaid := map[string]int64{TrialAccount: trialPrepaid}
 	for _, account := range f.Deployment.Accounts {
+		prepaid[account] = Prepaid
+	}
+	for account, tokens := range prepaid {
 		id := config.BudgetID(account, budgetName)
-		if err := books.TopUp(context.Background(), "dev-"+id, id, Prepaid); err != nil {
+		if err := books.TopUp(context.Background(), "dev-"+id, id, tokens); err != nil {
 			return err
 		}
 	}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -170,13 +170,13 @@
 
 // fixture is a gateway over real sockets with small fakes behind it.
 type fixture struct {
-	t      *testing.T
+	t      testing.TB
 	fleet  *fakeFleet
 	g      *Gateway
 	server *httptest.Server
 }
 
-func newFixture(t *testing.T, engines ...http.HandlerFunc) *fixture {
+func newFixture(t testing.TB, engines ...http.HandlerFunc) *fixture {
 	f := &fakeFleet{balance: 100_000, bills: map[string]int64{}, claims: map[ClaimKey]*fakeClaim{}}
 	for i, h := range engines {
 		s := httptest.NewServer(h)
--- /dev/null
+++ b/internal/gateway/overhead_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// passThrough is the plain reverse proxy that the daemon's overhead is
+// compared with: it copies a request to the engine and the answer back.
+func passThrough(addr string, client *http.Client) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+addr+r.URL.Path, r.Body)
+		if err != nil {
+			panic(err)
+		}
+		req.Header = r.Header
+		resp, err := client.Do(req)
+		if err != nil {
+			panic(err)
+		}
+		defer resp.Body.Close()
+		for k, v := range resp.Header {
+			w.Header()[k] = v
+		}
+		w.WriteHeader(resp.StatusCode)
+		buf := make([]byte, 16<<10)
+		for {
+			n, err := resp.Body.Read(buf)
+			if n > 0 {
+				_, _ = w.Write(buf[:n])
+				w.(http.Flusher).Flush()
+			}
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// cpu returns the processor time of this process.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// sample is the cost of requests along one path.
+type sample struct {
+	cpu time.Duration // each
+	p50 time.Duration
+	p99 time.Duration
+}
+
+func measure(b *testing.B, url, body string, n int) sample {
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer client.CloseIdleConnections()
+	before := cpu()
+	for range n {
+		req, err := http.NewRequest(http.MethodPost, url+chatPath, strings.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set("Content-Type", "application/json")
+		started := time.Now()
+		resp, err := client.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			b.Fatal(err)
+		}
+		resp.Body.Close()
+		_ = h.RecordValue(int64(time.Since(started)))
+	}
+	return sample{
+		cpu: (cpu() - before) / time.Duration(n),
+		p50: time.Duration(h.ValueAtQuantile(50)), p99: time.Duration(h.ValueAtQuantile(99)),
+	}
+}
+
+// BenchmarkOverhead compares the daemon with a plain reverse proxy in the same
+// run. The cost of client and engine alone is taken off both.
+func BenchmarkOverhead(b *testing.B) {
+	for _, c := range []struct {
+		name, body string
+		engine     http.HandlerFunc
+	}{
+		{"whole", wholeBody, whole},
+		{"stream", strings.Replace(chatBody, `"stream":true`, `"stream":true,"max_tokens":64`, 1), stream(64, "done")},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			x := newFixture(b, c.engine)
+			x.fleet.balance = 1 << 50
+			engine := x.fleet.endpoints[0].Addr
+			proxyClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+			proxy := httptest.NewServer(passThrough(engine, proxyClient))
+			defer proxy.Close()
+			const n = 2000
+			measure(b, x.server.URL, c.body, n/10)
+			var direct, plain, gw sample
+			for b.Loop() {
+				direct = measure(b, "http://"+engine, c.body, n)
+				plain = measure(b, proxy.URL, c.body, n)
+				gw = measure(b, x.server.URL, c.body, n)
+			}
+			b.ReportMetric(float64(gw.cpu-direct.cpu)/float64(plain.cpu-direct.cpu), "cpu_ratio")
+			b.ReportMetric(float64((gw.p50 - direct.p50).Microseconds()), "added_p50_us")
+			b.ReportMetric(float64((gw.p99 - direct.p99).Microseconds()), "added_p99_us")
+			b.ReportMetric(1/(gw.cpu-direct.cpu).Seconds(), "requests/core-s")
+		})
+	}
+}
+
+// discard is a caller that takes everything.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+func (discard) Flush()                      {}
+
+// BenchmarkRelay measures the relay of one token.
+func BenchmarkRelay(b *testing.B) {
+	const tokens = 1000
+	var src bytes.Buffer
+	for i := range tokens {
+		fmt.Fprintf(&src, "id: %d\ndata: {\"id\":\"c\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"}}]}\n\n", i+1)
+	}
+	src.WriteString("data: [DONE]\n\n")
+	b.ReportAllocs()
+	allocs := testing.AllocsPerRun(10, func() {
+		relay := &upstream.Relay{IDPrefix: "r~e~", OnToken: func(int64) error { return nil }}
+		if err := relay.Copy(discard{}, bytes.NewReader(src.Bytes())); err != nil {
+			b.Fatal(err)
+		}
+	})
+	before, n := cpu(), 0
+	for b.Loop() {
+		n++
+		relay := &upstream.Relay{IDPrefix: "r~e~", OnToken: func(int64) error { return nil }}
+		if err := relay.Copy(discard{}, bytes.NewReader(src.Bytes())); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(allocs/tokens, "allocs/token")
+	b.ReportMetric(float64(n*tokens)/(cpu()-before).Seconds(), "tokens/core-s")
+}
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -4,7 +4,6 @@
 	"context"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -50,12 +49,10 @@
 	})
 }
 
-// Resolve ends the dispute of a failure domain's old grants in an account's
-// record; see budget.Record.Resolve.
-func (b Books) Resolve(ctx context.Context, account, domain string, release bool) error {
-	return b.edit(ctx, budget.ShardOf(account), func(r *budget.Record) error {
-		return r.Resolve(domain, release, time.Now())
-	})
+// Decide records an operator's decision on the disputed tokens of a failure
+// domain; see budget.Record.Decide.
+func (b Books) Decide(ctx context.Context, account, domain string, decision budget.Decision) error {
+	return b.edit(ctx, budget.ShardOf(account), func(r *budget.Record) error { return r.Decide(domain, decision) })
 }
 
 func (b Books) edit(ctx context.Context, shard int, change func(*budget.Record) error) error {
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,212 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/gateway"
+	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/azurehatch/azurehatch/internal/problem"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// group is a failure domain of ledgers that call each other directly. The
+// first live member owns all shards.
+type group struct {
+	ledgers map[string]*Ledger
+	live    []string
+}
+
+func (g *group) Owner(string, string) (membership.Member, bool) {
+	return g.LiveIn("")[0], true
+}
+
+func (g *group) LiveIn(string) []membership.Member {
+	var list []membership.Member
+	for _, id := range g.live {
+		list = append(list, membership.Member{Identity: membership.Identity{ID: id, Addr: id}})
+	}
+	return list
+}
+
+func (g *group) Addr(id string) (string, bool) { return id, true }
+func (g *group) Domains() []string             { return []string{"a"} }
+
+var errUnreachable = errors.New("unreachable")
+
+func (g *group) at(addr string) (*Ledger, error) {
+	if l, ok := g.ledgers[addr]; ok {
+		return l, nil
+	}
+	return nil, errUnreachable
+}
+
+func (g *group) Reserve(ctx context.Context, addr string, r budget.ReserveRequest) (budget.Reply, error) {
+	l, err := g.at(addr)
+	if err != nil {
+		return budget.Reply{}, err
+	}
+	return l.Reserve(ctx, r)
+}
+
+func (g *group) Extend(ctx context.Context, addr string, r budget.ExtendRequest) (budget.Reply, error) {
+	l, err := g.at(addr)
+	if err != nil {
+		return budget.Reply{}, err
+	}
+	return l.Extend(ctx, r)
+}
+
+func (g *group) Settle(ctx context.Context, addr string, r budget.SettleRequest) (budget.Reply, error) {
+	l, err := g.at(addr)
+	if err != nil {
+		return budget.Reply{}, err
+	}
+	return l.Settle(ctx, r)
+}
+
+func (g *group) Register(ctx context.Context, addr string, r budget.RegisterRequest) (budget.Reply, error) {
+	l, err := g.at(addr)
+	if err != nil {
+		return budget.Reply{}, err
+	}
+	return l.Register(ctx, r)
+}
+
+func (g *group) Mirror(_ context.Context, addr string, m budget.MirrorRequest) (budget.MirrorAnswer, error) {
+	l, err := g.at(addr)
+	if err != nil {
+		return budget.MirrorAnswer{}, err
+	}
+	return l.Mirror(m), nil
+}
+
+func (g *group) Reclaim(context.Context, string, budget.ReclaimRequest) error { return nil }
+
+func (g *group) AnnounceEpoch(_ context.Context, addr string, shard int, epoch uint64) error {
+	l, err := g.at(addr)
+	if err == nil {
+		l.ObserveEpoch(shard, epoch)
+	}
+	return err
+}
+
+func newGroup(t *testing.T, store *memstore.Store, ids ...string) *group {
+	g := &group{ledgers: map[string]*Ledger{}, live: ids}
+	for _, id := range ids {
+		g.ledgers[id] = New(Options{
+			ID: id, Domain: "a", Store: store, Members: g, Peers: g, Interval: 20 * time.Millisecond, Step: 256, Timeout: 20 * time.Second,
+			BudgetFor: func(account, _ string) (string, bool) { return account + "/main", true }, Log: zerolog.Nop(),
+		})
+	}
+	t.Cleanup(func() {
+		for _, l := range g.ledgers {
+			l.Close()
+		}
+	})
+	return g
+}
+
+func topUp(t *testing.T, store *memstore.Store, tokens int64) Books {
+	books := Books{Store: store}
+	if err := books.TopUp(context.Background(), "op1", "shop/main", tokens); err != nil {
+		t.Fatal(err)
+	}
+	return books
+}
+
+func drain(t *testing.T, l *Ledger) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := l.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a bill that is lost or counted twice between two daemons, the
+// store's lost answers included, and against spend above the prepaid amount.
+func TestBillsReachTheStoreOnce(t *testing.T) {
+	store := memstore.New(nil)
+	books := topUp(t, store, 1000)
+	g := newGroup(t, store, "d1", "d2")
+	store.SetFaults(memstore.Faults{LoseAnswers: 2})
+	for i := range 10 {
+		l := g.ledgers[g.live[i%2]]
+		h, err := l.Gateway().Reserve(context.Background(), gateway.Charge{ID: fmt.Sprint("r", i), Account: "shop", Tokens: 50})
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		h.Settle(10)
+	}
+	for _, l := range g.ledgers {
+		drain(t, l)
+	}
+	s, err := books.Statement(context.Background(), "shop")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Spent != 100 || s.Requests != 10 || len(s.Bills) != 10 {
+		t.Errorf("spent %d in %d requests with %d bills, want 100, 10, 10", s.Spent, s.Requests, len(s.Bills))
+	}
+}
+
+// Guards against overspend and against a refusal while tokens are left.
+func TestExhaustedBudgetRefuses(t *testing.T) {
+	store := memstore.New(nil)
+	topUp(t, store, 100)
+	l := newGroup(t, store, "d1", "d2").ledgers["d2"].Gateway()
+	ctx := context.Background()
+	if _, err := l.Reserve(ctx, gateway.Charge{ID: "r1", Account: "shop", Tokens: 90}); err != nil {
+		t.Fatal(err)
+	}
+	_, err := l.Reserve(ctx, gateway.Charge{ID: "r2", Account: "shop", Tokens: 20})
+	if p := problem.From(err); p.Kind != problem.BudgetExhausted {
+		t.Errorf("got %v, want budget-exhausted", err)
+	}
+	if _, err := l.Reserve(ctx, gateway.Charge{ID: "r3", Account: "shop", Tokens: 10}); err != nil {
+		t.Errorf("10 tokens are left: %v", err)
+	}
+}
+
+// Guards against open reservations that are lost with the allocator: a bill
+// made under the old allocator must still be counted, once.
+func TestAllocatorChange(t *testing.T) {
+	store := memstore.New(nil)
+	books := topUp(t, store, 1000)
+	g := newGroup(t, store, "d1", "d2", "d3")
+	ctx := context.Background()
+	h, err := g.ledgers["d2"].Gateway().Reserve(ctx, gateway.Charge{ID: "r1", Account: "shop", Tokens: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.ledgers["d1"].Close()
+	for _, id := range []string{"d2", "d3"} {
+		l := g.ledgers[id]
+		l.mu.Lock()
+		g.live = []string{"d2", "d3"}
+		l.mu.Unlock()
+	}
+	g.ledgers["d2"].MembersChanged()
+	g.ledgers["d3"].MembersChanged()
+	h2, err := g.ledgers["d3"].Gateway().Reserve(ctx, gateway.Charge{ID: "r2", Account: "shop", Tokens: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Settle(30)
+	h2.Settle(20)
+	drain(t, g.ledgers["d2"])
+	drain(t, g.ledgers["d3"])
+	s, err := books.Statement(ctx, "shop")
+	if err != nil || s.Spent != 50 || s.Requests != 2 {
+		t.Errorf("statement %+v, error %v, want 50 tokens in 2 requests", s, err)
+	}
+}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -63,11 +63,16 @@
 
 	progress Progress
 	out      []byte
-	id       []byte
+	id       []byte // of the event being read
+	lastID   []byte // of the last relayed event
 }
 
 // Progress returns what has been relayed so far.
-func (r *Relay) Progress() Progress { return r.progress }
+func (r *Relay) Progress() Progress {
+	p := r.progress
+	p.LastEventID = string(r.lastID)
+	return p
+}
 
 // Writer is where a stream goes.
 type Writer interface {
@@ -132,8 +137,8 @@
 	if _, err := dst.Write(r.out); err != nil {
 		return errors.Wrap(ErrCallerGone, err.Error())
 	}
-	if hasID && string(r.id) != r.progress.LastEventID {
-		r.progress.LastEventID = string(r.id)
+	if hasID {
+		r.lastID = append(r.lastID[:0], r.id...)
 	}
 	switch kind {
 	case chunkDone:
