Refuse as exhausted when fewer tokens are left than needed

Cause: a request for 20 tokens at a budget with 10 left was answered as unavailable, so a caller would retry in vain (ledger test). Change: the refusal compares the request's need with the unspent tokens; an extension after the settlement has no effect, and the gateway's fake now says so too (it leaked 4 tokens in a garbage stream). Conclusion: callers can tell an empty budget from an unreachable one.

--- a/internal/budget/message.go
+++ b/internal/budget/message.go
@@ -64,9 +64,10 @@
 // reservation as it was.
 const (
 	StatusOK Status = iota + 1
-	// StatusExhausted: no unspent tokens are left outside open reservations.
+	// StatusExhausted: fewer unspent tokens than needed are left outside open
+	// reservations.
 	StatusExhausted
-	// StatusUnavailable: tokens may exist but cannot be drawn now.
+	// StatusUnavailable: enough tokens may exist but cannot be drawn now.
 	StatusUnavailable
 	// StatusDuplicate: a request with the same ID is in progress.
 	StatusDuplicate
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -144,8 +144,8 @@
 		a.reply(e.kind, e.res.Key, StatusOK, e.res.Tokens)
 		return true
 	}
-	if !now.Before(e.deadline) || (!e.taken && a.knownEmpty(now, e.res.Budget)) {
-		a.refuse(e, a.refusal(e.res.Budget))
+	if need := e.want - e.res.Tokens; !now.Before(e.deadline) || (!e.taken && a.knownShort(now, e.res.Budget, need)) {
+		a.refuse(e, a.refusal(e.res.Budget, need))
 		return true
 	}
 	if !e.taken {
@@ -154,14 +154,14 @@
 	return false
 }
 
-// knownEmpty reports whether a fresh record shows no tokens outside this
-// failure domain, so that waiting cannot help.
-func (a *Allocator) knownEmpty(now time.Time, budget string) bool {
-	return now.Sub(a.lastLoaded) < emptyFresh && a.flight == nil && a.refusal(budget) == StatusExhausted
+// knownShort reports whether a fresh record shows that fewer unspent tokens
+// exist than the request needs, so that waiting cannot help.
+func (a *Allocator) knownShort(now time.Time, budget string, need int64) bool {
+	return now.Sub(a.lastLoaded) < emptyFresh && a.flight == nil && a.refusal(budget, need) == StatusExhausted
 }
 
-// refusal tells whether unspent tokens may exist outside this allocator.
-func (a *Allocator) refusal(budget string) Status {
+// refusal tells whether enough unspent tokens for the request may exist.
+func (a *Allocator) refusal(budget string, need int64) Status {
 	b := a.rec.Budgets[budget]
 	if b == nil {
 		return StatusUnknown
@@ -172,7 +172,7 @@
 			elsewhere += g.Tokens
 		}
 	}
-	if elsewhere > 0 || a.pool(budget).free() > 0 || a.recovering {
+	if elsewhere+a.pool(budget).free() >= need || a.recovering {
 		return StatusUnavailable
 	}
 	return StatusExhausted
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -68,6 +68,7 @@
 	f      *fakeFleet
 	id     string
 	tokens int64
+	ended  bool
 }
 
 func (f *fakeFleet) Reserve(_ context.Context, c Charge) (Hold, error) {
@@ -83,6 +84,9 @@
 func (h *fakeHold) Extend(_ context.Context, total int64) error {
 	h.f.mu.Lock()
 	defer h.f.mu.Unlock()
+	if h.ended {
+		return problem.New(problem.BudgetUnavailable, "the reservation has ended")
+	}
 	if h.f.balance-h.f.reserved < total-h.tokens {
 		return problem.New(problem.BudgetExhausted, "no tokens left")
 	}
@@ -97,6 +101,7 @@
 	if _, twice := h.f.bills[h.id]; twice {
 		panic("request " + h.id + " settled twice")
 	}
+	h.ended = true
 	h.f.reserved -= h.tokens
 	h.f.balance -= tokens
 	h.f.bills[h.id] = tokens
@@ -105,6 +110,7 @@
 func (h *fakeHold) Release() {
 	h.f.mu.Lock()
 	defer h.f.mu.Unlock()
+	h.ended = true
 	h.f.reserved -= h.tokens
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,8 @@
 
 // Hold is a reservation. Exactly one of Settle and Release ends it.
 type Hold interface {
-	// Extend raises the reservation to total tokens.
+	// Extend raises the reservation to total tokens. An Extend that is in
+	// progress when the reservation ends has no effect.
 	Extend(ctx context.Context, total int64) error
 	// Settle bills tokens and frees the rest.
 	Settle(tokens int64)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -210,3 +210,25 @@
 		t.Errorf("statement %+v, error %v, want 50 tokens in 2 requests", s, err)
 	}
 }
+
+// Guards against tokens that stay reserved when a stream ends while its
+// reservation is being extended.
+func TestExtendAfterSettleHasNoEffect(t *testing.T) {
+	store := memstore.New(nil)
+	books := topUp(t, store, 1000)
+	g := newGroup(t, store, "d1", "d2")
+	ctx := context.Background()
+	h, err := g.ledgers["d2"].Gateway().Reserve(ctx, gateway.Charge{ID: "r1", Account: "shop", Tokens: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Settle(30)
+	if err := h.Extend(ctx, 200); err == nil {
+		t.Error("a settled reservation was extended")
+	}
+	drain(t, g.ledgers["d2"])
+	s, err := books.Statement(ctx, "shop")
+	if err != nil || s.Spent != 30 {
+		t.Errorf("statement %+v, error %v, want 30 tokens", s, err)
+	}
+}
