Require TLS unless the settings allow plain text

Cause: the defaults allowed plain text on each listener. Change: plain_text is off by default; certificates are read again when they change; peers verify each other. Conclusion: plain text needs an explicit setting.

--- /dev/null
+++ b/internal/certs/certs_test.go
@@ -0,0 +1,169 @@
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// authority signs test certificates.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.cert, a.key = a.sign(template, template, nil)
+	a.write("ca.pem", "CERTIFICATE", a.cert.Raw)
+	return a
+}
+
+func (a *authority) sign(template, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	if signer == nil {
+		signer = key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return cert, key
+}
+
+func (a *authority) write(name, kind string, der []byte) string {
+	path := filepath.Join(a.dir, name)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return path
+}
+
+// issue writes a certificate for 127.0.0.1 that ends at notAfter.
+func (a *authority) issue(name string, serial int64, notAfter time.Time) Files {
+	cert, key := a.sign(&x509.Certificate{
+		SerialNumber: big.NewInt(serial), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: notAfter,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.cert, a.key)
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return Files{
+		Cert: a.write(name+".pem", "CERTIFICATE", cert.Raw), Key: a.write(name+".key", "EC PRIVATE KEY", der),
+		CA: filepath.Join(a.dir, "ca.pem"),
+	}
+}
+
+// handshake connects a client to a server and returns both sides' errors and
+// the serial number of the server's certificate.
+func handshake(t *testing.T, server, client *tls.Config) (serial int64, serverErr, clientErr error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	done := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		defer conn.Close()
+		done <- tls.Server(conn, server).Handshake()
+	}()
+	client.ServerName = "127.0.0.1"
+	conn, err := tls.Dial("tcp", l.Addr().String(), client)
+	serverErr = <-done
+	if err != nil {
+		return 0, serverErr, err
+	}
+	defer conn.Close()
+	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), serverErr, nil
+}
+
+func load(t *testing.T, f Files, now func() time.Time) *Pair {
+	p, err := Load(f, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against a peer that is accepted without a valid certificate of the
+// fleet's CA, in either direction.
+func TestMutualTLS(t *testing.T) {
+	a, other := newAuthority(t), newAuthority(t)
+	hour := time.Now().Add(time.Hour)
+	good := a.issue("good", 2, hour)
+	expired := a.issue("expired", 3, time.Now().Add(-time.Minute))
+	foreign := other.issue("foreign", 4, hour)
+	server := load(t, good, nil).Server()
+	if _, serr, cerr := handshake(t, server, load(t, good, nil).Client()); serr != nil || cerr != nil {
+		t.Errorf("valid peers: server %v, client %v", serr, cerr)
+	}
+	for name, f := range map[string]Files{"expired": expired, "foreign": {Cert: foreign.Cert, Key: foreign.Key, CA: good.CA}} {
+		if _, serr, _ := handshake(t, server, load(t, f, nil).Client()); serr == nil {
+			t.Errorf("the server accepted the %s client", name)
+		}
+		if _, _, cerr := handshake(t, load(t, f, nil).Server(), load(t, good, nil).Client()); cerr == nil {
+			t.Errorf("the client accepted the %s server", name)
+		}
+	}
+	if _, serr, _ := handshake(t, server, &tls.Config{InsecureSkipVerify: true}); serr == nil {
+		t.Error("the server accepted a client without a certificate")
+	}
+}
+
+// Guards against a renewed certificate that needs a restart, and against a
+// broken file that takes the listener down.
+func TestReload(t *testing.T) {
+	a := newAuthority(t)
+	now := time.Now()
+	files := a.issue("server", 2, now.Add(time.Hour))
+	p := load(t, files, func() time.Time { return now })
+	client := load(t, a.issue("client", 9, now.Add(time.Hour)), nil)
+	a.issue("server", 3, now.Add(time.Hour))
+	later := now.Add(time.Minute)
+	for _, name := range []string{files.Cert, files.Key} {
+		if err := os.Chtimes(name, later, later); err != nil {
+			t.Fatal(err)
+		}
+	}
+	now = now.Add(checkInterval)
+	if serial, _, err := handshake(t, p.Server(), client.Client()); err != nil || serial != 3 {
+		t.Errorf("serial %d, error %v, want the renewed certificate 3", serial, err)
+	}
+	if err := os.WriteFile(files.Cert, []byte("broken"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(time.Hour / 2)
+	if serial, _, err := handshake(t, p.Server(), client.Client()); err != nil || serial != 3 {
+		t.Errorf("serial %d, error %v, want certificate 3 kept in use", serial, err)
+	}
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -167,6 +167,7 @@
 	}
 	s.Callers.Listen = fmt.Sprintf("127.0.0.1:%d", port)
 	s.Peers.Listen, s.Admin.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	s.Callers.PlainText, s.Peers.PlainText, s.Admin.PlainText = true, true, true
 	s.Shutdown.Announce = settings.Duration(200 * time.Millisecond)
 	d, err := daemon.New(daemon.Options{Settings: s, Store: f.Store, Log: log})
 	if err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,7 +37,7 @@
 	CertFile  string `toml:"cert_file" comment:"PEM certificate; read again when it changes."`
 	KeyFile   string `toml:"key_file" comment:"PEM private key; read again when it changes."`
 	CAFile    string `toml:"ca_file" comment:"PEM certificates that clients must be signed by; empty: no client certificate."`
-	PlainText bool   `toml:"plain_text" comment:"Allow this listener without TLS."`
+	PlainText bool   `toml:"plain_text" comment:"Allow this listener without TLS; callers and peers then send keys in the clear."`
 }
 
 // TLS tells whether the listener uses TLS.
@@ -81,9 +81,9 @@
 func Default() Settings {
 	return Settings{
 		Instance: Instance{FailureDomain: "default", Region: "default"},
-		Callers:  Listener{Listen: "127.0.0.1:8080", PlainText: true},
-		Peers:    Listener{Listen: "127.0.0.1:8081", PlainText: true},
-		Admin:    Listener{Listen: "127.0.0.1:8082", PlainText: true},
+		Callers:  Listener{Listen: "127.0.0.1:8080"},
+		Peers:    Listener{Listen: "127.0.0.1:8081"},
+		Admin:    Listener{Listen: "127.0.0.1:8082"},
 		Platform: Platform{Addresses: []string{"http://127.0.0.1:2379"}, Timeout: Duration(2 * time.Second), CallsPerSecond: 50},
 		Limits: Limits{
 			Body: 8 << 20, HeaderTimeout: Duration(5 * time.Second), BodyTimeout: Duration(30 * time.Second),
