membership: state machine with heartbeats on a ring of IDs

Change: heartbeats with digests on a ring (full mesh up to 6 members), probes through relays before a suspicion, exchange between two representatives of each failure domain, changes pushed with acknowledgement, a merged platform list in which leaving is final. Five broken variants are noticed.

--- /dev/null
+++ b/internal/membership/broken_test.go
@@ -0,0 +1,185 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// deathBound is the stated bound on the detection of a death: 10 s of silence,
+// 5 heartbeats along the ring, and 2 s for ticks and lost messages.
+const deathBound = 17 * time.Second
+
+// TestRules runs a history for each rule: it must show no failure, and with
+// the rule switched off the checker must notice.
+func TestRules(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		broken broken
+		run    func(broken) []string
+	}{
+		{"an old list does not revive a dead member", broken{listRevives: true}, staleList},
+		{"a repeated message is no sign of life", broken{staleBeats: true}, replay},
+		{"a one-way link is no death", broken{noRelay: true}, oneWay},
+		{"a partition is no death", broken{noPartition: true}, partition},
+		{"an old list does not undo leaving", broken{leavingReturns: true}, oldLeaving},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if failures := c.run(broken{}); len(failures) > 0 {
+				t.Errorf("failures: %v", failures[:min(3, len(failures))])
+			}
+			if failures := c.run(c.broken); len(failures) == 0 {
+				t.Errorf("the checker does not notice the broken variant")
+			}
+		})
+	}
+}
+
+func brokenFleet(b broken) (*sim, *checker) {
+	s := newSim(3)
+	s.broken, s.loss = b, 0.01
+	c := newChecker(s)
+	c.settle = 5 * time.Second
+	for _, id := range []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "b1", "b2", "b3"} {
+		s.add(id, "zone-"+id[:1])
+	}
+	s.publish()
+	s.run(20 * time.Second)
+	return s, c
+}
+
+func staleList(b broken) []string {
+	s, c := brokenFleet(b)
+	s.kill(s.byID["a3"])
+	s.run(time.Minute)
+	c.converged()
+	return c.failures
+}
+
+func replay(b broken) []string {
+	s, c := brokenFleet(b)
+	victim := s.byID["a3"]
+	// The list stays silent about the death, so that only the beats tell it.
+	old := victim.table.message(Heartbeat, s.byID["a1"].table.self)
+	s.kill(victim)
+	for i := range 60 {
+		s.schedule(delivery{at: s.now.Add(time.Duration(i) * time.Second / 2), to: s.byID["a1"], message: &old})
+	}
+	s.run(deathBound)
+	c.converged()
+	return c.failures
+}
+
+func oneWay(b broken) []string {
+	s, c := brokenFleet(b)
+	s.cut = cuts{{"a1", "a2"}: true, {"a5", "a4"}: true, {"b1", "b3"}: true}.cut
+	s.run(time.Minute)
+	c.converged()
+	return c.failures
+}
+
+func partition(b broken) []string {
+	s, c := brokenFleet(b)
+	s.onEvent = func(o *proc, e Event) {
+		if e.Kind == MemberChanged && e.Member.State == Dead {
+			c.fail("%s: healthy member %s is held dead", o.ID, e.Member.ID)
+		}
+	}
+	s.cut = cuts{{"zone-a", "zone-b"}: true, {"zone-b", "zone-a"}: true}.cut
+	s.run(time.Minute)
+	if !s.byID["a1"].table.DomainUnreachable("zone-b") {
+		c.fail("a1 does not notice that zone-b is silent")
+	}
+	s.cut = cuts{}.cut
+	s.run(20 * time.Second)
+	c.converged()
+	return c.failures
+}
+
+// oldLeaving shows an endpoint as leaving, goes back in time and on.
+func oldLeaving(b broken) []string {
+	now := time.Unix(1, 0)
+	table := New(Options{Self: Identity{ID: "a1", Domain: "zone-a"}}, now)
+	table.broken = b
+	engine := platform.Instance{ID: "e1", Domain: "zone-a", Role: platform.RoleEngine, State: platform.InstanceLive}
+	leaving := engine
+	leaving.State = platform.InstanceLeaving
+	var failures []string
+	for i, in := range []platform.Instance{engine, leaving, engine, engine, leaving} {
+		now = now.Add(time.Second)
+		table.List(now, []platform.Instance{in})
+		if e := table.Endpoints()[0]; i > 0 && e.State != platform.InstanceLeaving {
+			failures = append(failures, "endpoint e1 is not leaving any more")
+		}
+	}
+	return failures
+}
+
+// TestLeavingReachesAll guards the 3 s in which the leaving of a daemon and of
+// an endpoint must be known everywhere, also where the platform is out of
+// reach, at 1% loss and with a one-way link.
+func TestLeavingReachesAll(t *testing.T) {
+	s := newFleet(5, 4, 12)
+	s.loss = 0.01
+	s.run(20 * time.Second)
+	c := cuts{{s.procs[1].ID, s.procs[2].ID}: true}
+	s.cut = c.cut
+	s.drain(s.procs[1])
+	engine := platform.Instance{ID: "e1", Domain: "zone-00", Role: platform.RoleEngine, State: platform.InstanceLeaving}
+	for _, p := range s.procs {
+		// Only the readers of the first failure domain see the platform.
+		if p.Domain == "zone-00" && p.table.rank() >= 0 {
+			s.call(p, func() Output { return p.table.List(s.now, append(s.readList(), engine)) })
+		}
+	}
+	s.run(3 * time.Second)
+	for _, p := range s.procs {
+		if m, _ := p.table.Member(s.procs[1].ID); m.State != Leaving {
+			t.Errorf("%s holds the leaving daemon as %v", p.ID, m.State)
+		}
+		if e := p.table.Endpoints(); len(e) != 1 || e[0].State != platform.InstanceLeaving {
+			t.Errorf("%s holds the leaving endpoint as %v", p.ID, e)
+		}
+	}
+}
+
+// TestDeathBound guards the stated bound when the list does not show a death.
+func TestDeathBound(t *testing.T) {
+	s := newFleet(6, 3, 14)
+	s.loss = 0.01
+	s.run(20 * time.Second)
+	s.kill(s.procs[3])
+	s.run(deathBound)
+	c := newChecker(s)
+	c.converged()
+	if len(c.failures) > 0 {
+		t.Errorf("%d daemons are late, the first: %s", len(c.failures), c.failures[0])
+	}
+}
+
+// TestOwner guards the agreement on owners: the same in each daemon, only live
+// members, and only the keys of a lost owner move.
+func TestOwner(t *testing.T) {
+	s := newFleet(7, 2, 6)
+	s.run(20 * time.Second)
+	before := map[string]string{}
+	for _, key := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+		for _, p := range s.procs {
+			m, ok := p.table.Owner("zone-00", key)
+			if !ok || before[key] != "" && before[key] != m.ID {
+				t.Fatalf("%s names %q as owner of %s, others %q", p.ID, m.ID, key, before[key])
+			}
+			before[key] = m.ID
+		}
+	}
+	gone := s.byID[before["1"]]
+	s.drain(gone)
+	s.run(3 * time.Second)
+	for key, owner := range before {
+		m, _ := s.procs[11].table.Owner("zone-00", key)
+		if m.ID == gone.ID || owner != gone.ID && m.ID != owner {
+			t.Errorf("key %s moved from %s to %s", key, owner, m.ID)
+		}
+	}
+}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -1,6 +1,10 @@
 package membership
 
-import "github.com/azurehatch/azurehatch/internal/platform"
+import (
+	"math/bits"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
 
 // Kind is the kind of a message.
 type Kind uint8
@@ -91,3 +95,43 @@
 	// member for which the relay asks.
 	Target Identity
 }
+
+// Size returns the bytes of the message in protocol buffers: strings and
+// messages with a tag and a length, hashes as fixed 32-bit and digests in
+// packed arrays. It states the cost that the benchmarks count.
+func (m *Message) Size() int {
+	size := 2 + m.From.size() + varint(m.Incarnation) + varint(m.Beat) + 4
+	if m.Leaving {
+		size += 2
+	}
+	for _, e := range m.Digest {
+		size += 4 + varint(e.Incarnation) + varint(e.Beat) + 1
+	}
+	for _, b := range m.Domains {
+		size += 4 + varint(b.Count)
+	}
+	// Each packed array has a tag and a length.
+	size += 4*min(len(m.Digest), 1)*3 + 3*min(len(m.Domains), 1)*2
+	if m.ViewHash != 0 {
+		size += 18
+	}
+	if m.Seq != 0 {
+		size += 5
+	}
+	for _, c := range m.Members {
+		size += 3 + c.size() + 2 + varint(c.Incarnation) + varint(c.Beat) + 4
+	}
+	for _, c := range m.List {
+		size += 3 + instanceIdentity(c.Instance).size() + 2*2 + len(c.Instance.Role) + len(c.Instance.State) + 4
+	}
+	if m.Target.ID != "" {
+		size += 2 + m.Target.size()
+	}
+	return size
+}
+
+func (i Identity) size() int {
+	return 4*2 + len(i.ID) + len(i.Addr) + len(i.Domain) + len(i.Region)
+}
+
+func varint(v uint32) int { return (bits.Len32(v|1) + 6) / 7 }
--- /dev/null
+++ b/internal/membership/query.go
@@ -0,0 +1,165 @@
+package membership
+
+import (
+	"sort"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Self returns this daemon as a member.
+func (t *Table) Self() Member { return t.self.Member }
+
+// Member returns the member with the ID.
+func (t *Table) Member(id string) (Member, bool) {
+	if n := t.nodes[id]; n != nil {
+		return n.Member, true
+	}
+	return Member{}, false
+}
+
+// Members returns all members ordered by ID, dead ones included until they are
+// forgotten.
+func (t *Table) Members() []Member {
+	members := make([]Member, len(t.sorted))
+	for i, n := range t.sorted {
+		members[i] = n.Member
+	}
+	return members
+}
+
+// LiveIn returns the live members of a failure domain ordered by ID, this
+// daemon included.
+func (t *Table) LiveIn(name string) []Member {
+	var live []Member
+	if d := t.domains[name]; d != nil {
+		for _, n := range d.members {
+			if n.State == Live {
+				live = append(live, n.Member)
+			}
+		}
+	}
+	return live
+}
+
+// Domains returns the names of the known failure domains in order.
+func (t *Table) Domains() []string {
+	names := make([]string, len(t.byName))
+	for i, d := range t.byName {
+		names[i] = d.name
+	}
+	return names
+}
+
+// DomainUnreachable reports whether the whole failure domain is silent. For
+// the own failure domain it is always false.
+func (t *Table) DomainUnreachable(name string) bool {
+	d := t.domains[name]
+	return d != nil && d.silent
+}
+
+// Owner returns the live member of the failure domain that owns the key by
+// rendezvous hashing.
+func (t *Table) Owner(name, key string) (Member, bool) {
+	var owner *node
+	var best uint64
+	if d := t.domains[name]; d != nil {
+		sum := xxhash.Sum64String(key)
+		for _, n := range d.members {
+			if w := mix(sum, uint64(n.hash)); n.State == Live && (owner == nil || w > best) {
+				owner, best = n, w
+			}
+		}
+	}
+	if owner == nil {
+		return Member{}, false
+	}
+	return owner.Member, true
+}
+
+// Endpoints returns the endpoints that the list shows as live or leaving,
+// ordered by ID.
+func (t *Table) Endpoints() []Endpoint {
+	var endpoints []Endpoint
+	for _, e := range t.entries {
+		if !e.gone && e.instance.Role != platform.RoleDaemon {
+			endpoints = append(endpoints, e.endpoint())
+		}
+	}
+	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].ID < endpoints[j].ID })
+	return endpoints
+}
+
+// candidates returns the members of a failure domain that may represent it:
+// the live ones, or all but the dead if none is live.
+func (t *Table) candidates(name string) []*node {
+	var live, rest []*node
+	d := t.domains[name]
+	if d == nil {
+		return nil
+	}
+	for _, n := range d.members {
+		switch {
+		case n.State == Live:
+			live = append(live, n)
+		case !n.dead:
+			rest = append(rest, n)
+		}
+	}
+	if len(live) == 0 {
+		return rest
+	}
+	return live
+}
+
+// representatives returns the candidates with the highest weights.
+func (t *Table) representatives(name string) []*node {
+	candidates := t.candidates(name)
+	sort.Slice(candidates, func(i, j int) bool {
+		return mix(1, uint64(candidates[i].hash)) > mix(1, uint64(candidates[j].hash))
+	})
+	return candidates[:min(len(candidates), t.o.Representatives)]
+}
+
+// rank returns this daemon's place among the representatives of its failure
+// domain, which are also the readers of the list, or -1.
+func (t *Table) rank() int {
+	for i, n := range t.representatives(t.self.Domain) {
+		if n == t.self {
+			return i
+		}
+	}
+	return -1
+}
+
+func (t *Table) isRepresentative() bool { return t.rank() >= 0 }
+
+// view returns ViewHash.
+func (t *Table) view() uint64 {
+	if t.viewDirty {
+		t.viewDirty = false
+		t.viewHash = 1
+		for _, n := range t.sorted {
+			if !n.dead && n.Incarnation > 0 {
+				t.viewHash ^= mix(uint64(n.hash)<<32|uint64(n.Incarnation), bit(n.Leaving))
+			}
+		}
+	}
+	return t.viewHash
+}
+
+func bit(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// mix combines two numbers into an evenly spread one (the finalizer of
+// splitmix64).
+func mix(a, b uint64) uint64 {
+	z := a ^ b*0x9e3779b97f4a7c15
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,228 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the histories that rapid draws, so that each run gives the
+// same verdict; flags on the command line take precedence.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "25", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// checker compares the events of all daemons with the simulated truth.
+type checker struct {
+	s *sim
+	// state is the last state of each member at each observer.
+	state map[[2]string]State
+	// finished holds members that were killed and held dead by the observer.
+	finished map[[2]string]bool
+	// leavingSeen holds members that the observer saw leaving.
+	leavingSeen map[[2]string]bool
+	// settle is how long after a disturbance a member may still be misjudged.
+	settle   time.Duration
+	failures []string
+}
+
+func newChecker(s *sim) *checker {
+	c := &checker{s: s, state: map[[2]string]State{}, finished: map[[2]string]bool{}, leavingSeen: map[[2]string]bool{}, settle: 45 * time.Second}
+	s.onEvent = c.event
+	return c
+}
+
+func (c *checker) fail(format string, args ...any) {
+	c.failures = append(c.failures, fmt.Sprintf("%s: ", c.s.now.Sub(c.s.start))+fmt.Sprintf(format, args...))
+}
+
+func (c *checker) event(o *proc, e Event) {
+	if e.Kind != MemberChanged {
+		return
+	}
+	key := [2]string{o.ID, e.Member.ID}
+	last, known := c.state[key]
+	if known == e.New || known && last != e.Previous {
+		c.fail("%s: event of %s has previous state %v (new %v), the last was %v (known %v)", o.ID, e.Member.ID, e.Previous, e.New, last, known)
+	}
+	c.state[key] = e.Member.State
+	m := c.s.byID[e.Member.ID]
+	if c.finished[key] && e.Member.State != Dead {
+		c.fail("%s: killed member %s returns as %v (%s)", o.ID, m.ID, e.Member.State, e.Cause)
+	}
+	if c.leavingSeen[key] && !e.Member.Leaving {
+		c.fail("%s: leaving member %s is not leaving any more", o.ID, m.ID)
+	}
+	c.leavingSeen[key] = c.leavingSeen[key] || e.Member.Leaving
+	c.finished[key] = c.finished[key] || m.dead && e.Member.State == Dead
+	quiet := c.s.now.Add(-c.settle)
+	if !e.New && !m.dead && m.disturbed.Before(quiet) && o.disturbed.Before(quiet) && e.Member.State != Live && e.Member.State != Leaving {
+		c.fail("%s: healthy member %s becomes %v (%s)", o.ID, m.ID, e.Member.State, e.Cause)
+	}
+}
+
+// converged checks that each daemon holds the truth of each other one.
+func (c *checker) converged() {
+	for _, o := range c.s.procs {
+		if o.dead {
+			continue
+		}
+		for _, p := range c.s.procs {
+			m, known := o.table.Member(p.ID)
+			want := Live
+			switch {
+			case p.dead:
+				want = Dead
+			case p.leaving:
+				want = Leaving
+			}
+			if !known && p.dead {
+				continue
+			}
+			if !known || m.State != want {
+				c.fail("%s holds %s as %v (known %v), want %v", o.ID, p.ID, m.State, known, want)
+			}
+		}
+	}
+}
+
+func (c *checker) disturb(ps ...*proc) {
+	for _, p := range ps {
+		p.disturbed = c.s.now
+	}
+}
+
+// cuts are the broken links of a sim: pairs of daemons or failure domains,
+// from and to.
+type cuts map[[2]string]bool
+
+func (c cuts) cut(from, to *proc) bool {
+	return c[[2]string{from.ID, to.ID}] || c[[2]string{from.Domain, to.Domain}]
+}
+
+// fleetMachine draws faults and checks the events after each of them.
+type fleetMachine struct {
+	*checker
+	cuts     cuts
+	restarts int
+}
+
+func (f *fleetMachine) live() []*proc {
+	var live []*proc
+	for _, p := range f.s.procs {
+		if !p.dead {
+			live = append(live, p)
+		}
+	}
+	return live
+}
+
+// act applies one drawn fault.
+func (f *fleetMachine) act(t *rapid.T) {
+	s := f.s
+	live := f.live()
+	p := rapid.SampledFrom(live).Draw(t, "daemon")
+	q := rapid.SampledFrom(live).Draw(t, "other")
+	switch rapid.IntRange(0, 8).Draw(t, "fault") {
+	case 0, 1:
+		// A failure domain keeps a majority, or silence would be no death.
+		if alive := aliveIn(s, p.Domain); alive > 3 {
+			s.kill(p)
+			s.publish()
+			f.restarts++
+			s.add(fmt.Sprintf("r-%03d", f.restarts), p.Domain)
+			s.publish()
+		}
+	case 2:
+		s.pause(p, time.Duration(rapid.IntRange(1, 25).Draw(t, "pause"))*time.Second)
+	case 3:
+		if !p.leaving && f.leaving(p.Domain) == 0 {
+			s.drain(p)
+			s.publish()
+		}
+	case 4:
+		// A one-way link inside of a failure domain must not disturb anybody.
+		if p.Domain == q.Domain && p != q && len(f.cuts) == 0 {
+			f.cuts[[2]string{p.ID, q.ID}] = true
+		}
+	case 5:
+		if p.Domain != q.Domain {
+			f.cuts[[2]string{p.Domain, q.Domain}] = true
+			f.cuts[[2]string{q.Domain, p.Domain}] = true
+			f.disturb(s.procs...)
+		}
+	case 6:
+		clear(f.cuts)
+		f.disturb(s.procs...)
+	case 7:
+		// A longer lag takes the list back in time.
+		s.listLag = time.Duration(rapid.IntRange(0, 20).Draw(t, "lag")) * time.Second
+	}
+	s.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "wait")) * time.Second)
+}
+
+func (f *fleetMachine) leaving(domain string) int {
+	n := 0
+	for _, p := range f.s.domain(domain) {
+		if p.leaving && !p.dead {
+			n++
+		}
+	}
+	return n
+}
+
+func aliveIn(s *sim, domain string) int {
+	n := 0
+	for _, p := range s.domain(domain) {
+		if !p.dead {
+			n++
+		}
+	}
+	return n
+}
+
+// runMachine draws a history, heals and checks that all daemons agree with the
+// truth.
+func runMachine(t *rapid.T, b broken) []string {
+	s := newSim(rapid.Uint64().Draw(t, "seed"))
+	s.loss, s.broken, s.maxDelay = 0.01, b, 200*time.Millisecond
+	s.options.MeshLimit = rapid.SampledFrom([]int{3, 6}).Draw(t, "mesh")
+	f := &fleetMachine{checker: newChecker(s), cuts: cuts{}}
+	s.cut = f.cuts.cut
+	for d := range 3 {
+		for i := range 5 {
+			s.add(fmt.Sprintf("i-%d-%d", d, i), fmt.Sprintf("zone-%d", d))
+		}
+	}
+	s.publish()
+	s.run(20 * time.Second)
+	for range rapid.IntRange(1, 8).Draw(t, "steps") {
+		f.act(t)
+	}
+	clear(f.cuts)
+	s.listLag = 0
+	f.disturb(s.procs...)
+	s.run(2 * time.Minute)
+	f.converged()
+	return f.failures
+}
+
+// TestMembershipHistories guards against flapping, resurrection, broken chains
+// of events and views that stay apart after a heal.
+func TestMembershipHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if failures := runMachine(t, broken{}); len(failures) > 0 {
+			t.Fatalf("%d failures, the first: %v", len(failures), failures[:min(3, len(failures))])
+		}
+	})
+}
