Measure short work behind long work

BenchmarkHeadOfLine runs 10% of jobs that are 30 times longer in a pool at 80%, beside random, round robin, least reported load, two choices and the oracle. No change of the policy.

go test -run xxx -bench HeadOfLine -benchtime 1x ./internal/admission

--- /dev/null
+++ b/internal/admission/headofline_bench_test.go
@@ -0,0 +1,86 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/enginefake"
+)
+
+const (
+	holWarm = 80 * time.Second
+	holTo   = 200 * time.Second
+	holEnd  = 320 * time.Second
+)
+
+func isShort(r *enginefake.Record) bool { return !r.Long && r.At >= holWarm }
+func isLong(r *enginefake.Record) bool  { return r.Long && r.At >= holWarm }
+
+func latency(r *enginefake.Record) float64 { return float64(r.End - r.At) }
+
+// BenchmarkHeadOfLine has 10% of jobs that are 30 times longer, in a pool at
+// 80% of what it completes in the long run. short_p99_ratio compares with the
+// same short jobs alone under the same policy; long_slowdown is the mean ratio
+// to the time of the job alone on an idle engine. Engines of 24 slots share
+// their batch; with 4 slots a burst of long jobs can take all of them.
+func BenchmarkHeadOfLine(b *testing.B) {
+	const tokens, prompt, share, ratio = 40, 200, 0.1, 30
+	meanTokens := tokens * (1 - share + share*ratio)
+	policies := []enginefake.Policy{enginefake.Core, enginefake.Random, enginefake.RoundRobin,
+		enginefake.LeastReported, enginefake.TwoChoices, enginefake.Oracle}
+	for k := range 4 * len(enginefake.Deployments) {
+		dep, seed, slots := enginefake.Deployments[k/4], uint64(1+k%2), []int{24, 4}[k/2%2]
+		b.Run(fmt.Sprintf("%s/slots=%d/seed=%d", dep.Name, slots, seed), func(b *testing.B) {
+			engine := enginefake.DefaultEngine(slots)
+			rate := 0.8 * float64(dep.Engines) * engine.Capacity(engine.Slots, meanTokens, prompt)
+			mixed := enginefake.Generate(enginefake.Shape{Rate: enginefake.Constant(rate), MaxRate: rate, End: holTo,
+				MeanTokens: tokens, MeanPrompt: prompt, LongShare: share, LongRatio: ratio, Accounts: enginefake.Accounts}, seed)
+			var short []enginefake.Request
+			for _, r := range mixed {
+				if !r.Long {
+					short = append(short, r)
+				}
+			}
+			run := func(requests []enginefake.Request) map[enginefake.Policy]*enginefake.Result {
+				return enginefake.Compare(policies, func(p enginefake.Policy) *enginefake.Result {
+					cfg := dep.Config(engine, p, seed)
+					cfg.Batch = engine.Slots
+					return enginefake.Run(cfg, requests, holEnd)
+				})
+			}
+			for range b.N {
+				reportHeadOfLine(b, engine, run(mixed), run(short))
+			}
+		})
+	}
+}
+
+func reportHeadOfLine(b *testing.B, engine enginefake.EngineConfig, mixed, alone map[enginefake.Policy]*enginefake.Result) {
+	slowdown := func(r *enginefake.Record) float64 {
+		idle := engine.Base + time.Duration(r.Prompt)*engine.PerPrompt + time.Duration(r.Tokens)*(engine.Base+engine.PerSequence)
+		return latency(r) / float64(idle)
+	}
+	for p, res := range mixed {
+		name := p.String() + "_"
+		if p == enginefake.Core {
+			name = ""
+		}
+		ratio := enginefake.Percentile(res.Select(isShort, latency), 99) /
+			enginefake.Percentile(alone[p].Select(isShort, latency), 99)
+		sum, long := 0.0, res.Select(isLong, slowdown)
+		for _, x := range long {
+			sum += x
+		}
+		b.ReportMetric(ratio, name+"short_p99_ratio")
+		b.ReportMetric(sum/float64(len(long)), name+"long_slowdown")
+	}
+	core, lost := mixed[enginefake.Core], 0.0
+	for _, r := range core.Records {
+		if !r.Done {
+			lost++
+		}
+	}
+	b.ReportMetric(100*lost/float64(len(core.Records)), "refused_pct")
+	b.ReportMetric(enginefake.Percentile(core.Select(isLong, slowdown), 100), "long_slowdown_max")
+}
