Fix linter findings in the gateway and benchcheck

Cause: errors were compared without unwrapping. Change: errors.As and errors.Is. Conclusion: no change of behaviour.

--- a/internal/benchcheck/benchcheck_test.go
+++ b/internal/benchcheck/benchcheck_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 )
 
 const output = `goos: linux
@@ -65,7 +66,7 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("verdicts (-want +got):\n%s", diff)
 	}
-	if err := summarize(&bytes.Buffer{}, Check(parsed, results)); err != ErrBroken {
+	if err := summarize(&bytes.Buffer{}, Check(parsed, results)); !errors.Is(err, ErrBroken) {
 		t.Errorf("got %v, want ErrBroken", err)
 	}
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -32,7 +32,6 @@
 	reserved  int64
 	bills     map[string]int64
 	claims    map[ClaimKey]*fakeClaim
-	next      int
 }
 
 const testKey = "secret"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -199,7 +200,8 @@
 	e := echo.New()
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		p := problem.New(problem.UnknownService, "%s %s does not exist", c.Request().Method, c.Request().URL.Path)
-		if he, ok := err.(*echo.HTTPError); !ok || he.Code != http.StatusNotFound {
+		var he *echo.HTTPError
+		if !errors.As(err, &he) || he.Code != http.StatusNotFound {
 			p = problem.New(problem.InvalidRequest, "%v", err)
 		}
 		_ = p.Write(c.Response(), "none")
