--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -32,7 +32,6 @@
 	reserved  int64
 	bills     map[string]int64
 	claims    map[ClaimKey]*fakeClaim
-	next      int
 }
 
 const testKey = "secret"
@@ -68,6 +67,7 @@
 	f      *fakeFleet
 	id     string
 	tokens int64
+	ended  bool
 }
 
 func (f *fakeFleet) Reserve(_ context.Context, c Charge) (Hold, error) {
@@ -83,6 +83,9 @@
 func (h *fakeHold) Extend(_ context.Context, total int64) error {
 	h.f.mu.Lock()
 	defer h.f.mu.Unlock()
+	if h.ended {
+		return problem.New(problem.BudgetUnavailable, "the reservation has ended")
+	}
 	if h.f.balance-h.f.reserved < total-h.tokens {
 		return problem.New(problem.BudgetExhausted, "no tokens left")
 	}
@@ -97,6 +100,7 @@
 	if _, twice := h.f.bills[h.id]; twice {
 		panic("request " + h.id + " settled twice")
 	}
+	h.ended = true
 	h.f.reserved -= h.tokens
 	h.f.balance -= tokens
 	h.f.bills[h.id] = tokens
@@ -105,6 +109,7 @@
 func (h *fakeHold) Release() {
 	h.f.mu.Lock()
 	defer h.f.mu.Unlock()
+	h.ended = true
 	h.f.reserved -= h.tokens
 }
 
@@ -170,13 +175,13 @@
 
 // fixture is a gateway over real sockets with small fakes behind it.
 type fixture struct {
-	t      *testing.T
+	t      testing.TB
 	fleet  *fakeFleet
 	g      *Gateway
 	server *httptest.Server
 }
 
-func newFixture(t *testing.T, engines ...http.HandlerFunc) *fixture {
+func newFixture(t testing.TB, engines ...http.HandlerFunc) *fixture {
 	f := &fakeFleet{balance: 100_000, bills: map[string]int64{}, claims: map[ClaimKey]*fakeClaim{}}
 	for i, h := range engines {
 		s := httptest.NewServer(h)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -68,13 +69,16 @@
 	Service string
 	// Tokens is the amount reserved at first.
 	Tokens int64
+	// Keyed is true if the caller chose the id, so that it can come again.
+	Keyed bool
 	// Resume takes over the reservation of an earlier attempt with this id.
 	Resume bool
 }
 
 // Hold is a reservation. Exactly one of Settle and Release ends it.
 type Hold interface {
-	// Extend raises the reservation to total tokens.
+	// Extend raises the reservation to total tokens. An Extend that is in
+	// progress when the reservation ends has no effect.
 	Extend(ctx context.Context, total int64) error
 	// Settle bills tokens and frees the rest.
 	Settle(tokens int64)
@@ -196,7 +200,8 @@
 	e := echo.New()
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		p := problem.New(problem.UnknownService, "%s %s does not exist", c.Request().Method, c.Request().URL.Path)
-		if he, ok := err.(*echo.HTTPError); !ok || he.Code != http.StatusNotFound {
+		var he *echo.HTTPError
+		if !errors.As(err, &he) || he.Code != http.StatusNotFound {
 			p = problem.New(problem.InvalidRequest, "%v", err)
 		}
 		_ = p.Write(c.Response(), "none")
