Hedge slow requests and bound the wait for the first token

Cause: a black-holed endpoint held a request until its deadline, and a slow one had no remedy. Change: a dispatch without a first token within the service's bound is cancelled and retried; short idempotent streams and plain calls go to a second endpoint after a quantile, within the hedge budget; endpoints' load reports are read in turn. Conclusion: whole answers are not hedged, since they show no progress before their end.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -27,6 +27,8 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	wg   sync.WaitGroup
+	// nextReport is the position in the turn of readReports.
+	nextReport int
 }
 
 func newControl(d *Daemon) *control {
@@ -34,6 +36,7 @@
 	c := &control{d: d, ctx: ctx, stop: stop}
 	c.every(loadInterval, c.shareLoad)
 	c.every(poisonInterval, c.sharePoison)
+	c.every(reportInterval, c.readReports)
 	return c
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,7 +9,6 @@
 	"sort"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/azurehatch/azurehatch/internal/config"
 	"github.com/azurehatch/azurehatch/internal/gateway"
@@ -75,7 +74,7 @@
 func (v *view) addService(name string, s config.Service) {
 	v.services[name] = gateway.Service{
 		Name: name, Model: s.Kind == config.KindModel, MaxOutput: s.MaxOutputTokens, Price: s.PriceTokens,
-		Timeout: s.Timeout.Duration, RequireKey: s.RequireIdempotencyKey, Priority: s.Priority, NonIdempotent: s.IsNonIdempotent,
+		Timeout: s.Timeout.Duration, FirstToken: s.FirstTokenTimeout.Duration, RequireKey: s.RequireIdempotencyKey, Priority: s.Priority, NonIdempotent: s.IsNonIdempotent,
 	}
 	for _, m := range s.Models {
 		v.models[m] = name
@@ -200,12 +199,3 @@
 	}
 	return Operator{}, false
 }
-
-// Timeout returns the first-token timeout of a service, 0 if unknown.
-func (d *Directory) Timeout(service string) time.Duration {
-	v := d.view.Load()
-	if v == nil {
-		return 0
-	}
-	return v.config.Services[service].WithDefaults().FirstTokenTimeout.Duration
-}
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// tokenAllowance is the time that a whole answer may take for each token
+// beyond the first: twice the target of 75 ms.
+const tokenAllowance = 150 * time.Millisecond
+
+// errNoProgress ends a dispatch whose endpoint has sent nothing for too long.
+var errNoProgress = errors.New("no first token within the service's bound")
+
+// errHedged ends the slower one of two dispatches.
+var errHedged = errors.New("another endpoint answered first")
+
+// dispatch is a request on its way at one endpoint.
+type dispatch struct {
+	endpoint Endpoint
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	// guard cancels the dispatch unless it is stopped by the first token.
+	guard *time.Timer
+	resp  *http.Response
+	err   error
+}
+
+func (j *job) newDispatch(ctx context.Context, endpoint Endpoint) *dispatch {
+	d := &dispatch{endpoint: endpoint}
+	d.ctx, d.cancel = context.WithCancelCause(ctx)
+	bound := j.x.service.FirstToken
+	if bound == 0 {
+		bound = j.x.g.Timeout
+	}
+	if j.q != nil && !j.q.stream {
+		bound += time.Duration(j.q.maxTokens) * tokenAllowance
+	}
+	d.guard = time.AfterFunc(bound, func() { d.cancel(errNoProgress) })
+	return d
+}
+
+// do sends the request and waits for the first byte of the answer's body.
+func (j *job) do(d *dispatch) {
+	d.resp, d.err = j.x.g.Upstream.Do(d.ctx, upstream.Call{
+		Endpoint: d.endpoint.ID, Addr: d.endpoint.Addr, Method: j.x.r.Method, Path: j.path, Header: j.header(), Body: j.body,
+	})
+	if d.err != nil {
+		d.guard.Stop()
+		d.err = j.blame(d, d.err)
+		return
+	}
+	body := bufio.NewReader(d.resp.Body)
+	// An error here comes back with the next read.
+	_, _ = body.Peek(1)
+	d.resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{body, d.resp.Body}
+	if j.q == nil || !j.q.stream {
+		d.guard.Stop()
+	}
+}
+
+// blame replaces the error of a dispatch that the guard has cancelled: the
+// endpoint is at fault, not the caller.
+func (j *job) blame(d *dispatch, err error) error {
+	if err == nil || !errors.Is(context.Cause(d.ctx), errNoProgress) {
+		return err
+	}
+	cause := &upstream.Error{Endpoint: d.endpoint.ID, Ran: upstream.RanUnknown, Err: errNoProgress}
+	return failure.At(cause, "gateway.dispatch", d.endpoint.Addr)
+}
+
+// race sends the request to the endpoint and, if it is slow and the request may
+// be hedged, to a second one. It returns the one that answers first.
+func (j *job) race(ctx context.Context, endpoint Endpoint) *dispatch {
+	first := j.newDispatch(ctx, endpoint)
+	delay, ok := j.hedgeDelay()
+	if !ok {
+		j.do(first)
+		return first
+	}
+	results := make(chan *dispatch, 2)
+	start := func(d *dispatch) {
+		go func() {
+			j.do(d)
+			results <- d
+		}()
+	}
+	start(first)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case d := <-results:
+		return d
+	case <-timer.C:
+	}
+	other, ok := j.ticket.Hedge()
+	if !ok {
+		return <-results
+	}
+	second := j.newDispatch(ctx, other)
+	start(second)
+	return j.faster(results, first, second)
+}
+
+func (j *job) hedgeDelay() (time.Duration, bool) {
+	// A whole answer shows no progress before its end, so that a long one
+	// can't be told from a slow endpoint.
+	whole := j.q != nil && !j.q.stream
+	if !j.idempotent || whole || j.resume != nil || j.resumable {
+		return 0, false
+	}
+	return j.ticket.HedgeDelay()
+}
+
+// faster returns the first of two dispatches that has an answer, else the
+// second failure, and cancels the other one.
+func (j *job) faster(results chan *dispatch, first, second *dispatch) *dispatch {
+	winner := <-results
+	if winner.err != nil {
+		j.note(upstream.RanOf(winner.err))
+		winner.cancel(nil)
+		winner = <-results
+		j.ticket.Won(winner.endpoint)
+		return winner
+	}
+	j.ticket.Won(winner.endpoint)
+	loser := first
+	if winner == first {
+		loser = second
+	}
+	loser.cancel(errHedged)
+	go func() {
+		if d := <-results; d.resp != nil {
+			d.resp.Body.Close()
+		}
+		loser.guard.Stop()
+	}()
+	return winner
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -32,6 +32,9 @@
 	reserved  int64
 	bills     map[string]int64
 	claims    map[ClaimKey]*fakeClaim
+	hedge     time.Duration
+	winner    string
+	guard     time.Duration
 }
 
 const testKey = "secret"
@@ -47,7 +50,7 @@
 }
 
 func (f *fakeFleet) Model(model string) (Service, bool) {
-	return Service{Name: "chat", Model: true, MaxOutput: 100}, model == "m1"
+	return Service{Name: "chat", Model: true, MaxOutput: 100, FirstToken: f.guard}, model == "m1"
 }
 
 func (f *fakeFleet) Models() []string { return []string{"m1"} }
@@ -168,6 +171,16 @@
 	return t.f.endpoints[t.tried-1], nil
 }
 
+func (t *fakeTicket) HedgeDelay() (time.Duration, bool) { return t.f.hedge, t.f.hedge > 0 }
+func (t *fakeTicket) Hedge() (Endpoint, bool) {
+	e, err := t.Choose()
+	return e, err == nil
+}
+func (t *fakeTicket) Won(e Endpoint) {
+	t.f.mu.Lock()
+	defer t.f.mu.Unlock()
+	t.f.winner = e.ID
+}
 func (t *fakeTicket) FirstToken()                       {}
 func (t *fakeTicket) Token(int64)                       {}
 func (t *fakeTicket) Retry(error) (time.Duration, bool) { return 0, true }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,9 @@
 	Price int64
 	// Timeout bounds a request without a deadline; 0 takes the gateway's.
 	Timeout time.Duration
+	// FirstToken bounds the wait for the first token, or for the first byte of
+	// a plain answer, at one endpoint; 0 means no bound.
+	FirstToken time.Duration
 	// RequireKey refuses non-idempotent requests without an Idempotency-Key.
 	RequireKey bool
 	// Priority is sent to engines; lower is more urgent.
@@ -141,11 +144,20 @@
 type Ticket interface {
 	// Choose picks an endpoint that this ticket has not tried.
 	Choose() (Endpoint, error)
+	// HedgeDelay returns the wait after which a second endpoint may be asked;
+	// ok is false if the request must not be hedged.
+	HedgeDelay() (delay time.Duration, ok bool)
+	// Hedge picks a second endpoint if the hedge budget allows it.
+	Hedge() (Endpoint, bool)
+	// Won tells which of two endpoints answered first; the other's work is
+	// cancelled.
+	Won(e Endpoint)
 	// FirstToken and Token report progress at the chosen endpoint.
 	FirstToken()
 	Token(count int64)
 	// Retry reports the failure of the chosen endpoint. It tells whether
-	// another attempt is allowed, and after which delay.
+	// another attempt is allowed. The next attempt, or the answer to the
+	// caller if there is none, waits for the delay.
 	Retry(err error) (delay time.Duration, ok bool)
 	// Finish ends the work with the answer's tokens.
 	Finish(ok bool, tokens int64)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -242,3 +243,52 @@
 		t.Errorf("got %v %q, error %v", resp, text, err)
 	}
 }
+
+// hang is an engine that accepts a request and never answers. The returned
+// channel is closed when the request is cancelled.
+func hang() (http.HandlerFunc, chan struct{}) {
+	cancelled := make(chan struct{})
+	return func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		close(cancelled)
+	}, cancelled
+}
+
+// Guards against a caller who waits for a black-holed endpoint although
+// another one works.
+func TestNoProgressIsRetried(t *testing.T) {
+	black, cancelled := hang()
+	x := newFixture(t, black, whole)
+	x.fleet.guard = 20 * time.Millisecond
+	resp, text, err := x.post(chatPath, strings.Replace(wholeBody, `"messages"`, `"max_tokens":1,"messages"`, 1))
+	if err != nil || resp.StatusCode != http.StatusOK || text != wholeReply {
+		t.Fatalf("got %v %q, error %v", resp, text, err)
+	}
+	<-cancelled
+	if bills := x.settled(); len(bills) != 1 {
+		t.Errorf("bills %v, want one", bills)
+	}
+}
+
+// Guards against a hedge that is billed twice or whose loser goes on running.
+func TestHedgeIsBilledOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, body string
+		engine     http.HandlerFunc
+	}{"plain": {"/services/orders/lookup", "", whole}, "stream": {chatPath, chatBody, stream(3, "done")}} {
+		t.Run(name, func(t *testing.T) {
+			slow, cancelled := hang()
+			x := newFixture(t, slow, c.engine)
+			x.fleet.hedge = time.Millisecond
+			resp, text, err := x.post(c.path, c.body)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("got %v %q, error %v", resp, text, err)
+			}
+			<-cancelled
+			if bills := x.settled(); len(bills) != 1 || x.fleet.winner != "e1" {
+				t.Errorf("bills %v, winner %q, want one bill and e1", bills, x.fleet.winner)
+			}
+		})
+	}
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -225,6 +225,7 @@
 		}
 		delay, ok := j.ticket.Retry(err)
 		if !ok {
+			sleep(ctx, delay)
 			return j.refusal(err)
 		}
 		j.x.log.Debug().Err(err).Dur("delay", delay).Msg("retrying at another endpoint")
@@ -261,29 +262,31 @@
 	return p
 }
 
+// attempt sends the request to an endpoint, or to a second one as well if the
+// first is slow, and relays the answer.
 func (j *job) attempt(ctx context.Context, endpoint Endpoint) error {
-	call := upstream.Call{
-		Endpoint: endpoint.ID, Addr: endpoint.Addr, Method: j.x.r.Method, Path: j.path, Header: j.header(), Body: j.body,
+	d := j.race(ctx, endpoint)
+	defer d.cancel(nil)
+	if d.err != nil {
+		j.note(upstream.RanOf(d.err))
+		return d.err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	resp, err := j.x.g.Upstream.Do(ctx, call)
-	if err != nil {
-		j.note(upstream.RanOf(err))
-		return err
-	}
-	defer resp.Body.Close()
+	defer d.resp.Body.Close()
 	j.note(upstream.RanUnknown)
+	return j.blame(d, j.relay(d))
+}
+
+func (j *job) relay(d *dispatch) error {
 	if j.q == nil {
-		return j.relayPlain(resp, endpoint)
+		return j.relayPlain(d.resp, d.endpoint)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return j.engineRefusal(resp, endpoint)
+	if d.resp.StatusCode != http.StatusOK {
+		return j.engineRefusal(d.resp, d.endpoint)
 	}
 	if j.q.stream {
-		return j.relayStream(ctx, resp, endpoint)
+		return j.relayStream(d)
 	}
-	return j.relayWhole(resp, endpoint)
+	return j.relayWhole(d.resp, d.endpoint)
 }
 
 // note merges what an attempt tells about whether the request ran.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -46,12 +46,14 @@
 
 func (s streamWriter) Flush() { s.x.w.Flush() }
 
-func (j *job) relayStream(ctx context.Context, resp *http.Response, endpoint Endpoint) error {
+func (j *job) relayStream(d *dispatch) error {
+	ctx, endpoint := d.ctx, d.endpoint
 	id := upstream.EventID{Request: j.x.id, Endpoint: endpoint.ID}
 	relay := &upstream.Relay{IDPrefix: id.Prefix(), ForwardUsage: j.q.usage}
 	prompt := j.promptEstimate()
 	relay.OnToken = func(tokens int64) error {
 		if tokens == 1 {
+			d.guard.Stop()
 			j.ticket.FirstToken()
 			j.note(upstream.RanYes)
 			j.x.g.Scope.Histogram("first_token_seconds", tokenBuckets).RecordDuration(j.x.g.Now().Sub(j.x.started))
@@ -62,7 +64,7 @@
 		return j.hold.cover(ctx, j.q.prompt+tokens)
 	}
 	dst := streamWriter{x: j.x}
-	err := relay.Copy(dst, resp.Body)
+	err := relay.Copy(dst, d.resp.Body)
 	for range resumeAttempts {
 		if !j.resumable || !errors.Is(err, upstream.ErrTruncated) || relay.Progress().LastEventID == "" || ctx.Err() != nil {
 			break
--- a/internal/pool/share.go
+++ b/internal/pool/share.go
@@ -81,6 +81,14 @@
 	return s.poison.Verdict(now, d) > poison.Watched
 }
 
+// suspect reports whether endpoints crashed with the digest, so that it must
+// not be sent to a second one.
+func (s *Set) suspect(d poison.Digest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Verdict(s.o.Now(), d) != poison.Allow
+}
+
 // PoisonEntries returns the crashes to send to the other daemons, nil if there
 // are none.
 func (s *Set) PoisonEntries() ([]byte, error) {
--- a/internal/pool/ticket.go
+++ b/internal/pool/ticket.go
@@ -39,6 +39,9 @@
 	work     int
 	digest   poison.Digest
 	attempt  *route.Attempt
+	// hedge is the attempt at a second endpoint, nil if there is none.
+	hedge    *route.Attempt
+	started  time.Time // of attempt
 	attempts int
 	// dispatched is true if an endpoint may have got the request.
 	dispatched bool
@@ -160,19 +163,87 @@
 	now := p.set.o.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	choice, err := p.route.Choose(now, &t.request, p.rng)
+	e, attempt, err := t.dispatch(now)
 	if err != nil {
 		return gateway.Endpoint{}, problem.New(problem.NoEndpoint, "service %q", t.w.Service.Name).Because(err).After(time.Second)
 	}
-	t.attempt = &route.Attempt{}
+	t.attempt, t.started = attempt, now
 	t.attempts++
 	t.gotToken, t.tokens = false, 0
-	p.route.Started(now, choice, &t.request, t.attempt)
+	return e, nil
+}
+
+// dispatch chooses an endpoint and counts the request on it. The caller holds
+// p.mu.
+func (t *ticket) dispatch(now time.Time) (gateway.Endpoint, *route.Attempt, error) {
+	p := t.p
+	choice, err := p.route.Choose(now, &t.request, p.rng)
+	if err != nil {
+		return gateway.Endpoint{}, nil, err
+	}
+	attempt := &route.Attempt{}
+	p.route.Started(now, choice, &t.request, attempt)
 	if p.running[choice.Endpoint] == nil {
 		p.running[choice.Endpoint] = make(map[*ticket]poison.Digest)
 	}
 	p.running[choice.Endpoint][t] = t.digest
-	return gateway.Endpoint{ID: string(choice.Endpoint), Addr: p.addrs[choice.Endpoint]}, nil
+	return gateway.Endpoint{ID: string(choice.Endpoint), Addr: p.addrs[choice.Endpoint]}, attempt, nil
+}
+
+// HedgeDelay implements gateway.Ticket.
+func (t *ticket) HedgeDelay() (time.Duration, bool) {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if t.request.Class != route.Short || t.attempt == nil {
+		return 0, false
+	}
+	return t.p.retry.HedgeDelay()
+}
+
+// Hedge implements gateway.Ticket.
+func (t *ticket) Hedge() (gateway.Endpoint, bool) {
+	p := t.p
+	now := p.set.o.Now()
+	suspect := p.set.suspect(t.digest)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.retry.Hedge(now, retry.Attempt{
+		Number: t.attempts, Idempotent: t.w.Idempotent, Dispatched: true, Suspect: suspect, Work: t.work,
+		Short: t.request.Class == route.Short, Deadline: t.w.Deadline,
+	}, now.Sub(t.started))
+	if !d.OK {
+		return gateway.Endpoint{}, false
+	}
+	exclude := t.request.Exclude
+	t.request.Exclude = append(exclude[:len(exclude):len(exclude)], t.attempt.Endpoint)
+	e, attempt, err := t.dispatch(now)
+	t.request.Exclude = exclude
+	if err != nil {
+		p.retry.HedgeDone(t.work, 0)
+		return gateway.Endpoint{}, false
+	}
+	t.hedge = attempt
+	return e, true
+}
+
+// Won implements gateway.Ticket.
+func (t *ticket) Won(e gateway.Endpoint) {
+	if t.hedge == nil {
+		return
+	}
+	p := t.p
+	now := p.set.o.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	loser := t.hedge
+	if string(t.hedge.Endpoint) == e.ID {
+		loser, t.attempt = t.attempt, t.hedge
+	}
+	t.hedge = nil
+	p.route.Finished(now, loser, route.Cancelled)
+	t.leave(loser.Endpoint)
+	// The loser's engine has read the prompt, and generated nothing.
+	p.retry.HedgeDone(t.work, t.features.PromptTokens/promptShare)
 }
 
 // FirstToken implements gateway.Ticket.
@@ -222,6 +293,11 @@
 		Number: t.attempts, Idempotent: t.w.Idempotent, Dispatched: t.dispatched, Suspect: suspect,
 		Work: t.work, Short: t.request.Class == route.Short, Deadline: t.w.Deadline,
 	}, p.rng)
+	if suspect {
+		// The answer waits until every daemon of the failure domain knows of
+		// the crash, so that the caller's repeat finds it isolated.
+		d.Delay = poison.HoldFailure
+	}
 	if !d.OK {
 		p.set.o.Log.Debug().Str("request", t.w.RequestID).Str("reason", d.Reason.String()).Msg("no retry")
 	}
