Take over shards whose allocator is lost

Cause: when the daemon that held a shard died, nobody took the shard over before the next request to it, so an open reservation was never billed (dev test: 0 bills after 60 s). Requests were also refused with budget-unavailable while daemons had not yet read the platform's list and each took every shard for its own (12 of 60 at a cold start). Ruled out: lost messages; the record showed the old owner unchanged. Change: on each change of members a daemon reads the records of the shards that it now owns and takes over those that hold tokens; readiness waits for the first list; a refusal because tokens can't be drawn is retried until the ledger's timeout. Conclusion: one read for each owned shard and change of members.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,6 +145,8 @@
 	})
 	d.peerGRPC = peer.NewServer(d.ledger, d, creds.server, d.log)
 	d.control = newControl(d)
+	// The fleet's events need the parts above.
+	d.fleet.Start()
 	return nil
 }
 
@@ -232,3 +234,24 @@
 	case <-ctx.Done():
 	}
 }
+
+// Ready reports whether the daemon takes requests: it is not stopping, has a
+// configuration and knows the other daemons.
+func (d *Daemon) Ready() bool { return d.ready.Load() && d.configured.Load() && d.fleet.Listed() }
+
+// ID returns the instance's id.
+func (d *Daemon) ID() string { return d.s.Instance.ID }
+
+// Active returns the number of callers' requests in progress.
+func (d *Daemon) Active() int { return d.gateway.Active() }
+
+// Peers returns the number of other live daemons that this one knows.
+func (d *Daemon) Peers() int {
+	n := 0
+	for _, m := range d.fleet.Members() {
+		if m.State == membership.Live && m.ID != d.s.Instance.ID {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -64,7 +64,7 @@
 	e.HideBanner, e.HidePort = true, true
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c echo.Context) error {
-		if !d.ready.Load() || !d.configured.Load() {
+		if !d.Ready() {
 			return c.String(http.StatusServiceUnavailable, "not ready\n")
 		}
 		return c.String(http.StatusOK, "ready\n")
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -30,6 +30,8 @@
 	reportLag         = 2 * time.Second
 	serviceLatency    = 5 * time.Millisecond
 	resumeGrace       = 10 * time.Second
+	readyTimeout      = 30 * time.Second
+	readyPoll         = 20 * time.Millisecond
 )
 
 // Prepaid is the number of tokens of each account at the start.
@@ -89,7 +91,27 @@
 			return err
 		}
 	}
-	return nil
+	return f.awaitReady()
+}
+
+// awaitReady waits until the daemons know each other.
+func (f *Fleet) awaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		ready := 0
+		for _, d := range f.Daemons {
+			if d.Ready() && d.Peers() == len(f.Daemons)-1 {
+				ready++
+			}
+		}
+		if ready == len(f.Daemons) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Errorf("%d of %d daemons are ready", ready, len(f.Daemons))
+		}
+		time.Sleep(readyPoll)
+	}
 }
 
 func (f *Fleet) startEngines() ([]string, error) {
@@ -201,3 +223,20 @@
 		s.Close()
 	}
 }
+
+// StopDaemon stops a daemon gracefully, as a planned replacement does.
+func (f *Fleet) StopDaemon(ctx context.Context, i int) error {
+	d := f.Daemons[i]
+	f.Daemons = append(f.Daemons[:i:i], f.Daemons[i+1:]...)
+	err := d.Stop(ctx)
+	f.Store.RemoveInstance(d.ID())
+	return err
+}
+
+// KillDaemon ends a daemon at once, as a crash does.
+func (f *Fleet) KillDaemon(i int) {
+	d := f.Daemons[i]
+	f.Daemons = append(f.Daemons[:i:i], f.Daemons[i+1:]...)
+	d.Close()
+	f.Store.RemoveInstance(d.ID())
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,22 +55,27 @@
 	table   *membership.Table
 	queues  map[string]chan membership.Message
 	listing bool
+	listed  bool // true once the platform's list was read
 	// events are not yet published; wake has an element if there are any. The
 	// list is not a channel, since OnEvents may call back into the fleet.
 	events []membership.Event
 	wake   chan struct{}
 }
 
-// New returns a running fleet; Close ends it.
+// New returns a fleet that Start starts.
 func New(o Options) *Fleet {
 	ctx, stop := context.WithCancel(context.Background())
 	f := &Fleet{
 		o: o, ctx: ctx, stop: stop, table: membership.New(membership.Options{Self: o.Self}, time.Now()),
 		queues: make(map[string]chan membership.Message), wake: make(chan struct{}, 1),
 	}
+	return f
+}
+
+// Start begins to send messages and to publish events; Close ends it.
+func (f *Fleet) Start() {
 	f.spawn(f.loop)
 	f.spawn(f.publish)
-	return f
 }
 
 // Close stops the fleet without announcing it. See Drain.
@@ -122,6 +127,7 @@
 	defer f.mu.Unlock()
 	f.listing = false
 	if err == nil {
+		f.listed = true
 		f.apply(f.table.List(time.Now(), list))
 	}
 }
@@ -244,6 +250,14 @@
 	return m.Addr, ok
 }
 
+// Listed reports whether the platform's list has been read, before which this
+// daemon knows no other and would take every shard for its own.
+func (f *Fleet) Listed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
 // Members returns all known members.
 func (f *Fleet) Members() []membership.Member {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/ledger/adopt.go
@@ -0,0 +1,99 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// Taking over shards whose allocator is gone.
+const (
+	// adoptGap spaces the reads of records, so that a change of members does
+	// not use up the daemon's share of the store's calls.
+	adoptGap = 25 * time.Millisecond
+	// adoptRetry is the wait after a failed read.
+	adoptRetry = time.Second
+)
+
+// adopt looks at the records of the shards that this daemon now owns, and
+// takes over those in which the failure domain holds tokens under another
+// allocator. Without it the open reservations of a lost allocator would wait
+// for the next request to the same shard.
+func (l *Ledger) adopt() {
+	for {
+		select {
+		case <-l.adopting:
+		case <-l.ctx.Done():
+			return
+		}
+		for shard := range budget.Shards {
+			for l.ownsWithoutOffice(shard) {
+				if l.adoptShard(shard) {
+					break
+				}
+				if !sleep(l.ctx, adoptRetry) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// wakeAdopt makes adopt look again.
+func (l *Ledger) wakeAdopt() {
+	select {
+	case l.adopting <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Ledger) ownsWithoutOffice(shard int) bool {
+	m, ok := l.owner(shard)
+	if !ok || m.ID != l.o.ID {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f, ok := l.offices[shard]
+	return !ok || f.retired
+}
+
+// adoptShard reports whether the shard needs no further look.
+func (l *Ledger) adoptShard(shard int) bool {
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	defer cancel()
+	sleep(ctx, adoptGap)
+	item, err := l.o.Store.Get(ctx, Key(shard))
+	if errors.Is(err, platform.ErrNotFound) {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	record, err := budget.Unmarshal(item.Value)
+	if err != nil {
+		l.o.Log.Error().Err(err).Int("shard", shard).Msg("budget record can't be decoded")
+		return true
+	}
+	if d := record.Domains[l.o.Domain]; d == nil || d.Owner == l.o.ID || !holds(record, l.o.Domain) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, err = l.office(shard)
+	return err == nil || errors.Is(err, ErrNotOwner)
+}
+
+// holds reports whether a failure domain holds tokens of any budget.
+func holds(r *budget.Record, domain string) bool {
+	for _, b := range r.Budgets {
+		if g := b.Grants[domain]; g.Tokens > 0 || g.Old > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/ledger/hold.go
+++ b/internal/ledger/hold.go
@@ -52,7 +52,7 @@
 var errAgain = errors.New("register and reserve again")
 
 func unavailable(cause error) *problem.Error {
-	return problem.New(problem.BudgetUnavailable, "the budget's allocator can't be reached").After(time.Second).Because(cause)
+	return problem.New(problem.BudgetUnavailable, "the budget can't be drawn on now").After(time.Second).Because(cause)
 }
 
 func (h *hold) reserve(ctx context.Context, charge gateway.Charge, id string) error {
@@ -89,6 +89,10 @@
 	return errAgain
 }
 
+// refusal turns a refused request into an answer to the caller. An allocator
+// that can't draw now, or hands its shard over, is asked again until the
+// ledger's timeout: a refusal while tokens are left would be false.
+
 func refusal(s budget.Status, id string) error {
 	switch s {
 	case budget.StatusExhausted:
@@ -99,8 +103,6 @@
 		return problem.New(problem.Duplicate, "a request with this id is in progress").After(time.Second)
 	case budget.StatusBilled:
 		return problem.New(problem.AlreadyRan, "a request with this id is billed").Having(upstream.RanYes)
-	case budget.StatusUnavailable:
-		return problem.New(problem.BudgetUnavailable, "budget %q can't be drawn on now", id).After(time.Second)
 	}
 	return errAgain
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -95,6 +95,8 @@
 	// registering has a channel for each shard whose registration is in
 	// progress; it is closed at the end.
 	registering map[int]chan struct{}
+	// adopting has an element if the shards owned may have changed.
+	adopting chan struct{}
 	// settling marks the shards with a settlement in progress.
 	settling map[int]bool
 }
@@ -130,8 +132,10 @@
 	l := &Ledger{
 		o: o, ctx: ctx, stop: stop, holder: budget.NewHolder(o.ID), offices: make(map[int]*office),
 		waits: make(map[wait][]chan budget.Reply), registering: make(map[int]chan struct{}), settling: make(map[int]bool),
+		adopting: make(chan struct{}, 1),
 	}
 	l.spawn(func() { l.loop(tickInterval, l.tick) })
+	l.spawn(l.adopt)
 	l.spawn(func() { l.loop(settleInterval, l.settleAll) })
 	return l
 }
--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -44,6 +44,7 @@
 
 // MembersChanged passes a change of the failure domain's live members on.
 func (l *Ledger) MembersChanged() {
+	l.wakeAdopt()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ids := l.liveIDs()
