Count and limit the platform calls of one daemon

Cause: the store counts each call and its rates grow more slowly than the fleet, so each daemon needs a limit of its own and figures to report. Change: platform.Limited wraps a Store, counts reads, writes and watches and refuses with ErrLimited, at once or when the deadline comes before the turn. Conclusion: a refused call never reaches the store.

--- /dev/null
+++ b/internal/platform/limited.go
@@ -0,0 +1,180 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+)
+
+// LimitOptions set the call limits of one daemon.
+type LimitOptions struct {
+	// ReadsPerSecond limits Get, List, Instances and the start of a watch; 0
+	// means no limit.
+	ReadsPerSecond float64
+	// WritesPerSecond limits the other calls; 0 means no limit.
+	WritesPerSecond float64
+	// Burst is the number of calls of each kind that may follow at once; 0
+	// means one second's worth, at least 1.
+	Burst int
+	// Wait lets a call wait for its turn as long as the context's deadline
+	// permits, instead of failing with ErrLimited at once.
+	Wait bool
+}
+
+// CallCounts counts a daemon's calls. A call that was refused by the limit
+// counts only as Limited.
+type CallCounts struct {
+	Reads, Writes, Watches, Limited int64
+	// OpenWatches is the number of watches that wait for events now.
+	OpenWatches int64
+}
+
+// Limited is a Store that counts the calls of one daemon and limits their
+// rate, so that a daemon cannot use up the share of the others.
+type Limited struct {
+	store         Store
+	wait          bool
+	reads, writes *rate.Limiter
+
+	mu     sync.Mutex
+	counts CallCounts
+}
+
+var _ Store = (*Limited)(nil)
+
+// NewLimited returns a Store that passes calls on to store.
+func NewLimited(store Store, o LimitOptions) *Limited {
+	return &Limited{
+		store:  store,
+		wait:   o.Wait,
+		reads:  newLimiter(o.ReadsPerSecond, o.Burst),
+		writes: newLimiter(o.WritesPerSecond, o.Burst),
+	}
+}
+
+func newLimiter(perSecond float64, burst int) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	if burst <= 0 {
+		burst = max(1, int(perSecond))
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), burst)
+}
+
+// Counts returns the calls so far.
+func (l *Limited) Counts() CallCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+func (l *Limited) add(counter *int64, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*counter += n
+}
+
+// enter takes the call's turn and counts it.
+func (l *Limited) enter(ctx context.Context, step string, limiter *rate.Limiter, counter *int64) error {
+	// Wait fails at once if the deadline comes before the call's turn.
+	if l.wait && limiter.Wait(ctx) != nil || !l.wait && !limiter.Allow() {
+		l.add(&l.counts.Limited, 1)
+		return failure.At(ErrLimited, step, "")
+	}
+	l.add(counter, 1)
+	return nil
+}
+
+// Get implements Store.
+func (l *Limited) Get(ctx context.Context, key string) (Item, error) {
+	if err := l.enter(ctx, "platform.get", l.reads, &l.counts.Reads); err != nil {
+		return Item{}, err
+	}
+	return l.store.Get(ctx, key)
+}
+
+// List implements Store.
+func (l *Limited) List(ctx context.Context, prefix string) ([]Item, error) {
+	if err := l.enter(ctx, "platform.list", l.reads, &l.counts.Reads); err != nil {
+		return nil, err
+	}
+	return l.store.List(ctx, prefix)
+}
+
+// CompareAndSwap implements Store.
+func (l *Limited) CompareAndSwap(ctx context.Context, w Write) (Item, error) {
+	if err := l.enter(ctx, "platform.compare-and-swap", l.writes, &l.counts.Writes); err != nil {
+		return Item{}, err
+	}
+	return l.store.CompareAndSwap(ctx, w)
+}
+
+// Delete implements Store.
+func (l *Limited) Delete(ctx context.Context, key string, expected Revision) error {
+	if err := l.enter(ctx, "platform.delete", l.writes, &l.counts.Writes); err != nil {
+		return err
+	}
+	return l.store.Delete(ctx, key, expected)
+}
+
+// Watch implements Store.
+func (l *Limited) Watch(ctx context.Context, prefix string, after Revision) (<-chan Event, error) {
+	if err := l.enter(ctx, "platform.watch", l.reads, &l.counts.Watches); err != nil {
+		return nil, err
+	}
+	events, err := l.store.Watch(ctx, prefix, after)
+	if err != nil {
+		return nil, err
+	}
+	l.add(&l.counts.OpenWatches, 1)
+	out := make(chan Event)
+	go func() {
+		defer close(out)
+		defer l.add(&l.counts.OpenWatches, -1)
+		for ev := range events {
+			select {
+			case out <- ev:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out, nil
+}
+
+// GrantLease implements Store.
+func (l *Limited) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	if err := l.enter(ctx, "platform.grant-lease", l.writes, &l.counts.Writes); err != nil {
+		return 0, err
+	}
+	return l.store.GrantLease(ctx, ttl)
+}
+
+// KeepAlive implements Store.
+func (l *Limited) KeepAlive(ctx context.Context, id LeaseID) error {
+	if err := l.enter(ctx, "platform.keep-alive", l.writes, &l.counts.Writes); err != nil {
+		return err
+	}
+	return l.store.KeepAlive(ctx, id)
+}
+
+// Revoke implements Store.
+func (l *Limited) Revoke(ctx context.Context, id LeaseID) error {
+	if err := l.enter(ctx, "platform.revoke-lease", l.writes, &l.counts.Writes); err != nil {
+		return err
+	}
+	return l.store.Revoke(ctx, id)
+}
+
+// Instances implements Store.
+func (l *Limited) Instances(ctx context.Context) ([]Instance, error) {
+	if err := l.enter(ctx, "platform.instances", l.reads, &l.counts.Reads); err != nil {
+		return nil, err
+	}
+	return l.store.Instances(ctx)
+}
