Add the etcd adapter and the stand-in platform

Cause: daemons reach the users' store over etcd v3's HTTP/JSON API, and no third-party server may be started to test against. Conclusion: a write is called not executed only when it was not sent or the store said that it refused it.

--- /dev/null
+++ b/internal/platform/etcdhttp/call.go
@@ -0,0 +1,126 @@
+package etcdhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp/etcdjson"
+)
+
+// maxAnswerBytes limits an answer. The largest list has some hundred records,
+// most of them far below platform.MaxValueBytes.
+const maxAnswerBytes = 256 << 20
+
+// call is one unary call of the API.
+type call struct {
+	step  string
+	path  string
+	write bool
+	in    any
+	out   any
+	// check reports what is wrong with the decoded answer, if anything.
+	check func() error
+}
+
+// do makes the call, at the next address if it was not executed at the first.
+func (s *Store) do(ctx context.Context, c call) error {
+	body, err := json.Marshal(c.in)
+	if err != nil {
+		return failure.At(err, c.step, "")
+	}
+	for range s.opts.Addrs {
+		i := s.current.Load()
+		addr := s.opts.Addrs[i]
+		var next bool
+		next, err = s.attempt(ctx, addr, c, body)
+		err = failure.At(err, c.step, addr)
+		if err == nil || !next || !errors.Is(err, platform.ErrUnavailable) || ctx.Err() != nil {
+			break
+		}
+		s.current.CompareAndSwap(i, (i+1)%int64(len(s.opts.Addrs)))
+	}
+	return err
+}
+
+// attempt makes the call at one address. It reports whether another address
+// may do better.
+func (s *Store) attempt(ctx context.Context, addr string, c call, body []byte) (next bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	resp, written, err := s.send(ctx, addr+c.path, body)
+	if err != nil {
+		return true, c.failed(written, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return true, c.failed(true, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode >= http.StatusInternalServerError, c.refused(resp.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, c.out); err != nil {
+		return true, c.failed(true, errors.Wrap(err, "malformed answer"))
+	}
+	if c.check == nil {
+		return false, nil
+	}
+	if err := c.check(); err != nil {
+		return true, c.failed(true, errors.Wrap(err, "malformed answer"))
+	}
+	return false, nil
+}
+
+// send posts the body. written reports whether the store may have seen the
+// whole request; before its headers are written this is impossible.
+func (s *Store) send(ctx context.Context, url string, body []byte) (resp *http.Response, written bool, err error) {
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err = s.client.Do(req)
+	return resp, wrote.Load(), err
+}
+
+// failed returns the typed error of a call without a usable answer.
+func (c call) failed(written bool, cause error) error {
+	if c.write && written {
+		return errors.WithMessage(platform.ErrOutcomeUnknown, cause.Error())
+	}
+	return errors.WithMessage(platform.ErrUnavailable, cause.Error())
+}
+
+// refused returns the typed error of an error answer. A 5xx answer to a write
+// leaves its outcome open (a proposal may time out and commit later), unless
+// the message says that there was no leader to propose to.
+func (c call) refused(code int, body []byte) error {
+	var s etcdjson.Status
+	if err := json.Unmarshal(body, &s); err != nil {
+		s.Message = http.StatusText(code)
+	}
+	cause := errors.Errorf("status %d: %s", code, s.Message)
+	switch {
+	case strings.Contains(s.Message, etcdjson.MessageLeaseNotFound):
+		return errors.WithMessage(platform.ErrLeaseExpired, cause.Error())
+	case strings.Contains(s.Message, etcdjson.MessageTooLarge):
+		return errors.WithMessage(platform.ErrTooLarge, cause.Error())
+	case strings.Contains(s.Message, etcdjson.MessageNoLeader):
+		return c.failed(false, cause)
+	case code >= 300 && code < 500 && code != http.StatusRequestTimeout:
+		return c.failed(false, cause)
+	}
+	return c.failed(true, cause)
+}
--- /dev/null
+++ b/internal/platform/etcdhttp/lease.go
@@ -0,0 +1,65 @@
+package etcdhttp
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp/etcdjson"
+)
+
+// GrantLease implements platform.Store. A lease whose answer was lost expires
+// by itself.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	var out etcdjson.Lease
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	err := s.do(ctx, call{
+		step: "platform.grant-lease", path: etcdjson.PathGrant, write: true,
+		in: etcdjson.Lease{TTL: max(1, seconds)}, out: &out,
+		check: func() error {
+			if out.ID == 0 {
+				return errors.New("the lease has no id")
+			}
+			return nil
+		},
+	})
+	return platform.LeaseID(out.ID), err
+}
+
+// KeepAlive implements platform.Store.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	const step = "platform.keep-alive"
+	var out etcdjson.KeepAliveResponse
+	err := s.do(ctx, call{
+		step: step, path: etcdjson.PathKeepAlive, write: true, in: etcdjson.Lease{ID: int64(id)}, out: &out,
+		check: func() error {
+			switch {
+			case out.Error != nil:
+				return errors.Errorf("code %d: %s", out.Error.Code, out.Error.Message)
+			case out.Result == nil || out.Result.ID != int64(id):
+				return errors.New("the answer is about another lease")
+			}
+			return nil
+		},
+	})
+	if err == nil && out.Result.TTL <= 0 {
+		return failure.At(platform.ErrLeaseExpired, step, "")
+	}
+	return err
+}
+
+// Revoke implements platform.Store. A lease that does not exist any more counts
+// as revoked.
+func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+	var out etcdjson.HeaderOnly
+	err := s.do(ctx, call{
+		step: "platform.revoke-lease", path: etcdjson.PathRevoke, write: true, in: etcdjson.Lease{ID: int64(id)}, out: &out,
+	})
+	if errors.Is(err, platform.ErrLeaseExpired) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,179 @@
+// Package platform is a stand-in for the users' platform. It serves a memstore
+// over the part of etcd v3's HTTP/JSON API that package etcdhttp uses, shows
+// the lagging instance list as JSON documents under platform/instances/, and
+// injects faults that are set over HTTP.
+//
+// It stores nothing on disk and knows only transactions that compare the
+// modification revision of one key and then write or delete this key.
+package platform
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp"
+	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp/etcdjson"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+)
+
+// expiryInterval is how often leases are checked, so that watchers hear of an
+// expiry without any call.
+const expiryInterval = 100 * time.Millisecond
+
+// Options configure a Server.
+type Options struct {
+	// Now is the clock of leases and of the list's lag; nil means time.Now.
+	Now func() time.Time
+}
+
+// Faults are the injected faults: those of the store and of its connections.
+type Faults struct {
+	memstore.Faults
+	// DropCalls closes the connection of each call before it takes effect.
+	DropCalls bool `json:"drop_calls"`
+}
+
+// Server is the stand-in platform and its http.Handler.
+type Server struct {
+	// Store holds the data; tests may use it directly.
+	Store *memstore.Store
+	mux   *echo.Echo
+	stop  context.CancelFunc
+	done  chan struct{}
+
+	mu        sync.Mutex
+	dropCalls bool
+}
+
+// New returns a running server. Close ends it.
+func New(opts Options) *Server {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Server{Store: memstore.New(opts.Now), mux: echo.New(), stop: stop, done: make(chan struct{})}
+	s.mux.HideBanner = true
+	s.mux.POST(etcdjson.PathRange, s.serveRange, s.applyDrop)
+	s.mux.POST(etcdjson.PathTxn, s.serveTxn, s.applyDrop)
+	s.mux.POST(etcdjson.PathGrant, s.grant, s.applyDrop)
+	s.mux.POST(etcdjson.PathKeepAlive, s.keepAlive, s.applyDrop)
+	s.mux.POST(etcdjson.PathRevoke, s.revoke, s.applyDrop)
+	s.mux.POST(etcdjson.PathWatch, s.watch, s.applyDrop)
+	s.mux.GET("/health", s.health, s.applyDrop)
+	s.mux.GET("/admin/faults", s.getFaults)
+	s.mux.PUT("/admin/faults", s.putFaults)
+	s.mux.GET("/admin/calls", s.calls)
+	s.mux.POST("/admin/instances", s.putInstance)
+	s.mux.DELETE("/admin/instances/:id", s.deleteInstance)
+	s.mux.POST("/admin/leases/:id/expire", s.expireLease)
+	go s.expireLeases(ctx)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Close ends the watches and the expiry of leases.
+func (s *Server) Close() {
+	s.stop()
+	<-s.done
+	s.Store.SetFaults(memstore.Faults{Outage: true})
+}
+
+func (s *Server) expireLeases(ctx context.Context) {
+	defer close(s.done)
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.Store.ExpireDue()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// SetFaults replaces the injected faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.dropCalls = f.DropCalls
+	s.mu.Unlock()
+	s.Store.SetFaults(f.Faults)
+}
+
+// Faults returns the injected faults in force.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Faults{Faults: s.Store.Faults(), DropCalls: s.dropCalls}
+}
+
+func (s *Server) applyDrop(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.Faults().DropCalls {
+			panic(http.ErrAbortHandler)
+		}
+		return next(c)
+	}
+}
+
+func (s *Server) health(c echo.Context) error {
+	if s.Store.Faults().Outage {
+		return c.JSON(http.StatusServiceUnavailable, map[string]string{"health": "false"})
+	}
+	return c.JSON(http.StatusOK, map[string]string{"health": "true"})
+}
+
+func (s *Server) getFaults(c echo.Context) error { return c.JSON(http.StatusOK, s.Faults()) }
+
+func (s *Server) putFaults(c echo.Context) error {
+	var f Faults
+	if err := c.Bind(&f); err != nil {
+		return err
+	}
+	s.SetFaults(f)
+	return c.JSON(http.StatusOK, f)
+}
+
+func (s *Server) calls(c echo.Context) error {
+	calls := s.Store.Calls()
+	return c.JSON(http.StatusOK, map[string]int64{
+		"reads": calls.Reads, "writes": calls.Writes, "watches": calls.Watches, "conflicts": calls.Conflicts,
+	})
+}
+
+func (s *Server) putInstance(c echo.Context) error {
+	var in platform.Instance
+	if err := c.Bind(&in); err != nil {
+		return err
+	}
+	if in.ID == "" {
+		return echo.NewHTTPError(http.StatusBadRequest, "the instance has no id")
+	}
+	if in.State == "" {
+		in.State = platform.InstanceLive
+	}
+	s.Store.SetInstance(in)
+	return c.JSON(http.StatusOK, in)
+}
+
+func (s *Server) deleteInstance(c echo.Context) error {
+	s.Store.RemoveInstance(c.Param("id"))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) expireLease(c echo.Context) error {
+	id, err := strconv.ParseInt(c.Param("id"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "the lease id is not a number")
+	}
+	s.Store.ExpireLease(platform.LeaseID(id))
+	return c.NoContent(http.StatusNoContent)
+}
+
+// instancePrefix is where etcdhttp reads the instance list by default.
+const instancePrefix = etcdhttp.DefaultInstancePrefix
--- /dev/null
+++ b/internal/standin/platform/watch.go
@@ -0,0 +1,64 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp/etcdjson"
+)
+
+// watch streams events until the caller leaves or the store breaks the watch.
+func (s *Server) watch(c echo.Context) error {
+	var in etcdjson.WatchRequest
+	if !decode(c, &in) {
+		return nil
+	}
+	create := in.CreateRequest
+	prefix, ok := prefixOf(create.Key, create.RangeEnd)
+	if !ok || create.StartRevision <= 0 {
+		return fail(c, errUnsupported)
+	}
+	events, err := s.Store.Watch(c.Request().Context(), prefix, platform.Revision(create.StartRevision-1))
+	compacted := err != nil && !s.Store.Faults().Outage
+	if err != nil && !compacted {
+		return fail(c, err)
+	}
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	c.Response().WriteHeader(http.StatusOK)
+	send(c, etcdjson.WatchResult{Created: true})
+	if compacted {
+		// The store refuses a start before its history, as etcd does after a
+		// compaction.
+		send(c, etcdjson.WatchResult{Canceled: true, CompactRevision: create.StartRevision + 1})
+		return nil
+	}
+	for ev := range events {
+		if ev.Err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		send(c, eventResult(ev))
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func eventResult(ev platform.Event) etcdjson.WatchResult {
+	out := etcdjson.Event{Kv: keyValue(ev.Item)}
+	if ev.Deleted {
+		out.Type = etcdjson.EventDelete
+	}
+	return etcdjson.WatchResult{
+		Header: etcdjson.Header{Revision: int64(ev.Item.Revision)},
+		Events: []etcdjson.Event{out},
+	}
+}
+
+// send writes one message. A failed write ends the handler.
+func send(c echo.Context, result etcdjson.WatchResult) {
+	if err := json.NewEncoder(c.Response()).Encode(etcdjson.WatchResponse{Result: &result}); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c.Response().Flush()
+}
