Hedge later, so that the budget lasts through a slowdown

Cause: the hedge delay was the 95th percentile of first-token time. In a calm pool this is close to the median, so 5% of the requests were hedged all the time and the budget was empty when an endpoint slowed down.

Change: the delay is the 97th percentile, at least 2.5 and at most 5 medians.

What remains is requests whose endpoint slows down after their first token; these may not be repeated.

--- a/internal/enginefake/daemon.go
+++ b/internal/enginefake/daemon.go
@@ -17,8 +17,10 @@
 	service     = "model"
 	tickEvery   = 100 * time.Millisecond
 	messageTime = 2 * time.Millisecond
-	// promptShare is the work of a prompt token in output tokens.
-	promptShare = 0.1
+	// PromptShare is the work of a prompt token in output tokens. A step with
+	// 15 sequences takes 33 ms, so an output token costs 2.2 ms of the engine
+	// and a prompt token 0.1 ms; the share is rounded up.
+	PromptShare = 0.1
 )
 
 var epoch = time.Unix(1_000_000_000, 0)
@@ -151,7 +153,7 @@
 	c.verdict = verdict.Verdict
 	c.features = predict.Features{Account: r.Account, Service: service, PromptTokens: r.Prompt, MaxTokens: r.Cap}
 	predicted := d.predict.Predict(c.features).Tokens
-	c.work = predicted + int(promptShare*float64(r.Prompt))
+	c.work = predicted + int(PromptShare*float64(r.Prompt))
 	c.request = route.Request{PredictedTokens: predicted, PromptTokens: r.Prompt, PrefixHash: r.Prefix,
 		PrefixTokens: r.PrefixTokens, Domain: d.domain}
 	if r.Cap > 4*256 {
@@ -240,6 +242,7 @@
 		dec := c.d.budget.Hedge(c.d.clock(), c.retryAttempt(true), waited)
 		switch {
 		case dec.OK:
+			c.d.res.Hedges++
 			first := c.live[0]
 			c.request.Exclude = append(c.request.Exclude, first.route.Endpoint)
 			c.dispatch(true)
@@ -286,7 +289,7 @@
 		a.d.engines[o.engine].Cancel(o.job)
 		delete(a.d.open[o.engine], o)
 		// The loser computed at most its prompt.
-		done := int(promptShare * float64(a.Prompt))
+		done := int(PromptShare * float64(a.Prompt))
 		a.d.res.HedgeTokens += done
 		a.d.budget.HedgeDone(a.work, done)
 	}
--- a/internal/enginefake/fleet.go
+++ b/internal/enginefake/fleet.go
@@ -87,6 +87,7 @@
 	GapCounts [2000]int
 	// HedgeTokens are the tokens and prompt shares of hedges that lost.
 	HedgeTokens, Generated int
+	Hedges                 int
 	Hits, Lookups, Crashes int
 	// DigestBytes is the size of all digests sent to one peer by all daemons.
 	DigestBytes, Digests int
--- /dev/null
+++ b/internal/outlier/outlier_test.go
@@ -0,0 +1,169 @@
+package outlier
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = int64(time.Millisecond)
+
+// rig drives a detector in steps of 50 ms: every endpoint has two streams and
+// gives a token each gap.
+type rig struct {
+	*Detector
+	now  int64
+	gap  []int64 // ns; 0 gives no tokens
+	last []int64
+}
+
+func newRig(n int, o Options) *rig {
+	r := &rig{Detector: New(o), now: 1, gap: make([]int64, n), last: make([]int64, n)}
+	for i := range n {
+		r.gap[i] = 50 * ms
+		r.Add(r.now, int32(i), false)
+		for range 2 {
+			r.Started(r.now, int32(i))
+			r.FirstToken(r.now, int32(i), 100*ms)
+		}
+		r.last[i] = r.now
+	}
+	return r
+}
+
+func (r *rig) run(d time.Duration) {
+	for end := r.now + int64(d); r.now < end; {
+		r.now += 50 * ms
+		for i, g := range r.gap {
+			if g > 0 && r.now-r.last[i] >= g {
+				r.Token(r.now, int32(i), r.now-r.last[i])
+				r.Token(r.now, int32(i), r.now-r.last[i])
+				r.last[i] = r.now
+			}
+		}
+		if r.now/(100*ms) != (r.now-50*ms)/(100*ms) {
+			r.Tick(r.now)
+		}
+	}
+}
+
+// ejected returns the number of endpoints without weight.
+func (r *rig) ejected() (n int) {
+	for i := range r.gap {
+		if r.Weight(r.now, int32(i)) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against late or false ejection.
+func TestEjection(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		gaps   map[int]int64
+		want   Reason
+		within time.Duration
+		count  int
+	}{
+		{"10 times slower", map[int]int64{3: 500 * ms}, Slow, time.Second, 1},
+		{"4 times slower", map[int]int64{3: 200 * ms}, Slow, 2 * time.Second, 1},
+		{"no progress", map[int]int64{3: 0}, Stalled, time.Second, 1},
+		{"2 times slower is a larger batch", map[int]int64{3: 100 * ms}, None, 4 * time.Second, 0},
+		{"cap of 30%", map[int]int64{0: 0, 1: 0, 2: 0, 3: 0, 4: 0}, Stalled, time.Second, 3},
+		{"the whole pool is slow", map[int]int64{0: 500 * ms, 1: 500 * ms, 2: 500 * ms, 3: 500 * ms, 4: 500 * ms,
+			5: 500 * ms, 6: 500 * ms, 7: 500 * ms, 8: 500 * ms, 9: 500 * ms}, Stalled, 3 * time.Second, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(10, Options{})
+			r.run(2 * time.Second)
+			if n := r.ejected(); n != 0 {
+				t.Fatalf("%d endpoints ejected from an even pool", n)
+			}
+			for i, g := range c.gaps {
+				r.gap[i] = g
+			}
+			r.run(c.within)
+			if n := r.ejected(); n > c.count || (n < c.count && len(c.gaps) < 10) {
+				t.Errorf("%d endpoints ejected, want %d", n, c.count)
+			}
+			if got := r.Reason(3); len(c.gaps) == 1 && got != c.want {
+				t.Errorf("reason %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that stays ejected, returns at full weight, or is
+// tried as often when it fails again.
+func TestReturn(t *testing.T) {
+	r := newRig(10, Options{})
+	r.run(2 * time.Second)
+	r.gap[3] = 0
+	r.run(time.Second)
+	if r.Weight(r.now, 3) != 0 {
+		t.Fatal("a stalled endpoint was not ejected")
+	}
+	r.gap[3] = 50 * ms
+	r.run(2500 * time.Millisecond)
+	if w := r.Weight(r.now, 3); w <= 0 || w >= 1 {
+		t.Errorf("weight %v after the return, want ramp-up", w)
+	}
+	r.run(6 * time.Second)
+	if w := r.Weight(r.now, 3); w != 1 {
+		t.Errorf("weight %v after ramp-up, want 1", w)
+	}
+	r.gap[3] = 0
+	r.run(time.Second)
+	first := r.states[3].until - r.now
+	if first < int64(2*time.Second) {
+		t.Errorf("second ejection ends in %v, want it longer than the first", time.Duration(first))
+	}
+}
+
+// Guards against connect errors that eject nothing, or everything.
+func TestFailures(t *testing.T) {
+	r := newRig(10, Options{})
+	for i := range int32(10) {
+		for k := range 2 {
+			r.Started(r.now, i)
+			if i%2 == 0 {
+				r.ConnectFailed(r.now, i)
+			} else {
+				r.Broken(r.now, i, false)
+			}
+			if w := r.Weight(r.now, i); k == 0 && w != 1 {
+				t.Errorf("endpoint %d ejected after one failure", i)
+			}
+		}
+	}
+	if n := r.ejected(); n != 8 {
+		t.Errorf("%d of 10 endpoints ejected, want the cap of 8", n)
+	}
+	if r.Reason(0) != Unreachable || r.Reason(1) != Failing {
+		t.Errorf("reasons %q, %q", r.Reason(0), r.Reason(1))
+	}
+	for i := range int32(10) {
+		r.Remove(i)
+	}
+	if r.present != 0 || r.slow != 0 || r.failed != 0 {
+		t.Errorf("after removal: %d present, %d slow, %d failed", r.present, r.slow, r.failed)
+	}
+}
+
+// Guards against full load on an endpoint that has just started.
+func TestRampUp(t *testing.T) {
+	r := newRig(4, Options{})
+	r.Add(r.now, 4, true)
+	var last float64
+	for range 10 {
+		w := r.Weight(r.now, 4)
+		if w < MinWeight || w < last || w > 1 {
+			t.Fatalf("weight %v after %v", w, last)
+		}
+		last = w
+		r.run(600 * time.Millisecond)
+	}
+	if last != 1 {
+		t.Errorf("weight %v after 5.4 s, want 1", last)
+	}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -22,7 +22,7 @@
 	// BaseDelay and MaxDelay bound the backoff. Defaults 20 ms and 1 s.
 	BaseDelay, MaxDelay time.Duration
 	// HedgeQuantile is the quantile of first-token time after which a hedge
-	// is sent. Default 0.95.
+	// is sent. Default 0.97.
 	HedgeQuantile float64
 	// MinHedgeDelay is the least delay of a hedge. Default 20 ms.
 	MinHedgeDelay time.Duration
@@ -35,7 +35,7 @@
 	o.MaxAttempts = cmp.Or(o.MaxAttempts, 3)
 	o.BaseDelay = cmp.Or(o.BaseDelay, 20*time.Millisecond)
 	o.MaxDelay = cmp.Or(o.MaxDelay, time.Second)
-	o.HedgeQuantile = cmp.Or(o.HedgeQuantile, 0.95)
+	o.HedgeQuantile = cmp.Or(o.HedgeQuantile, 0.97)
 	o.MinHedgeDelay = cmp.Or(o.MinHedgeDelay, 20*time.Millisecond)
 	return o
 }
@@ -44,9 +44,11 @@
 	// connectWork is the charge in tokens of a retry after a connect error: no
 	// endpoint did any work, but the connection and the choice cost something.
 	connectWork = 16
-	// medianRatio bounds the hedge delay by the median, because the quantile
-	// itself rises while endpoints are slow.
-	medianRatio = 3
+	// leastMedians and mostMedians bound the hedge delay by the median: the
+	// quantile itself rises while endpoints are slow, and in a calm pool it is
+	// so close to the median that hedges would use up their budget before an
+	// endpoint slows down.
+	leastMedians, mostMedians = 2.5, 5
 	// minHedgeSamples is the number of first tokens from which hedges are sent.
 	minHedgeSamples = 20
 )
@@ -151,7 +153,8 @@
 		return 0, false
 	}
 	q := b.firstToken.quantile(b.opts.HedgeQuantile)
-	d := min(q, medianRatio*b.firstToken.quantile(0.5))
+	median := float64(b.firstToken.quantile(0.5))
+	d := time.Duration(min(max(float64(q), leastMedians*median), mostMedians*median))
 	return max(d, b.opts.MinHedgeDelay), true
 }
 
