--- /dev/null
+++ b/internal/route/choose_bench_test.go
@@ -0,0 +1,74 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkChoose measures one choice with its bookkeeping among pools of
+// different sizes, with and without a prompt prefix. It must not allocate, and
+// its time may grow with the logarithm of the size at most.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{20, 300, 4300} {
+		for _, prefix := range []bool{false, true} {
+			b.Run(fmt.Sprintf("endpoints=%d/prefix=%t", n, prefix), func(b *testing.B) {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				p := newPool(n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				rng := rand.New(rand.NewPCG(1, 2))
+				attempts := make([]Attempt, 4*n)
+				r := Request{PredictedTokens: 200, PromptTokens: 300, Domain: "d0"}
+				k := 0
+				step := func() {
+					if prefix {
+						r.PrefixHash, r.PrefixTokens = mix(uint64(k%500))|1, 200
+					}
+					a := &attempts[k%len(attempts)]
+					p.Finished(t0, a, Completed)
+					c, err := p.Choose(t0, &r, rng)
+					if err != nil {
+						b.Fatal(err)
+					}
+					p.Started(t0, c, &r, a)
+					k++
+				}
+				for range 2 * len(attempts) {
+					step()
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					step()
+				}
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "state_B")
+				runtime.KeepAlive(p)
+			})
+		}
+	}
+}
+
+// Guards against an allocation per choice or per token.
+func TestNoAllocation(t *testing.T) {
+	p, rng := newPool(300), seeded()
+	a := &Attempt{}
+	r := Request{PredictedTokens: 200, Domain: "d0", PrefixHash: 5, PrefixTokens: 100, Exclude: []EndpointID{"e0001"}}
+	allocs := testing.AllocsPerRun(1000, func() {
+		c, err := p.Choose(t0, &r, rng)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Started(t0, c, &r, a)
+		p.FirstToken(t0, a)
+		p.Tokens(t0, a, 1)
+		p.Finished(t0, a, Completed)
+		r.PrefixHash++
+	})
+	if allocs != 0 {
+		t.Errorf("%v allocations per request", allocs)
+	}
+}
--- /dev/null
+++ b/internal/route/pool_test.go
@@ -0,0 +1,273 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/rapidtest"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_000_000_000, 0)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+func seeded() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func endpoints(n int) []Endpoint {
+	var out []Endpoint
+	for k := range n {
+		out = append(out, Endpoint{ID: EndpointID(fmt.Sprintf("e%04d", k)), Domain: fmt.Sprintf("d%d", k%3), Slots: 16})
+	}
+	return out
+}
+
+func newPool(n int) *Pool {
+	p := New(Options{})
+	p.Update(t0, endpoints(n))
+	return p
+}
+
+// start runs a request and returns where.
+func start(t testing.TB, p *Pool, now time.Time, r *Request, rng *rand.Rand) (EndpointID, *Attempt) {
+	c, err := p.Choose(now, r, rng)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &Attempt{}
+	p.Started(now, c, r, a)
+	return c.Endpoint, a
+}
+
+// Guards against an untyped refusal or a choice without an endpoint.
+func TestChooseErrors(t *testing.T) {
+	p := New(Options{})
+	if _, err := p.Choose(t0, &Request{}, seeded()); !errors.Is(err, ErrNoEndpoint) {
+		t.Errorf("empty pool: %v", err)
+	}
+	set := endpoints(2)
+	set[0].State = Leaving
+	p.Update(t0, set)
+	if _, err := p.Choose(t0, &Request{Exclude: []EndpointID{set[1].ID}}, seeded()); !errors.Is(err, ErrAllExcluded) {
+		t.Errorf("only excluded endpoints: %v", err)
+	}
+	for range 2 {
+		_, a := start(t, p, t0, &Request{PredictedTokens: 10}, seeded())
+		p.Finished(t0, a, ConnectFailed)
+	}
+	if id, _ := start(t, p, t0, &Request{}, seeded()); id != set[1].ID {
+		t.Errorf("the only endpoint is refused after connect errors")
+	}
+}
+
+// Guards against an uneven load: the choice must weigh candidates.
+func TestBalance(t *testing.T) {
+	p, rng := newPool(30), seeded()
+	for range 300 {
+		start(t, p, t0, &Request{PredictedTokens: 200, Domain: "d0"}, rng)
+	}
+	for _, s := range p.Status() {
+		if s.OwnInFlight < 6 || s.OwnInFlight > 14 {
+			t.Errorf("%s has %d of a mean of 10 requests", s.ID, s.OwnInFlight)
+		}
+	}
+}
+
+// Guards against work of other daemons that is not counted, counted twice, or
+// kept after its daemon is gone.
+func TestDigest(t *testing.T) {
+	a, b, rng := newPool(40), newPool(40), seeded()
+	for range 100 {
+		start(t, a, t0, &Request{PredictedTokens: 250}, rng)
+	}
+	for range 2 { // a repeated digest replaces the first
+		if err := b.PeerLoad(t0, "a", a.Digest(nil, 0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for k, s := range b.Status() {
+		own := a.Status()[k]
+		if s.PeersInFlight != own.OwnInFlight {
+			t.Errorf("%s: %d requests of the peer, want %d", s.ID, s.PeersInFlight, own.OwnInFlight)
+		}
+		if s.PeersTokens < own.OwnTokens*6/10 || s.PeersTokens > own.OwnTokens*14/10 {
+			t.Errorf("%s: %d tokens of the peer, want about %d", s.ID, s.PeersTokens, own.OwnTokens)
+		}
+	}
+	if c := b.Capacity(); c.PeersInFlight != 100 || c.Peers != 1 {
+		t.Errorf("capacity %+v", c)
+	}
+	if n := len(a.Digest(nil, 20)); n > 20 {
+		t.Errorf("digest of %d bytes, bound 20", n)
+	}
+	b.Update(t0, endpoints(39))
+	if err := b.PeerLoad(t0, "a", a.Digest(nil, 0)); !errors.Is(err, ErrDigestLayout) {
+		t.Errorf("digest of another set: %v", err)
+	}
+	b.Tick(t0.Add(5 * time.Second))
+	if c := b.Capacity(); c.PeersInFlight != 0 {
+		t.Errorf("an old digest still counts %d requests", c.PeersInFlight)
+	}
+}
+
+// Guards against malformed digests that panic or leave a partial load.
+func TestDigestFormat(t *testing.T) {
+	p := newPool(3)
+	head := p.Digest(nil, 0)[:digestHeader]
+	for _, body := range [][]byte{{0}, {0, 0}, {0, 4}, {0x11, 0x11, 0x11, 0x11}, {0, 3, 0x11}} {
+		if err := p.PeerLoad(t0, "a", slices.Concat(head, body)); !errors.Is(err, ErrDigestFormat) {
+			t.Errorf("body %v: %v", body, err)
+		}
+		if c := p.Capacity(); c.PeersInFlight != 0 || c.Peers != 0 {
+			t.Errorf("body %v leaves %+v", body, c)
+		}
+	}
+}
+
+// Guards against load of unknown daemons that only late reports show.
+func TestReport(t *testing.T) {
+	p := newPool(2)
+	p.Tick(t0)
+	now := t0.Add(2 * time.Second)
+	_, a := start(t, p, now, &Request{PredictedTokens: 10}, seeded())
+	p.Report(now, "e0000", LoadReport{Running: 14, Waiting: 2, Age: 2 * time.Second})
+	for range 10 {
+		if id, _ := start(t, p, now, &Request{PredictedTokens: 10}, seeded()); id != "e0001" {
+			t.Errorf("chosen %s, which reports 16 requests", id)
+		}
+	}
+	p.Finished(now, a, Completed)
+	p.Tick(now.Add(7 * time.Second))
+	if got := p.eps[0].foreign; got != 0 {
+		t.Errorf("a report of 7 s ago still counts %d requests", got)
+	}
+}
+
+// Guards against affinity that moves a prefix without need, ignores cache
+// events, or overloads an endpoint.
+func TestAffinity(t *testing.T) {
+	p, q, rng := newPool(20), newPool(20), seeded()
+	r := &Request{PredictedTokens: 10, PrefixHash: 7, PrefixTokens: 500, Domain: "d0"}
+	first, a := start(t, p, t0, r, rng)
+	p.Finished(t0, a, Completed)
+	if again, _ := start(t, p, t0, r, rng); again != first {
+		t.Errorf("prefix moved from %s to %s", first, again)
+	}
+	if other, _ := start(t, q, t0, r, rng); other != first {
+		t.Errorf("two daemons choose %s and %s for a new prefix", first, other)
+	}
+	q.Cached(t0, CacheEvent{Endpoint: "e0009", Prefix: 9})
+	r.PrefixHash = 9
+	if id, _ := start(t, q, t0, r, rng); id != "e0009" {
+		t.Errorf("chosen %s, the prefix is cached at e0009", id)
+	}
+}
+
+// checkPool drives a pool with random calls. After each call no leaving or
+// excluded endpoint is chosen, and the sums agree with a simple account.
+func checkPool(t *rapid.T, broken string) {
+	p := New(Options{})
+	p.broken = broken
+	rng := seeded()
+	now := t0
+	set := endpoints(6)
+	p.Update(now, set)
+	var open []*Attempt
+	t.Repeat(map[string]func(*rapid.T){
+		"update": func(t *rapid.T) {
+			k := rapid.IntRange(0, len(set)-1).Draw(t, "endpoint")
+			set[k].State = State(rapid.IntRange(0, 1).Draw(t, "state"))
+			p.Update(now, set)
+		},
+		"start": func(t *rapid.T) {
+			r := &Request{PredictedTokens: rapid.IntRange(0, 900).Draw(t, "tokens"), Domain: "d1",
+				PrefixHash: rapid.Uint64Range(0, 3).Draw(t, "prefix"), PrefixTokens: 100}
+			for k, out := range rapid.SliceOfN(rapid.Bool(), 6, 6).Draw(t, "exclude") {
+				if out {
+					r.Exclude = append(r.Exclude, set[k].ID)
+				}
+			}
+			c, err := p.Choose(now, r, rng)
+			if err != nil {
+				for _, e := range set {
+					if e.State == Live && !slices.Contains(r.Exclude, e.ID) {
+						t.Fatalf("%v, but %s is live", err, e.ID)
+					}
+				}
+				return
+			}
+			at := slices.IndexFunc(set, func(e Endpoint) bool { return e.ID == c.Endpoint })
+			if set[at].State == Leaving {
+				t.Fatalf("chosen %s, which is leaving", c.Endpoint)
+			}
+			if slices.Contains(r.Exclude, c.Endpoint) {
+				t.Fatalf("chosen %s, which is excluded", c.Endpoint)
+			}
+			if mean := float64(p.own) / float64(len(p.ready)); c.Affinity && float64(p.eps[at].own+1) > 1.25*mean+1 {
+				t.Fatalf("affinity chose %s with %d requests, mean %.1f", c.Endpoint, p.eps[at].own, mean)
+			}
+			a := &Attempt{}
+			p.Started(now, c, r, a)
+			open = append(open, a)
+		},
+		"token": func(t *rapid.T) {
+			now = now.Add(30 * time.Millisecond)
+			for _, a := range open {
+				p.FirstToken(now, a)
+				p.Tokens(now, a, rapid.IntRange(0, 40).Draw(t, "n"))
+			}
+			p.Tick(now)
+		},
+		"finish": func(t *rapid.T) {
+			if len(open) > 0 {
+				p.Finished(now, open[0], Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")))
+				p.Finished(now, open[0], Completed) // a second end has no effect
+				open = open[1:]
+			}
+		},
+		"": func(t *rapid.T) {
+			count, tokens := map[EndpointID]int{}, map[EndpointID]int{}
+			for _, a := range open {
+				count[a.Endpoint]++
+				tokens[a.Endpoint] += int(a.tokens)
+			}
+			for _, s := range p.Status() {
+				if s.OwnInFlight != count[s.ID] || s.OwnTokens != tokens[s.ID] {
+					t.Fatalf("%s has %d requests, %d tokens, want %d and %d", s.ID, s.OwnInFlight, s.OwnTokens, count[s.ID], tokens[s.ID])
+				}
+			}
+			if c := p.Capacity(); c.OwnInFlight != len(open) {
+				t.Fatalf("%d requests in flight, want %d", c.OwnInFlight, len(open))
+			}
+		},
+	})
+}
+
+func TestPoolInvariants(t *testing.T) { rapid.Check(t, func(t *rapid.T) { checkPool(t, "") }) }
+
+func TestBrokenVariantsFail(t *testing.T) {
+	for _, name := range []string{"leaving", "excluded", "bound"} {
+		t.Run(name, func(t *testing.T) {
+			rapidtest.MustFail(t, func(t *rapid.T) { checkPool(t, name) })
+		})
+	}
+}
+
+// Guards against work that stays counted on a forgotten endpoint, and against
+// an attempt that changes the endpoint that took its place.
+func TestForgottenEndpoint(t *testing.T) {
+	p := newPool(1)
+	_, a := start(t, p, t0, &Request{PredictedTokens: 50}, seeded())
+	p.Update(t0, []Endpoint{{ID: "new", Domain: "d0"}})
+	p.Tokens(t0, a, 10)
+	p.Finished(t0, a, Completed)
+	want := Capacity{Endpoints: 0.1, Slots: 1.6}
+	if d := cmp.Diff(want, p.Capacity(), cmp.Comparer(func(x, y float64) bool { return x-y < 1e-6 && y-x < 1e-6 })); d != "" {
+		t.Error(d)
+	}
+}
