budget: add the fuzz against a ledger, and fix what it found

The state machines had no test. Faults found and fixed:

- A reservation settled under a new allocator was charged a second time when its old mirror registered with a third one.
Finished reservations are now cleared with each holder that has not registered.
- A bill above the total that a mirror knew was cut to that total.

--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -174,6 +174,8 @@
 	// granted is true once an acknowledgement was sent or the holder
 	// registered the reservation.
 	granted bool
+	// adopted is true if the reservation is of an earlier epoch.
+	adopted bool
 	// taken is true if want is covered and only the mirror is awaited.
 	taken bool
 	// mirrors holds the tokens that each member confirmed, -1 if none yet.
--- /dev/null
+++ b/internal/budget/fuzz_test.go
@@ -0,0 +1,393 @@
+package budget
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and the number of cases, so that each run has the
+// same verdict. Flags given on the command line take precedence.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "150", "rapid.steps": "150", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// actions are the steps of the fuzz, each as often as its weight. The empty
+// action checks the invariants after each step.
+func (w *world) actions() map[string]func(*rapid.T) {
+	up := func(n *node) bool { return n.up() }
+	busy := func(n *node) bool { return n.up() && len(n.runs) > 0 }
+	allocates := func(n *node) bool { return n.up() && n.a != nil }
+	on := func(keep func(*node) bool, f func(n *node)) func() {
+		return func() {
+			if n := w.pick(keep); n != nil {
+				f(n)
+			}
+		}
+	}
+	m := map[string]func(*rapid.T){"": func(*rapid.T) { w.check() }}
+	add := func(name string, weight int, f func()) {
+		for i := range weight {
+			m[fmt.Sprint(name, " ", i)] = func(*rapid.T) { f() }
+		}
+	}
+	add("start", 6, on(up, w.startSome))
+	add("progress", 6, on(busy, w.progress))
+	add("cycle", 6, w.cycle)
+	add("sync", 2, on(up, w.sync))
+	add("deliver", 3, func() { w.disturb("deliver") })
+	add("repeat", 2, func() { w.disturb("repeat") })
+	add("lose", 1, func() { w.disturb("lose") })
+	add("rush", 1, on(allocates, w.rush))
+	add("delay", 3, w.delay)
+	add("arrive", 2, func() { w.net, w.late = append(w.late, w.net...), nil })
+	add("all", 2, w.deliverAll)
+	add("tick", 2, func() {
+		w.tick(time.Duration(rapid.SampledFrom([]int{20, 200, 1000, 7000}).Draw(w.t, "ms")) * time.Millisecond)
+	})
+	add("allocate", 1, on(up, w.takeOver))
+	add("pause", 1, on(up, w.pause))
+	add("pause allocator", 1, on(allocates, w.pause))
+	add("resume", 2, on(func(n *node) bool { return n.paused && !n.dead }, func(n *node) { n.paused = false }))
+	add("crash", 1, on(up, w.crash))
+	add("crash allocator", 1, on(allocates, w.crash))
+	add("suspect", 2, on(func(n *node) bool { return n.dead || n.paused }, w.suspect))
+	add("store", 3, func() { w.storeFault(rapid.IntRange(0, 7).Draw(w.t, "store fault")) })
+	add("top up", 1, func() { w.topUp(rapid.Bool().Draw(w.t, "repeat")) })
+	return m
+}
+
+// cycle lets each daemon send what is due, with an allocator in each domain.
+func (w *world) cycle() {
+	for _, domain := range testDomains {
+		if a := w.newest(domain); a == nil || a.paused {
+			if n := w.pick(func(n *node) bool { return n.up() && n.domain == domain }); n != nil {
+				w.takeOver(n)
+			}
+		}
+	}
+	for range 2 {
+		for _, n := range w.nodes {
+			if n.up() {
+				w.sync(n)
+			}
+		}
+		w.deliverAll()
+		w.tick(600 * time.Millisecond)
+		w.deliverAll()
+	}
+}
+
+// rush uses a grant up, settles the allocator's own requests and crashes it
+// before the store knows of that.
+func (w *world) rush(n *node) {
+	tokens := int64(rapid.IntRange(100, 300).Draw(w.t, "tokens"))
+	for range 2 {
+		w.start(n, fmt.Sprint("u", len(w.runs)), tokens)
+	}
+	w.deliverAll()
+	for _, key := range slices.SortedFunc(maps.Keys(n.runs), Key.compare) {
+		w.settle(n, n.runs[key])
+	}
+	w.sync(n)
+	betweenDaemons := func(p packet) bool { return p.to != nil && !p.to.paused }
+	w.deliverSome(betweenDaemons)
+	for _, other := range w.nodes {
+		if other != n && other.up() && other.domain == n.domain {
+			w.start(other, fmt.Sprint("u", len(w.runs)), tokens)
+		}
+	}
+	w.deliverSome(betweenDaemons)
+	w.crash(n)
+	w.cycle()
+}
+
+func (w *world) pause(n *node) { n.paused = true }
+
+func (w *world) startSome(n *node) {
+	// "k" ids come from callers and can come again, "u" ids cannot.
+	id := fmt.Sprintf("u%d", len(w.runs))
+	if rapid.IntRange(0, 2).Draw(w.t, "keyed") == 0 {
+		id = fmt.Sprintf("k%d", rapid.IntRange(0, 9).Draw(w.t, "key"))
+	}
+	w.start(n, id, int64(rapid.IntRange(1, 300).Draw(w.t, "tokens")))
+}
+
+// progress relays tokens of one request, extends or settles it.
+func (w *world) progress(n *node) {
+	keys := slices.SortedFunc(maps.Keys(n.runs), Key.compare)
+	r := n.runs[rapid.SampledFrom(keys).Draw(w.t, "run")]
+	switch rapid.IntRange(0, 5).Draw(w.t, "progress") {
+	case 0, 1:
+		if req, err := n.h.Extend(testShard, r.key, r.reserved+50); err == nil {
+			w.toAllocator(n, func(a *Allocator) { a.Extend(w.now, req) })
+		}
+	case 2:
+		if r.used > 0 {
+			r.used = r.reserved
+		}
+	default:
+		if r.used > 0 {
+			r.used = int64(rapid.IntRange(int(r.used), int(r.reserved)).Draw(w.t, "used"))
+		}
+		w.settle(n, r)
+	}
+}
+
+func (w *world) disturb(how string) {
+	if len(w.net) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.net)-1).Draw(w.t, "packet")
+	switch {
+	case how != "lose":
+		w.deliver(i, how == "repeat" && w.net[i].to != nil)
+	case w.net[i].expire != nil:
+		w.net[i].expire() // the write itself may still arrive
+	case w.net[i].to != nil && w.net[i].from != nil:
+		w.net = slices.Delete(w.net, i, i+1)
+	}
+}
+
+// delay holds a message back until "arrive".
+func (w *world) delay() {
+	if len(w.net) > 0 {
+		i := rapid.IntRange(0, len(w.net)-1).Draw(w.t, "packet")
+		w.late = append(w.late, w.net[i])
+		w.net = slices.Delete(w.net, i, i+1)
+	}
+}
+
+func (w *world) crash(n *node) {
+	if len(w.live(n.domain)) > 1 {
+		n.dead, n.a = true, nil
+		w.addNode(n.domain)
+	}
+}
+
+// suspect tells the allocators of the failure domain that a daemon is gone,
+// rightly or not.
+func (w *world) suspect(gone *node) {
+	for _, n := range w.nodes {
+		if n.up() && n.a != nil && n.domain == gone.domain {
+			n.a.HolderGone(w.now, gone.name)
+			w.take(n)
+		}
+	}
+}
+
+func (w *world) storeFault(kind int) {
+	switch kind {
+	case 0:
+		w.outage = true
+	case 1, 2:
+		w.cut[testDomains[kind-1]] = true
+	case 3, 4, 5:
+		w.lose++
+	default:
+		w.outage, w.cut = false, map[string]bool{}
+	}
+}
+
+func (w *world) topUp(repeat bool) {
+	if !repeat || w.topUps == 0 {
+		w.topUps++
+		w.prepaid += 200
+	}
+	w.edit(func(r *Record) error { return r.TopUp(fmt.Sprint("op", w.topUps), testBudget, 200) })
+}
+
+// check compares the record with the oracle after a step.
+func (w *world) check() {
+	rec := w.record()
+	if err := rec.Check(); err != nil {
+		w.t.Fatal(err)
+	}
+	b := rec.Budgets[testBudget]
+	if b.Prepaid != w.prepaid {
+		w.t.Fatalf("prepaid %d, the top-ups add up to %d", b.Prepaid, w.prepaid)
+	}
+	var sum int64
+	seen := map[string]bool{}
+	for _, e := range rec.Bills {
+		if seen[e.ID] && !strings.HasPrefix(e.ID, "disputed/") {
+			w.t.Fatalf("request %s has two bills: %+v; %+v", e.ID, rec.Bills, rec.Domains)
+		}
+		seen[e.ID] = true
+		sum += e.Tokens
+	}
+	if sum != b.Spent || rec.Accounts["acme"] != nil && rec.Accounts["acme"].Spent != sum {
+		w.t.Fatalf("spent %d, the bills add up to %d", b.Spent, sum)
+	}
+	if used := w.used(); used > w.prepaid {
+		w.t.Fatalf("requests used %d tokens of %d prepaid", used, w.prepaid)
+	}
+}
+
+// used is the least that the requests so far must be billed.
+func (w *world) used() (sum int64) {
+	least := map[string]int64{}
+	for _, r := range w.runs {
+		if old, ok := least[r.id]; r.used > 0 && (!ok || r.used < old) {
+			least[r.id] = r.used
+		}
+	}
+	for _, n := range least {
+		sum += n
+	}
+	return sum
+}
+
+// finish heals all faults, ends all requests and checks that each request that
+// ran has its bill, and no other has one.
+func (w *world) finish() {
+	w.outage, w.lose, w.cut = false, 0, map[string]bool{}
+	for _, n := range w.nodes {
+		n.paused = false
+	}
+	w.net, w.late = append(w.net, w.late...), nil
+	w.deliverAll()
+	for round := range 60 {
+		if round > 8 && w.unfinished() == "" {
+			break
+		}
+		for _, n := range w.nodes {
+			for _, key := range slices.SortedFunc(maps.Keys(n.runs), Key.compare) {
+				if r := n.runs[key]; !n.dead {
+					w.settle(n, r)
+				}
+			}
+		}
+		w.heal(round)
+	}
+	if s := w.unfinished(); s != "" {
+		w.t.Fatal(s)
+	}
+	w.check()
+	w.checkBills()
+}
+
+// unfinished tells what is not settled yet.
+func (w *world) unfinished() string {
+	for _, n := range w.nodes {
+		switch {
+		case n.dead:
+		case !n.h.Idle():
+			return fmt.Sprintf("daemon %s still has unsettled requests", n.name)
+		case n.a != nil && n == w.newest(n.domain) && (len(n.a.open)+len(n.a.bills) > 0 || n.a.Epoch() == 0 || n.a.recovering || n.a.flight != nil):
+			return fmt.Sprintf("allocator %s still has %s", n.name, n.a.dump())
+		}
+	}
+	return ""
+}
+
+// newest returns the allocator with the newest epoch that is not deposed.
+func (w *world) newest(domain string) (best *node) {
+	for _, n := range w.nodes {
+		if n.domain != domain || n.dead || n.a == nil || n.a.Deposed() {
+			continue
+		}
+		if best == nil || n.a.Epoch() > best.a.Epoch() {
+			best = n
+		}
+	}
+	return best
+}
+
+// heal gives each failure domain one allocator and lets it catch up.
+func (w *world) heal(round int) {
+	for _, domain := range testDomains {
+		best := w.newest(domain)
+		if best == nil {
+			best = w.pick(func(n *node) bool { return n.domain == domain && !n.dead })
+			w.takeOver(best)
+		}
+		best.a.SetMembers(w.now, w.live(domain))
+	}
+	for _, n := range w.nodes {
+		if n.dead && round%5 == 0 {
+			w.suspect(n)
+		} else if !n.dead {
+			w.sync(n)
+		}
+	}
+	w.deliverAll()
+	w.tick(time.Second)
+	w.deliverAll()
+	if round == 25 {
+		w.edit(func(r *Record) error {
+			for _, d := range r.Disputes() {
+				if err := r.Decide(d.Domain, Spend); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		w.tick(decisionPoll)
+	}
+}
+
+func (w *world) checkBills() {
+	rec := w.record()
+	bills, disputed := map[string]int64{}, false
+	for _, e := range rec.Bills {
+		bills[e.ID] += e.Tokens
+		disputed = disputed || strings.HasPrefix(e.ID, "disputed/")
+	}
+	type sums struct{ ran, least, most, reserved, crashed int64 }
+	byID := map[string]*sums{}
+	for _, r := range w.runs {
+		s := byID[r.id]
+		if s == nil {
+			s = &sums{least: 1 << 40}
+			byID[r.id] = s
+		}
+		if r.n.dead {
+			s.crashed++
+		}
+		if r.used > 0 {
+			s.ran++
+			s.least, s.most, s.reserved = min(s.least, r.used), max(s.most, r.used), max(s.reserved, r.reserved)
+		}
+	}
+	for id, s := range byID {
+		bill := bills[id]
+		switch {
+		case s.crashed == 0 && s.ran == 0 && bill > 0:
+			w.t.Fatalf("request %s did not run and is billed %d", id, bill)
+		case s.crashed == 0 && s.ran > 0 && (bill < s.least || bill > s.most):
+			w.t.Fatalf("request %s ran %d times, used %d to %d and is billed %d", id, s.ran, s.least, s.most, bill)
+		case s.ran > 0 && bill < s.least && !disputed:
+
+			w.t.Fatalf("request %s of a crashed daemon used %d and is billed %d", id, s.least, bill)
+		}
+	}
+}
+
+func property(flaws flaw) func(t *rapid.T) {
+	return func(t *rapid.T) {
+		w := newWorld(t, flaws)
+		for _, domain := range testDomains {
+			w.takeOver(w.pick(func(n *node) bool { return n.domain == domain }))
+		}
+		t.Repeat(w.actions())
+		w.finish()
+	}
+}
+
+// Guards against overspend, a request billed twice or not at all, a bill for a
+// request that did not run, and tokens that get lost, under crashes, pauses,
+// partitions, store faults and reordered, lost and repeated messages.
+func TestFuzzAgainstLedger(t *testing.T) { rapid.Check(t, property(0)) }
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -127,7 +127,7 @@
 // whose answer can no longer be accepted: their requests reserve again.
 func (h *Holder) Register(shard int) (RegisterRequest, []Key) {
 	s := h.shard(shard)
-	if !s.registered {
+	if !s.registered && h.flaws&flawOldAck == 0 {
 		s.dropPending()
 	}
 	r := RegisterRequest{Shard: shard, Epoch: s.epoch, Holder: h.id, Gen: s.gen, Low: s.low(), Bills: slices.Clone(s.bills)}
--- a/internal/budget/holder_request.go
+++ b/internal/budget/holder_request.go
@@ -39,6 +39,9 @@
 		s.release(r.Key) // another copy of the request may reach an allocator in office
 		return Again
 	default:
+		if r.Tokens > 0 {
+			s.release(r.Key) // a mirror may know of it
+		}
 		delete(s.open, r.Key)
 		return Refused
 	}
--- a/internal/budget/message.go
+++ b/internal/budget/message.go
@@ -140,7 +140,8 @@
 	Key    Key
 	Epoch  uint64
 	Status Status
-	// Tokens is the total now reserved, for KindReserve and KindExtend.
+	// Tokens is the total now reserved, for KindReserve and KindExtend. In the
+	// refusal of a new reservation it is above 0 if a mirror may know of it.
 	Tokens int64
 	// Durable is the highest settlement number that is in the record.
 	Durable uint64
--- a/internal/budget/register.go
+++ b/internal/budget/register.go
@@ -65,7 +65,8 @@
 			continue
 		}
 		own[b.Key] = true
-		if a.open[b.Key] == nil && b.Tokens > 0 {
+		// A mirror may know a smaller total than the one that was billed.
+		if e := a.open[b.Key]; b.Tokens > 0 && (e == nil || e.res.Tokens < b.Tokens) {
 			a.adoptEntry(Reservation{Key: b.Key, ID: b.ID, Budget: b.Budget, Tokens: b.Tokens, Keyed: b.Keyed})
 		}
 	}
@@ -81,7 +82,7 @@
 	p := a.pool(res.Budget)
 	e := a.open[res.Key]
 	if e == nil {
-		e = &entry{res: res, granted: true}
+		e = &entry{res: res, granted: true, adopted: true}
 		e.res.Tokens = 0
 		a.open[res.Key] = e
 		if a.byID[res.ID] == nil {
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -181,7 +181,8 @@
 // refuse answers a waiting request with a refusal. An extension leaves the
 // reservation as it was; its tokens stay reserved if a mirror may know them.
 func (a *Allocator) refuse(e *entry, s Status) {
-	a.reply(e.kind, e.res.Key, s, 0)
+	// A holder releases a refused reservation of which a mirror may know.
+	a.reply(e.kind, e.res.Key, s, e.res.Tokens)
 	e.want = 0
 	if e.granted {
 		return
--- a/internal/budget/settle.go
+++ b/internal/budget/settle.go
@@ -21,7 +21,7 @@
 
 func (a *Allocator) acceptAll(c *client, bills []Bill) {
 	for _, b := range bills {
-		if b.N == c.accepted+1 || (a.opts.flaws&flawNoWatermark != 0 && b.N > c.accepted) {
+		if b.N == c.accepted+1 {
 			c.accepted = b.N
 			a.accept(c, b)
 		}
@@ -43,6 +43,7 @@
 		// Given up before the allocator knew of it, so nothing is reserved.
 		b.Tokens = 0
 		a.bills = append(a.bills, b)
+		a.clearUnregistered(b.Key)
 		return
 	}
 	b.Tokens = min(b.Tokens, e.res.Tokens)
@@ -73,12 +74,32 @@
 		}
 		a.dirty = true
 	}
+	if e.adopted {
+		a.clearUnregistered(e.res.Key)
+	}
 	delete(a.open, e.res.Key)
 	if a.byID[e.res.ID] == e {
 		delete(a.byID, e.res.ID)
 	}
 }
 
+// clearUnregistered notes a finished reservation of an earlier epoch as cleared
+// with each holder that has not registered: it may be its mirror, and a
+// successor would otherwise take the reservation for open.
+func (a *Allocator) clearUnregistered(key Key) {
+	if !a.recovering {
+		return
+	}
+	for _, h := range a.rec.domain(a.opts.Domain).Waiting {
+		c := a.clients[h]
+		if mark := (Cleared{h, key}); h != key.Holder && (c == nil || (!c.registered && !c.closed)) {
+			if _, ok := a.cleared[mark]; !ok {
+				a.cleared[mark] = false
+			}
+		}
+	}
+}
+
 func (a *Allocator) noteBilled(b Bill) {
 	if b.Keyed && b.Tokens > 0 {
 		a.billed[b.ID] = b.Provisional
--- a/internal/budget/store.go
+++ b/internal/budget/store.go
@@ -298,6 +298,9 @@
 	for h, m := range d.Holders {
 		c := a.client(h)
 		c.gen, c.accepted, c.durable, c.closed = m.Gen, m.Settled, m.Settled, m.Closed
+		if a.opts.flaws&flawNoWatermark != 0 {
+			c.accepted = 0
+		}
 	}
 	for _, h := range d.Members {
 		a.members[h] = true
--- a/internal/budget/wire.go
+++ b/internal/budget/wire.go
@@ -64,6 +64,42 @@
 // value.
 const maxDecoded = 64 << 20
 
+// compressors and decompressors are free for reuse; each has tens to hundreds of
+// kilobytes of tables. A channel keeps a few, where sync.Pool would drop them at
+// each garbage collection.
+var (
+	compressors   = make(chan *flate.Writer, 4)
+	decompressors = make(chan io.ReadCloser, 4)
+)
+
+func compressor(w io.Writer) (*flate.Writer, error) {
+	select {
+	case z := <-compressors:
+		z.Reset(w)
+		return z, nil
+	default:
+		return flate.NewWriter(w, flate.BestSpeed)
+	}
+}
+
+func decompressor(r io.Reader) io.ReadCloser {
+	select {
+	case z := <-decompressors:
+		if reset, ok := z.(flate.Resetter); ok && reset.Reset(r, nil) == nil {
+			return z
+		}
+	default:
+	}
+	return flate.NewReader(r)
+}
+
+func putBack[T any](free chan T, z T) {
+	select {
+	case free <- z:
+	default:
+	}
+}
+
 // Marshal encodes the record.
 func (r *Record) Marshal() ([]byte, error) {
 	w := wireRecord{Version: wireVersion, TopUps: r.TopUps, Totals: make(map[string]wireTotals, len(r.Accounts))}
@@ -95,10 +131,11 @@
 		w.Bills = append(w.Bills, wb)
 	}
 	var buf bytes.Buffer
-	z, err := flate.NewWriter(&buf, flate.BestSpeed)
+	z, err := compressor(&buf)
 	if err != nil {
 		return nil, errors.Wrap(err, "compress budget record")
 	}
+	defer putBack(compressors, z)
 	if err := json.NewEncoder(z).Encode(w); err != nil {
 		return nil, errors.Wrap(err, "encode budget record")
 	}
@@ -115,8 +152,9 @@
 		return r, nil
 	}
 	var w wireRecord
-	z := io.LimitReader(flate.NewReader(bytes.NewReader(value)), maxDecoded)
-	if err := json.NewDecoder(z).Decode(&w); err != nil {
+	z := decompressor(bytes.NewReader(value))
+	defer putBack(decompressors, z)
+	if err := json.NewDecoder(io.LimitReader(z, maxDecoded)).Decode(&w); err != nil {
 		return nil, errors.Wrap(err, "decode budget record")
 	}
 	if w.Version != wireVersion {
