Keep a poison request within three endpoints

Cause: with three callers that send the same poison request at once, 4 to 5 endpoints were lost, because the copies crashed one endpoint each before the daemons knew of the first crash. The tests also showed that a verdict depended on the order in which the digests of one crash were recorded: the first one was isolated although a second one was as suspect.

Change: a daemon that learns of a crash calls back other copies of the request that have sent no byte, and starts them later one after another. The registry judges after all digests of a crash are recorded, and from the time of the crash, so that all daemons agree. Adds BenchmarkPoison and the tests of the registry and of the predictor, with broken variants.

go test -run xxx -bench Poison -benchtime 1x ./internal/poison

Two endpoints are lost at once, the third by the trial after the first isolation of 60 s. healthy_failed_pct counts streams that broke off after their first byte with the crashed endpoint; they may not be repeated.

--- a/internal/enginefake/daemon.go
+++ b/internal/enginefake/daemon.go
@@ -202,7 +202,7 @@
 	}
 	c.attempts++
 	k := engineIndex(choice.Endpoint)
-	a := &attempt{call: c, job: c.job(), engine: k, hedge: hedge}
+	a := &attempt{call: c, job: d.job(c.Record), engine: k, hedge: hedge}
 	d.pool.Started(d.clock(), choice, &c.request, &a.route)
 	a.job.OnToken = a.token
 	a.job.OnFail = a.crashed
@@ -309,9 +309,10 @@
 	slices.Sort(digests)
 	d.poison.Crashed(d.clock(), engineID(a.engine), digests)
 	entries := d.poison.Pending()
+	d.callBackCopies(entries)
 	for _, peer := range d.daemons {
 		if peer != d && len(entries) > 0 {
-			d.After(messageTime, func() { peer.poison.Merge(d.clock(), entries) })
+			d.After(messageTime, func() { peer.mergePoison(entries) })
 		}
 	}
 	delete(d.open[a.engine], a)
@@ -323,6 +324,53 @@
 	}
 }
 
+// mergePoison records crashes that another daemon saw. Copies of the same
+// requests that run here are called back before they crash another engine.
+func (d *daemon) mergePoison(entries []poison.Entry) {
+	d.poison.Merge(d.clock(), entries)
+	d.callBackCopies(entries)
+}
+
+func (d *daemon) callBackCopies(entries []poison.Entry) {
+	for _, e := range entries {
+		if e.Completed {
+			continue
+		}
+		for t := admission.Ticket(1); t <= d.next; t++ {
+			if c := d.calls[t]; c != nil && c.digest == e.Digest && c.First == 0 && c.runsBeside(e.Endpoint) {
+				c.callBack()
+			}
+		}
+	}
+}
+
+// runsBeside reports whether c runs, and not on the given endpoint.
+func (c *call) runsBeside(endpoint string) bool {
+	return len(c.live) > 0 && !slices.ContainsFunc(c.live, func(a *attempt) bool { return engineID(a.engine) == endpoint })
+}
+
+// callBack cancels the attempts of a request and starts it again later if the
+// verdict on it allows.
+func (c *call) callBack() {
+	d := c.d
+	for _, a := range c.live {
+		d.pool.Finished(d.clock(), &a.route, route.Cancelled)
+		d.engines[a.engine].Cancel(a.job)
+		delete(d.open[a.engine], a)
+	}
+	c.live = nil
+	d.After(poison.CallBackDelay+time.Duration(d.rng.Int64N(int64(poison.CallBackSpread))), func() {
+		if d.poison.Verdict(d.clock(), c.digest) < poison.Suspect {
+			c.verdict = poison.Watched
+			c.dispatch(false)
+			return
+		}
+		c.Refused = true
+		c.end(false)
+		c.resend(time.Second)
+	})
+}
+
 func (c *call) retry(dispatched bool) {
 	dec := c.d.budget.Retry(c.d.clock(), c.retryAttempt(dispatched), c.d.rng)
 	if !dec.OK {
--- a/internal/enginefake/engine.go
+++ b/internal/enginefake/engine.go
@@ -103,6 +103,8 @@
 	// OnToken is called for each token; OnFail if the engine crashes.
 	OnToken func(first, last bool)
 	OnFail  func()
+	// OnPoison is called when the job crashes the engine.
+	OnPoison func()
 
 	prefill   int
 	done      int
@@ -222,6 +224,7 @@
 			kept = append(kept, j)
 			continue
 		case j.Poison:
+			j.OnPoison()
 			e.Crash()
 			return
 		}
--- a/internal/enginefake/fleet.go
+++ b/internal/enginefake/fleet.go
@@ -89,6 +89,8 @@
 	HedgeTokens, Generated int
 	Hedges                 int
 	Hits, Lookups, Crashes int
+	// Lost counts the engines that each poison request crashed.
+	Lost map[uint64]int
 	// DigestBytes is the size of all digests sent to one peer by all daemons.
 	DigestBytes, Digests int
 	// QueueEmpty is the last time at which a daemon had a queue.
@@ -127,7 +129,7 @@
 	if cfg.DigestEvery == 0 {
 		cfg.DigestEvery = 200 * time.Millisecond
 	}
-	f := &fleet{Loop: &Loop{}, cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), res: &Result{}}
+	f := &fleet{Loop: &Loop{}, cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), res: &Result{Lost: make(map[uint64]int)}}
 	for range cfg.Engines {
 		f.engines = append(f.engines, NewEngine(f.Loop, cfg.Engine))
 	}
@@ -229,7 +231,7 @@
 	f.grow()
 	home := f.daemons[daemon]
 	home.inFlight[k]++
-	j := r.job()
+	j := f.job(r)
 	j.OnToken = func(first, done bool) {
 		f.seen(r, &last, first, done)
 		if done {
@@ -244,8 +246,9 @@
 	}
 }
 
-func (r *Record) job() *Job {
-	return &Job{Prompt: r.Prompt, Tokens: r.Tokens, Prefix: r.Prefix, PrefixTokens: r.PrefixTokens, Poison: r.Poison}
+func (f *fleet) job(r *Record) *Job {
+	return &Job{Prompt: r.Prompt, Tokens: r.Tokens, Prefix: r.Prefix, PrefixTokens: r.PrefixTokens, Poison: r.Poison,
+		OnPoison: func() { f.res.Lost[r.Content]++ }}
 }
 
 // seen records what the caller sees.
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -2,9 +2,16 @@
 //
 // A Registry holds the crashes that the daemons of one failure domain have
 // seen for each request digest. It does no input or output; the caller holds
-// the lock and passes the time. The caller sends the result of Pending to the
-// other daemons at once, and holds the failure answer of a crashed request for
-// HoldFailure, so that the caller's repeat finds every daemon informed.
+// the lock and passes the time. The bound of three endpoints for a poison
+// request depends on the caller of the package in three points:
+//
+//   - It sends the result of Pending to the other daemons at once.
+//   - It holds the failure answer of a crashed request for HoldFailure, so that
+//     a repeat finds every daemon informed.
+//   - When Crashed or Merge names a digest of which another copy runs without
+//     a byte sent to its caller, it cancels that copy, waits for CallBackDelay
+//     plus a random time of CallBackSpread, and starts it again only if
+//     Verdict is below Suspect.
 package poison
 
 import (
@@ -18,6 +25,14 @@
 // domain, about 1.5 ms one way, with room for a busy receiver.
 const HoldFailure = 100 * time.Millisecond
 
+// CallBackDelay and CallBackSpread time the restart of a copy that was called
+// back. A poison request crashes its endpoint within a few decoding steps of
+// about 50 ms, so most restarts see the result of the one before.
+const (
+	CallBackDelay  = 200 * time.Millisecond
+	CallBackSpread = 600 * time.Millisecond
+)
+
 // Digest identifies the content of a request. Two callers that send the same
 // content have the same digest.
 type Digest uint64
--- /dev/null
+++ b/internal/poison/poison_bench_test.go
@@ -0,0 +1,71 @@
+package poison_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/enginefake"
+)
+
+const (
+	poisonEvery = 40 * time.Second
+	poisonTo    = 200 * time.Second
+	poisonEnd   = 230 * time.Second
+)
+
+// BenchmarkPoison sends poison requests, each different and each by a number
+// of callers at once, every 40 s. Their callers repeat them at any daemon as
+// soon as they fail, and a second after a refusal. endpoints_lost is the
+// greatest number of engines that one poison request crashed.
+func BenchmarkPoison(b *testing.B) {
+	engine := enginefake.DefaultEngine(24)
+	const tokens, prompt = 100, 200
+	deployments := append(slices.Clone(enginefake.Deployments[:2]),
+		enginefake.Deployment{Name: "target", Engines: 102, Daemons: 30, Domains: 1})
+	for k := range 4 * len(deployments) {
+		dep, seed, callers := deployments[k/4], uint64(1+k%2), []int{1, 3}[k/2%2]
+		b.Run(fmt.Sprintf("%s/callers=%d/seed=%d", dep.Name, callers, seed), func(b *testing.B) {
+			rate := 0.6 * float64(dep.Engines) * engine.Capacity(engine.Slots, tokens, prompt)
+			requests := enginefake.Generate(enginefake.Shape{Rate: enginefake.Constant(rate), MaxRate: rate, End: poisonTo,
+				MeanTokens: tokens, MeanPrompt: prompt, Accounts: enginefake.Accounts}, seed)
+			for at := poisonEvery / 2; at < poisonTo; at += poisonEvery {
+				for range callers {
+					requests = append(requests, enginefake.Request{At: at, Account: "account-3", Prompt: prompt, Tokens: tokens,
+						Cap: 2 * tokens, Poison: true, Content: uint64(at)})
+				}
+			}
+			slices.SortStableFunc(requests, func(x, y enginefake.Request) int { return cmp.Compare(x.At, y.At) })
+			for range b.N {
+				cfg := dep.Config(engine, enginefake.Core, seed)
+				cfg.ResendPoison = true
+				reportPoison(b, enginefake.Run(cfg, requests, poisonEnd))
+			}
+		})
+	}
+}
+
+func reportPoison(b *testing.B, res *enginefake.Result) {
+	worst, healthy, refused, failed := 0, 0.0, 0.0, 0.0
+	for _, n := range res.Lost {
+		worst = max(worst, n)
+	}
+	for _, r := range res.Records {
+		if r.Poison {
+			continue
+		}
+		healthy++
+		if r.Refused {
+			refused++
+		}
+		if r.Failed {
+			failed++
+		}
+	}
+	b.ReportMetric(float64(worst), "endpoints_lost")
+	b.ReportMetric(float64(res.Crashes)/float64(len(res.Lost)), "lost_mean")
+	b.ReportMetric(100*refused/healthy, "healthy_refused_pct")
+	b.ReportMetric(100*failed/healthy, "healthy_failed_pct")
+}
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -134,10 +134,11 @@
 		if r.knownGood(now, d) {
 			continue
 		}
-		if r.add(now, d, crash{endpoint: endpoint, at: now}) {
+		if r.add(d, crash{endpoint: endpoint, at: now}) {
 			r.pending = append(r.pending, Entry{Digest: d, Endpoint: endpoint, At: now})
 		}
 	}
+	r.judge(endpoint)
 }
 
 // Pending returns the entries to send to the other daemons and forgets them.
@@ -169,13 +170,17 @@
 			r.note(e.At, e.Digest)
 			r.clear(e.Digest, e.At)
 		case now.Sub(e.At) < r.opts.Window && !r.knownGood(e.At, e.Digest):
-			r.add(now, e.Digest, crash{endpoint: e.Endpoint, at: e.At})
+			r.add(e.Digest, crash{endpoint: e.Endpoint, at: e.At})
 		}
 	}
+	for _, e := range entries {
+		r.judge(e.Endpoint)
+	}
 }
 
-// add records a crash; false if it is already known.
-func (r *Registry) add(now time.Time, d Digest, c crash) bool {
+// add records a crash; false if it is already known. The caller calls judge
+// when all digests of the crash are recorded.
+func (r *Registry) add(d Digest, c crash) bool {
 	rec := r.records[d]
 	if rec == nil {
 		if len(r.records) >= r.opts.MaxDigests {
@@ -193,24 +198,47 @@
 	if !slices.Contains(r.present[c.endpoint], d) {
 		r.present[c.endpoint] = append(r.present[c.endpoint], d)
 	}
-	r.isolate(now, d, rec)
 	return true
 }
 
+// judge decides again on the digests that were present at crashes of the
+// endpoint. A digest that looked like the only suspect may turn out to be one
+// of two when the entries of another daemon arrive.
+func (r *Registry) judge(endpoint string) {
+	for _, d := range r.present[endpoint] {
+		r.isolate(d, r.records[d])
+	}
+}
+
 func (c crash) same(o crash) bool {
 	return c.endpoint == o.endpoint && c.at.Sub(o.at).Abs() < sameCrash
 }
 
-func (r *Registry) isolate(now time.Time, d Digest, rec *record) {
+// isolate sets the end of the isolation of d from the time of its last crash,
+// so that all daemons with the same entries agree.
+func (r *Registry) isolate(d Digest, rec *record) {
 	n := len(rec.crashes)
+	rec.until = time.Time{}
 	switch {
 	case n >= maxCrashes:
-		rec.until = now.Add(r.opts.LongIsolation)
+		rec.until = rec.last().Add(r.opts.LongIsolation)
 	case n >= clearCrashes && !r.ambiguous(d, rec):
-		rec.until = now.Add(r.opts.Isolation)
+		rec.until = rec.last().Add(r.opts.Isolation)
 	}
 }
 
+// last returns the time of the last crash; the entries may have come in any
+// order.
+func (rec *record) last() time.Time {
+	var t time.Time
+	for _, c := range rec.crashes {
+		if c.at.After(t) {
+			t = c.at
+		}
+	}
+	return t
+}
+
 // ambiguous reports whether another digest was present at as many crashes of
 // the same endpoints as d, so that either may be the cause.
 func (r *Registry) ambiguous(d Digest, rec *record) bool {
@@ -240,13 +268,25 @@
 	if rec == nil {
 		return
 	}
-	rec.crashes = slices.DeleteFunc(rec.crashes, func(c crash) bool { return !c.at.After(at) })
+	r.forget(d, rec, func(c crash) bool { return !c.at.After(at) })
+}
+
+// forget drops the crashes of d that match.
+func (r *Registry) forget(d Digest, rec *record, match func(crash) bool) {
+	old := slices.Clone(rec.crashes)
+	rec.crashes = slices.DeleteFunc(rec.crashes, match)
+	for _, c := range old {
+		if !slices.ContainsFunc(rec.crashes, func(k crash) bool { return k.endpoint == c.endpoint }) {
+			r.unlist(c.endpoint, d)
+		}
+	}
 	if len(rec.crashes) == 0 {
-		r.drop(d)
+		delete(r.records, d)
 		return
 	}
-	rec.until = time.Time{}
-	r.isolate(at, d, rec)
+	if len(rec.crashes) < len(old) {
+		r.isolate(d, rec)
+	}
 }
 
 func (r *Registry) drop(d Digest) {
@@ -281,23 +321,14 @@
 	if len(rec.crashes) != len(o.crashes) {
 		return len(rec.crashes) < len(o.crashes)
 	}
-	return rec.crashes[len(rec.crashes)-1].at.Before(o.crashes[len(o.crashes)-1].at)
+	return rec.last().Before(o.last())
 }
 
 // Tick drops crashes that no longer count. The caller calls it every few
 // seconds.
 func (r *Registry) Tick(now time.Time) {
 	for d, rec := range r.records {
-		rec.crashes = slices.DeleteFunc(rec.crashes, func(c crash) bool {
-			old := now.Sub(c.at) >= r.opts.Window
-			if old {
-				r.unlist(c.endpoint, d)
-			}
-			return old
-		})
-		if len(rec.crashes) == 0 {
-			r.drop(d)
-		}
+		r.forget(d, rec, func(c crash) bool { return now.Sub(c.at) >= r.opts.Window })
 	}
 }
 
--- /dev/null
+++ b/internal/poison/registry_test.go
@@ -0,0 +1,160 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/rapidtest"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_000_000_000, 0)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+// Guards against a verdict that comes too late, hits the neighbours of a
+// poison request, or does not end.
+func TestVerdicts(t *testing.T) {
+	type crashed struct {
+		at       float64
+		endpoint string
+		digests  []Digest
+	}
+	for _, c := range []struct {
+		name    string
+		crashes []crashed
+		ask     float64
+		want    map[Digest]Verdict
+	}{
+		{"unknown", nil, 0, map[Digest]Verdict{1: Allow}},
+		{"one crash", []crashed{{0, "a", []Digest{1, 2}}}, 1, map[Digest]Verdict{1: Watched, 2: Watched}},
+		{"two crashes, one suspect", []crashed{{0, "a", []Digest{1, 2}}, {1, "b", []Digest{1, 3}}}, 2,
+			map[Digest]Verdict{1: Isolated, 2: Watched, 3: Watched}},
+		{"two crashes, two suspects", []crashed{{0, "a", []Digest{1, 2}}, {1, "b", []Digest{1, 2}}}, 2,
+			map[Digest]Verdict{1: Suspect, 2: Suspect}},
+		{"three crashes", []crashed{{0, "a", []Digest{1, 2}}, {1, "b", []Digest{1, 2}}, {2, "c", []Digest{1}}}, 3,
+			map[Digest]Verdict{1: Isolated, 2: Suspect}},
+		{"one crash, reported twice", []crashed{{0, "a", []Digest{1}}, {1, "a", []Digest{1}}}, 2, map[Digest]Verdict{1: Watched}},
+		{"same endpoint, later", []crashed{{0, "a", []Digest{1}}, {40, "a", []Digest{1}}}, 41, map[Digest]Verdict{1: Isolated}},
+		{"coincidence ends after a minute", []crashed{{0, "a", []Digest{1}}, {1, "b", []Digest{1}}}, 62, map[Digest]Verdict{1: Suspect}},
+		{"third crash lasts", []crashed{{0, "a", []Digest{1}}, {1, "b", []Digest{1}}, {62, "c", []Digest{1}}}, 1800,
+			map[Digest]Verdict{1: Isolated}},
+		{"window", []crashed{{0, "a", []Digest{1}}}, 3601, map[Digest]Verdict{1: Allow}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, peer := New(Options{}), New(Options{})
+			for _, x := range c.crashes {
+				r.Crashed(at(x.at), x.endpoint, x.digests)
+				entries := r.Pending()
+				peer.Merge(at(x.at), entries)
+				peer.Merge(at(x.at), entries) // a repeated message has no effect
+			}
+			joined := New(Options{})
+			joined.Merge(at(c.ask), r.Entries())
+			for name, reg := range map[string]*Registry{"own": r, "peer": peer} {
+				reg.Tick(at(c.ask))
+				got := map[Digest]Verdict{}
+				for d := range c.want {
+					got[d] = reg.Begin(at(c.ask), d).Verdict
+				}
+				if d := cmp.Diff(c.want, got); d != "" {
+					t.Errorf("%s: %s", name, d)
+				}
+			}
+			if d := cmp.Diff(r.Entries(), joined.Entries()); d != "" {
+				t.Errorf("a daemon that joined: %s", d)
+			}
+		})
+	}
+}
+
+// Guards against a healthy request that stays blocked after it completed, and
+// against more than one trial at a time.
+func TestTrialAndClear(t *testing.T) {
+	r, peer := New(Options{}), New(Options{})
+	r.Crashed(t0, "a", []Digest{1, 2})
+	r.Crashed(at(1), "b", []Digest{1, 2})
+	peer.Merge(at(1), r.Pending())
+	if v := r.Begin(at(2), 1).Verdict; v != Suspect {
+		t.Fatalf("verdict %v, want Suspect", v)
+	}
+	if d := r.Begin(at(2), 1); d.Verdict != Isolated || d.RetryAfter <= 0 {
+		t.Errorf("second copy during the trial: %+v", d)
+	}
+	r.End(at(5), 1, true)
+	peer.Merge(at(5), r.Pending())
+	for name, reg := range map[string]*Registry{"own": r, "peer": peer} {
+		if v := reg.Begin(at(6), 1).Verdict; v != Allow {
+			t.Errorf("%s: verdict %v after completion, want Allow", name, v)
+		}
+	}
+	r.Crashed(at(7), "c", []Digest{1})
+	if v := r.Begin(at(8), 1).Verdict; v != Allow {
+		t.Errorf("verdict %v on a request that completed lately, want Allow", v)
+	}
+}
+
+// checkRegistry checks with random crashes that two daemons with the same
+// entries agree, and that no digest runs after three crashes.
+func checkRegistry(t *rapid.T, broken string) {
+	r, peer := New(Options{}), New(Options{})
+	r.broken = broken
+	now := t0
+	count := map[Digest]int{}
+	t.Repeat(map[string]func(*rapid.T){
+		"crash": func(t *rapid.T) {
+			now = now.Add(5 * time.Second)
+			d := Digest(rapid.IntRange(1, 6).Draw(t, "digest"))
+			if r.Begin(now, d).Verdict == Isolated {
+				return
+			}
+			if count[d] >= maxCrashes {
+				t.Fatalf("digest %d runs after %d crashes", d, count[d])
+			}
+			count[d]++
+			r.Crashed(now, fmt.Sprint("e", rapid.IntRange(0, 9).Draw(t, "endpoint")), []Digest{d, Digest(rapid.IntRange(100, 120).Draw(t, "neighbour"))})
+			r.End(now, d, false)
+			peer.Merge(now, r.Pending())
+		},
+		"": func(t *rapid.T) {
+			if d := cmp.Diff(r.Entries(), peer.Entries()); d != "" {
+				t.Fatal(d)
+			}
+			if d := cmp.Diff(r.Isolated(now), peer.Isolated(now)); d != "" {
+				t.Fatal(d)
+			}
+		},
+	})
+}
+
+func TestRegistryInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkRegistry(t, "") })
+}
+
+func TestBrokenVariantFails(t *testing.T) {
+	rapidtest.MustFail(t, func(t *rapid.T) { checkRegistry(t, "isolation") })
+}
+
+// Guards against memory that grows with the number of digests or endpoints.
+func TestBoundedMemory(t *testing.T) {
+	r := New(Options{MaxDigests: 8})
+	r.Crashed(t0, "a", []Digest{1})
+	r.Crashed(at(10), "b", []Digest{1})
+	for k := range 1000 {
+		r.Crashed(at(20+float64(k)), fmt.Sprint("e", k), []Digest{Digest(1000 + k)})
+	}
+	if len(r.records) > 8 || len(r.present) > 9 {
+		t.Errorf("%d records, %d endpoints, bound 8", len(r.records), len(r.present))
+	}
+	if v := r.Begin(at(20), 1).Verdict; v != Isolated {
+		t.Errorf("verdict %v on the digest with most crashes, want Isolated", v)
+	}
+	r.Tick(at(5000))
+	if len(r.records)+len(r.present) != 0 {
+		t.Errorf("%d records, %d endpoints after the window", len(r.records), len(r.present))
+	}
+}
--- /dev/null
+++ b/internal/predict/predict_test.go
@@ -0,0 +1,90 @@
+package predict
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/azurehatch/azurehatch/internal/rapidtest"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m) }
+
+// Guards against predictions that ignore the cap, the account or the shape of
+// the request.
+func TestPredict(t *testing.T) {
+	p := New(Options{})
+	lookup := Features{Account: "a", Service: "s", PromptTokens: 200, MaxTokens: 128}
+	plan := Features{Account: "a", Service: "s", PromptTokens: 200, MaxTokens: 4096}
+	other := Features{Account: "b", Service: "s", PromptTokens: 200, MaxTokens: 128}
+	if got := p.Predict(lookup); got.Tokens != 128 || got.High != 128 {
+		t.Errorf("without history: %+v, want the cap", got)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		p.Finished(lookup, 30+rng.IntN(21))
+		p.Finished(plan, 1500+rng.IntN(1001))
+		p.Finished(other, 90+rng.IntN(21))
+	}
+	for _, c := range []struct {
+		name      string
+		f         Features
+		low, high int
+	}{
+		{"lookup", lookup, 36, 44},
+		{"plan", plan, 1800, 2200},
+		{"other account", other, 95, 105},
+		{"new account takes the shape's history", Features{Account: "c", Service: "s", PromptTokens: 200, MaxTokens: 128}, 40, 100},
+		{"new service", Features{Service: "x"}, 256, 256},
+		{"small cap", Features{Account: "a", Service: "s", PromptTokens: 200, MaxTokens: 5}, 5, 5},
+	} {
+		got := p.Predict(c.f)
+		if got.Tokens < c.low || got.Tokens > c.high || got.High < got.Tokens {
+			t.Errorf("%s: %+v, want %d to %d", c.name, got, c.low, c.high)
+		}
+	}
+	if got := p.Predict(plan).High; got < 2250 || got > 2500 {
+		t.Errorf("90%% of plans are up to 2400 tokens, predicted %d", got)
+	}
+}
+
+// Guards against a history that does not follow a change.
+func TestFollowsChange(t *testing.T) {
+	p, f := New(Options{}), Features{Account: "a", Service: "s"}
+	for range 200 {
+		p.Finished(f, 50)
+	}
+	for range 100 {
+		p.Finished(f, 500)
+	}
+	if got := p.Predict(f).Tokens; got < 450 {
+		t.Errorf("predicted %d after 100 answers of 500", got)
+	}
+}
+
+// checkBounds checks that predictions keep the cap and that the history is
+// bounded.
+func checkBounds(t *rapid.T, maxCells int) {
+	p := New(Options{MaxCells: maxCells})
+	t.Repeat(map[string]func(*rapid.T){
+		"finish": func(t *rapid.T) {
+			f := Features{Account: fmt.Sprint(rapid.IntRange(0, 50).Draw(t, "account")), Service: "s",
+				PromptTokens: rapid.IntRange(0, 1<<20).Draw(t, "prompt"), MaxTokens: rapid.IntRange(0, 1<<20).Draw(t, "cap")}
+			p.Finished(f, rapid.IntRange(0, 1<<20).Draw(t, "tokens"))
+			got := p.Predict(f)
+			if got.Tokens < 1 || got.High < got.Tokens || (f.MaxTokens > 0 && got.High > max(f.MaxTokens, 1)) {
+				t.Fatalf("%+v for %+v", got, f)
+			}
+			if p.Cells() > 10 || len(p.order) != p.Cells() {
+				t.Fatalf("%d cells, %d in order, bound 10", p.Cells(), len(p.order))
+			}
+		},
+	})
+}
+
+func TestBounds(t *testing.T) { rapid.Check(t, func(t *rapid.T) { checkBounds(t, 10) }) }
+
+func TestBrokenVariantFails(t *testing.T) {
+	rapidtest.MustFail(t, func(t *rapid.T) { checkBounds(t, 1000) })
+}
--- a/internal/rapidtest/rapidtest.go
+++ b/internal/rapidtest/rapidtest.go
@@ -34,6 +34,10 @@
 // accepts it.
 func MustFail(t *testing.T, prop func(*rapid.T)) {
 	t.Helper()
+	// An expected failure needs no shrinking, which takes up to 30 s.
+	shrink := flag.Lookup("rapid.shrinktime").Value.String()
+	set("rapid.shrinktime", "1ms")
+	defer set("rapid.shrinktime", shrink)
 	rec := &recorder{TB: t}
 	done := make(chan struct{})
 	go func() {
