Compare service endpoints by time per predicted work

Cause: a service endpoint answers with one token at the end, so a long call looked like a stall after 700 ms and would have ejected the endpoint.

Change: with route.Options.Services the time of a call is divided by its predicted work, and a stall is 10 s without an answer. A test mixes calls that differ 30 times in length: no endpoint is ejected for it, and an endpoint that becomes 10 times slower gets at most 20 of 300 calls (an even share is 50).

--- a/internal/route/observe.go
+++ b/internal/route/observe.go
@@ -46,6 +46,9 @@
 	t := now.UnixNano()
 	a.first = true
 	a.last = t
+	if p.opts.Services {
+		p.det.Token(t, a.index, (t-a.started)/int64(a.tokens))
+	}
 	p.takeTokens(ep, a, 1)
 	p.det.FirstToken(t, a.index, t-a.started)
 	return Observation{FirstToken: time.Duration(t - a.started), InFlight: int(ep.inFlight())}
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -28,6 +28,10 @@
 	// PrefixEntries bounds the prefix history, rounded up to a power of two.
 	// Default 8192 entries of 24 bytes.
 	PrefixEntries int
+	// Services marks a pool of plain services, whose whole answer is one
+	// token: endpoints are compared by their time per predicted token, so
+	// Request.PredictedTokens must be in proportion to the expected duration.
+	Services bool
 	// Outlier configures the detection of slow and dead endpoints.
 	Outlier outlier.Options
 }
@@ -51,9 +55,17 @@
 	if o.PrefixEntries <= 0 {
 		o.PrefixEntries = 8192
 	}
+	if o.Services && o.Outlier.FirstTokenFloor == 0 {
+		o.Outlier.FirstTokenFloor = serviceStall
+	}
 	return o
 }
 
+// serviceStall is the time without an answer from which a service endpoint is
+// stalled. An endpoint of one slot that runs a long call is silent for as long
+// as the call takes, which is not a stall.
+const serviceStall = 10 * time.Second
+
 // endpoint is the pool's state of one endpoint.
 type endpoint struct {
 	Endpoint
--- a/internal/route/pool_test.go
+++ b/internal/route/pool_test.go
@@ -275,6 +275,43 @@
 	}
 }
 
+// Guards against service endpoints that are ejected because their calls differ
+// in length, and against slow ones that are not.
+func TestServices(t *testing.T) {
+	p, rng := New(Options{Services: true}), seeded()
+	p.Update(t0, endpoints(6))
+	now, slow := t0, 0
+	for k := range 600 {
+		work := []int{50, 50, 50, 1500}[k%4] // milliseconds
+		c, err := p.Choose(now, &Request{PredictedTokens: work}, rng)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &Attempt{}
+		p.Started(now, c, &Request{PredictedTokens: work}, a)
+		d := time.Duration(work) * time.Millisecond
+		if k >= 300 && c.Endpoint == "e0002" {
+			d *= 10
+		}
+		p.FirstToken(now.Add(d), a)
+		p.Finished(now.Add(d), a, Completed)
+		now = now.Add(20 * time.Millisecond)
+		p.Tick(now)
+		for _, s := range p.Status() {
+			if s.Weight == 0 && (k < 300 || s.ID != "e0002") {
+				t.Fatalf("call %d: %s is ejected as %s", k, s.ID, s.EjectReason)
+			}
+		}
+		if k >= 300 && c.Endpoint == "e0002" {
+			slow++
+		}
+	}
+	// An even share of 300 calls would be 50.
+	if slow == 0 || slow > 20 {
+		t.Errorf("%d of 300 calls went to an endpoint that is 10 times slower", slow)
+	}
+}
+
 // Guards against work that stays counted on a forgotten endpoint, and against
 // an attempt that changes the endpoint that took its place.
 func TestForgottenEndpoint(t *testing.T) {
