Let accounts below their share replace ended requests one for one

Cause: the requests that small accounts borrowed above the limit counted for their whole duration, so the allowance was used up after a few seconds and small accounts waited again. Long requests that started above the limit used no allowance at all: 20 started after 10 had ended.

Change: the allowance is the number of requests above the limit. While the limit is exceeded, an account below its share starts one request for each that ends, other accounts one for two. Accounts keep up to 4000 tokens of unused share. TestFallenLimit fails on the earlier version.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -17,8 +17,6 @@
 	// most s * AgingRate larger.
 	key float64
 	at  int
-	// borrowed marks a running request that was admitted above the limit.
-	borrowed bool
 }
 
 func (e *entry) short() bool { return !e.Long }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -26,15 +26,16 @@
 	// share may exceed it, so that they need not wait for a request of a
 	// larger account to end. The adaptive limit settles lower by as much.
 	borrowShare = 0.12
-	// overCredit is the number of requests that may start for each one that
-	// ends while more run than the limit allows. With 0, a limit that falls
-	// by a fifth stopped all admissions for seconds.
-	overCredit = 0.5
+	// freeStart is the number of requests that must end before one may start
+	// while more run than the limit allows; an account below its share needs
+	// only lowStart. When none could start, a limit that fell by a fifth
+	// stopped all admissions for seconds.
+	freeStart, lowStart = 2, 1
 	// saved is the work, for a weight of 1, by which an account's virtual time
 	// may stay behind. Requests wait less than a second, so an account with
 	// one request a second in this daemon has no queue most of the time;
 	// without saved work it lost its turn to accounts that always queue.
-	saved = 2000
+	saved = 4000
 	// idleAccounts is the number of accounts from which idle ones are dropped.
 	idleAccounts = 1024
 )
@@ -62,12 +63,9 @@
 	// queuedTokens is the sum over queued, at most Options.MaxQueuedTokens.
 	queuedTokens int
 	runningLong  int
-	// borrowed counts running requests that were admitted above the limit
-	// for accounts below their share; see borrowShare.
-	borrowed int
-	// credit is the number of requests that may start although the limit is
-	// exceeded; see overCredit.
-	credit float64
+	// ended is the number of requests that ended while the limit was exceeded
+	// and have not been replaced; see freeStart.
+	ended int
 	// virtual is the virtual time of fair sharing: the least time of the
 	// accounts that had queued work at the last admission.
 	virtual   float64
@@ -160,9 +158,6 @@
 	if e.Long {
 		q.runningLong--
 	}
-	if e.borrowed {
-		q.borrowed--
-	}
 	actual := u.Tokens
 	if !u.Ran {
 		actual = 0
@@ -171,7 +166,7 @@
 	e.account.time += float64(actual-e.Tokens) / e.account.weight
 	e.account.running--
 	if len(q.running) >= q.runLimit() {
-		q.credit = min(1, q.credit+overCredit)
+		q.ended = min(freeStart, q.ended+1)
 	}
 	return q.next(now)
 }
@@ -261,13 +256,9 @@
 	q.running[e.Ticket] = e
 	if e.Long {
 		q.runningLong++
-	} else if len(q.running) > q.runLimit() {
-		if q.credit >= 1 {
-			q.credit--
-		} else {
-			e.borrowed = true
-			q.borrowed++
-		}
+	}
+	if len(q.running) > q.runLimit() {
+		q.ended = max(0, q.ended-freeStart)
 	}
 	q.drain.admitted(now, e.Tokens, len(q.queued) > 0)
 }
@@ -290,7 +281,7 @@
 // room reports whether one more request of the class may run.
 func (q *Queue) room(now time.Time, long bool) bool {
 	limit := q.runLimit()
-	if len(q.running) >= limit && q.credit < 1 {
+	if len(q.running) >= limit && q.ended < freeStart {
 		return false
 	}
 	if !long || now.Sub(q.lastShort) > shortRecent {
@@ -305,7 +296,7 @@
 	if q.opts.Services || len(q.running) < q.runLimit() {
 		return false
 	}
-	if float64(q.borrowed) >= max(1, borrowShare*q.share()) {
+	if float64(len(q.running)) >= float64(q.runLimit())+max(1, borrowShare*q.share()) && q.ended < lowStart {
 		return false
 	}
 	return float64(a.running+1) <= q.share()*a.weight/q.activeWeight(a)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -119,6 +119,35 @@
 	}
 }
 
+// Guards against a limit that falls and is ignored, or that stops all
+// admissions until enough requests have ended.
+func TestFallenLimit(t *testing.T) {
+	for _, long := range []bool{false, true} {
+		q := New(Options{MaxWait: time.Hour, MaxLongWait: time.Hour})
+		q.SetCapacity(t0, Capacity{Endpoints: 1, Slots: 40})
+		for k := range 60 {
+			q.Offer(t0, Item{Ticket: Ticket(k), Account: "large", Tokens: 100, Long: long})
+		}
+		if got := q.Stats().Running; got != 40 {
+			t.Fatalf("%d running, want 40", got)
+		}
+		q.SetCapacity(t0, Capacity{Endpoints: 1, Slots: 20})
+		started := 0
+		for k := range 10 {
+			started += len(q.Finished(t0, Ticket(k), Usage{Tokens: 100, Ran: true}))
+		}
+		if started != 5 {
+			t.Errorf("long=%t: %d started after 10 ended above the limit, want 5", long, started)
+		}
+		for k := range 4 {
+			q.Offer(t0, Item{Ticket: Ticket(100 + k), Account: "small", Tokens: 100})
+		}
+		if got := q.Finished(t0, 20, Usage{Tokens: 100, Ran: true}); len(got) != 1 || got[0] < 100 {
+			t.Errorf("long=%t: started %v after one ended, want one of the account below its share", long, got)
+		}
+	}
+}
+
 // checkQueue drives a queue with random calls and checks its invariants after
 // each one.
 func checkQueue(t *rapid.T, broken string) {
