--- a/internal/enginefake/daemon.go
+++ b/internal/enginefake/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
@@ -202,7 +201,7 @@
 	}
 	c.attempts++
 	k := engineIndex(choice.Endpoint)
-	a := &attempt{call: c, job: c.job(), engine: k, hedge: hedge}
+	a := &attempt{call: c, job: d.job(c.Record), engine: k, hedge: hedge}
 	d.pool.Started(d.clock(), choice, &c.request, &a.route)
 	a.job.OnToken = a.token
 	a.job.OnFail = a.crashed
@@ -297,32 +296,6 @@
 	a.live = append(a.live, a)
 }
 
-func (a *attempt) crashed() {
-	d := a.d
-	if !d.open[a.engine][a] {
-		return
-	}
-	var digests []poison.Digest
-	for o := range d.open[a.engine] {
-		digests = append(digests, o.digest)
-	}
-	slices.Sort(digests)
-	d.poison.Crashed(d.clock(), engineID(a.engine), digests)
-	entries := d.poison.Pending()
-	for _, peer := range d.daemons {
-		if peer != d && len(entries) > 0 {
-			d.After(messageTime, func() { peer.poison.Merge(d.clock(), entries) })
-		}
-	}
-	delete(d.open[a.engine], a)
-	d.pool.Finished(d.clock(), &a.route, route.Broken)
-	a.live = slices.DeleteFunc(a.live, func(o *attempt) bool { return o == a })
-	a.request.Exclude = append(a.request.Exclude, a.route.Endpoint)
-	if len(a.live) == 0 {
-		a.retry(true)
-	}
-}
-
 func (c *call) retry(dispatched bool) {
 	dec := c.d.budget.Retry(c.d.clock(), c.retryAttempt(dispatched), c.d.rng)
 	if !dec.OK {
@@ -346,16 +319,3 @@
 	delete(d.calls, c.ticket)
 	d.start(d.queue.Finished(d.clock(), c.ticket, admission.Usage{Tokens: c.Tokens + c.work - c.request.PredictedTokens, Ran: c.attempts > 0}))
 }
-
-// resend makes the caller of a poison request send it again to any daemon.
-func (c *call) resend(after time.Duration) {
-	if !c.Poison || !c.d.cfg.ResendPoison {
-		return
-	}
-	f := c.d.fleet
-	f.After(after, func() {
-		r := &Record{Request: c.Request}
-		f.res.Records = append(f.res.Records, r)
-		f.arrive(r, f.rng.IntN(f.cfg.Daemons))
-	})
-}
--- a/internal/route/pool_test.go
+++ b/internal/route/pool_test.go
@@ -115,6 +115,23 @@
 	}
 }
 
+// Guards against digests that exceed a daemon's control traffic: 29 peers in a
+// failure domain of 307 endpoints at the target size, 6 peers today.
+func TestDigestTraffic(t *testing.T) {
+	p, rng := newPool(307), seeded()
+	for range 450 {
+		start(t, p, t0, &Request{PredictedTokens: 250}, rng)
+	}
+	size := len(p.Digest(nil, 0))
+	every := DigestInterval(29, size)
+	if rate := float64(29*(size+messageOverhead)) / every.Seconds(); rate > 13_100 || every > time.Second {
+		t.Errorf("%d bytes every %v: %.0f bytes/s", size, every, rate)
+	}
+	if every := DigestInterval(6, 25); every != minDigestInterval {
+		t.Errorf("interval %v for 6 peers", every)
+	}
+}
+
 // Guards against malformed digests that panic or leave a partial load.
 func TestDigestFormat(t *testing.T) {
 	p := newPool(3)
@@ -258,6 +275,43 @@
 	}
 }
 
+// Guards against service endpoints that are ejected because their calls differ
+// in length, and against slow ones that are not.
+func TestServices(t *testing.T) {
+	p, rng := New(Options{Services: true}), seeded()
+	p.Update(t0, endpoints(6))
+	now, slow := t0, 0
+	for k := range 600 {
+		work := []int{50, 50, 50, 1500}[k%4] // milliseconds
+		c, err := p.Choose(now, &Request{PredictedTokens: work}, rng)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &Attempt{}
+		p.Started(now, c, &Request{PredictedTokens: work}, a)
+		d := time.Duration(work) * time.Millisecond
+		if k >= 300 && c.Endpoint == "e0002" {
+			d *= 10
+		}
+		p.FirstToken(now.Add(d), a)
+		p.Finished(now.Add(d), a, Completed)
+		now = now.Add(20 * time.Millisecond)
+		p.Tick(now)
+		for _, s := range p.Status() {
+			if s.Weight == 0 && (k < 300 || s.ID != "e0002") {
+				t.Fatalf("call %d: %s is ejected as %s", k, s.ID, s.EjectReason)
+			}
+		}
+		if k >= 300 && c.Endpoint == "e0002" {
+			slow++
+		}
+	}
+	// An even share of 300 calls would be 50.
+	if slow == 0 || slow > 20 {
+		t.Errorf("%d of 300 calls went to an endpoint that is 10 times slower", slow)
+	}
+}
+
 // Guards against work that stays counted on a forgotten endpoint, and against
 // an attempt that changes the endpoint that took its place.
 func TestForgottenEndpoint(t *testing.T) {
