lease: state machine of a duty's holder

Cause: a paused daemon must not act on a duty that another one holds. Change: acquire, keep alive, give back and lose a duty over the store's lease calls; the time for which the lease is certain counts from the sending of the call and ends 3 s before the TTL of 15 s; a lost answer to the creation is repeated with the same operation id. Conclusion: at most one holder may act at a time with clocks that are up to 10% slow or fast, and fencing numbers only grow.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,305 @@
+// Package lease decides whether a daemon holds a duty. A duty is a key of the
+// platform's store that is bound to a lease; its fencing number is the store
+// revision at which the key was created. The package is a state machine: the
+// time and the store's answers are arguments, the calls to make are returned.
+package lease
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// KeyPrefix is the prefix of the keys of duties.
+const KeyPrefix = "duty/"
+
+// TickInterval is how often the caller calls Tick.
+const TickInterval = 500 * time.Millisecond
+
+// Kind is the kind of a store call.
+type Kind uint8
+
+// The kinds of store calls.
+const (
+	// Read gets Key.
+	Read Kind = iota
+	// Grant grants a lease with TTL.
+	Grant
+	// Create writes Write.
+	Create
+	// KeepAlive keeps Lease alive.
+	KeepAlive
+	// Revoke ends Lease.
+	Revoke
+)
+
+// Call is a store call that the caller makes.
+type Call struct {
+	// ID is returned in the Answer.
+	ID    uint64
+	Kind  Kind
+	Key   string
+	Lease platform.LeaseID
+	TTL   time.Duration
+	Write platform.Write
+}
+
+// Answer is the result of a Call; the fields that belong to its kind are set.
+type Answer struct {
+	ID    uint64
+	Item  platform.Item
+	Lease platform.LeaseID
+	Err   error
+}
+
+// Event reports that the duty was taken, confirmed after doubt, put in doubt
+// or lost.
+type Event struct {
+	Duty  string
+	State State
+	Fence platform.Revision
+	Cause string
+}
+
+// Output is what the caller does after a call.
+type Output struct {
+	Calls  []Call
+	Events []Event
+}
+
+// State is the state of the duty in this daemon.
+type State uint8
+
+// The states of a duty.
+const (
+	// Idle daemons do not hold the duty.
+	Idle State = iota
+	// Held duties may be acted on.
+	Held
+	// Doubt is a held duty whose lease may have expired. It must not be acted
+	// on before the store has confirmed the lease.
+	Doubt
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"idle", "held", "doubt"}[min(s, Doubt)]
+}
+
+// Options are the settings of a holder. Zero values take the defaults.
+type Options struct {
+	// Duty is the name of the duty, and Owner the ID of this daemon.
+	Duty, Owner string
+	// TTL is the time to live of the lease; 15 s.
+	TTL time.Duration
+	// Margin is taken off the end of the TTL, for a clock that runs slower
+	// than the store's and for the way of a last message; 3 s.
+	Margin time.Duration
+	// Renew is the interval between two calls that keep the lease alive; 5 s.
+	Renew time.Duration
+	// Retry is the interval at which a daemon that does not hold the duty
+	// looks at it, and that of calls after a failure; 2 s.
+	Retry time.Duration
+	// CallTimeout is the time after which an answer counts as lost; 3 s.
+	CallTimeout time.Duration
+}
+
+// broken switches off single rules for tests.
+type broken struct {
+	// actOnDoubt acts on the duty however much time has passed.
+	actOnDoubt bool
+	// fromAnswer counts the TTL from the answer instead of from the call.
+	fromAnswer bool
+}
+
+// Holder is one daemon's part in one duty.
+type Holder struct {
+	o         Options
+	broken    broken
+	candidate bool
+	state     State
+	lease     platform.LeaseID
+	fence     platform.Revision
+	// highest is the highest fencing number seen. Invariant: it never falls,
+	// and a duty is held only with a number that is not below it.
+	highest platform.Revision
+	// until is the end of the time in which the lease certainly exists.
+	until time.Time
+	// opID identifies the creation of the key, also in its repetitions.
+	opID    string
+	lastID  uint64
+	pending *Call
+	sentAt  time.Time
+	next    time.Time
+	out     Output
+}
+
+// New returns the holder of a daemon that does not hold the duty. It takes no
+// part before SetCandidate.
+func New(o Options) *Holder {
+	defaults := []struct {
+		d     *time.Duration
+		value time.Duration
+	}{{&o.TTL, 15 * time.Second}, {&o.Margin, 3 * time.Second}, {&o.Renew, 5 * time.Second}, {&o.Retry, 2 * time.Second}, {&o.CallTimeout, 3 * time.Second}}
+	for _, f := range defaults {
+		if *f.d <= 0 {
+			*f.d = f.value
+		}
+	}
+	return &Holder{o: o}
+}
+
+// Fence returns the fencing number and the time until which the duty may be
+// acted on. It is false when the duty is not held or in doubt. The caller asks
+// again directly before each effect.
+func (h *Holder) Fence(now time.Time) (platform.Revision, time.Time, bool) {
+	if h.broken.actOnDoubt && h.state != Idle {
+		return h.fence, now.Add(h.o.TTL), true
+	}
+	if h.state != Held || !now.Before(h.until) {
+		return 0, time.Time{}, false
+	}
+	return h.fence, h.until, true
+}
+
+// State returns the state at the time.
+func (h *Holder) State(now time.Time) State {
+	if h.state == Held && !now.Before(h.until) {
+		return Doubt
+	}
+	return h.state
+}
+
+// SetCandidate tells whether this daemon tries to take the duty. A holder that
+// is no candidate any more gives the duty back.
+func (h *Holder) SetCandidate(now time.Time, candidate bool) Output {
+	h.candidate = candidate
+	if !candidate && h.lease != 0 {
+		// The revocation is not repeated; a lost one only costs the TTL.
+		h.call(now, Call{Kind: Revoke, Lease: h.lease})
+		h.drop("given back")
+		h.pending = nil
+	}
+	return h.take()
+}
+
+// Freed tells that a watch saw the duty's key deleted, so that the next look
+// at it need not wait.
+func (h *Holder) Freed(now time.Time) Output {
+	if h.state == Idle {
+		h.next = now
+	}
+	return h.Tick(now)
+}
+
+// Tick lets time pass; it is called every TickInterval.
+func (h *Holder) Tick(now time.Time) Output {
+	h.doubt(now)
+	if h.pending != nil && now.Sub(h.sentAt) >= h.o.CallTimeout {
+		h.answered(now, Answer{ID: h.pending.ID, Err: platform.ErrOutcomeUnknown})
+	}
+	if h.pending == nil && !now.Before(h.next) {
+		h.act(now)
+	}
+	return h.take()
+}
+
+// Step takes the answer to a call. A late answer, to a call that was given up,
+// is ignored.
+func (h *Holder) Step(now time.Time, a Answer) Output {
+	h.doubt(now)
+	if h.pending != nil && a.ID == h.pending.ID {
+		h.answered(now, a)
+	}
+	return h.take()
+}
+
+// doubt notices that the time for which the lease is certain has passed, for
+// example during a pause of this process.
+func (h *Holder) doubt(now time.Time) {
+	if h.state == Held && !now.Before(h.until) {
+		h.set(Doubt, "lease not confirmed in time")
+		h.next = now
+	}
+}
+
+func (h *Holder) act(now time.Time) {
+	switch {
+	case h.state != Idle:
+		h.call(now, Call{Kind: KeepAlive, Lease: h.lease})
+	case h.lease != 0:
+		h.create(now)
+	case h.candidate:
+		h.call(now, Call{Kind: Read, Key: h.key()})
+	}
+}
+
+func (h *Holder) key() string { return KeyPrefix + h.o.Duty }
+
+func (h *Holder) create(now time.Time) {
+	h.call(now, Call{Kind: Create, Lease: h.lease, Write: platform.Write{
+		Key: h.key(), Value: []byte(h.o.Owner), OpID: h.opID, Lease: h.lease,
+	}})
+}
+
+func (h *Holder) call(now time.Time, c Call) {
+	h.lastID++
+	c.ID = h.lastID
+	h.pending, h.sentAt = &c, now
+	h.out.Calls = append(h.out.Calls, c)
+}
+
+func (h *Holder) answered(now time.Time, a Answer) {
+	kind := h.pending.Kind
+	h.pending = nil
+	h.next = now.Add(h.o.Retry)
+	switch kind {
+	case Read:
+		h.stepRead(now, a)
+	case Grant:
+		// An answer that was lost leaves a lease without a key behind, which
+		// expires by itself.
+		if a.Err == nil {
+			h.lease = a.Lease
+			h.opID = h.o.Owner + "/" + strconv.FormatUint(h.lastID, 10) + "/" + strconv.FormatInt(int64(a.Lease), 10)
+			h.until = h.certain(now)
+			h.create(now)
+		}
+	case Create:
+		h.stepCreate(now, a)
+	case KeepAlive:
+		h.stepKeepAlive(now, a)
+	}
+}
+
+// certain returns the end of the time for which a successful call that was
+// sent at sentAt guarantees the lease.
+func (h *Holder) certain(now time.Time) time.Time {
+	from := h.sentAt
+	if h.broken.fromAnswer {
+		from = now
+	}
+	return from.Add(h.o.TTL - h.o.Margin)
+}
+
+func (h *Holder) take() Output {
+	out := h.out
+	h.out = Output{}
+	return out
+}
+
+func (h *Holder) set(s State, cause string) {
+	h.state = s
+	h.out.Events = append(h.out.Events, Event{Duty: h.o.Duty, State: s, Fence: h.fence, Cause: cause})
+}
+
+// drop ends the hold.
+func (h *Holder) drop(cause string) {
+	held := h.state != Idle
+	h.lease, h.opID = 0, ""
+	if held {
+		h.set(Idle, cause)
+	}
+	h.fence = 0
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,249 @@
+package lease
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the histories that rapid draws; flags on the command line
+// take precedence.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// rig runs several holders of one duty against a store in virtual time.
+type rig struct {
+	now     time.Time
+	store   *memstore.Store
+	holders []*part
+	work    []task
+	seq     int
+	// delay is the longest way of a call and of an answer.
+	delay    func() time.Duration
+	lose     func() bool
+	failures []string
+	// fence is the last fencing number with which a holder could act.
+	fence platform.Revision
+	last  *part
+}
+
+type part struct {
+	*Holder
+	pausedUntil time.Time
+	// rate is the speed of the daemon's clock.
+	rate float64
+}
+
+type task struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+func newRig(n int, b broken) *rig {
+	r := &rig{now: time.Unix(1000, 0), delay: func() time.Duration { return 5 * time.Millisecond }, lose: func() bool { return false }}
+	r.store = memstore.New(func() time.Time { return r.now })
+	for i := range n {
+		h := New(Options{Duty: "orders-chat", Owner: fmt.Sprintf("i-%d", i)})
+		h.broken = b
+		h.SetCandidate(r.now, true)
+		r.holders = append(r.holders, &part{Holder: h, rate: 1})
+	}
+	return r
+}
+
+func (r *rig) clock(p *part) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(float64(r.now.Sub(time.Unix(1000, 0))) * p.rate))
+}
+
+func (r *rig) later(d time.Duration, f func()) {
+	r.seq++
+	r.work = append(r.work, task{r.now.Add(d), r.seq, f})
+	sort.Slice(r.work, func(i, j int) bool {
+		return r.work[i].at.Before(r.work[j].at) || r.work[i].at.Equal(r.work[j].at) && r.work[i].seq < r.work[j].seq
+	})
+}
+
+// out carries out the calls: each reaches the store after a delay, and its
+// answer the holder after another one or never.
+func (r *rig) out(p *part, o Output) {
+	for _, e := range o.Events {
+		if e.State == Held {
+			if e.Fence < r.fence || e.Fence == r.fence && p != r.last {
+				r.failures = append(r.failures, fmt.Sprintf("fencing number %d after %d", e.Fence, r.fence))
+			}
+			r.fence, r.last = e.Fence, p
+		}
+	}
+	for _, c := range o.Calls {
+		r.later(r.delay(), func() {
+			a := r.serve(c)
+			if !r.lose() {
+				r.later(r.delay(), func() { r.answer(p, a) })
+			}
+		})
+	}
+}
+
+func (r *rig) answer(p *part, a Answer) {
+	if r.now.Before(p.pausedUntil) {
+		r.later(p.pausedUntil.Sub(r.now), func() { r.answer(p, a) })
+		return
+	}
+	r.out(p, p.Step(r.clock(p), a))
+}
+
+func (r *rig) serve(c Call) Answer {
+	ctx, a := context.Background(), Answer{ID: c.ID}
+	switch c.Kind {
+	case Read:
+		a.Item, a.Err = r.store.Get(ctx, c.Key)
+	case Grant:
+		a.Lease, a.Err = r.store.GrantLease(ctx, c.TTL)
+	case Create:
+		a.Item, a.Err = r.store.CompareAndSwap(ctx, c.Write)
+	case KeepAlive:
+		a.Err = r.store.KeepAlive(ctx, c.Lease)
+	case Revoke:
+		a.Err = r.store.Revoke(ctx, c.Lease)
+	}
+	return a
+}
+
+// run lets time pass and checks after each step that at most one holder may
+// act.
+func (r *rig) run(d time.Duration) {
+	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(100 * time.Millisecond) {
+		for len(r.work) > 0 && !r.work[0].at.After(r.now) {
+			t := r.work[0]
+			r.work = r.work[1:]
+			t.run()
+		}
+		for _, p := range r.holders {
+			if !r.now.Before(p.pausedUntil) {
+				r.out(p, p.Tick(r.clock(p)))
+			}
+		}
+		if n := len(r.acting()); n > 1 {
+			r.failures = append(r.failures, fmt.Sprintf("%d holders may act at once", n))
+		}
+	}
+}
+
+func (r *rig) acting() []*part {
+	var acting []*part
+	for _, p := range r.holders {
+		if _, _, ok := p.Fence(r.clock(p)); ok {
+			acting = append(acting, p)
+		}
+	}
+	return acting
+}
+
+// runHistory draws pauses, outages, lost answers and slow clocks, heals and
+// expects one holder.
+func runHistory(t *rapid.T) []string {
+	r := newRig(3, broken{})
+	slow := rapid.IntRange(1, 4000).Draw(t, "delay")
+	rng := rapid.Uint64().Draw(t, "rng")
+	next := func(n int) int {
+		rng = rng*6364136223846793005 + 1442695040888963407
+		return int(rng >> 33 % uint64(n))
+	}
+	r.delay = func() time.Duration { return time.Duration(next(slow)) * time.Millisecond }
+	r.lose = func() bool { return next(10) == 0 }
+	for _, p := range r.holders {
+		p.rate = rapid.SampledFrom([]float64{1, 0.9, 1.1}).Draw(t, "rate")
+	}
+	for range rapid.IntRange(1, 12).Draw(t, "steps") {
+		p := rapid.SampledFrom(r.holders).Draw(t, "holder")
+		switch rapid.IntRange(0, 4).Draw(t, "fault") {
+		case 0:
+			p.pausedUntil = r.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "pause")) * time.Second)
+		case 1:
+			r.store.SetFaults(memstore.Faults{Outage: rapid.Bool().Draw(t, "outage")})
+		case 2:
+			r.store.SetFaults(memstore.Faults{LoseAnswers: rapid.IntRange(1, 3).Draw(t, "lost")})
+		case 3:
+			r.out(p, p.SetCandidate(r.clock(p), false))
+			r.out(p, p.SetCandidate(r.clock(p), true))
+		}
+		r.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "wait")) * time.Second)
+	}
+	r.store.SetFaults(memstore.Faults{})
+	r.delay, r.lose = func() time.Duration { return time.Millisecond }, func() bool { return false }
+	r.run(90 * time.Second)
+	if len(r.acting()) != 1 {
+		r.failures = append(r.failures, fmt.Sprintf("%d holders after the heal", len(r.acting())))
+	}
+	return r.failures
+}
+
+// TestLeaseHistories guards against two holders that may act at once, a
+// fencing number that falls, and a duty that nobody takes after a heal.
+func TestLeaseHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if f := runHistory(t); len(f) > 0 {
+			t.Fatalf("%d failures, the first: %s", len(f), f[0])
+		}
+	})
+}
+
+// TestLeaseRules runs a history that breaks if a rule is switched off.
+func TestLeaseRules(t *testing.T) {
+	pause := func(b broken) []string {
+		r := newRig(2, b)
+		r.run(10 * time.Second)
+		r.acting()[0].pausedUntil = r.now.Add(40 * time.Second)
+		r.run(40 * time.Second)
+		// The paused holder resumes and asks before its timers have run.
+		if n := len(r.acting()); n > 1 {
+			r.failures = append(r.failures, fmt.Sprintf("%d holders may act at once", n))
+		}
+		r.run(time.Minute)
+		return r.failures
+	}
+	slowAnswer := func(b broken) []string {
+		r := newRig(2, b)
+		r.run(10 * time.Second)
+		holder := r.acting()[0]
+		// The answer of a call waits in the kernel of a paused daemon.
+		r.out(holder, holder.Tick(r.clock(holder)))
+		holder.next = time.Time{}
+		r.out(holder, holder.Tick(r.clock(holder)))
+		holder.pausedUntil = r.now.Add(18 * time.Second)
+		r.run(40 * time.Second)
+		return r.failures
+	}
+	for name, c := range map[string]struct {
+		broken broken
+		run    func(broken) []string
+	}{
+		"a paused holder refuses to act":      {broken{actOnDoubt: true}, pause},
+		"the lease counts from the call sent": {broken{fromAnswer: true}, slowAnswer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if f := c.run(broken{}); len(f) > 0 {
+				t.Errorf("failures: %v", f[0])
+			}
+			if f := c.run(c.broken); len(f) == 0 {
+				t.Error("the check does not notice the broken variant")
+			}
+		})
+	}
+}
