order: place each order to an endpoint once

Cause: a holder may pause beyond its lease, answers get lost, and some endpoints ignore fencing numbers. Change: the record order/<service> with intents and outcomes; a takeover is recorded before anything is sent; an order of unknown outcome is never sent again but judged by later reports; after a lost answer the duty is taken anew before an endpoint that fences gets the next order; rollouts keep capacity, space out loads, stop when changed endpoints are unhealthy and go on after an operator's word; a plan and a progress view. Conclusion: an order is applied at most once everywhere, and in the order of its number at endpoints that fence.

--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,248 @@
+// Package order brings the endpoints of a service to their desired state by
+// orders: load a model, a version or an adapter, change a role. An order is
+// recorded as intent in the platform's store, sent once with the fencing
+// number of the duty, and recorded with its outcome. The package is a state
+// machine: times, readings and answers are arguments, calls are returned.
+package order
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/pkg/errors"
+)
+
+// KeyPrefix is the prefix of the records of services.
+const KeyPrefix = "order/"
+
+// DutyPrefix is the prefix of the names of the duties of services.
+const DutyPrefix = "orders-"
+
+// keepClosed bounds the closed orders in a record; with 200 endpoints and 200
+// bytes an order the record stays far below a megabyte.
+const keepClosed = 400
+
+// Kind is what an order asks of an endpoint.
+type Kind string
+
+// The kinds of orders.
+const (
+	// LoadModel loads the model and version "model@version".
+	LoadModel Kind = "load-model"
+	// LoadVersion replaces the version of the loaded model.
+	LoadVersion Kind = "load-version"
+	LoadAdapter Kind = "load-adapter"
+	ChangeRole  Kind = "change-role"
+)
+
+// Action is the content of an order.
+type Action struct {
+	Kind  Kind   `json:"kind"`
+	Value string `json:"value"`
+}
+
+// load reports whether the action reads from the weight store.
+func (a Action) load() bool { return a.Kind != ChangeRole }
+
+// State is the state of an order.
+type State string
+
+// The states of an order. Intended, Accepted and Unknown orders are open; an
+// endpoint has at most one open order.
+const (
+	// Intended orders are recorded and may be sent.
+	Intended State = "intended"
+	// Accepted orders were taken by the endpoint, which works on them.
+	Accepted State = "accepted"
+	// Unknown orders may have been taken.
+	Unknown State = "unknown"
+	// Done orders were seen to have their effect.
+	Done State = "done"
+	// Failed orders were certainly not taken, or were without effect.
+	Failed State = "failed"
+	// NotSent orders were given up before anything was sent.
+	NotSent State = "not-sent"
+	// Refused orders carried an old fencing number.
+	Refused State = "refused"
+	// NotSeen orders had an unknown outcome and no effect that was seen. An
+	// endpoint that ignores fencing numbers may still take one that arrives
+	// late, because its sender or the endpoint was paused.
+	NotSeen State = "not-seen"
+)
+
+// Order is one order to one endpoint.
+type Order struct {
+	// ID numbers the orders of a service. Invariant: an order is sent at most
+	// once, by the daemon that recorded it.
+	ID       uint64            `json:"id"`
+	Endpoint string            `json:"endpoint"`
+	Action   Action            `json:"action"`
+	Fence    platform.Revision `json:"fence"`
+	State    State             `json:"state"`
+	// At is the time of the last change of State.
+	At     time.Time `json:"at"`
+	Detail string    `json:"detail,omitempty"`
+	// Lost is true if the answer was lost. The order may then still arrive,
+	// even if its effect was seen, because an earlier one may have had it.
+	Lost bool `json:"lost,omitempty"`
+}
+
+// Open reports whether the outcome is not final.
+func (o *Order) Open() bool {
+	return o.State == Intended || o.State == Accepted || o.State == Unknown
+}
+
+// Halt is a rollout that stopped by itself.
+type Halt struct {
+	Model   string    `json:"model"`
+	Version string    `json:"version"`
+	Reason  string    `json:"reason"`
+	At      time.Time `json:"at"`
+	// Resume is Desired.Resume at the halt; a higher one ends it.
+	Resume uint64 `json:"resume"`
+}
+
+// Record is the value of the key order/<service>.
+type Record struct {
+	Service string `json:"service"`
+	// Fence is the highest fencing number that wrote the record. Invariant: it
+	// never falls; a holder with a lower one must not write.
+	Fence platform.Revision `json:"fence"`
+	// Last is the highest ID. Invariant: it never falls.
+	Last     uint64    `json:"last"`
+	Orders   []Order   `json:"orders"`
+	LastLoad time.Time `json:"last_load"`
+	Halt     *Halt     `json:"halt,omitempty"`
+	// ResumedAt is when an operator last resumed; failures before do not count.
+	ResumedAt time.Time `json:"resumed_at"`
+}
+
+// Marshal encodes the record.
+func (r *Record) Marshal() ([]byte, error) {
+	b, err := json.Marshal(r)
+	return b, errors.Wrap(err, "encode the order record")
+}
+
+// Unmarshal decodes a record.
+func Unmarshal(b []byte) (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return nil, errors.Wrap(err, "decode the order record")
+	}
+	return &r, nil
+}
+
+func (r *Record) clone() *Record {
+	c := *r
+	c.Orders = append([]Order(nil), r.Orders...)
+	if r.Halt != nil {
+		h := *r.Halt
+		c.Halt = &h
+	}
+	return &c
+}
+
+// open returns the open order of the endpoint.
+func (r *Record) open(endpoint string) *Order {
+	for i := range r.Orders {
+		if o := &r.Orders[i]; o.Endpoint == endpoint && o.Open() {
+			return o
+		}
+	}
+	return nil
+}
+
+// idle reports whether no order is open that waits for an answer.
+func (r *Record) idle() bool {
+	for i := range r.Orders {
+		if s := r.Orders[i].State; s == Intended || s == Unknown {
+			return false
+		}
+	}
+	return true
+}
+
+// find returns the order with the ID.
+func (r *Record) find(id uint64) *Order {
+	for i := range r.Orders {
+		if r.Orders[i].ID == id {
+			return &r.Orders[i]
+		}
+	}
+	return nil
+}
+
+// prune drops the oldest closed orders above keepClosed.
+func (r *Record) prune() {
+	closed := 0
+	for i := range r.Orders {
+		if !r.Orders[i].Open() {
+			closed++
+		}
+	}
+	kept := r.Orders[:0]
+	for _, o := range r.Orders {
+		if !o.Open() && closed > keepClosed {
+			closed--
+			continue
+		}
+		kept = append(kept, o)
+	}
+	r.Orders = kept
+}
+
+// Desired is what the configuration asks of a service.
+type Desired struct {
+	Service        string
+	Model, Version string
+	Adapters       []string
+	// Roles are the roles of single endpoints.
+	Roles map[string]string
+	// MaxShare is the share of the service's endpoints that may be out of work
+	// at a time, at least one endpoint; 0.1 if zero.
+	MaxShare float64
+	// LoadInterval is the least time between two loads from the weight store;
+	// 10 s if zero.
+	LoadInterval time.Duration
+	// LoadTime is the longest time of a load; 5 min if zero. A load of unknown
+	// outcome holds its endpoint for that long, and an accepted one for three
+	// times as long.
+	LoadTime time.Duration
+	// MaxUnhealthy is the share of the changed endpoints that may be unhealthy
+	// before the rollout stops; 0.1 if zero.
+	MaxUnhealthy float64
+	// Resume is raised by an operator to go on after a halt.
+	Resume uint64
+}
+
+func (d Desired) withDefaults() Desired {
+	if d.MaxShare <= 0 {
+		d.MaxShare = 0.1
+	}
+	if d.LoadInterval <= 0 {
+		d.LoadInterval = 10 * time.Second
+	}
+	if d.LoadTime <= 0 {
+		d.LoadTime = 5 * time.Minute
+	}
+	if d.MaxUnhealthy <= 0 {
+		d.MaxUnhealthy = 0.1
+	}
+	return d
+}
+
+// Observed is the last report of an endpoint.
+type Observed struct {
+	Endpoint       string
+	Model, Version string
+	Adapters       []string
+	Role           string
+	Healthy        bool
+	Leaving        bool
+	// Fences is true if the endpoint refuses old fencing numbers.
+	Fences bool
+	// At is a time at which the state was certainly as reported or newer: that
+	// of the report less its lag.
+	At time.Time
+}
--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,284 @@
+package order
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the histories that rapid draws; flags on the command line
+// take precedence.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func odd(i int) bool { return i%2 == 1 }
+
+// history draws pauses, outages, lost answers, late sends and version changes.
+func history(t *rapid.T) []string {
+	r := newRig(rapid.Uint64().Draw(t, "seed"), 8, odd, broken{})
+	if rapid.Bool().Draw(t, "late") {
+		r.sendDelay, r.late = 40*time.Second, true
+	}
+	r.lose = rapid.SampledFrom([]int{0, 5, 30}).Draw(t, "lose")
+	version := "1"
+	for range rapid.IntRange(1, 10).Draw(t, "steps") {
+		m := rapid.SampledFrom(r.members).Draw(t, "member")
+		switch rapid.IntRange(0, 4).Draw(t, "fault") {
+		case 0:
+			m.pausedUntil = r.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * time.Second)
+		case 1:
+			r.store.SetFaults(memstore.Faults{Outage: rapid.Bool().Draw(t, "outage")})
+		case 2:
+			r.store.SetFaults(memstore.Faults{LoseAnswers: rapid.IntRange(1, 3).Draw(t, "lost")})
+		case 3, 4:
+			version = rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "version")
+			r.desire(Desired{Version: version, MaxShare: 0.3, LoadInterval: 2 * time.Second, LoadTime: 20 * time.Second})
+		}
+		r.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "wait")) * time.Second)
+	}
+	r.store.SetFaults(memstore.Faults{})
+	r.lose, r.sendDelay = 0, min(r.sendDelay, 50*time.Millisecond)
+	r.run(6 * time.Minute)
+	r.converged(version)
+
+	return r.failures
+}
+
+// TestOrderHistories guards against an order that is applied twice, sent
+// without a recorded intent, or applied after a newer one, and against a
+// service that stays apart from its desired state.
+func TestOrderHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if f := history(t); len(f) > 0 {
+			t.Fatalf("%d failures, the first: %v", len(f), f[:min(3, len(f))])
+		}
+	})
+}
+
+// TestOrderRules runs a history for each rule: it must show no failure, and
+// with the rule switched off the checks must notice.
+func TestOrderRules(t *testing.T) {
+	// Two holders: the first is paused after the intent was recorded or while
+	// it is, and resumes after the second has taken the duty.
+	takeover := func(b broken) []string {
+		var all []string
+		for ms := range 40 {
+			r := newRig(uint64(ms), 6, odd, b)
+			r.sendDelay = 3 * time.Second
+			r.run(5 * time.Second)
+			r.desire(Desired{Version: "2", MaxShare: 0.5, LoadInterval: time.Second, LoadTime: 20 * time.Second})
+			for range 3 {
+				r.run(time.Duration(3+ms%4) * 250 * time.Millisecond)
+				for _, m := range r.members {
+					if _, _, ok := m.holder.Fence(r.now); ok {
+						m.pausedUntil = r.now.Add(25 * time.Second)
+					}
+				}
+				r.run(30 * time.Second)
+			}
+			r.run(5 * time.Minute)
+			r.converged("2")
+			all = append(all, r.failures...)
+		}
+		return all
+	}
+	// The store applies writes late and loses answers, so that the recorded
+	// intents differ from those that the holder wanted to write.
+	conflict := func(b broken) []string {
+		r := newRig(2, 6, odd, b)
+		r.run(5 * time.Second)
+		r.store.SetFaults(memstore.Faults{Outage: true})
+		r.desire(Desired{Version: "2", MaxShare: 0.5, LoadInterval: time.Second})
+		r.run(5 * time.Second)
+		return r.failures
+	}
+	share := func(b broken) []string {
+		r := newRig(3, 10, odd, b)
+		r.slots = 2
+		r.desire(Desired{Version: "2", MaxShare: 0.2, LoadInterval: time.Second})
+		r.run(5 * time.Minute)
+		r.converged("2")
+		return r.failures
+	}
+	for name, c := range map[string]struct {
+		broken broken
+		run    func(broken) []string
+	}{
+		"an order of another holder is not sent again":       {broken{resend: true}, takeover},
+		"an order is sent after its intent is recorded":      {broken{sendFirst: true}, conflict},
+		"a rollout keeps the capacity that operators demand": {broken{ignoreShare: true}, share},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if f := c.run(broken{}); len(f) > 0 {
+				t.Errorf("failures: %v", f[:min(3, len(f))])
+			}
+			if f := c.run(c.broken); len(f) == 0 {
+				t.Error("the checks do not notice the broken variant")
+			}
+		})
+	}
+}
+
+// TestRolloutHalts guards against a bad version that spreads: the rollout
+// stops, goes back when the old version is desired again, and goes on after an
+// operator's word.
+func TestRolloutHalts(t *testing.T) {
+	r := newRig(4, 10, odd, broken{})
+	r.bad["2"] = true
+	d := Desired{Version: "2", MaxShare: 0.2, LoadInterval: time.Second}
+	r.desire(d)
+	r.run(10 * time.Minute)
+	p := r.members[0].controller.Progress()
+	if r.members[1].controller.duty.Held {
+		p = r.members[1].controller.Progress()
+	}
+	if p.Halt == nil || count(r, "2") != 2 {
+		t.Fatalf("halt %v with %d endpoints changed, want a halt after 2", p.Halt, count(r, "2"))
+	}
+	r.bad["2"] = false
+	for _, e := range r.endpoints {
+		e.Healthy = true
+	}
+	r.run(2 * time.Minute)
+	if count(r, "2") != 2 {
+		t.Errorf("the rollout went on without an operator's word")
+	}
+	d.Resume = 1
+	r.desire(d)
+	r.run(5 * time.Minute)
+	r.converged("2")
+	r.bad["3"] = true
+	d.Version = "3"
+	r.desire(d)
+	r.run(5 * time.Minute)
+	d.Version = "2"
+	r.desire(d)
+	r.run(5 * time.Minute)
+	r.converged("2")
+	if len(r.failures) > 0 {
+		t.Errorf("failures: %v", r.failures)
+	}
+}
+
+func count(r *rig, version string) int {
+	n := 0
+	for _, e := range r.endpoints {
+		if e.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLoadsAreSpaced guards the rate limit of the weight store and the end of a
+// rollout whose loads fail.
+func TestLoadsAreSpaced(t *testing.T) {
+	r := newRig(5, 10, odd, broken{})
+	r.desire(Desired{Version: "2", MaxShare: 1, LoadInterval: 7 * time.Second})
+	r.run(5 * time.Minute)
+	r.converged("2")
+	for i := 1; i < len(r.loads); i++ {
+		// The way of an order varies by up to 50 ms in steps of 250 ms.
+		if gap := r.loads[i].Sub(r.loads[i-1]); gap < 7*time.Second-250*time.Millisecond {
+			t.Errorf("load %d follows after %s, want 7 s", i, gap)
+		}
+	}
+	for _, e := range r.endpoints {
+		e.refuseAll = true
+	}
+	r.desire(Desired{Version: "3", MaxShare: 1, LoadInterval: time.Second})
+	r.run(2 * time.Minute)
+	for _, m := range r.members {
+		if p := m.controller.Progress(); m.controller.duty.Held && p.Halt == nil {
+			t.Errorf("the rollout goes on after %d failed loads", p.Failed)
+		}
+	}
+	if len(r.failures) > 0 {
+		t.Errorf("failures: %v", r.failures)
+	}
+}
+
+// TestPlan guards the list of orders that operators see: steps that keep
+// capacity, what is waited for, and the risk at endpoints without fencing.
+func TestPlan(t *testing.T) {
+	now := time.Unix(100, 0)
+	observed := []Observed{
+		{Endpoint: "a", Model: "m", Version: "1", Healthy: true, Fences: true},
+		{Endpoint: "b", Model: "m", Version: "1", Healthy: true},
+		{Endpoint: "c", Model: "m", Version: "2", Adapters: []string{"x"}, Healthy: true},
+		{Endpoint: "d", Fences: true, Healthy: true},
+		{Endpoint: "e", Model: "m", Version: "1", Healthy: true, Leaving: true},
+	}
+	r := &Record{Last: 1, Orders: []Order{{ID: 1, Endpoint: "b", Action: Action{LoadVersion, "2"}, State: Unknown, At: now}}}
+	got := Plan(Desired{Model: "m", Version: "2", Adapters: []string{"x"}, MaxShare: 0.25, LoadTime: time.Minute}, observed, r, now)
+	wait := "the end of sends by an earlier holder of order 1, until a report of after 00:02:55 shows its effect or none"
+	want := []Planned{
+		{1, "a", Action{LoadVersion, "2"}, "", ""}, {1, "a", Action{LoadAdapter, "x"}, "", ""},
+		{1, "d", Action{LoadModel, "m@2"}, "", ""}, {1, "d", Action{LoadAdapter, "x"}, "", ""},
+		{2, "b", Action{LoadVersion, "2"}, wait, LateOrderRisk}, {2, "b", Action{LoadAdapter, "x"}, wait, LateOrderRisk},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("plan (-want +got):\n%s", diff)
+	}
+}
+
+// TestRecordRoundTrip guards the encoding of the record.
+func TestRecordRoundTrip(t *testing.T) {
+	want := &Record{Service: "chat", Fence: 7, Last: 2, Orders: []Order{{ID: 2, Endpoint: "a", State: Done, At: time.Unix(1, 0).UTC()}}, LastLoad: time.Unix(2, 0).UTC(), Halt: &Halt{Version: "2"}}
+	b, err := want.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Unmarshal(b)
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Errorf("%v (-want +got):\n%s", err, diff)
+	}
+	if _, err := Unmarshal([]byte("{")); err == nil {
+		t.Error("a broken record is accepted")
+	}
+}
+
+// TestLateOrders shows what remains possible at endpoints that ignore fencing
+// numbers, and guards that it stays impossible at those that fence: an order
+// that arrives minutes late is applied after a newer one, once, and the service
+// still comes to its desired state.
+func TestLateOrders(t *testing.T) {
+	late := 0
+	for seed := range uint64(20) {
+		r := newRig(seed, 6, odd, broken{})
+		r.sendDelay, r.late = 3*time.Minute, true
+		for _, version := range []string{"2", "3"} {
+			r.desire(Desired{Version: version, MaxShare: 0.5, LoadInterval: time.Second, LoadTime: 10 * time.Second})
+			r.run(3 * time.Minute)
+		}
+		r.sendDelay = 50 * time.Millisecond
+		r.run(8 * time.Minute)
+		r.converged("3")
+		if len(r.failures) > 0 {
+			t.Fatalf("seed %d: %s", seed, r.failures[0])
+		}
+		for _, e := range r.endpoints {
+			for i := 1; i < len(e.applied); i++ {
+				if e.applied[i].ID < e.applied[i-1].ID {
+					late++
+				}
+			}
+		}
+	}
+	if late == 0 {
+		t.Error("no order was applied late: the test does not reach the case")
+	}
+	t.Logf("%d orders were applied late at endpoints that ignore fencing numbers", late)
+}
--- /dev/null
+++ b/internal/order/rig_test.go
@@ -0,0 +1,275 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/lease"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+)
+
+// fakeEndpoint loads versions and keeps the orders that it applied.
+type fakeEndpoint struct {
+	Observed
+	highest   platform.Revision
+	applied   []Order
+	loadedAt  time.Time
+	pending   *Order
+	loadTime  time.Duration
+	refuseAll bool
+}
+
+type task struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type member struct {
+	holder      *lease.Holder
+	controller  *Controller
+	pausedUntil time.Time
+}
+
+// rig runs daemons with the duty of one service against a store and endpoints
+// in virtual time.
+type rig struct {
+	start, now time.Time
+	store      *memstore.Store
+	members    []*member
+	endpoints  []*fakeEndpoint
+	work       []task
+	seq        int
+	random     uint64
+	// sendDelay is the longest way of an order, and lose the percentage of
+	// lost answers.
+	sendDelay time.Duration
+	lose      int
+	// late is true if orders may arrive after settleAfter.
+	late     bool
+	bad      map[string]bool
+	lag      time.Duration
+	reports  [][]Observed
+	slots    int
+	failures []string
+	loads    []time.Time
+	recorded map[uint64]Order
+}
+
+func newRig(seed uint64, endpoints int, fences func(int) bool, b broken) *rig {
+	r := &rig{start: time.Unix(5000, 0), now: time.Unix(5000, 0), random: seed, sendDelay: 50 * time.Millisecond, lag: 2 * time.Second, bad: map[string]bool{}, recorded: map[uint64]Order{}}
+	r.store = memstore.New(func() time.Time { return r.now })
+	for i := range endpoints {
+		r.endpoints = append(r.endpoints, &fakeEndpoint{loadTime: 8 * time.Second, Observed: Observed{Endpoint: fmt.Sprintf("e%02d", i), Model: "m", Version: "1", Healthy: true, Fences: fences(i)}})
+	}
+	for i := range 2 {
+		owner := fmt.Sprintf("d%d", i)
+		m := &member{holder: lease.New(lease.Options{Duty: DutyPrefix + "chat", Owner: owner}), controller: NewController(owner, "chat")}
+		m.controller.broken = b
+		m.holder.SetCandidate(r.now, true)
+		r.members = append(r.members, m)
+	}
+	return r
+}
+
+func (r *rig) desire(d Desired) {
+	d.Service, d.Model = "chat", "m"
+	for _, m := range r.members {
+		m.controller.SetDesired(d)
+	}
+}
+
+func (r *rig) rand(n int) int {
+	r.random = r.random*6364136223846793005 + 1442695040888963407
+	return int(r.random >> 33 % uint64(n))
+}
+
+func (r *rig) fail(format string, args ...any) {
+	r.failures = append(r.failures, fmt.Sprintf("%s: ", r.now.Sub(r.start))+fmt.Sprintf(format, args...))
+}
+
+func (r *rig) later(d time.Duration, f func()) {
+	r.seq++
+	r.work = append(r.work, task{r.now.Add(d), r.seq, f})
+	sort.Slice(r.work, func(i, j int) bool {
+		return r.work[i].at.Before(r.work[j].at) || r.work[i].at.Equal(r.work[j].at) && r.work[i].seq < r.work[j].seq
+	})
+}
+
+// when runs f as soon as m is not paused.
+func (r *rig) when(m *member, f func()) {
+	if r.now.Before(m.pausedUntil) {
+		r.later(m.pausedUntil.Sub(r.now), func() { r.when(m, f) })
+		return
+	}
+	f()
+}
+
+func (r *rig) leaseOut(m *member, o lease.Output) {
+	for _, c := range o.Calls {
+		a := lease.Answer{ID: c.ID}
+		ctx := context.Background()
+		switch c.Kind {
+		case lease.Read:
+			a.Item, a.Err = r.store.Get(ctx, c.Key)
+		case lease.Grant:
+			a.Lease, a.Err = r.store.GrantLease(ctx, c.TTL)
+		case lease.Create:
+			a.Item, a.Err = r.store.CompareAndSwap(ctx, c.Write)
+		case lease.KeepAlive:
+			a.Err = r.store.KeepAlive(ctx, c.Lease)
+		case lease.Revoke:
+			a.Err = r.store.Revoke(ctx, c.Lease)
+		}
+		r.later(10*time.Millisecond, func() { r.when(m, func() { r.leaseOut(m, m.holder.Step(r.now, a)) }) })
+	}
+}
+
+func (r *rig) out(m *member, o Output) {
+	if o.Read != "" {
+		item, err := r.store.Get(context.Background(), o.Read)
+		r.later(10*time.Millisecond, func() { r.when(m, func() { r.out(m, m.controller.Read(item, err)) }) })
+	}
+	if w := o.Write; w != nil {
+		r.later(time.Duration(r.rand(40))*time.Millisecond, func() { r.serveWrite(m, *w) })
+	}
+	for _, s := range o.Sends {
+		r.later(0, func() { r.when(m, func() { r.send(m, s) }) })
+	}
+	if o.Renew {
+		r.leaseOut(m, m.holder.SetCandidate(r.now, false))
+		r.leaseOut(m, m.holder.SetCandidate(r.now, true))
+	}
+}
+
+func (r *rig) serveWrite(m *member, w platform.Write) {
+	item, err := r.store.CompareAndSwap(context.Background(), w)
+	if stored, e := r.store.Get(context.Background(), w.Key); e == nil {
+		record, e := Unmarshal(stored.Value)
+		if e != nil {
+			r.fail("%v", e)
+			return
+		}
+		for _, o := range record.Orders {
+			if old, ok := r.recorded[o.ID]; ok && (old.Endpoint != o.Endpoint || old.Action != o.Action) {
+				r.fail("order %d changes its content", o.ID)
+			}
+			r.recorded[o.ID] = o
+		}
+	}
+	if r.rand(100) < r.lose {
+		return
+	}
+	r.later(10*time.Millisecond, func() { r.when(m, func() { r.out(m, m.controller.Written(r.now, w.OpID, item, err)) }) })
+}
+
+// send checks the duty as the shell does and brings the order on its way.
+func (r *rig) send(m *member, s Send) {
+	fence, _, ok := m.holder.Fence(r.now)
+	if !ok || fence != s.Order.Fence || r.now.After(s.NotAfter) {
+		r.out(m, m.controller.Sent(s.Order.ID, ResultUnsent))
+		return
+	}
+	delay := time.Duration(r.rand(int(r.sendDelay/time.Millisecond))) * time.Millisecond
+	r.later(delay, func() {
+		result := r.deliver(s.Order)
+		if delay > s.Timeout || r.rand(100) < r.lose {
+			result = ResultUnknown
+		}
+		r.when(m, func() { r.out(m, m.controller.Sent(s.Order.ID, result)) })
+	})
+	if delay > s.Timeout {
+		r.later(s.Timeout, func() { r.when(m, func() { r.out(m, m.controller.Sent(s.Order.ID, ResultUnknown)) }) })
+	}
+}
+
+// deliver applies an order at its endpoint and checks the guarantees.
+func (r *rig) deliver(o Order) Result {
+	for _, e := range r.endpoints {
+		if e.Endpoint != o.Endpoint {
+			continue
+		}
+		if e.refuseAll {
+			return ResultFailed
+		}
+		if e.Fences && o.Fence < e.highest {
+			return ResultRefused
+		}
+		e.highest = max(e.highest, o.Fence)
+		if old, ok := r.recorded[o.ID]; !ok || old.Endpoint != o.Endpoint || old.Action != o.Action {
+			r.fail("order %d is sent to %s without a recorded intent", o.ID, o.Endpoint)
+		}
+		for _, a := range e.applied {
+			if a.ID == o.ID {
+				r.fail("order %d is applied twice at %s", o.ID, e.Endpoint)
+			}
+		}
+		// Without a send that is delayed beyond settleAfter the order of IDs
+		// holds at endpoints that ignore fencing numbers too.
+		if n := len(e.applied); n > 0 && e.applied[n-1].ID > o.ID && (e.Fences || !r.late) {
+			r.fail("order %d is applied after order %d at %s", o.ID, e.applied[n-1].ID, e.Endpoint)
+		}
+		e.applied = append(e.applied, o)
+		r.loads = append(r.loads, r.now)
+		e.pending, e.loadedAt, e.Healthy = &o, r.now.Add(e.loadTime), false
+		return ResultAccepted
+	}
+	return ResultFailed
+}
+
+// run lets time pass in steps of 250 ms.
+func (r *rig) run(d time.Duration) {
+	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(250 * time.Millisecond) {
+		for len(r.work) > 0 && !r.work[0].at.After(r.now) {
+			t := r.work[0]
+			r.work = r.work[1:]
+			t.run()
+		}
+		r.stepEndpoints()
+		if r.now.Sub(r.start)%time.Second != 0 {
+			continue
+		}
+		for _, m := range r.members {
+			if r.now.Before(m.pausedUntil) {
+				continue
+			}
+			m.controller.SetObserved(r.reports[max(0, len(r.reports)-1-int(r.lag/(250*time.Millisecond)))])
+			r.leaseOut(m, m.holder.Tick(r.now))
+			fence, until, held := m.holder.Fence(r.now)
+			r.out(m, m.controller.Tick(r.now, Duty{Held: held, Fence: fence, Until: until}))
+		}
+	}
+}
+
+func (r *rig) stepEndpoints() {
+	var reports []Observed
+	out := 0
+	for _, e := range r.endpoints {
+		if e.pending != nil && !r.now.Before(e.loadedAt) {
+			e.Observed = apply(e.pending.Action, Desired{Model: "m"}, e.Observed)
+			e.pending, e.Healthy = nil, !r.bad[e.Version]
+		}
+		if !e.Healthy {
+			out++
+		}
+		report := e.Observed
+		report.At = r.now
+		reports = append(reports, report)
+	}
+	if r.slots > 0 && out > r.slots {
+		r.fail("%d endpoints are out of work, allowed are %d", out, r.slots)
+	}
+	r.reports = append(r.reports, reports)
+}
+
+// converged checks that each endpoint has the version.
+func (r *rig) converged(version string) {
+	for _, e := range r.endpoints {
+		if e.Version != version {
+			r.fail("endpoint %s has version %s, want %s", e.Endpoint, e.Version, version)
+		}
+	}
+}
--- /dev/null
+++ b/internal/order/rollout.go
@@ -0,0 +1,234 @@
+package order
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// healthGrace is how long a changed endpoint may be unhealthy without a
+	// break before it counts against the rollout; engines warm up for tens of
+	// seconds.
+	healthGrace = time.Minute
+	// maxFailures is the number of failed loads of a version that stops its
+	// rollout.
+	maxFailures = 3
+	// retryAfter is the least time between a failure and the next order to the
+	// same endpoint.
+	retryAfter = 30 * time.Second
+)
+
+// Progress is the state of a service against its desired state.
+type Progress struct {
+	Service string
+	// Total counts the endpoints that are not leaving, Ready those in the
+	// desired state and healthy.
+	Total, Ready int
+	// Open counts the open orders, Unknown those of unknown outcome among them.
+	Open, Unknown int
+	// Failed counts the closed orders without effect that the record keeps.
+	Failed int
+	Halt   *Halt
+}
+
+// NewProgress compares desired and observed state with the record.
+func NewProgress(d Desired, observed []Observed, r *Record) Progress {
+	p := Progress{Service: d.Service}
+	for _, o := range observed {
+		if o.Leaving {
+			continue
+		}
+		p.Total++
+		if _, more := needed(d, o); !more && o.Healthy {
+			p.Ready++
+		}
+	}
+	if r == nil {
+		return p
+	}
+	p.Halt = r.Halt
+	for i := range r.Orders {
+		switch o := &r.Orders[i]; {
+		case o.Open():
+			p.Open++
+			if o.State == Unknown {
+				p.Unknown++
+			}
+		case o.State != Done:
+			p.Failed++
+		}
+	}
+	return p
+}
+
+// halted reports whether the rollout of the desired version has stopped.
+func (r *Record) halted(d Desired) bool {
+	return r.Halt != nil && r.Halt.Model == d.Model && r.Halt.Version == d.Version && r.Halt.Resume >= d.Resume
+}
+
+// resume ends a halt after an operator's word or a change of the version.
+func (r *Record) resume(d Desired, now time.Time) bool {
+	if r.Halt == nil || r.halted(d) {
+		return false
+	}
+	r.Halt, r.ResumedAt = nil, now
+	return true
+}
+
+// halt stops the rollout if the changed endpoints are not healthy or the loads
+// fail. It looks at changed endpoints only, so that the way back from a bad
+// version is not blocked by the endpoints which that version made unhealthy.
+func (r *Record) halt(d Desired, observed []Observed, sick func(string) bool, now time.Time) bool {
+	if r.Halt != nil || d.Version == "" {
+		return false
+	}
+	changed, unhealthy, failed := r.changed(d, observed, sick)
+	reason := ""
+	switch {
+	case unhealthy > 0 && float64(unhealthy) > d.MaxUnhealthy*float64(changed):
+		reason = fmt.Sprintf("%d of %d changed endpoints are not healthy", unhealthy, changed)
+	case failed >= maxFailures:
+		reason = fmt.Sprintf("%d loads of the version failed", failed)
+	default:
+		return false
+	}
+	r.Halt = &Halt{Model: d.Model, Version: d.Version, Reason: reason, At: now, Resume: d.Resume}
+	return true
+}
+
+// changed counts the endpoints that the rollout changed, those of them that are
+// not healthy, and the failed loads since the last resume.
+func (r *Record) changed(d Desired, observed []Observed, sick func(string) bool) (changed, unhealthy, failed int) {
+	reports := byEndpoint(observed)
+	for i := range r.Orders {
+		o := &r.Orders[i]
+		// Only the newest order to an endpoint tells about its version.
+		if !o.loadsVersion(d) || o.At.Before(r.ResumedAt) || o.State == Done && r.last(o.Endpoint) != o {
+			continue
+		}
+		report, known := reports[o.Endpoint]
+		switch {
+		case o.State == Failed:
+			failed++
+		case o.State == Done && known && !report.Leaving && effect(o.Action, report):
+			changed++
+			if sick(o.Endpoint) {
+				unhealthy++
+			}
+		}
+	}
+	return changed, unhealthy, failed
+}
+
+func byEndpoint(observed []Observed) map[string]Observed {
+	reports := make(map[string]Observed, len(observed))
+	for _, o := range observed {
+		reports[o.Endpoint] = o
+	}
+	return reports
+}
+
+// loadsVersion reports whether the order is part of the rollout.
+func (o *Order) loadsVersion(d Desired) bool {
+	return o.Action == Action{LoadVersion, d.Version} || o.Action == Action{LoadModel, d.Model + "@" + d.Version}
+}
+
+// last returns the newest order to the endpoint.
+func (r *Record) last(endpoint string) *Order {
+	for i := len(r.Orders) - 1; i >= 0; i-- {
+		if r.Orders[i].Endpoint == endpoint {
+			return &r.Orders[i]
+		}
+	}
+	return nil
+}
+
+// backoff returns how long the endpoint gets no order after a failure.
+func (r *Record) backoff(endpoint string, now time.Time) time.Duration {
+	o := r.last(endpoint)
+	if o == nil || o.Open() || o.State == Done {
+		return 0
+	}
+	return max(0, o.At.Add(retryAfter).Sub(now))
+}
+
+// late reports whether an order of the present hold may still arrive at an
+// endpoint that fences, or was refused by it. The next order then needs a
+// higher fencing number, so that the endpoint refuses the late one.
+func (r *Record) late(o Observed) bool {
+	last := r.last(o.Endpoint)
+	return last != nil && o.Fences && (last.Lost || last.State == Refused) && last.Fence >= r.Fence
+}
+
+// ready returns the action that may be ordered from the endpoint now, except
+// for the limits of the service.
+func (r *Record) ready(d Desired, o Observed, now time.Time) (Action, bool) {
+	a, ok := needed(d, o)
+	blocked := o.Leaving || r.open(o.Endpoint) != nil || r.backoff(o.Endpoint, now) > 0
+	return a, ok && !blocked
+}
+
+// used counts the endpoints that are out of work now.
+func (r *Record) used(observed []Observed) int {
+	used := 0
+	for _, o := range observed {
+		sick := !o.Healthy && o.Model != ""
+		if !o.Leaving && (sick || r.open(o.Endpoint) != nil) {
+			used++
+		}
+	}
+	return used
+}
+
+// intend adds the orders that may be sent now. The second result is true if
+// one needs a higher fencing number first.
+func (r *Record) intend(d Desired, observed []Observed, now time.Time) (added, renew bool) {
+	if r.halted(d) {
+		return false, false
+	}
+	slots, used := capacity(d, observed), r.used(observed)
+	for _, o := range sortObserved(observed) {
+		a, ok := r.ready(d, o, now)
+		if !ok || inService(o) && used >= slots {
+			continue
+		}
+		if r.late(o) {
+			renew = true
+			continue
+		}
+		if a.load() {
+			// The weight store is rate-limited, so loads are spaced out.
+			if now.Sub(r.LastLoad) < d.LoadInterval {
+				continue
+			}
+			r.LastLoad = now
+		}
+		if inService(o) {
+			used++
+		}
+		r.Last++
+		r.Orders = append(r.Orders, Order{ID: r.Last, Endpoint: o.Endpoint, Action: a, Fence: r.Fence, State: Intended, At: now})
+		added = true
+	}
+	return added, renew
+}
+
+// noteHealth keeps since when endpoints are unhealthy.
+func (c *Controller) noteHealth(now time.Time) {
+	sick := make(map[string]time.Time)
+	for _, o := range c.observed {
+		if o.Healthy {
+			continue
+		}
+		sick[o.Endpoint] = now
+		if since, known := c.sickSince[o.Endpoint]; known {
+			sick[o.Endpoint] = since
+		}
+	}
+	c.sickSince = sick
+}
+
+func (c *Controller) sick(endpoint string, now time.Time) bool {
+	since, known := c.sickSince[endpoint]
+	return known && now.Sub(since) >= healthGrace
+}
