membership: benchmark of a reading of the list

Cause: readers take the whole list once a second. Change: BenchmarkList with 4,720 entries that do not change.

--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -6,6 +6,8 @@
 	"sort"
 	"testing"
 	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
 var fleets = []struct{ daemons, domains int }{{7, 3}, {42, 3}, {420, 14}}
@@ -212,3 +214,23 @@
 	}
 	return live, dead
 }
+
+// BenchmarkList measures one reading of a list of the target size that shows
+// no change, as a reader takes it once a second.
+func BenchmarkList(b *testing.B) {
+	now := time.Unix(1, 0)
+	table := New(Options{Self: Identity{ID: "a", Domain: "zone-00"}}, now)
+	var list []platform.Instance
+	for i := range 4720 {
+		in := platform.Instance{ID: fmt.Sprintf("i-%05d", i), Domain: fmt.Sprintf("zone-%02d", i%14), Role: platform.RoleEngine, State: platform.InstanceLive}
+		if i < 420 {
+			in.Role = platform.RoleDaemon
+		}
+		list = append(list, in)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second)
+		table.List(now, list)
+	}
+}
