--- a/internal/membership/broken_test.go
+++ b/internal/membership/broken_test.go
@@ -176,6 +176,23 @@
 	}
 }
 
+// TestMessageSize guards the stated size of a heartbeat at the target size: 600
+// bytes with a digest of 30 members and 13 other failure domains.
+func TestMessageSize(t *testing.T) {
+	s := newFleet(4, 420, 14)
+	s.run(10 * time.Second)
+	largest := 0
+	table := s.procs[0].table
+	table.beat()
+	for _, m := range table.out.Messages {
+		largest = max(largest, m.Size())
+	}
+	if largest == 0 || largest > 600 {
+		t.Errorf("a heartbeat has %d bytes, stated are at most 600", largest)
+	}
+	t.Logf("a heartbeat has %d bytes", largest)
+}
+
 // TestOwner guards the agreement on owners: the same in each daemon, only live
 // members, and only the keys of a lost owner move.
 func TestOwner(t *testing.T) {
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -167,6 +167,11 @@
 	case 7:
 		// A longer lag takes the list back in time.
 		s.listLag = time.Duration(rapid.IntRange(0, 20).Draw(t, "lag")) * time.Second
+	case 8:
+		if p.Domain != q.Domain {
+			f.cuts[[2]string{p.Domain, q.Domain}] = true
+			f.disturb(s.procs...)
+		}
 	}
 	s.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "wait")) * time.Second)
 }
