--- a/internal/membership/broken_test.go
+++ b/internal/membership/broken_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -120,7 +121,7 @@
 // an endpoint must be known everywhere, also where the platform is out of
 // reach, at 1% loss and with a one-way link.
 func TestLeavingReachesAll(t *testing.T) {
-	s := newFleet(5, 4, 12)
+	s := newFleet(5, 48, 4)
 	s.loss = 0.01
 	s.run(20 * time.Second)
 	c := cuts{{s.procs[1].ID, s.procs[2].ID}: true}
@@ -144,9 +145,27 @@
 	}
 }
 
+// TestViewsConverge guards against views that stay apart when changes and their
+// repetitions are lost: a start, a leaving and a death must come through by the
+// comparison of views.
+func TestViewsConverge(t *testing.T) {
+	s := newFleet(8, 24, 3)
+	s.run(20 * time.Second)
+	s.drop = func(k Kind) bool { return k == Changes }
+	s.drain(s.procs[1])
+	s.kill(s.procs[9])
+	s.add("r-1", "zone-02")
+	s.run(time.Minute)
+	c := newChecker(s)
+	c.converged()
+	if len(c.failures) > 0 {
+		t.Errorf("%d differences, the first: %s", len(c.failures), c.failures[0])
+	}
+}
+
 // TestDeathBound guards the stated bound when the list does not show a death.
 func TestDeathBound(t *testing.T) {
-	s := newFleet(6, 3, 14)
+	s := newFleet(6, 42, 3)
 	s.loss = 0.01
 	s.run(20 * time.Second)
 	s.kill(s.procs[3])
@@ -158,10 +177,49 @@
 	}
 }
 
+// TestMessageSize guards the stated size of a heartbeat at the target size: 600
+// bytes with a digest of 30 members and 13 other failure domains.
+func TestMessageSize(t *testing.T) {
+	s := newFleet(4, 30, 1)
+	for d := range 13 {
+		s.add(fmt.Sprintf("j-%02d", d), fmt.Sprintf("far-%02d", d))
+	}
+	s.publish()
+	s.run(10 * time.Second)
+	largest := 0
+	table := s.procs[0].table
+	table.beat()
+	for _, m := range table.out.Messages {
+		largest = max(largest, m.Size())
+	}
+	if largest == 0 || largest > 600 {
+		t.Errorf("a heartbeat has %d bytes, stated are at most 600", largest)
+	}
+	t.Logf("a heartbeat has %d bytes", largest)
+}
+
+// TestForget guards the memory of a daemon and that a forgotten member does not
+// come back by the list, which still shows it.
+func TestForget(t *testing.T) {
+	s := newFleet(11, 8, 2)
+	s.run(20 * time.Second)
+	s.kill(s.procs[2])
+	s.run(40 * time.Second)
+	for _, p := range s.procs {
+		p.table.nodes[s.procs[2].ID].deadSince = s.now.Add(-forgetAfter)
+	}
+	s.run(20 * time.Second)
+	for _, p := range s.procs {
+		if m, known := p.table.Member(s.procs[2].ID); !p.dead && known {
+			t.Errorf("%s still holds the dead member as %v", p.ID, m.State)
+		}
+	}
+}
+
 // TestOwner guards the agreement on owners: the same in each daemon, only live
 // members, and only the keys of a lost owner move.
 func TestOwner(t *testing.T) {
-	s := newFleet(7, 2, 6)
+	s := newFleet(7, 12, 2)
 	s.run(20 * time.Second)
 	before := map[string]string{}
 	for _, key := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
