Run the development fleet over the etcd API, add serve

Cause: daemons reached the platform through memory only. Change: dev serves the platform stand-in and each daemon uses the etcd adapter with its call limit; serve runs a daemon from a settings file. Ruled out: a lost wake-up; every shard had its allocator within 1 s, and the rest of the wait was in the call limit. Conclusion: the limit bounds the long run, a cold start fits the burst.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -13,7 +13,9 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/azurehatch/azurehatch/internal/daemon"
 	"github.com/azurehatch/azurehatch/internal/dev"
+	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp"
 	"github.com/azurehatch/azurehatch/internal/settings"
 )
 
@@ -31,6 +33,39 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
+func serveCommand(app *kingpin.Application, _ io.Writer) (string, func() error) {
+	cmd := app.Command("serve", "Run a daemon until SIGTERM. A second signal ends it at once.")
+	file := cmd.Flag("settings", "Settings file.").Required().String()
+	return cmd.FullCommand(), func() error {
+		s, err := readSettings(*file)
+		if err != nil {
+			return err
+		}
+		return serve(s)
+	}
+}
+
+func serve(s settings.Settings) error {
+	log, err := newLog(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	store, err := etcdhttp.New(etcdhttp.Options{Addrs: s.Platform.Addresses, CallTimeout: s.Platform.Timeout.Std()})
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	ctx, cancel := untilSignal()
+	defer cancel()
+	d, err := daemon.New(daemon.Options{Settings: s, Store: daemon.Limit(store, s.Platform), Log: log})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	cancel() // a second signal then ends the process
+	return d.Stop(context.Background())
+}
+
 func devCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
 	cmd := app.Command("dev", "Run a whole fleet in one process on loopback.")
 	name := cmd.Flag("deployment", "Shape of the fleet: "+strings.Join(dev.DeploymentNames(), " or ")+".").Default("maracas").String()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -255,3 +255,17 @@
 	}
 	return n
 }
+
+// burstSeconds is how much of its rate a daemon may use at once. A cold start
+// takes over ten shards against three other failure domains in about 60
+// writes; with one second's worth, requests ran into the ledger's timeout.
+const burstSeconds = 4
+
+// Limit bounds a daemon's calls to the store as its settings say. Reads get
+// half of the calls; a call waits for its turn until its deadline.
+func Limit(store platform.Store, p settings.Platform) *platform.Limited {
+	half := p.CallsPerSecond / 2
+	return platform.NewLimited(store, platform.LimitOptions{
+		ReadsPerSecond: half, WritesPerSecond: half, Burst: int(half * burstSeconds), Wait: true,
+	})
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -16,9 +16,10 @@
 	"github.com/azurehatch/azurehatch/internal/daemon"
 	"github.com/azurehatch/azurehatch/internal/ledger"
 	"github.com/azurehatch/azurehatch/internal/platform"
-	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp"
 	"github.com/azurehatch/azurehatch/internal/settings"
 	"github.com/azurehatch/azurehatch/internal/standin/engine"
+	standin "github.com/azurehatch/azurehatch/internal/standin/platform"
 	"github.com/azurehatch/azurehatch/internal/standin/service"
 )
 
@@ -48,17 +49,21 @@
 // Fleet is a running development fleet.
 type Fleet struct {
 	Deployment Deployment
-	Store      *memstore.Store
-	Engines    []*engine.Engine
-	Services   []*service.Service
-	Daemons    []*daemon.Daemon
+	Platform   *standin.Server
+	// Store reaches the platform as an operator's tool does.
+	Store    *etcdhttp.Store
+	Engines  []*engine.Engine
+	Services []*service.Service
+	Daemons  []*daemon.Daemon
 
-	servers []*http.Server
+	platformURL string
+	stores      []*etcdhttp.Store
+	servers     []*http.Server
 }
 
 // Start starts a fleet; Close ends it.
 func Start(o Options) (*Fleet, error) {
-	f := &Fleet{Deployment: o.Deployment, Store: memstore.New(nil)}
+	f := &Fleet{Deployment: o.Deployment, Platform: standin.New(standin.Options{})}
 	if err := f.start(o); err != nil {
 		f.Close()
 		return nil, err
@@ -67,6 +72,14 @@
 }
 
 func (f *Fleet) start(o Options) error {
+	addr, err := f.listen(f.Platform)
+	if err != nil {
+		return err
+	}
+	f.platformURL = "http://" + addr
+	if f.Store, err = f.connect(); err != nil {
+		return err
+	}
 	engines, err := f.startEngines()
 	if err != nil {
 		return err
@@ -114,6 +127,14 @@
 	}
 }
 
+func (f *Fleet) connect() (*etcdhttp.Store, error) {
+	store, err := etcdhttp.New(etcdhttp.Options{Addrs: []string{f.platformURL}})
+	if err == nil {
+		f.stores = append(f.stores, store)
+	}
+	return store, err
+}
+
 func (f *Fleet) startEngines() ([]string, error) {
 	addrs := make([]string, f.Deployment.Engines)
 	for i := range addrs {
@@ -151,7 +172,7 @@
 }
 
 func (f *Fleet) list(id, addr, domain string, role platform.Role) {
-	f.Store.SetInstance(platform.Instance{
+	f.Platform.Store.SetInstance(platform.Instance{
 		ID: id, Addr: addr, Domain: domain, Region: f.Deployment.Name, Role: role, State: platform.InstanceLive,
 	})
 }
@@ -191,7 +212,12 @@
 	s.Peers.Listen, s.Admin.Listen = "127.0.0.1:0", "127.0.0.1:0"
 	s.Callers.PlainText, s.Peers.PlainText, s.Admin.PlainText = true, true, true
 	s.Shutdown.Announce = settings.Duration(200 * time.Millisecond)
-	d, err := daemon.New(daemon.Options{Settings: s, Store: f.Store, Log: log})
+	s.Platform.Addresses = []string{f.platformURL}
+	store, err := f.connect()
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(daemon.Options{Settings: s, Store: daemon.Limit(store, s.Platform), Log: log})
 	if err != nil {
 		return err
 	}
@@ -213,9 +239,13 @@
 	for _, d := range f.Daemons {
 		d.Close()
 	}
+	for _, s := range f.stores {
+		s.Close()
+	}
 	for _, s := range f.servers {
 		s.Close()
 	}
+	f.Platform.Close()
 	for _, e := range f.Engines {
 		e.Close()
 	}
@@ -229,7 +259,7 @@
 	d := f.Daemons[i]
 	f.Daemons = append(f.Daemons[:i:i], f.Daemons[i+1:]...)
 	err := d.Stop(ctx)
-	f.Store.RemoveInstance(d.ID())
+	f.Platform.Store.RemoveInstance(d.ID())
 	return err
 }
 
@@ -238,5 +268,5 @@
 	d := f.Daemons[i]
 	f.Daemons = append(f.Daemons[:i:i], f.Daemons[i+1:]...)
 	d.Close()
-	f.Store.RemoveInstance(d.ID())
+	f.Platform.Store.RemoveInstance(d.ID())
 }
