--- a/internal/budget/settle.go
+++ b/internal/budget/settle.go
@@ -85,17 +85,16 @@
 
 // clearUnregistered notes a finished reservation of an earlier epoch as cleared
 // with each holder that has not registered: it may be its mirror, and a
-// successor would otherwise take the reservation for open.
+// successor would otherwise take the reservation for open. The previous owner
+// is one of them, although nobody waits for it.
 func (a *Allocator) clearUnregistered(key Key) {
-	if !a.recovering {
-		return
-	}
-	for _, h := range a.rec.domain(a.opts.Domain).Waiting {
+	for _, h := range a.Holders() {
 		c := a.clients[h]
-		if mark := (Cleared{h, key}); h != key.Holder && (c == nil || (!c.registered && !c.closed)) {
-			if _, ok := a.cleared[mark]; !ok {
-				a.cleared[mark] = false
-			}
+		if h == key.Holder || (c != nil && (c.registered || c.closed)) {
+			continue
+		}
+		if _, ok := a.cleared[Cleared{h, key}]; !ok {
+			a.cleared[Cleared{h, key}] = false
 		}
 	}
 }
