rollout: accept revisions by one write and bring them into force

An edit and its audit entry must be one write, a lost answer must not double an edit, and no daemon may go back to an older revision. Editor writes sections first and then swaps the head; Follower watches in two daemons of each failure domain and passes revisions on in the domain.

The state-machine test found that a restarted daemon could install an older revision than its failure domain had: it waited for the peers' answers, but not for the manifest of the highest revision among them. It now waits for both. It also showed that an error of a repeat says nothing about a write of an earlier attempt that is still on its way, which the documentation now states.

--- /dev/null
+++ b/internal/rollout/editor.go
@@ -0,0 +1,221 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/audit"
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// Limits of an editor.
+const (
+	// maxSwaps is the number of times that an edit is tried against a head that
+	// others keep changing. Each lost attempt means that another edit was
+	// accepted, so the limit is reached only under a flood of edits.
+	maxSwaps = 50
+	// segmentsAtOnce is the number of audit segments read in one step of a search.
+	segmentsAtOnce = 16
+	// rotateAbove and keepInHead bound the audit entries in the head: rotation
+	// keeps keepInHead. A retry finds its operation id among these.
+	rotateAbove = 96
+	keepInHead  = 32
+	// rotateAnyway makes an edit rotate the trail itself when the daemon with the
+	// duty of rotation does not.
+	rotateAnyway = 256
+)
+
+// Action is what an Editor does.
+type Action string
+
+// The actions of an editor.
+const (
+	// ActionApply merges Edit.Config, which was made from revision Edit.Base.
+	ActionApply Action = "apply"
+	// ActionRollback makes a new revision with the content of Edit.To.
+	ActionRollback Action = "rollback"
+	// ActionRecord appends an audit entry without a new revision.
+	ActionRecord Action = "record"
+	// ActionRotate moves old audit entries into a segment.
+	ActionRotate Action = "rotate"
+)
+
+// Edit is one operation on the head record.
+type Edit struct {
+	Action Action
+	// OpID is unique to the operation. A repeat with the same id is answered with
+	// the revision that the first attempt got.
+	OpID string
+	// Base is the revision that the operator saw.
+	Base   uint64
+	Config *config.Config
+	// To is the revision whose content a rollback restores.
+	To uint64
+	// Entry has the actor, office, kind and reason; the editor fills in the rest.
+	Entry audit.Entry
+	// Allow lists guards that the operator has confirmed.
+	Allow []config.Guard
+	// Spent reports whether an account has spend; nil stands for all accounts.
+	Spent func(account string) bool
+}
+
+// Result is the outcome of an accepted operation.
+type Result struct {
+	Revision uint64 `json:"revision"`
+	// Merged is set if other edits were accepted since the base revision.
+	Merged bool `json:"merged,omitempty"`
+	// Repeated is set if an earlier attempt with the same operation id was
+	// accepted.
+	Repeated bool `json:"repeated,omitempty"`
+	// Unchanged is set if the configuration in force already has the content, so
+	// that no revision was made.
+	Unchanged bool            `json:"unchanged,omitempty"`
+	Changes   []config.Change `json:"changes,omitempty"`
+}
+
+// Request is a group of store calls that an editor waits for; either list is
+// empty. The calls of a group may run at the same time.
+type Request struct {
+	Get []string
+	Put []platform.Write
+}
+
+// Answer is the outcome of one store call.
+type Answer struct {
+	Item platform.Item
+	Err  error
+}
+
+// Sections are contents of sections by hash. They are immutable, so they can be
+// kept from one edit to the next.
+type Sections map[config.Hash][]byte
+
+// editorFaults are deliberate defects that tests switch on to show that the
+// invariant tests see them.
+type editorFaults struct {
+	ignoreOpID, skipMerge, blindSwap, separateAudit, headBeforeSections bool
+}
+
+type stage int
+
+const (
+	stageHead stage = iota
+	stageSearch
+	stageManifests
+	stageSections
+	stageWrite
+	stageSwap
+	stageSegment
+	stageTrim
+	stageDone
+)
+
+// Editor carries out one Edit. The caller executes Request and gives the answers
+// to Step until Done.
+type Editor struct {
+	edit     Edit
+	sections Sections
+	faults   editorFaults
+	// keep and rotateAnyway are the limits of that name.
+	keep, rotateAnyway int
+
+	stage   stage
+	request Request
+	now     time.Time
+	swaps   int
+	// swapUnknown is set while a write of the head may still take effect. It is
+	// cleared by a head that names the operation, or by one that no longer has the
+	// revision which that write expects, unknownAt.
+	swapUnknown bool
+	unknownAt   platform.Revision
+
+	item platform.Item
+	head Head
+	// trail holds the entries found so far, from entry trailFrom on; segment is
+	// the number of the oldest segment read.
+	trail   []audit.Entry
+	segment int
+	// manifests holds the manifests of the base and the target revision.
+	manifests map[uint64]config.Manifest
+	loading   []config.Hash
+	pending   []uint64
+	next      Head
+	nextValue []byte
+	moved     audit.Segment
+	lastPut   []platform.Write
+	result    Result
+	err       error
+}
+
+// NewEditor starts an edit. Known sections save reads; the editor adds to them.
+func NewEditor(edit Edit, known Sections) *Editor {
+	if known == nil {
+		known = make(Sections)
+	}
+	e := &Editor{edit: edit, sections: known, keep: keepInHead, rotateAnyway: rotateAnyway}
+	if edit.Action == ActionApply {
+		if err := edit.Config.Validate(); err != nil {
+			e.finish(Result{}, err)
+			return e
+		}
+	}
+	e.readHead()
+	return e
+}
+
+// Request returns the store calls to make next. It is empty when the edit is
+// done.
+func (e *Editor) Request() Request { return e.request }
+
+// Done reports whether the edit has ended.
+func (e *Editor) Done() bool { return e.stage == stageDone }
+
+// Result returns the outcome of a finished edit. Errors are config.Errors,
+// *config.MergeError, *config.GuardError, *StaleError, *UnknownRevisionError or
+// those of the store; only with platform.ErrOutcomeUnknown the edit may have
+// been accepted, and a repeat with the same operation id tells.
+func (e *Editor) Result() (Result, error) { return e.result, e.err }
+
+// Step continues with the answers to the last request, in its order.
+func (e *Editor) Step(now time.Time, answers []Answer) {
+	e.now = now
+	e.request = Request{}
+	var err error
+	switch e.stage {
+	case stageHead:
+		err = e.gotHead(answers[0])
+	case stageSearch:
+		err = e.gotSegments(answers)
+	case stageManifests:
+		err = e.gotManifests(answers)
+	case stageSections:
+		err = e.gotSections(answers)
+	case stageWrite:
+		err = e.gotWrites(answers)
+	case stageSwap, stageTrim:
+		err = e.gotSwap(answers[0])
+	case stageSegment:
+		err = e.gotSegmentWrite(answers[0])
+	}
+	if err != nil {
+		e.finish(Result{}, err)
+	}
+}
+
+func (e *Editor) finish(r Result, err error) {
+	if err != nil && e.swapUnknown && !errors.Is(err, platform.ErrOutcomeUnknown) {
+		err = errors.Wrap(platform.ErrOutcomeUnknown, err.Error())
+	}
+	e.stage, e.request, e.result, e.err = stageDone, Request{}, r, err
+}
+
+func (e *Editor) get(s stage, keys ...string) {
+	e.stage, e.request = s, Request{Get: keys}
+}
+
+func (e *Editor) readHead() {
+	e.trail, e.manifests = nil, make(map[uint64]config.Manifest)
+	e.get(stageHead, HeadKey)
+}
--- /dev/null
+++ b/internal/rollout/editor_test.go
@@ -0,0 +1,121 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/audit"
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+)
+
+// run carries out an edit without faults.
+func run(s *memstore.Store, edit Edit) (Result, error) {
+	e := NewEditor(edit, nil)
+	for !e.Done() {
+		var answers []Answer
+		for _, key := range e.Request().Get {
+			item, err := s.Get(context.Background(), key)
+			answers = append(answers, Answer{item, err})
+		}
+		for _, put := range e.Request().Put {
+			item, err := s.CompareAndSwap(context.Background(), put)
+			answers = append(answers, Answer{item, err})
+		}
+		e.Step(time.Unix(2000, 0), answers)
+	}
+	return e.Result()
+}
+
+func applied(t *testing.T, s *memstore.Store, op string, base uint64, content map[string]int) uint64 {
+	t.Helper()
+	result, err := run(s, Edit{Action: ActionApply, OpID: op, Base: base, Config: configOf(content),
+		Spent: func(account string) bool { return account == "spent" }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Revision
+}
+
+// Guards against an error that the API cannot tell from another one, and
+// against a rollback that is not a new revision.
+func TestEditorResults(t *testing.T) {
+	s := memstore.New(nil)
+	applied(t, s, "1", 0, map[string]int{"a": 1, "spent": 1})
+	applied(t, s, "2", 1, map[string]int{"a": 2, "spent": 1})
+
+	_, err := run(s, Edit{Action: ActionApply, OpID: "3", Base: 1, Config: configOf(map[string]int{"a": 3, "spent": 1})})
+	var conflict *config.MergeError
+	if !errors.As(err, &conflict) || conflict.Conflicts[0].Name != "a" {
+		t.Errorf("conflict: got %v", err)
+	}
+	_, err = run(s, Edit{Action: ActionApply, OpID: "4", Base: 2, Config: configOf(map[string]int{"a": 2})})
+	var guard *config.GuardError
+	if !errors.As(err, &guard) {
+		t.Errorf("removed account with spend: got %v", err)
+	}
+	_, err = run(s, Edit{Action: ActionRollback, OpID: "5", Base: 1, To: 1})
+	var stale *StaleError
+	if !errors.As(err, &stale) || stale.Current != 2 {
+		t.Errorf("stale rollback: got %v", err)
+	}
+	_, err = run(s, Edit{Action: ActionRollback, OpID: "6", Base: 2, To: 9})
+	var unknown *UnknownRevisionError
+	if !errors.As(err, &unknown) || unknown.Revision != 9 {
+		t.Errorf("unknown revision: got %v", err)
+	}
+	invalid := config.New()
+	invalid.Services["x"] = config.Service{Kind: "odd"}
+	_, err = run(s, Edit{Action: ActionApply, OpID: "7", Base: 2, Config: invalid})
+	var errs config.Errors
+	if !errors.As(err, &errs) {
+		t.Errorf("invalid configuration: got %v", err)
+	}
+	back, err := run(s, Edit{Action: ActionRollback, OpID: "8", Base: 2, To: 1})
+	if err != nil || back.Revision != 3 {
+		t.Errorf("rollback: revision %d, error %v, want a new revision 3", back.Revision, err)
+	}
+	again, err := run(s, Edit{Action: ActionRollback, OpID: "8", Base: 2, To: 1})
+	if diff := cmp.Diff(Result{Revision: 3, Repeated: true}, again); diff != "" || err != nil {
+		t.Errorf("repeat: %v (-want +got):\n%s", err, diff)
+	}
+}
+
+// Guards against a repeat that is accepted twice because its entry has moved
+// into a segment, and against a head that grows without bound.
+func TestRepeatAfterRotation(t *testing.T) {
+	s := memstore.New(nil)
+	content := map[string]int{}
+	for i := range rotateAnyway + 50 {
+		content[fmt.Sprintf("a%d", i%7)] = i + 1
+		applied(t, s, fmt.Sprintf("op-%d", i), uint64(i), content)
+	}
+	item, err := s.Get(context.Background(), HeadKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, err := DecodeHead(item.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := len(head.Audit.Entries); n > rotateAnyway || head.Audit.Segments != 1 || head.NeedsRotation() {
+		t.Errorf("%d entries in the head, %d segments", n, head.Audit.Segments)
+	}
+	for _, i := range []int{0, 100, rotateAnyway} {
+		result, err := run(s, Edit{Action: ActionApply, OpID: fmt.Sprintf("op-%d", i), Base: uint64(i), Config: configOf(content)})
+		if want := (Result{Revision: uint64(i) + 1, Repeated: true}); err != nil || !cmp.Equal(want, result) {
+			t.Errorf("repeat of op-%d: %+v, %v", i, result, err)
+		}
+	}
+	if _, err := run(s, Edit{Action: ActionRotate, OpID: "r"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := run(s, Edit{Action: ActionRecord, OpID: "t", Entry: audit.Entry{Kind: audit.KindTopUp}}); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/rollout/follower.go
@@ -0,0 +1,295 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// Limits of a follower.
+const (
+	// watchersPerDomain daemons of a failure domain watch the head; the second one
+	// covers the time until the loss of the first is noticed.
+	watchersPerDomain = 2
+	// historyLength is the number of earlier manifests kept, so that an update to
+	// a daemon that is a few revisions behind names only the changed sections.
+	historyLength = 16
+	// sectionsPerMessage bounds a message to 8 sections of 64 KB.
+	sectionsPerMessage = 8
+	// sectionsPerFetch bounds the store reads that run at the same time.
+	sectionsPerFetch = 32
+	// announceAttempts is how often a watcher repeats an announcement to a daemon
+	// that does not answer. The exchange of every ExchangeEvery covers the rest.
+	announceAttempts = 10
+)
+
+// Options are the settings of a Follower. Zero durations stand for the defaults.
+type Options struct {
+	// Self is this daemon's id, Domain its failure domain.
+	Self, Domain string
+	// PollEvery is the interval at which a daemon reads the head although nothing
+	// points to a change; 120 s by default, 30 s for a watcher.
+	PollEvery, WatcherPollEvery time.Duration
+	// ExchangeEvery is the interval at which a daemon compares its revision with
+	// a watcher's; 10 s by default.
+	ExchangeEvery time.Duration
+	// RetryEvery is the interval of repeated announcements, fetches and attempts
+	// to watch; 500 ms by default.
+	RetryEvery time.Duration
+	// StartWait is how long a started daemon waits for the revisions of its
+	// failure domain and of the store before it installs the highest it knows;
+	// 1 s by default.
+	StartWait time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	o.PollEvery = cmp.Or(o.PollEvery, 120*time.Second)
+	o.WatcherPollEvery = cmp.Or(o.WatcherPollEvery, 30*time.Second)
+	o.ExchangeEvery = cmp.Or(o.ExchangeEvery, 10*time.Second)
+	o.RetryEvery = cmp.Or(o.RetryEvery, 500*time.Millisecond)
+	o.StartWait = cmp.Or(o.StartWait, time.Second)
+	return o
+}
+
+// Envelope is a message to another daemon.
+type Envelope struct {
+	To      string
+	Message Message
+}
+
+// Installed is a configuration that is now in force on this daemon.
+type Installed struct {
+	Revision uint64
+	Config   *config.Config
+}
+
+// Output is what the caller of a follower does after a step.
+type Output struct {
+	Send []Envelope
+	// ReadHead asks for a read of HeadKey; the answer goes to Head.
+	ReadHead bool
+	// StartWatch asks for a watch of HeadKey after WatchAfter, whose events go to
+	// Head; its end goes to WatchEnded. StopWatch ends it.
+	StartWatch, StopWatch bool
+	WatchAfter            platform.Revision
+	// Fetch asks for sections from the store; the answers go to Sections.
+	Fetch []config.Hash
+	// Install, if not nil, takes effect at once.
+	Install *Installed
+	// Err reports a record that cannot be used; it is logged.
+	Err error
+}
+
+// Status describes a follower to operators.
+type Status struct {
+	Revision uint64 `json:"revision"`
+	// Age is the time since the store confirmed that Revision is the newest.
+	Age     time.Duration `json:"age"`
+	Watcher bool          `json:"watcher"`
+	// StoreBehind is set if the store last showed a lower revision, for example
+	// after it was restored from a copy. The follower keeps its own.
+	StoreBehind bool `json:"store_behind,omitempty"`
+}
+
+// followerFaults are deliberate defects that tests switch on to show that the
+// invariant tests see them.
+type followerFaults struct {
+	installLower, skipStartWait, ackWithoutInstall bool
+}
+
+// target is a revision that is being fetched.
+type target struct {
+	revision uint64
+	manifest config.Manifest
+	// source is the daemon that has the sections; "" is the store.
+	source    string
+	asked     time.Time
+	confirmed time.Time
+}
+
+// Follower keeps the configuration of one daemon up to date.
+type Follower struct {
+	opts   Options
+	faults followerFaults
+
+	now      time.Time
+	started  time.Time
+	settled  bool
+	headRead bool
+	// answered are the daemons that told their revision since the start.
+	answered map[string]bool
+	// heard is the highest revision that another daemon told.
+	heard   uint64
+	members []string
+
+	// revision is in force. It never goes down in the life of a follower.
+	revision  uint64
+	manifest  config.Manifest
+	config    *config.Config
+	sections  Sections
+	history   []target
+	target    *target
+	confirmed time.Time
+
+	watcher, watching bool
+	storeBehind       bool
+	acked             map[string]uint64
+	attempts          int
+	announceAt        time.Time
+	retryWatchAt      time.Time
+	pollAt            time.Time
+	exchangeAt        time.Time
+	rounds            int
+}
+
+// NewFollower returns the follower of a daemon that starts at now. The caller
+// executes the output.
+func NewFollower(opts Options, now time.Time) (*Follower, Output) {
+	f := &Follower{opts: opts.withDefaults(), now: now, started: now, sections: make(Sections),
+		answered: make(map[string]bool), acked: make(map[string]uint64)}
+	f.schedulePoll()
+	f.exchangeAt = now.Add(f.jitter(f.opts.ExchangeEvery))
+	return f, Output{ReadHead: true}
+}
+
+// Status returns the follower's state at now.
+func (f *Follower) Status(now time.Time) Status {
+	return Status{Revision: f.revision, Age: now.Sub(f.confirmed), Watcher: f.watcher, StoreBehind: f.storeBehind}
+}
+
+// jitter returns a time between 75% and 125% of d that differs by daemon and
+// round, so that the fleet's calls are spread.
+func (f *Follower) jitter(d time.Duration) time.Duration {
+	f.rounds++
+	h := xxhash.Sum64String(f.opts.Self + "/" + strconv.Itoa(f.rounds))
+	return d*3/4 + time.Duration(h%1000)*d/2000
+}
+
+func (f *Follower) schedulePoll() {
+	every := f.opts.PollEvery
+	if f.watcher {
+		every = f.opts.WatcherPollEvery
+	}
+	f.pollAt = f.now.Add(f.jitter(every))
+}
+
+// watchers returns the daemons of the failure domain that watch the head, by
+// rendezvous hashing over the live ones.
+func watchers(domain string, members []string) []string {
+	ranked := slices.Clone(members)
+	score := func(m string) uint64 { return xxhash.Sum64String(domain + "/" + m) }
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b))
+	})
+	return ranked[:min(watchersPerDomain, len(ranked))]
+}
+
+// Members tells the live daemons of the failure domain, this one included.
+func (f *Follower) Members(now time.Time, live []string) Output {
+	f.now = now
+	var out Output
+	for _, m := range live {
+		if m != f.opts.Self && !slices.Contains(f.members, m) {
+			f.send(&out, m, f.announcement(MessageAnnounce))
+		}
+	}
+	f.members = slices.Clone(live)
+	for m := range f.acked {
+		if !slices.Contains(live, m) {
+			delete(f.acked, m)
+		}
+	}
+	was := f.watcher
+	f.watcher = slices.Contains(watchers(f.opts.Domain, live), f.opts.Self)
+	switch {
+	case f.watcher && !was:
+		out.ReadHead = true
+		f.attempts = 0
+		f.schedulePoll()
+	case !f.watcher && was:
+		out.StopWatch, f.watching = f.watching, false
+	}
+	f.settle(&out)
+	return out
+}
+
+// Reconnected tells that the platform answers again after it did not. The
+// follower reads the head at once, because a watch may have missed changes.
+func (f *Follower) Reconnected(now time.Time) Output {
+	f.now = now
+	return Output{ReadHead: true}
+}
+
+// Tick advances the time; the caller ticks at least every 100 ms.
+func (f *Follower) Tick(now time.Time) Output {
+	f.now = now
+	var out Output
+	f.settle(&out)
+	if !now.Before(f.pollAt) {
+		out.ReadHead = true
+		f.schedulePoll()
+	}
+	if f.watcher && !f.watching && !now.Before(f.retryWatchAt) {
+		out.ReadHead = true
+		f.retryWatchAt = now.Add(f.jitter(f.opts.RetryEvery))
+	}
+	f.retryFetch(&out)
+	f.repeatAnnouncement(&out)
+	if !now.Before(f.exchangeAt) {
+		f.exchangeAt = now.Add(f.jitter(f.opts.ExchangeEvery))
+		f.exchange(&out)
+	}
+	return out
+}
+
+// Head gives the answer of a read of the head or an event of its watch.
+func (f *Follower) Head(now time.Time, item platform.Item, err error) Output {
+	f.now = now
+	var out Output
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		f.retryWatchAt = now.Add(f.jitter(f.opts.RetryEvery))
+		return out
+	}
+	var head Head
+	if err == nil {
+		if head, err = DecodeHead(item.Value); err != nil {
+			out.Err = err
+			return out
+		}
+	}
+	f.headRead = true
+	if f.watcher && !f.watching {
+		f.watching = true
+		out.StartWatch, out.WatchAfter = true, item.Revision
+	}
+	f.storeBehind = head.Revision < f.revision
+	if head.Revision == f.revision {
+		f.confirmed = now
+	}
+	f.offer(&out, &target{revision: head.Revision, manifest: head.Manifest, confirmed: now})
+	f.settle(&out)
+	return out
+}
+
+// WatchEnded tells that the watch broke or could not be started.
+func (f *Follower) WatchEnded(now time.Time) Output {
+	f.now = now
+	f.watching = false
+	f.retryWatchAt = now.Add(f.jitter(f.opts.RetryEvery))
+	return Output{}
+}
+
+// Sections gives sections fetched from the store; missing ones are left out.
+func (f *Follower) Sections(now time.Time, contents Sections) Output {
+	f.now = now
+	var out Output
+	f.gotSections(&out, contents)
+	return out
+}
--- /dev/null
+++ b/internal/rollout/follower_fetch.go
@@ -0,0 +1,160 @@
+package rollout
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/config"
+)
+
+// offer makes a revision the target if it is above all that is known.
+func (f *Follower) offer(out *Output, t *target) {
+	if f.faults.installLower && t.revision != f.revision && t.revision > 0 {
+		f.target = t
+		f.load(out)
+		return
+	}
+	if t.revision <= f.revision || (f.target != nil && t.revision <= f.target.revision) {
+		return
+	}
+	f.target = t
+	f.load(out)
+}
+
+// missing returns the sections of the target that are not at hand.
+func (f *Follower) missing() []config.Hash {
+	var list []config.Hash
+	for _, h := range f.target.manifest.Hashes() {
+		if _, ok := f.sections[h]; !ok {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// load asks for missing sections of the target or installs it.
+func (f *Follower) load(out *Output) {
+	missing := f.missing()
+	if len(missing) == 0 {
+		f.install(out)
+		return
+	}
+	f.target.asked = f.now
+	if f.target.source == "" {
+		out.Fetch = missing[:min(len(missing), sectionsPerFetch)]
+		return
+	}
+	f.send(out, f.target.source, Message{Kind: MessageNeed, Hashes: missing[:min(len(missing), sectionsPerMessage)]})
+}
+
+// retryFetch asks another source for the target when the last one is silent.
+func (f *Follower) retryFetch(out *Output) {
+	if f.target == nil || f.now.Sub(f.target.asked) < f.opts.RetryEvery || len(f.missing()) == 0 {
+		return
+	}
+	source := ""
+	if f.target.source == "" {
+		source = f.memberWith(f.target.revision)
+	}
+	f.target.source = source
+	f.load(out)
+}
+
+// memberWith returns a daemon that has the revision, or "".
+func (f *Follower) memberWith(revision uint64) string {
+	for _, m := range f.members {
+		if m != f.opts.Self && f.acked[m] >= revision {
+			return m
+		}
+	}
+	return ""
+}
+
+func (f *Follower) gotSections(out *Output, contents Sections) {
+	added := 0
+	for h, content := range contents {
+		if _, ok := f.sections[h]; ok || config.HashOf(content) != h {
+			continue
+		}
+		f.sections[h] = content
+		added++
+	}
+	if f.target != nil && (added > 0 || len(f.missing()) == 0) {
+		f.load(out)
+	}
+}
+
+// settle ends the start: the first installation waits until the store and all
+// daemons of the failure domain have told their revisions, or for StartWait.
+// Otherwise a late answer of one of them could put an older revision in force
+// than this daemon had before it was restarted.
+func (f *Follower) settle(out *Output) {
+	if f.settled {
+		return
+	}
+	waited := f.now.Sub(f.started) >= f.opts.StartWait
+	if !waited && !f.faults.skipStartWait && !f.heardAll() {
+		return
+	}
+	f.settled = true
+	if f.target != nil && out.Install == nil {
+		f.load(out)
+	}
+}
+
+// heardAll reports whether the store and all daemons of the failure domain have
+// answered and the highest revision among the answers is the target. An answer
+// alone is not enough: its manifest comes in a later message.
+func (f *Follower) heardAll() bool {
+	if !f.headRead || (f.heard > 0 && (f.target == nil || f.target.revision < f.heard)) {
+		return false
+	}
+	for _, m := range f.members {
+		if m != f.opts.Self && !f.answered[m] {
+			return false
+		}
+	}
+	return len(f.members) > 0
+}
+
+// install puts the target in force.
+func (f *Follower) install(out *Output) {
+	if !f.settled {
+		return
+	}
+	t := f.target
+	f.target = nil
+	section := func(h config.Hash) ([]byte, bool) {
+		content, ok := f.sections[h]
+		return content, ok
+	}
+	c, err := config.Join(f.config, f.manifest, t.manifest, section)
+	if err != nil {
+		out.Err = errors.Wrapf(err, "configuration revision %d", t.revision)
+		return
+	}
+	f.revision, f.manifest, f.config, f.confirmed = t.revision, t.manifest, c, t.confirmed
+	f.history = append(f.history, *t)
+	if len(f.history) > historyLength {
+		f.history = slices.Delete(f.history, 0, 1)
+	}
+	f.prune()
+	out.Install = &Installed{Revision: t.revision, Config: c}
+	f.attempts = 0
+	if f.watcher || t.source == "" {
+		f.announce(out)
+	} else {
+		f.send(out, t.source, f.announcement(MessageAck))
+	}
+}
+
+// prune drops sections that are not in force.
+func (f *Follower) prune() {
+	hashes := f.manifest.Hashes()
+	for h := range f.sections {
+		if _, ok := slices.BinarySearch(hashes, h); !ok {
+			delete(f.sections, h)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/follower_test.go
@@ -0,0 +1,118 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// quiet returns a world in force at revision 1 without faults.
+func quiet(t *testing.T, setup func(*world)) *world {
+	t.Helper()
+	w := newWorld(func(int) int { return 0 })
+	setup(w)
+	w.start()
+	w.edit("a", 1)
+	w.settleAll(3 * time.Second)
+	w.checkInForce()
+	if w.err != nil {
+		t.Fatal(w.err)
+	}
+	return w
+}
+
+// edit applies a change at once.
+func (w *world) edit(account string, weight int) {
+	w.nextOp++
+	newest := uint64(len(w.contents) - 1)
+	op := operation{account: account, weight: weight, edit: Edit{Action: ActionApply, OpID: account + time.Duration(w.nextOp).String(),
+		Base: newest, Spent: func(string) bool { return false }}}
+	content := map[string]int{}
+	for k, v := range w.contents[newest] {
+		content[k] = v
+	}
+	op.change(content)
+	op.edit.Config = configOf(content)
+	w.open(op)
+	for len(w.sessions) > 0 && w.err == nil {
+		w.stepSession(false)
+	}
+}
+
+// Guards against a daemon that misses an update for longer than 3 s because
+// messages to it are lost: the watchers repeat until it has the revision. The
+// broken variant, which confirms a revision before it has it, must be late.
+func TestLostUpdateIsRepeated(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		w := quiet(t, func(w *world) { w.faults.follower.ackWithoutInstall = broken })
+		w.edit("a", 2)
+		for _, d := range w.daemons {
+			w.watchEvent(d, false)
+			w.answerFetch(d, false)
+		}
+		for round := range 4 {
+			lost := keep(w.net, func(p packet) bool { return p.message.Kind != MessagePull })
+			if round < 2 {
+				w.net = lost
+			}
+			for range len(w.net) {
+				w.deliver(false)
+			}
+			w.advance(100 * time.Millisecond)
+		}
+		w.settleAll(2500 * time.Millisecond)
+		w.checkInForce()
+		if (w.err != nil) != broken {
+			t.Errorf("broken %v: got %v", broken, w.err)
+		}
+	}
+}
+
+// Guards against a cut-off daemon that drops its configuration or hides its age.
+func TestCutOffKeepsRevision(t *testing.T) {
+	w := quiet(t, func(*world) {})
+	for _, d := range w.daemons {
+		if d.domain == "a" {
+			d.cut = true
+			w.breakWatch(d)
+		}
+	}
+	w.edit("a", 2)
+	cut := time.Minute
+	for end := w.now.Add(cut); w.now.Before(end); {
+		w.drain()
+		w.advance(100 * time.Millisecond)
+	}
+	for _, d := range w.daemons {
+		want := uint64(2)
+		if d.domain == "a" {
+			want = 1
+		}
+		s := d.follower.Status(w.now)
+		if s.Revision != want {
+			t.Errorf("daemon %s: revision %d, want %d", d.id, s.Revision, want)
+		}
+		if d.domain == "a" && s.Age < cut {
+			t.Errorf("daemon %s: age %v after %v without the platform", d.id, s.Age, cut)
+		}
+	}
+	w.settleAll(3 * time.Second)
+	w.checkInForce()
+	if w.err != nil {
+		t.Error(w.err)
+	}
+}
+
+// Guards against a revert after the store was restored from an old copy.
+func TestStoreBehindIsReported(t *testing.T) {
+	w := quiet(t, func(*world) {})
+	old := w.heads[0]
+	w.edit("a", 2)
+	w.settleAll(time.Second)
+	d := w.daemons[0]
+	w.perform(d, d.follower.Head(w.now, platform.Item{Key: HeadKey, Value: old.Value, Revision: 99}, nil))
+	if s := d.follower.Status(w.now); s.Revision != 2 || !s.StoreBehind {
+		t.Errorf("status %+v, want revision 2 and the store behind", s)
+	}
+}
--- /dev/null
+++ b/internal/rollout/head.go
@@ -0,0 +1,74 @@
+// Package rollout accepts configuration revisions and brings them into force on
+// each daemon. Editor and Follower are state machines without input and output:
+// they are stepped by answers, messages and ticks and return what to do.
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/audit"
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// HeadKey is the store key of the head record.
+const HeadKey = "config/head"
+
+// SectionKey returns the store key of a section.
+func SectionKey(h config.Hash) string { return "config/section/" + string(h) }
+
+// ManifestKey returns the store key of a manifest that was in force once.
+func ManifestKey(h config.Hash) string { return "config/manifest/" + string(h) }
+
+// Head is the record that decides which configuration is in force. An edit and
+// its audit entry are one write of it.
+type Head struct {
+	// Revision counts accepted configurations from 1. It never goes back.
+	Revision uint64          `json:"revision"`
+	Manifest config.Manifest `json:"manifest"`
+	Audit    audit.Log       `json:"audit"`
+}
+
+// DecodeHead reads a head record.
+func DecodeHead(value []byte) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(value, &h); err != nil {
+		return Head{}, errors.Wrap(err, "head record is not readable")
+	}
+	return h, nil
+}
+
+func (h Head) encode() ([]byte, error) {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if len(value) > platform.MaxValueBytes {
+		return nil, errors.Wrapf(platform.ErrTooLarge, "head record of %d bytes", len(value))
+	}
+	return value, nil
+}
+
+// StaleError is returned for a rollback whose base revision is not the newest.
+type StaleError struct {
+	Base    uint64 `json:"base"`
+	Current uint64 `json:"current"`
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("revision %d is not the newest, which is %d; look at the changes and repeat", e.Base, e.Current)
+}
+
+// UnknownRevisionError names a revision that was never accepted.
+type UnknownRevisionError struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Error implements error.
+func (e *UnknownRevisionError) Error() string {
+	return fmt.Sprintf("configuration revision %d does not exist", e.Revision)
+}
--- /dev/null
+++ b/internal/rollout/machine_test.go
@@ -0,0 +1,114 @@
+package rollout
+
+import (
+	"flag"
+	"maps"
+	"math/rand"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260804", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// healTime is the time after the end of all faults in which each daemon must
+// have the newest revision without a new edit. A silent watch is noticed by the
+// watchers' poll, at most 37.5 s later, and passed on at once.
+const healTime = 40 * time.Second
+
+// Guards against a lost, doubled or reverted revision, an edit without its audit
+// entry, a broken hash chain and a daemon that stays behind, under concurrent
+// edits, lost and late answers, partitions, restarts, old events and reordering.
+func TestRolloutMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") })
+		w.start()
+		actions := make(map[string]func(*rapid.T))
+		for name, action := range w.actions() {
+			actions[name] = func(*rapid.T) { action() }
+		}
+		actions[""] = func(t *rapid.T) {
+			if w.err != nil {
+				t.Fatal(w.err)
+			}
+		}
+		t.Repeat(actions)
+		w.settleAll(healTime)
+		w.checkInForce()
+		if w.err != nil {
+			t.Fatal(w.err)
+		}
+	})
+}
+
+// randomRun runs the world with choices from a seed and returns what it found.
+func randomRun(seed int64, steps int, setup func(*world)) error {
+	r := rand.New(rand.NewSource(seed))
+	w := newWorld(r.Intn)
+	setup(w)
+	w.start()
+	actions := w.actions()
+	names := slices.Sorted(maps.Keys(actions))
+	for range steps {
+		actions[names[r.Intn(len(names))]]()
+		if w.err != nil {
+			return w.err
+		}
+	}
+	w.settleAll(healTime)
+	w.checkInForce()
+	return w.err
+}
+
+const (
+	variantSeeds = 20
+	variantSteps = 300
+)
+
+// Guards against seeds that fail without a defect, which would make
+// TestBrokenVariants meaningless.
+func TestIntactVariant(t *testing.T) {
+	for seed := range int64(variantSeeds) {
+		if err := randomRun(seed, variantSteps, func(*world) {}); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// Guards against invariant checks that cannot fail: each deliberate defect must
+// be found by one of the seeds.
+func TestBrokenVariants(t *testing.T) {
+	for name, setup := range map[string]func(*world){
+		"repeat is not recognised":        func(w *world) { w.faults.editor.ignoreOpID = true },
+		"edits are not merged":            func(w *world) { w.faults.editor.skipMerge = true },
+		"head is overwritten":             func(w *world) { w.faults.editor.blindSwap = true },
+		"edit without audit entry":        func(w *world) { w.faults.editor.separateAudit = true },
+		"head before sections":            func(w *world) { w.faults.editor.headBeforeSections = true },
+		"lower revision is installed":     func(w *world) { w.faults.follower.installLower = true },
+		"restart installs the first news": func(w *world) { w.faults.follower.skipStartWait = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(variantSeeds) {
+				if err := randomRun(seed, variantSteps, setup); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Errorf("no seed of %d finds the defect", variantSeeds)
+		})
+	}
+}
