admin: administration API for configuration, accounts, fleet and audit

Operators need one API from each office. Tokens are compared as hashes in constant time over all operators, each operator has a rate limit, and refused attempts are audited at a bounded rate so that a caller without a token cannot flood the store. Errors are problem documents that carry conflicts, guarded changes, faults with their places and the operation id for a repeat.

--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,272 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/azurehatch/azurehatch/internal/rollout"
+)
+
+func hashOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// ledger is a fake of the budget ledger.
+type ledger struct{ topUps map[string]int64 }
+
+func (l *ledger) Account(_ context.Context, name string) (Account, error) {
+	if name != "acme" {
+		return Account{}, platform.ErrNotFound
+	}
+	return Account{Name: name, Budgets: []Budget{{Name: "main", Prepaid: 5}}}, nil
+}
+func (l *ledger) List(ctx context.Context) ([]Account, error) {
+	a, err := l.Account(ctx, "acme")
+	return []Account{a}, err
+}
+func (l *ledger) TopUp(_ context.Context, t TopUp) (Budget, error) {
+	l.topUps[t.OpID] = t.Tokens
+	return Budget{Name: t.Budget, Prepaid: t.Tokens}, nil
+}
+func (l *ledger) Spent(account string) bool { return account == "acme" }
+
+type fleet struct{}
+
+func (fleet) Status(context.Context) (FleetStatus, error) {
+	return FleetStatus{Daemons: []Daemon{{ID: "d1", Domain: "a", State: "live", Revision: 1}}}, nil
+}
+
+type harness struct {
+	t      *testing.T
+	store  *memstore.Store
+	api    *API
+	ledger *ledger
+	now    time.Time
+	config *config.Config
+}
+
+const text = `
+[service.chat]
+kind = "model"
+models = ["m"]
+[endpoint.e1]
+service = "chat"
+address = "127.0.0.1:9001"
+domain = "a"
+[endpoint.e2]
+service = "chat"
+address = "127.0.0.1:9002"
+domain = "a"
+[account.acme]
+[account.acme.budget.main]
+`
+
+// operators returns the text of one operator of each role; the token is the
+// role's name.
+func operators() string {
+	var b strings.Builder
+	for _, role := range []string{"viewer", "operator", "billing"} {
+		b.WriteString("[operator." + role + "]\noffice = \"north\"\nrole = \"" + role + "\"\ntoken = \"" + hashOf(role) + "\"\n")
+	}
+	return b.String()
+}
+
+// start returns an API over a store with revision 1 in force.
+func start(t *testing.T) *harness {
+	t.Helper()
+	h := &harness{t: t, ledger: &ledger{topUps: make(map[string]int64)}, now: time.Unix(1_000_000, 0)}
+	h.store = memstore.New(func() time.Time { return h.now })
+	h.api = New(Options{Store: h.store, Accounts: h.ledger, Fleet: fleet{}, Config: func() *config.Config { return h.config },
+		BootstrapToken: hashOf("first"), Log: zerolog.Nop(), Now: func() time.Time { return h.now }})
+	h.call("POST", "/v1/configuration", "first", EditRequest{Reason: "setup", Text: text + operators()}, http.StatusOK, nil)
+	h.config = h.read()
+	return h
+}
+
+func (h *harness) read() *config.Config {
+	h.t.Helper()
+	result, err := h.api.edit.run(context.Background(), rollout.Edit{Action: rollout.ActionRead})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return result.Config
+}
+
+// call makes a request, checks the status and decodes the answer into out.
+func (h *harness) call(method, path, token string, body any, status int, out any) *httptest.ResponseRecorder {
+	h.t.Helper()
+	h.now = h.now.Add(time.Second)
+	var content bytes.Buffer
+	if body != nil {
+		if err := json.NewEncoder(&content).Encode(body); err != nil {
+			h.t.Fatal(err)
+		}
+	}
+	r := httptest.NewRequest(method, path, &content)
+	r.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	w := httptest.NewRecorder()
+	h.api.ServeHTTP(w, r)
+	if w.Code != status {
+		h.t.Fatalf("%s %s: status %d, want %d: %s", method, path, w.Code, status, w.Body)
+	}
+	if status >= 400 && w.Header().Get("Content-Type") != "application/problem+json" {
+		h.t.Errorf("%s %s: content type %q", method, path, w.Header().Get("Content-Type"))
+	}
+	if out != nil {
+		if err := json.Unmarshal(w.Body.Bytes(), out); err != nil {
+			h.t.Fatal(err)
+		}
+	}
+	return w
+}
+
+// Guards against an edit that is lost, not recorded or answered with an error
+// that a client cannot act on.
+func TestEditFlow(t *testing.T) {
+	h := start(t)
+	heavier := strings.Replace(text, "[account.acme]", "[account.acme]\nweight = 3", 1) + operators()
+	var result EditResult
+	edit := EditRequest{Base: 1, Reason: "more share", Text: heavier, OpID: "op-a"}
+	h.call("POST", "/v1/configuration", "operator", edit, http.StatusOK, &result)
+	if result.Revision != 2 || len(result.Changes) != 1 {
+		t.Errorf("result %+v", result)
+	}
+	h.call("POST", "/v1/configuration", "operator", edit, http.StatusOK, &result)
+	if !result.Repeated || result.Revision != 2 {
+		t.Errorf("repeat: %+v", result)
+	}
+	var p Problem
+	edit.OpID, edit.Text = "op-b", strings.Replace(text, "[account.acme]", "[account.acme]\nweight = 4", 1)+operators()
+	h.call("POST", "/v1/configuration", "operator", edit, http.StatusConflict, &p)
+	if len(p.Conflicts) != 1 || p.Conflicts[0].Name != "acme" || p.OpID != "op-b" {
+		t.Errorf("conflict: %+v", p)
+	}
+	edit.Text = "[service.x]\nkind = \"odd\""
+	h.call("POST", "/v1/configuration", "operator", edit, http.StatusUnprocessableEntity, &p)
+	if len(p.Errors) != 1 || p.Errors[0].Line != 2 {
+		t.Errorf("invalid text: %+v", p)
+	}
+	h.call("POST", "/v1/endpoints/e1/drain", "operator", EditRequest{Reason: "repair"}, http.StatusOK, &result)
+	if h.read().Endpoints["e1"].State != config.StateLeaving {
+		t.Error("endpoint is not leaving")
+	}
+	h.call("POST", "/v1/endpoints/e2/drain", "operator", EditRequest{Reason: "repair"}, http.StatusConflict, &p)
+	if p.Type != problemBase+"guarded-change" || len(p.Refusals) != 1 {
+		t.Errorf("last endpoint: %+v", p)
+	}
+	h.call("POST", "/v1/endpoints/e9/drain", "operator", EditRequest{Reason: "repair"}, http.StatusNotFound, &p)
+	h.call("POST", "/v1/configuration/rollback", "operator", EditRequest{Base: 3, To: 1, Reason: "undo"}, http.StatusOK, &result)
+	if result.Revision != 4 {
+		t.Errorf("rollback made revision %d, want 4", result.Revision)
+	}
+	h.call("POST", "/v1/configuration/rollback", "operator", EditRequest{Base: 3, To: 1, Reason: "undo"}, http.StatusConflict, &p)
+	if p.Current != 4 {
+		t.Errorf("stale rollback: %+v", p)
+	}
+	var history AuditPage
+	h.call("GET", "/v1/configuration/history?limit=2", "viewer", nil, http.StatusOK, &history)
+	if len(history.Entries) != 2 || history.Entries[1].Revision != 4 || history.Before == 0 || history.Broken != "" {
+		t.Errorf("history: %+v", history)
+	}
+	var refused AuditPage
+	h.call("GET", "/v1/audit?result=refused&actor=operator", "viewer", nil, http.StatusOK, &refused)
+	if len(refused.Entries) != 4 {
+		t.Errorf("%d refused edits in the trail, want 4", len(refused.Entries))
+	}
+}
+
+// Guards against a caller who does more than the role allows, and against
+// refused attempts that leave no trace or show the token.
+func TestRoles(t *testing.T) {
+	h := start(t)
+	topUp := TopUpRequest{Budget: "main", Tokens: 7, Reason: "invoice 12", OpID: "t1"}
+	edit := EditRequest{Base: 1, Reason: "x", Text: text + operators()}
+	for _, test := range []struct {
+		token, method, path string
+		body                any
+		want                int
+	}{
+		{"", "GET", "/v1/accounts", nil, 401},
+		{"wrong-token", "GET", "/v1/accounts", nil, 401},
+		{"first", "GET", "/v1/accounts", nil, 401},
+		{"viewer", "GET", "/v1/accounts/acme", nil, 200},
+		{"viewer", "GET", "/v1/accounts/none", nil, 404},
+		{"viewer", "POST", "/v1/configuration", edit, 403},
+		{"viewer", "POST", "/v1/accounts/acme/topup", topUp, 403},
+		{"operator", "POST", "/v1/accounts/acme/topup", topUp, 403},
+		{"billing", "POST", "/v1/configuration", edit, 403},
+		{"billing", "POST", "/v1/accounts/acme/topup", topUp, 200},
+		{"billing", "POST", "/v1/accounts/acme/topup", TopUpRequest{Budget: "main", Tokens: -1, Reason: "x"}, 400},
+		{"viewer", "GET", "/v1/fleet", nil, 200},
+		{"viewer", "GET", "/v1/nothing", nil, 404},
+	} {
+		h.call(test.method, test.path, test.token, test.body, test.want, nil)
+	}
+	if h.ledger.topUps["t1"] != 7 || len(h.ledger.topUps) != 1 {
+		t.Errorf("top-ups %v", h.ledger.topUps)
+	}
+	w := h.call("GET", "/v1/audit?format=jsonl", "viewer", nil, http.StatusOK, nil)
+	trail := w.Body.String()
+	if n := strings.Count(trail, `"kind":"access"`); n != 7 {
+		t.Errorf("%d refused attempts in the trail, want 7:\n%s", n, trail)
+	}
+	if !strings.Contains(trail, "account.topup") || strings.Contains(trail, "wrong-token") || strings.Contains(trail, hashOf("viewer")) {
+		t.Errorf("trail lacks the top-up or shows a token:\n%s", trail)
+	}
+}
+
+// Guards against an operator who floods the API, and against callers without a
+// token who cause store writes without bound.
+func TestRateLimits(t *testing.T) {
+	h := start(t)
+	codes := make(map[int]int)
+	for range operatorBurst + 10 {
+		r := httptest.NewRequest("GET", "/v1/fleet", nil)
+		r.Header.Set("Authorization", "Bearer viewer")
+		w := httptest.NewRecorder()
+		h.api.ServeHTTP(w, r)
+		codes[w.Code]++
+	}
+	if codes[http.StatusTooManyRequests] != 10 {
+		t.Errorf("status codes %v, want 10 refusals", codes)
+	}
+	before := h.store.Calls().Writes
+	for range 100 {
+		h.api.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/v1/fleet", nil))
+	}
+	if writes := h.store.Calls().Writes - before; writes != refusalBurst {
+		t.Errorf("%d writes for refused callers, want %d", writes, refusalBurst)
+	}
+}
+
+// Guards against an edit made twice because the store's answer was lost, and
+// against an outage that is reported as a fault of the request.
+func TestStoreFaults(t *testing.T) {
+	h := start(t)
+	h.store.SetFaults(memstore.Faults{LoseAnswers: 5})
+	var result EditResult
+	next := strings.Replace(text, "[account.acme]", "[account.acme]\nweight = 3", 1) + operators()
+	h.call("POST", "/v1/configuration", "operator", EditRequest{Base: 1, Reason: "x", Text: next}, http.StatusOK, &result)
+	if result.Revision != 2 {
+		t.Errorf("revision %d, want 2", result.Revision)
+	}
+	h.store.SetFaults(memstore.Faults{Outage: true})
+	h.call("POST", "/v1/configuration", "operator", EditRequest{Base: 2, Reason: "x", Text: next}, http.StatusServiceUnavailable, nil)
+}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -32,7 +32,7 @@
 // OperatorRole is what an operator may do.
 type OperatorRole string
 
-// The roles of an operator. A viewer reads, an operator also edits the
+// The roles of an operator. All roles read; operator also edits the
 // configuration, billing also tops up accounts.
 const (
 	RoleViewer   OperatorRole = "viewer"
--- a/internal/rollout/editor.go
+++ b/internal/rollout/editor.go
@@ -38,6 +38,8 @@
 	ActionRollback Action = "rollback"
 	// ActionRecord appends an audit entry without a new revision.
 	ActionRecord Action = "record"
+	// ActionRead returns the configuration of revision Edit.To, 0 for the newest.
+	ActionRead Action = "read"
 	// ActionRotate moves old audit entries into a segment.
 	ActionRotate Action = "rotate"
 )
@@ -73,6 +75,8 @@
 	// that no revision was made.
 	Unchanged bool            `json:"unchanged,omitempty"`
 	Changes   []config.Change `json:"changes,omitempty"`
+	// Config is the configuration that a read found.
+	Config *config.Config `json:"-"`
 }
 
 // Request is a group of store calls that an editor waits for; either list is
--- a/internal/rollout/editor_read.go
+++ b/internal/rollout/editor_read.go
@@ -25,6 +25,9 @@
 		}
 		e.item, e.head = a.Item, h
 	}
+	if e.edit.Action == ActionRead {
+		e.edit.Base, e.edit.To = e.head.Revision, cmp.Or(e.edit.To, e.head.Revision)
+	}
 	e.segment = e.head.Audit.Segments + 1
 	e.trail = e.head.Audit.Entries
 	return e.afterTrail()
@@ -50,6 +53,7 @@
 		e.swapUnknown = false
 	}
 	switch {
+	case e.edit.Action == ActionRead:
 	case e.edit.Action == ActionRotate, len(e.head.Audit.Entries) >= e.rotateAnyway:
 		return e.rotate()
 	case e.edit.Action == ActionRecord:
@@ -70,7 +74,7 @@
 		// A record has no base; its retry comes soon, so the newest segment is
 		// enough.
 		return !e.swapUnknown || e.segment <= e.head.Audit.Segments
-	case ActionRollback:
+	case ActionRollback, ActionRead:
 		oldest = min(oldest, e.edit.To)
 	}
 	oldest = min(oldest, e.edit.Base)
@@ -105,6 +109,12 @@
 		return &UnknownRevisionError{Revision: e.edit.Base}
 	}
 	want := []uint64{e.edit.Base}
+	if e.edit.Action == ActionRead {
+		want[0] = e.edit.To
+		if e.edit.To > e.head.Revision {
+			return &UnknownRevisionError{Revision: e.edit.To}
+		}
+	}
 	if e.edit.Action == ActionRollback {
 		if e.edit.Base != e.head.Revision {
 			return &StaleError{Base: e.edit.Base, Current: e.head.Revision}
--- a/internal/rollout/editor_write.go
+++ b/internal/rollout/editor_write.go
@@ -23,6 +23,13 @@
 
 // build computes the new configuration and starts to write it.
 func (e *Editor) build() error {
+	if e.edit.Action == ActionRead {
+		c, err := config.Join(nil, nil, e.manifests[e.edit.To], e.section)
+		if err == nil {
+			e.finish(Result{Revision: e.edit.To, Config: c}, nil)
+		}
+		return err
+	}
 	current, err := config.Join(nil, nil, e.head.Manifest, e.section)
 	if err != nil {
 		return err
