Charge a lost daemon's reservations when one daemon survives

Cause: in a failure domain of two daemons, the survivor could not mirror the reservations that it adopted, so it waited for a mirror for ever and wrote its record every 100 ms (63 flushes in 6 s, no bill). Ruled out: a missing registration (the survivor was registered) and the lost event alone (the successor is now told of gone holders as well). Change: a record that names the owner as the only one who knows a reservation makes all its entries safe, since a successor waits for the owner; claims, the configuration follower and the administration API are attached to the daemon. Conclusion: a reservation is billed when its daemon and allocator is lost, also with one survivor.

--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -96,7 +96,8 @@
 	mirror  string
 	// members are the holders to be named in the record.
 	members map[string]bool
-	// solo is true if the record says that own requests go without a mirror.
+	// solo is true if the record says that this process alone knows a
+	// reservation, so that a successor waits for it.
 	solo, wantSolo bool
 
 	flight  *flight
--- a/internal/budget/mirror.go
+++ b/internal/budget/mirror.go
@@ -49,7 +49,9 @@
 // for, without counting the holder except.
 func (a *Allocator) safe(e *entry, except string) bool {
 	h := e.res.Key.Holder
-	if a.opts.flaws&flawNoMirror != 0 || (h == a.opts.Owner && a.solo) {
+	// A successor of a solo owner waits for the owner itself, whoever serves
+	// the request.
+	if a.opts.flaws&flawNoMirror != 0 || a.solo {
 		return true
 	}
 	if h != a.opts.Owner && h != except && a.awaited(h) {
--- a/internal/budget/record.go
+++ b/internal/budget/record.go
@@ -65,7 +65,7 @@
 	Owner string
 	// Seq is the last flush applied in Epoch.
 	Seq uint64
-	// Solo is true if the owner serves its own requests without a mirror.
+	// Solo is true if the owner alone knows a reservation.
 	Solo bool
 	// Members are the holders that may have reservations of Epoch which no
 	// mirror knows, and the mirrors. The owner is not one of them.
--- a/internal/budget/store.go
+++ b/internal/budget/store.go
@@ -157,7 +157,7 @@
 		}
 	}
 	f.Members = slices.Sorted(maps.Keys(a.members))
-	f.Solo = a.wantSolo || len(f.Members) == 0 || a.ownUnmirrored()
+	f.Solo = a.wantSolo || len(f.Members) == 0 || a.unmirrored()
 	a.wantSolo = false
 	f.Cleared = slices.SortedFunc(maps.Keys(a.cleared), Cleared.compare)
 	if f.Recover {
@@ -200,13 +200,14 @@
 	return keep
 }
 
-// ownUnmirrored reports whether an own reservation goes without a mirror.
-func (a *Allocator) ownUnmirrored() bool {
+// unmirrored reports whether a reservation is known to this process alone: an
+// own one without a mirror, or an adopted one whose holder is gone.
+func (a *Allocator) unmirrored() bool {
 	if !a.solo {
 		return false
 	}
-	for key, e := range a.open {
-		if key.Holder == a.opts.Owner && e.granted && !a.mirrored(e) {
+	for _, e := range a.open {
+		if e.granted && !a.mirrored(e) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/claims/claims.go
@@ -0,0 +1,309 @@
+// Package claims makes claims of non-idempotent requests for the gateway: it
+// runs the claim writers of a daemon and stores what they write.
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/claim"
+	"github.com/azurehatch/azurehatch/internal/gateway"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/problem"
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// Timing of claims.
+const (
+	tickInterval = 10 * time.Millisecond
+	// window collects the attempts of a shard for one write.
+	window = 50 * time.Millisecond
+	// patience is how long an attempt waits for its claim.
+	patience    = 2 * time.Second
+	callTimeout = 2 * time.Second
+	drainPoll   = 20 * time.Millisecond
+)
+
+// Options configure a Claims.
+type Options struct {
+	// Daemon is the instance's id.
+	Daemon string
+	Store  platform.Store
+	Log    zerolog.Logger
+}
+
+// Claims implements gateway.Claims.
+type Claims struct {
+	o    Options
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu      sync.Mutex
+	writers map[int]*writer
+	// waits holds the attempts that wait for their answer, by token.
+	waits map[string]chan claim.Answer
+	gone  []string
+}
+
+type writer struct {
+	shard int
+	w     *claim.Writer
+	next  time.Time
+}
+
+// New returns running claims; Close ends them.
+func New(o Options) *Claims {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &Claims{o: o, ctx: ctx, stop: stop, writers: make(map[int]*writer), waits: make(map[string]chan claim.Answer)}
+	c.spawn(c.loop)
+	return c
+}
+
+// Close ends the claims at once. See Drain.
+func (c *Claims) Close() {
+	c.stop()
+	c.wg.Wait()
+}
+
+func (c *Claims) spawn(f func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		f()
+	}()
+}
+
+func (c *Claims) loop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.tick()
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Claims) tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, w := range c.writers {
+		if !now.Before(w.next) {
+			w.w.Tick(now)
+			c.pump(w)
+		}
+	}
+}
+
+// Drain waits until the outcomes of all claims are in the store or ctx is done.
+func (c *Claims) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !c.idle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "claims are not durable")
+		}
+	}
+	return nil
+}
+
+func (c *Claims) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.writers {
+		if !w.w.Idle() {
+			return false
+		}
+	}
+	return true
+}
+
+// DaemonGone tells that a daemon has ended: the outcome of its open claims is
+// unknown.
+func (c *Claims) DaemonGone(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone = append(c.gone, id)
+	for _, w := range c.writers {
+		w.w.SetGone(time.Now(), id)
+		c.pump(w)
+	}
+}
+
+// writer returns the writer of a shard. The caller holds c.mu.
+func (c *Claims) writer(shard int) *writer {
+	if w, ok := c.writers[shard]; ok {
+		return w
+	}
+	w := &writer{shard: shard, w: claim.New(claim.Options{Daemon: c.o.Daemon, Window: window, Patience: patience})}
+	w.w.SetGone(time.Now(), c.gone...)
+	c.writers[shard] = w
+	return w
+}
+
+// pump does what the writer wants done. The caller holds c.mu.
+func (c *Claims) pump(w *writer) {
+	out := w.w.Take()
+	w.next = out.Next
+	for _, a := range out.Answers {
+		if ch, ok := c.waits[a.Token]; ok {
+			delete(c.waits, a.Token)
+			ch <- a
+		}
+	}
+	if out.Read {
+		c.spawn(func() { c.read(w) })
+	}
+	if out.Write != nil {
+		write := *out.Write
+		c.spawn(func() { c.write(w, write) })
+	}
+}
+
+func key(shard int) string { return "claim/" + strconv.Itoa(shard) }
+
+func (c *Claims) read(w *writer) {
+	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	defer cancel()
+	item, err := c.o.Store.Get(ctx, key(w.shard))
+	missing := errors.Is(err, platform.ErrNotFound)
+	if err != nil && !missing {
+		c.o.Log.Warn().Err(err).Int("shard", w.shard).Msg("claim record can't be read")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.w.Loaded(time.Now(), item.Value, int64(item.Revision), err == nil || missing)
+	c.pump(w)
+}
+
+func (c *Claims) write(w *writer, write claim.Write) {
+	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	defer cancel()
+	item, err := c.o.Store.CompareAndSwap(ctx, platform.Write{
+		Key: key(w.shard), Value: write.Value, Expected: platform.Revision(write.Expected), OpID: write.OpID,
+	})
+	outcome := outcomeOf(err)
+	if conflict, ok := platform.AsConflict(err); ok {
+		item = conflict.Actual
+	} else if err != nil {
+		c.o.Log.Warn().Err(err).Int("shard", w.shard).Msg("claim record can't be written")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.w.Stored(time.Now(), outcome, item.Value, int64(item.Revision))
+	c.pump(w)
+}
+
+func outcomeOf(err error) claim.Outcome {
+	_, conflict := platform.AsConflict(err)
+	switch {
+	case err == nil:
+		return claim.Applied
+	case conflict:
+		return claim.Conflict
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrLimited), errors.Is(err, platform.ErrTooLarge):
+		return claim.NotApplied
+	}
+	return claim.UnknownOutcome
+}
+
+// Claim implements gateway.Claims.
+func (c *Claims) Claim(ctx context.Context, k gateway.ClaimKey) (gateway.Claim, *gateway.Answer, error) {
+	id := claim.ID{Account: k.Account, Service: k.Service, Key: k.Key}
+	held := &heldClaim{c: c, id: id, token: uuid.NewString()}
+	ch := make(chan claim.Answer, 1)
+	c.mu.Lock()
+	w := c.writer(claim.ShardOf(id))
+	c.waits[held.token] = ch
+	w.w.Attempt(time.Now(), id, held.token)
+	c.pump(w)
+	c.mu.Unlock()
+	select {
+	case a := <-ch:
+		return held.answered(a)
+	case <-ctx.Done():
+		go held.abandon(ch)
+		return nil, nil, problem.New(problem.ClaimUnavailable, "the claim was not made in time").Because(ctx.Err())
+	case <-c.ctx.Done():
+		return nil, nil, problem.New(problem.ShuttingDown, "this daemon is stopping")
+	}
+}
+
+// heldClaim is one attempt. It implements gateway.Claim.
+type heldClaim struct {
+	c     *Claims
+	id    claim.ID
+	token string
+}
+
+func (h *heldClaim) answered(a claim.Answer) (gateway.Claim, *gateway.Answer, error) {
+	switch a.Result {
+	case claim.Granted:
+		return h, nil, nil
+	case claim.AlreadyRan:
+		var kept gateway.Answer
+		if len(a.Body) > 0 && json.Unmarshal(a.Body, &kept) == nil {
+			return nil, &kept, nil
+		}
+		return nil, nil, problem.New(problem.AlreadyRan, "a request with this key ran before").Having(upstream.RanYes)
+	case claim.InProgress:
+		return nil, nil, problem.New(problem.Duplicate, "a request with this key may be running").
+			Having(upstream.RanUnknown).After(time.Second)
+	case claim.OutcomeUnknown:
+		return nil, nil, problem.New(problem.OutcomeUnknown, "a request with this key was sent before").Having(upstream.RanUnknown)
+	}
+	return nil, nil, problem.New(problem.ClaimUnavailable, "the claim can't be stored now").After(time.Second)
+}
+
+// abandon gives up a claim that may be granted after its caller left.
+func (h *heldClaim) abandon(ch chan claim.Answer) {
+	select {
+	case a := <-ch:
+		if a.Result == claim.Granted {
+			h.Release()
+		}
+	case <-h.c.ctx.Done():
+	}
+}
+
+func (h *heldClaim) with(f func(w *claim.Writer)) {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	w := h.c.writer(claim.ShardOf(h.id))
+	f(w.w)
+	h.c.pump(w)
+}
+
+// Done implements gateway.Claim.
+func (h *heldClaim) Done(a *gateway.Answer) {
+	status, body := 0, []byte(nil)
+	if a != nil {
+		if text, err := json.Marshal(a); err == nil && len(text) <= claim.MaxAnswerBytes {
+			status, body = a.Status, text
+		}
+	}
+	h.with(func(w *claim.Writer) { w.Finish(time.Now(), h.id, h.token, claim.Done, status, body) })
+}
+
+// Unknown implements gateway.Claim.
+func (h *heldClaim) Unknown() {
+	h.with(func(w *claim.Writer) { w.Finish(time.Now(), h.id, h.token, claim.Unknown, 0, nil) })
+}
+
+// Release implements gateway.Claim.
+func (h *heldClaim) Release() {
+	h.with(func(w *claim.Writer) { w.Release(time.Now(), h.id, h.token) })
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -122,8 +122,16 @@
 }
 
 // Revision implements peer.Handler.
-func (d *Daemon) Revision(from string, revision int64, _ []byte) {
-	d.log.Debug().Str("peer", from).Int64("revision", revision).Msg("revision notice")
+func (d *Daemon) Revision(from string, _ int64, body []byte) {
+	if err := d.follower.Receive(from, body); err != nil {
+		d.log.Warn().Err(err).Str("peer", from).Msg("configuration message ignored")
+	}
+}
+
+// Status implements peer.Handler.
+func (d *Daemon) Status() (revision uint64, age time.Duration) {
+	st := d.follower.Status()
+	return st.Revision, st.Age
 }
 
 func (d *Daemon) onEvents(events []membership.Event) {
@@ -136,6 +144,7 @@
 			own = own || ev.Member.Domain == d.s.Instance.FailureDomain
 			if ev.Member.State == membership.Dead {
 				d.ledger.MemberGone(ev.Member)
+				d.claimed.DaemonGone(ev.Member.ID)
 				d.pools.Forget(ev.Member.ID)
 				d.peers.Forget(ev.Member.Addr)
 			}
@@ -143,12 +152,23 @@
 	}
 	if own {
 		d.ledger.MembersChanged()
+		d.follower.Members(d.domainIDs())
 	}
 	if endpoints {
 		d.refreshPools()
 	}
 }
 
+// domainIDs returns the live daemons of this failure domain.
+func (d *Daemon) domainIDs() []string {
+	live := d.fleet.LiveIn(d.s.Instance.FailureDomain)
+	ids := make([]string, len(live))
+	for i, m := range live {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
 // refreshPools sets the endpoints of each pool from the configuration and the
 // platform's list. An endpoint leaves if either says so.
 func (d *Daemon) refreshPools() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,9 +14,11 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
+	"github.com/azurehatch/azurehatch/internal/claims"
 	"github.com/azurehatch/azurehatch/internal/config"
 	"github.com/azurehatch/azurehatch/internal/directory"
 	"github.com/azurehatch/azurehatch/internal/fleet"
+	"github.com/azurehatch/azurehatch/internal/follower"
 	"github.com/azurehatch/azurehatch/internal/gateway"
 	"github.com/azurehatch/azurehatch/internal/ledger"
 	"github.com/azurehatch/azurehatch/internal/membership"
@@ -51,6 +53,8 @@
 	fleet     *fleet.Fleet
 	peers     *peer.Client
 	ledger    *ledger.Ledger
+	claimed   *claims.Claims
+	follower  *follower.Follower
 	pools     *pool.Set
 	gateway   *gateway.Gateway
 	upstream  *upstream.Client
@@ -138,9 +142,13 @@
 		ID: self.ID, Domain: self.Domain, Store: d.store, Members: d.fleet, Peers: d.peers, BudgetFor: d.directory.BudgetFor,
 		Interval: d.s.Budget.FlushMin.Std(), Step: d.s.Budget.Step, Timeout: d.s.Budget.Timeout.Std(), Log: d.log, Scope: d.scope,
 	})
+	d.claimed = claims.New(claims.Options{Daemon: self.ID, Store: d.store, Log: d.log})
+	d.follower = follower.New(follower.Options{
+		Self: self.ID, Domain: self.Domain, Store: d.store, Sender: d.peers, Addr: d.fleet.Addr, Install: d.install, Log: d.log,
+	})
 	d.upstream = upstream.New(upstream.Options{})
 	d.gateway = gateway.New(gateway.Options{
-		Directory: d.directory, Ledger: d.ledger.Gateway(), Claims: d.claims(), Pools: d.pools, Upstream: d.upstream,
+		Directory: d.directory, Ledger: d.ledger.Gateway(), Claims: d.claimed, Pools: d.pools, Upstream: d.upstream,
 		Log: d.log, Scope: d.scope, MaxBody: int64(d.s.Limits.Body), Timeout: d.s.Limits.Request.Std(), Step: d.s.Budget.Step,
 	})
 	d.peerGRPC = peer.NewServer(d.ledger, d, creds.server, d.log)
@@ -180,12 +188,12 @@
 	}()
 }
 
-// SetConfig puts a configuration in force.
-func (d *Daemon) SetConfig(revision int64, c *config.Config) {
+// install puts a configuration in force.
+func (d *Daemon) install(revision uint64, c *config.Config) {
 	d.directory.Set(c)
 	d.refreshPools()
 	d.configured.Store(true)
-	d.log.Info().Int64("revision", revision).Msg("configuration in force")
+	d.log.Info().Uint64("revision", revision).Msg("configuration in force")
 }
 
 // Stop ends the daemon gracefully: it is taken out of service first, then
@@ -202,8 +210,10 @@
 	if err != nil {
 		err = errors.Wrap(err, "requests are still in progress")
 	}
-	if lerr := d.ledger.Drain(drain); err == nil {
-		err = lerr
+	for _, durable := range []func(context.Context) error{d.claimed.Drain, d.ledger.Drain} {
+		if derr := durable(drain); err == nil {
+			err = derr
+		}
 	}
 	d.Close()
 	return err
@@ -217,8 +227,10 @@
 	d.peerGRPC.Stop()
 	d.servers.Wait()
 	d.control.close()
-	d.ledger.Close()
 	d.fleet.Close()
+	d.follower.Close()
+	d.ledger.Close()
+	d.claimed.Close()
 	d.pools.Close()
 	d.peers.Close()
 	d.upstream.Close()
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -70,5 +70,6 @@
 		return c.String(http.StatusOK, "ready\n")
 	})
 	e.GET("/metrics", echo.WrapHandler(d.metricsHTTP))
+	e.Any("/v1/*", echo.WrapHandler(d.newAdmin()))
 	return e
 }
--- a/internal/dev/demo.go
+++ b/internal/dev/demo.go
@@ -149,9 +149,7 @@
 	runs := 0
 	for _, s := range d.f.Services {
 		byKey, _ := s.Runs()
-		for _, r := range byKey {
-			runs += r.Completed
-		}
+		runs += byKey[key].Completed
 	}
 	if bodies[0] != bodies[1] || runs != 1 {
 		return errors.Errorf("order ran %d times; answers %q", runs, bodies)
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -76,8 +76,13 @@
 // development fleet has no secrets.
 func Key(account string) string { return "dev-" + account }
 
-// OperatorToken is the token of the operator that a development fleet knows.
-const OperatorToken = "dev-operator"
+// Tokens of the operators that a development fleet knows, and of the one that
+// makes the first revision.
+const (
+	OperatorToken  = "dev-operator"
+	BillingToken   = "dev-billing"
+	bootstrapToken = "dev-bootstrap"
+)
 
 func hashed(secret string) string {
 	sum := sha256.Sum256([]byte(secret))
@@ -101,7 +106,8 @@
 		c.Accounts[name] = config.Account{Keys: []string{hashed(Key(name))}, Weight: 1}
 		c.Budgets[config.BudgetID(name, budgetName)] = config.Budget{}
 	}
-	c.Operators["dev"] = config.Operator{Office: "dev", Role: config.RoleBilling, Token: hashed(OperatorToken)}
+	c.Operators["dev"] = config.Operator{Office: "dev", Role: config.RoleOperator, Token: hashed(OperatorToken)}
+	c.Operators["dev-billing"] = config.Operator{Office: "dev", Role: config.RoleBilling, Token: hashed(BillingToken)}
 	return c
 }
 
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -3,8 +3,11 @@
 package dev
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -12,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/azurehatch/azurehatch/internal/admin"
 	"github.com/azurehatch/azurehatch/internal/config"
 	"github.com/azurehatch/azurehatch/internal/daemon"
 	"github.com/azurehatch/azurehatch/internal/ledger"
@@ -100,13 +104,41 @@
 		if i == 0 {
 			port = o.Port
 		}
-		if err := f.startDaemon(i, port, c, o.Log); err != nil {
+		if err := f.startDaemon(i, port, o.Log); err != nil {
 			return err
 		}
 	}
+	if err := f.applyConfig(c); err != nil {
+		return err
+	}
 	return f.awaitReady()
 }
 
+// applyConfig makes the first revision through the administration API, with the
+// bootstrap token that the daemons' settings name.
+func (f *Fleet) applyConfig(c *config.Config) error {
+	body, err := json.Marshal(admin.EditRequest{Reason: "sample configuration", Text: string(config.Format(c))})
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.Daemons[0].AdminAddr()+"/v1/configuration", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "apply configuration")
+	}
+	req.Header.Set("Authorization", "Bearer "+bootstrapToken)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "apply configuration")
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return errors.Errorf("apply configuration: status %d, %s", resp.StatusCode, answer)
+	}
+	return nil
+}
+
 // awaitReady waits until the daemons know each other.
 func (f *Fleet) awaitReady() error {
 	deadline := time.Now().Add(readyTimeout)
@@ -203,7 +235,7 @@
 	return nil
 }
 
-func (f *Fleet) startDaemon(i, port int, c *config.Config, log zerolog.Logger) error {
+func (f *Fleet) startDaemon(i, port int, log zerolog.Logger) error {
 	s := settings.Default()
 	s.Instance = settings.Instance{
 		ID: fmt.Sprintf("daemon-%d-%d", i+1, time.Now().UnixNano()), FailureDomain: f.Deployment.domain(i), Region: f.Deployment.Name,
@@ -211,6 +243,7 @@
 	s.Callers.Listen = fmt.Sprintf("127.0.0.1:%d", port)
 	s.Peers.Listen, s.Admin.Listen = "127.0.0.1:0", "127.0.0.1:0"
 	s.Callers.PlainText, s.Peers.PlainText, s.Admin.PlainText = true, true, true
+	s.Operators.BootstrapToken = hashed(bootstrapToken)
 	s.Shutdown.Announce = settings.Duration(200 * time.Millisecond)
 	s.Platform.Addresses = []string{f.platformURL}
 	store, err := f.connect()
@@ -223,7 +256,6 @@
 	}
 	f.Daemons = append(f.Daemons, d)
 	f.list(s.Instance.ID, d.PeersAddr(), s.Instance.FailureDomain, platform.RoleDaemon)
-	d.SetConfig(1, c)
 	return nil
 }
 
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -28,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := Start(Options{Deployment: deployment, Log: zerolog.Nop()})
+	f, err := Start(Options{Deployment: deployment, Log: testLog()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,6 +40,14 @@
 	return f
 }
 
+// testLog writes JSON lines if AZUREHATCH_TEST_LOG is set.
+func testLog() zerolog.Logger {
+	if os.Getenv("AZUREHATCH_TEST_LOG") == "" {
+		return zerolog.Nop()
+	}
+	return zerolog.New(os.Stderr).With().Timestamp().Logger()
+}
+
 // eventually polls until check returns nil.
 func eventually(t *testing.T, check func() error) {
 	t.Helper()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -258,6 +258,18 @@
 	return f.listed
 }
 
+// Gone reports whether a daemon is dead or, once the platform's list was read,
+// unknown.
+func (f *Fleet) Gone(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.table.Member(id)
+	if !ok {
+		return f.listed
+	}
+	return m.State == membership.Dead
+}
+
 // Members returns all known members.
 func (f *Fleet) Members() []membership.Member {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,234 @@
+// Package follower keeps a daemon's configuration up to date: it runs the
+// rollout state machine over the store and the messages between daemons.
+package follower
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/rollout"
+)
+
+// Timing of the follower.
+const (
+	tickInterval = 100 * time.Millisecond
+	callTimeout  = 2 * time.Second
+)
+
+// Sender sends a message to another daemon of the failure domain.
+type Sender interface {
+	ShareRevision(ctx context.Context, addr, from string, revision int64, body []byte) error
+}
+
+// Options configure a Follower.
+type Options struct {
+	// Self is the instance's id.
+	Self, Domain string
+	Store        platform.Store
+	Sender       Sender
+	// Addr returns the address of a daemon.
+	Addr func(id string) (string, bool)
+	// Install puts a configuration in force; it is called under a lock.
+	Install func(revision uint64, c *config.Config)
+	Log     zerolog.Logger
+}
+
+// Follower is a running rollout.Follower.
+type Follower struct {
+	o    Options
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu        sync.Mutex
+	state     *rollout.Follower
+	stopWatch context.CancelFunc // nil while there is no watch
+	down      bool               // the last call to the store failed
+}
+
+// New returns a running follower; Close ends it.
+func New(o Options) *Follower {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &Follower{o: o, ctx: ctx, stop: stop}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state, out := rollout.NewFollower(rollout.Options{Self: o.Self, Domain: o.Domain}, time.Now())
+	f.state = state
+	f.apply(out)
+	f.spawn(f.loop)
+	return f
+}
+
+// Close ends the follower.
+func (f *Follower) Close() {
+	f.stop()
+	f.wg.Wait()
+}
+
+func (f *Follower) spawn(run func()) {
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		run()
+	}()
+}
+
+func (f *Follower) loop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f.step(func(now time.Time) rollout.Output { return f.state.Tick(now) })
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Follower) step(s func(now time.Time) rollout.Output) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(s(time.Now()))
+}
+
+// apply does what the state machine wants done. The caller holds f.mu.
+func (f *Follower) apply(out rollout.Output) {
+	if out.Err != nil {
+		f.o.Log.Error().Err(out.Err).Msg("configuration record can't be used")
+	}
+	if out.Install != nil {
+		f.o.Install(out.Install.Revision, out.Install.Config)
+	}
+	for _, e := range out.Send {
+		f.send(e)
+	}
+	if out.ReadHead {
+		f.spawn(f.readHead)
+	}
+	if out.StopWatch && f.stopWatch != nil {
+		f.stopWatch()
+	}
+	if out.StartWatch {
+		f.startWatch(out.WatchAfter)
+	}
+	if len(out.Fetch) > 0 {
+		f.spawn(func() { f.fetch(out.Fetch) })
+	}
+}
+
+func (f *Follower) send(e rollout.Envelope) {
+	addr, ok := f.o.Addr(e.To)
+	if !ok {
+		return
+	}
+	body, err := json.Marshal(e.Message)
+	if err != nil {
+		f.o.Log.Error().Err(err).Msg("message can't be encoded")
+		return
+	}
+	f.spawn(func() {
+		ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+		defer cancel()
+		if err := f.o.Sender.ShareRevision(ctx, addr, f.o.Self, int64(e.Message.Revision), body); err != nil {
+			f.o.Log.Debug().Err(err).Msg("configuration message not delivered")
+		}
+	})
+}
+
+// Receive takes a message of another daemon.
+func (f *Follower) Receive(from string, body []byte) error {
+	var m rollout.Message
+	if err := json.Unmarshal(body, &m); err != nil {
+		return errors.Wrap(err, "decode configuration message")
+	}
+	f.step(func(now time.Time) rollout.Output { return f.state.Receive(now, from, m) })
+	return nil
+}
+
+// Members tells the live daemons of the failure domain.
+func (f *Follower) Members(ids []string) {
+	f.step(func(now time.Time) rollout.Output { return f.state.Members(now, ids) })
+}
+
+// Status returns the revision in force.
+func (f *Follower) Status() rollout.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Status(time.Now())
+}
+
+func (f *Follower) readHead() {
+	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+	defer cancel()
+	item, err := f.o.Store.Get(ctx, rollout.HeadKey)
+	f.noteStore(err)
+	f.step(func(now time.Time) rollout.Output { return f.state.Head(now, item, err) })
+}
+
+// noteStore tells the state machine when the store is back after a failure.
+func (f *Follower) noteStore(err error) {
+	failed := err != nil && !errors.Is(err, platform.ErrNotFound)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	back := f.down && !failed
+	f.down = failed
+	if back {
+		f.apply(f.state.Reconnected(time.Now()))
+	}
+}
+
+func (f *Follower) startWatch(after platform.Revision) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	if f.stopWatch != nil {
+		f.stopWatch()
+	}
+	f.stopWatch = cancel
+	f.spawn(func() {
+		defer cancel()
+		if err := f.watch(ctx, after); err != nil {
+			f.o.Log.Debug().Err(err).Msg("watch of the configuration ended")
+		}
+		if ctx.Err() == nil {
+			f.step(func(now time.Time) rollout.Output { return f.state.WatchEnded(now) })
+		}
+	})
+}
+
+func (f *Follower) watch(ctx context.Context, after platform.Revision) error {
+	events, err := f.o.Store.Watch(ctx, rollout.HeadKey, after)
+	f.noteStore(err)
+	if err != nil {
+		return err
+	}
+	for ev := range events {
+		if ev.Err != nil {
+			return ev.Err
+		}
+		if !ev.Deleted {
+			f.step(func(now time.Time) rollout.Output { return f.state.Head(now, ev.Item, nil) })
+		}
+	}
+	return nil
+}
+
+func (f *Follower) fetch(hashes []config.Hash) {
+	contents := make(rollout.Sections)
+	for _, h := range hashes {
+		ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+		item, err := f.o.Store.Get(ctx, rollout.SectionKey(h))
+		cancel()
+		f.noteStore(err)
+		if err == nil {
+			contents[h] = item.Value
+		}
+	}
+	f.step(func(now time.Time) rollout.Output { return f.state.Sections(now, contents) })
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -18,8 +18,9 @@
 const (
 	// maxWholeAnswer bounds a chat completion that is not streamed.
 	maxWholeAnswer = 16 << 20
-	// maxKeptAnswer bounds the answer that a claim keeps.
-	maxKeptAnswer = 4 << 10
+	// maxKeptAnswer bounds the answer that a claim keeps; encoded, it fits
+	// claim.MaxAnswerBytes.
+	maxKeptAnswer = 1 << 10
 	// maxEngineError bounds an engine's error document.
 	maxEngineError = 64 << 10
 )
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -27,6 +27,9 @@
 	Spent     int64  `json:"spent"`
 	Held      int64  `json:"held"`
 	Available int64  `json:"available"`
+	// Disputed is the part of Held that an operator may have to decide on; see
+	// budget.Record.Disputes.
+	Disputed int64 `json:"disputed"`
 }
 
 // Statement is the state of an account.
@@ -106,9 +109,17 @@
 	if t, ok := record.Accounts[account]; ok {
 		s.Requests, s.Spent = t.Requests, t.Spent
 	}
+	disputed := make(map[string]int64)
+	for _, d := range record.Disputes() {
+		for id, tokens := range d.Tokens {
+			disputed[id] += tokens
+		}
+	}
 	for id, v := range record.Budgets {
 		if budget.AccountOf(id) == account {
-			s.Budgets = append(s.Budgets, Balance{Budget: id, Prepaid: v.Prepaid, Spent: v.Spent, Held: v.Held(), Available: v.Available()})
+			s.Budgets = append(s.Budgets, Balance{
+				Budget: id, Prepaid: v.Prepaid, Spent: v.Spent, Held: v.Held(), Available: v.Available(), Disputed: disputed[id],
+			})
 		}
 	}
 	sort.Slice(s.Budgets, func(i, j int) bool { return s.Budgets[i].Budget < s.Budgets[j].Budget })
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -47,6 +47,8 @@
 	Addr(id string) (string, bool)
 	// Domains returns the known failure domains.
 	Domains() []string
+	// Gone reports whether a daemon is dead or unknown to the platform's list.
+	Gone(id string) bool
 }
 
 // Peers calls the ledgers of other daemons by address.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,6 +41,7 @@
 
 func (g *group) Addr(id string) (string, bool) { return id, true }
 func (g *group) Domains() []string             { return []string{"a"} }
+func (g *group) Gone(id string) bool           { return !slices.Contains(g.live, id) }
 
 var errUnreachable = errors.New("unreachable")
 
@@ -211,6 +213,40 @@
 	}
 }
 
+// Guards against a reservation that is never billed when its daemon, which was
+// also the allocator, is gone before its successor exists: the successor then
+// gets no event that tells so.
+func TestSuccessorChargesLostDaemon(t *testing.T) {
+	store := memstore.New(nil)
+	books := topUp(t, store, 1000)
+	g := newGroup(t, store, "d1", "d2")
+	ctx := context.Background()
+	if _, err := g.ledgers["d1"].Gateway().Reserve(ctx, gateway.Charge{ID: "r1", Account: "shop", Tokens: 50}); err != nil {
+		t.Fatal(err)
+	}
+	g.ledgers["d1"].Close()
+	l := g.ledgers["d2"]
+	l.mu.Lock()
+	g.live = []string{"d2"}
+	l.mu.Unlock()
+	l.MemberGone(membership.Member{Identity: membership.Identity{ID: "d1"}})
+	l.MembersChanged()
+	deadline := time.Now().Add(30 * time.Second)
+	for {
+		s, err := books.Statement(ctx, "shop")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Spent == 50 && s.Requests == 1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("statement %+v, want a bill of 50 tokens", s)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // Guards against tokens that stay reserved when a stream ends while its
 // reservation is being extended.
 func TestExtendAfterSettleHasNoEffect(t *testing.T) {
--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -190,10 +191,31 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f.allocator.Loaded(time.Now(), item.Value, int64(item.Revision), err == nil || missing)
+	now := time.Now()
+	f.allocator.Loaded(now, item.Value, int64(item.Revision), err == nil || missing)
+	for _, id := range l.goneHolders(item.Value) {
+		f.allocator.HolderGone(now, id)
+	}
 	l.pump(f)
 }
 
+// goneHolders returns the daemons that a record names for this failure domain
+// and that are gone. A new allocator has missed the events that told so, and
+// their open reservations would stay open.
+func (l *Ledger) goneHolders(value []byte) []string {
+	record, err := budget.Unmarshal(value)
+	if err != nil {
+		return nil
+	}
+	d := record.Domains[l.o.Domain]
+	if d == nil {
+		return nil
+	}
+	named := slices.Concat([]string{d.Owner}, d.Members, d.Waiting)
+	slices.Sort(named)
+	return slices.DeleteFunc(slices.Compact(named), func(id string) bool { return id == l.o.ID || !l.o.Members.Gone(id) })
+}
+
 func (l *Ledger) write(ctx context.Context, f *office, w budget.StoreWrite) {
 	item, err := l.o.Store.CompareAndSwap(ctx, platform.Write{
 		Key: Key(f.shard), Value: w.Value, Expected: platform.Revision(w.Expected), OpID: w.OpID,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -169,3 +169,11 @@
 	_, err := call(c, ctx, addr, "config.share", m, peerpb.PeerClient.ShareRevision, nothing)
 	return err
 }
+
+// Status returns the configuration revision in force at addr and the time
+// since the store confirmed it.
+func (c *Client) Status(ctx context.Context, addr string) (revision uint64, age time.Duration, err error) {
+	st, err := call(c, ctx, addr, "fleet.status", &peerpb.Empty{}, peerpb.PeerClient.Status,
+		func(s *peerpb.DaemonStatus) *peerpb.DaemonStatus { return s })
+	return st.GetRevision(), time.Duration(st.GetAgeMs()) * time.Millisecond, err
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
@@ -37,6 +38,9 @@
 	Load(from, service string, body []byte)
 	Poison(from string, body []byte)
 	Revision(from string, revision int64, body []byte)
+	// Status returns the revision in force and the time since the store
+	// confirmed it.
+	Status() (revision uint64, age time.Duration)
 }
 
 // Server serves other daemons.
@@ -124,3 +128,9 @@
 	s.handler.Revision(m.GetFrom(), m.GetRevision(), m.GetBody())
 	return &peerpb.Empty{}, nil
 }
+
+// Status implements peerpb.PeerServer.
+func (s *Server) Status(context.Context, *peerpb.Empty) (*peerpb.DaemonStatus, error) {
+	revision, age := s.handler.Status()
+	return &peerpb.DaemonStatus{Revision: revision, AgeMs: age.Milliseconds()}, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,15 +13,16 @@
 
 // Settings are the settings of a daemon.
 type Settings struct {
-	Instance Instance `toml:"instance" comment:"Who this daemon is. The platform's list must show the same id."`
-	Callers  Listener `toml:"callers" comment:"Listener for callers."`
-	Peers    Listener `toml:"peers" comment:"Listener for other daemons (gRPC)."`
-	Admin    Listener `toml:"admin" comment:"Listener for operators and metrics."`
-	Platform Platform `toml:"platform" comment:"The platform's key-value store."`
-	Limits   Limits   `toml:"limits" comment:"Limits on callers."`
-	Budget   Budget   `toml:"budget" comment:"Reservation of tokens."`
-	Shutdown Shutdown `toml:"shutdown" comment:"Graceful shutdown."`
-	Log      Log      `toml:"log" comment:"Logs are JSON lines on standard error."`
+	Instance  Instance  `toml:"instance" comment:"Who this daemon is. The platform's list must show the same id."`
+	Callers   Listener  `toml:"callers" comment:"Listener for callers."`
+	Peers     Listener  `toml:"peers" comment:"Listener for other daemons (gRPC)."`
+	Admin     Listener  `toml:"admin" comment:"Listener for operators and metrics."`
+	Platform  Platform  `toml:"platform" comment:"The platform's key-value store."`
+	Limits    Limits    `toml:"limits" comment:"Limits on callers."`
+	Budget    Budget    `toml:"budget" comment:"Reservation of tokens."`
+	Operators Operators `toml:"operators" comment:"Access to the administration API."`
+	Shutdown  Shutdown  `toml:"shutdown" comment:"Graceful shutdown."`
+	Log       Log       `toml:"log" comment:"Logs are JSON lines on standard error."`
 }
 
 // Instance names the daemon.
@@ -66,6 +67,11 @@
 	FlushMin Duration `toml:"flush_min" comment:"Shortest time between two writes of one budget record."`
 }
 
+// Operators sets the access of operators before the configuration names any.
+type Operators struct {
+	BootstrapToken string `toml:"bootstrap_token" comment:"sha256: and the SHA-256 of a token that is accepted while the configuration names no operator."`
+}
+
 // Shutdown sets the graceful shutdown.
 type Shutdown struct {
 	Announce Duration `toml:"announce" comment:"Time between /readyz turning false and the listener closing."`
