Add the standin commands

Cause: the stand-ins are needed as processes for trials with several processes and for operators who try the system out.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,7 +23,7 @@
 // command is one sub-command: it registers itself and returns what to run.
 type command func(app *kingpin.Application, out io.Writer) (name string, run func() error)
 
-var commands = []command{versionCommand}
+var commands = []command{versionCommand, standinPlatformCommand, standinEngineCommand, standinServiceCommand}
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
