--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,12 +23,28 @@
 // command is one sub-command: it registers itself and returns what to run.
 type command func(app *kingpin.Application, out io.Writer) (name string, run func() error)
 
-var commands = []command{versionCommand, serveCommand, devCommand, settingsPrintCommand, settingsCheckCommand}
+var commands = []command{
+	versionCommand, serveCommand, devCommand, loadCommand, settingsPrintCommand, settingsCheckCommand,
+	standinPlatformCommand, standinEngineCommand, standinServiceCommand,
+}
+
+// terminated is the panic value with which kingpin's help and completion end
+// the command line; without it the command would run after its help.
+type terminated int
 
 // Main runs the command line and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(args []string, out, errOut io.Writer) (code int) {
+	defer func() {
+		if p := recover(); p != nil {
+			t, ok := p.(terminated)
+			if !ok {
+				panic(p)
+			}
+			code = int(t)
+		}
+	}()
 	app := kingpin.New("azurehatch", "A router fleet for prepaid token budgets.")
-	app.UsageWriter(errOut).ErrorWriter(errOut).Terminate(nil)
+	app.UsageWriter(out).ErrorWriter(errOut).Terminate(func(code int) { panic(terminated(code)) })
 	app.HelpFlag.Short('h')
 	runs := make(map[string]func() error)
 	for _, c := range commands {
