--- a/internal/membership/broken_test.go
+++ b/internal/membership/broken_test.go
@@ -22,7 +22,7 @@
 	}{
 		{"an old list does not revive a dead member", broken{listRevives: true}, staleList},
 		{"a repeated message is no sign of life", broken{staleBeats: true}, replay},
-		{"a one-way link is no death", broken{noRelay: true}, oneWay},
+		{"a one-way or slow link is no death", broken{noRelay: true}, oneWay},
 		{"a partition is no death", broken{noPartition: true}, partition},
 		{"an old list does not undo leaving", broken{leavingReturns: true}, oldLeaving},
 	} {
@@ -75,6 +75,13 @@
 func oneWay(b broken) []string {
 	s, c := brokenFleet(b)
 	s.cut = cuts{{"a1", "a2"}: true, {"a5", "a4"}: true, {"b1", "b3"}: true}.cut
+	slow := cuts{{"a3", "a4"}: true, {"b2", "b1"}: true}
+	s.slow = func(from, to *proc) time.Duration {
+		if slow.cut(from, to) {
+			return 5 * time.Second
+		}
+		return 0
+	}
 	s.run(time.Minute)
 	c.converged()
 	return c.failures
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -28,8 +28,7 @@
 	instance platform.Instance
 	version  uint32
 	gone     bool
-	// leaving never returns to false. An entry that was leaving and is gone
-	// never returns.
+	// leaving never returns to false, also if the entry was gone in between.
 	leaving bool
 	// absent and shown start the current run of readings without and with the
 	// entry; zero if there is no such run.
@@ -37,6 +36,8 @@
 	goneSince     time.Time
 	// seen is the number of the last reading that shows the entry.
 	seen uint64
+	// listed is true if an own reading has shown the entry.
+	listed bool
 }
 
 func (e *entry) endpoint() Endpoint {
@@ -79,10 +80,10 @@
 	leaving := in.State == platform.InstanceLeaving
 	if e == nil {
 		c, ok := t.applyEntry(ListChange{Instance: in, Version: 1})
-		t.entries[in.ID].seen = t.readings
+		t.entries[in.ID].seen, t.entries[in.ID].listed = t.readings, true
 		return c, ok
 	}
-	e.seen = t.readings
+	e.seen, e.listed = t.readings, true
 	e.absent = time.Time{}
 	if e.shown.IsZero() {
 		e.shown = t.last
@@ -95,7 +96,7 @@
 	case t.broken.listRevives && !leaving && !e.gone:
 		t.entryChanged(e)
 		return ListChange{}, false
-	case e.gone && (e.leaving || t.last.Sub(e.shown) < returnAfter):
+	case e.gone && t.last.Sub(e.shown) < returnAfter:
 		return ListChange{}, false
 	case e.gone, leaving && !e.leaving:
 		return t.applyEntry(ListChange{Instance: in, Version: e.version + 1})
@@ -132,7 +133,8 @@
 	sort.Slice(absent, func(i, j int) bool { return absent[i].instance.ID < absent[j].instance.ID })
 	var news []ListChange
 	for _, e := range absent {
-		if t.last.Sub(e.absent) < limit {
+		// A list that lags leaves out what others have already seen.
+		if since := t.last.Sub(e.absent); since < limit || !e.listed && since < massGoneAfter {
 			continue
 		}
 		if c, ok := t.applyEntry(ListChange{Instance: e.endpoint().Instance, Version: e.version + 1, Gone: true}); ok {
@@ -172,9 +174,11 @@
 	e.leaving = e.leaving || leaving
 	if c.Version > e.version || c.Version == e.version && c.Gone && !e.gone {
 		e.version = c.Version
-		gone := c.Gone || e.gone && e.leaving
-		changed = changed || gone != e.gone
-		e.gone, e.goneSince = gone, t.last
+		if c.Gone != e.gone {
+			// Readings that were older than this change do not count against it.
+			e.absent, e.shown, changed = time.Time{}, time.Time{}, true
+		}
+		e.gone, e.goneSince = c.Gone, t.last
 	}
 	if !changed {
 		return ListChange{}, false
--- /dev/null
+++ b/internal/membership/list_test.go
@@ -0,0 +1,126 @@
+package membership
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"pgregory.net/rapid"
+)
+
+// listMachine runs three daemons that read a list of endpoints, each with its
+// own lag, and checks the events against the list's true history.
+type listMachine struct {
+	s *sim
+	// truth is the present list, and history its state at each second.
+	truth   map[string]platform.InstanceState
+	history []map[string]platform.InstanceState
+	left    map[string]bool
+	lag     map[*proc]int
+	final   map[[2]string]platform.InstanceState
+	fail    []string
+}
+
+func (l *listMachine) event(o *proc, e Event) {
+	if e.Kind != EndpointChanged {
+		return
+	}
+	key := [2]string{o.ID, e.Endpoint.ID}
+	state := e.Endpoint.State
+	if e.Endpoint.Gone {
+		state = "gone"
+	}
+	last := l.final[key]
+	if last == platform.InstanceLeaving && state == platform.InstanceLive || last == "gone" && state != "gone" && l.truth[e.Endpoint.ID] == "" {
+		l.fail = append(l.fail, fmt.Sprintf("%s: endpoint %s goes from %s to %s", o.ID, e.Endpoint.ID, last, state))
+	}
+	l.final[key] = state
+}
+
+// second lets a second pass.
+func (l *listMachine) second() {
+	now := make(map[string]platform.InstanceState, len(l.truth))
+	for id, state := range l.truth {
+		now[id] = state
+	}
+	l.history = append(l.history, now)
+	l.s.run(time.Second)
+}
+
+func (l *listMachine) read(p *proc) []platform.Instance {
+	var list []platform.Instance
+	for id, state := range l.history[max(0, len(l.history)-1-l.lag[p])] {
+		list = append(list, platform.Instance{ID: id, Domain: "zone-a", Role: platform.RoleEngine, State: state})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// TestListHistories guards against a list that lags, or goes back by up to 20 s,
+// and undoes that an endpoint is leaving or gone, and against daemons that
+// keep different lists.
+func TestListHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"))
+		s.loss, s.maxDelay = 0.05, 3*time.Second
+		l := &listMachine{s: s, truth: map[string]platform.InstanceState{}, left: map[string]bool{}, lag: map[*proc]int{}, final: map[[2]string]platform.InstanceState{}}
+		s.onEvent, s.list = l.event, l.read
+		for _, id := range []string{"a1", "a2", "a3"} {
+			s.add(id, "zone-a")
+		}
+		// The daemons know each other by their messages; the list has endpoints.
+		for _, p := range s.procs {
+			for _, q := range s.procs {
+				p.table.Step(s.now, q.table.message(Heartbeat, p.table.self))
+			}
+		}
+		for i := range rapid.IntRange(1, 12).Draw(t, "steps") {
+			id := fmt.Sprintf("e%d", rapid.IntRange(0, 5).Draw(t, "endpoint"))
+			switch rapid.IntRange(0, 4).Draw(t, "change") {
+			case 0, 1:
+				l.truth[fmt.Sprintf("n%d", i)] = platform.InstanceLive
+				if !l.left[id] {
+					l.truth[id] = platform.InstanceLive
+				}
+			case 2:
+				if l.truth[id] != "" {
+					l.truth[id], l.left[id] = platform.InstanceLeaving, true
+				}
+			case 3:
+				if l.left[id] {
+					delete(l.truth, id)
+				}
+			case 4:
+				l.lag[rapid.SampledFrom(s.procs).Draw(t, "reader")] = rapid.IntRange(0, 20).Draw(t, "lag")
+			}
+			for range rapid.IntRange(1, 15).Draw(t, "wait") {
+				l.second()
+			}
+		}
+		clear(l.lag)
+		for range 150 {
+			l.second()
+		}
+		l.check()
+		if len(l.fail) > 0 {
+			t.Fatalf("%d failures, the first: %s", len(l.fail), l.fail[0])
+		}
+	})
+}
+
+// check compares each daemon's endpoints with the truth.
+func (l *listMachine) check() {
+	for _, p := range l.s.procs {
+		endpoints := p.table.Endpoints()
+		for _, e := range endpoints {
+			if l.truth[e.ID] != e.State {
+				l.fail = append(l.fail, fmt.Sprintf("%s holds endpoint %s as %s, the list says %q", p.ID, e.ID, e.State, l.truth[e.ID]))
+			}
+		}
+		if len(endpoints) != len(l.truth) {
+			l.fail = append(l.fail, fmt.Sprintf("%s holds %d endpoints, the list has %d", p.ID, len(endpoints), len(l.truth)))
+		}
+	}
+}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -57,12 +57,16 @@
 	maxDelay   time.Duration
 	// cut reports whether the link is broken in that direction.
 	cut func(from, to *proc) bool
+	// slow returns the additional delay of a link.
+	slow func(from, to *proc) time.Duration
 	// drop loses each message of a kind.
 	drop func(Kind) bool
 	// listings is the history of the platform's list, and listLag the age of
 	// the reading that the daemons get.
 	listings []listing
 	listLag  time.Duration
+	// list returns a reading of a daemon.
+	list func(*proc) []platform.Instance
 	// onEvent sees each event of each daemon.
 	onEvent func(observer *proc, e Event)
 	options Options
@@ -77,11 +81,13 @@
 
 func newSim(seed uint64) *sim {
 	start := time.Unix(1_000_000, 0)
-	return &sim{
+	s := &sim{
 		start: start, now: start, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*proc{},
 		maxDelay: 5 * time.Millisecond, cut: func(_, _ *proc) bool { return false },
 		drop: func(Kind) bool { return false },
 	}
+	s.list = func(*proc) []platform.Instance { return s.readList() }
+	return s
 }
 
 // newFleet starts daemons in a number of failure domains.
@@ -172,7 +178,7 @@
 	}
 	s.call(p, func() Output { return p.table.Tick(s.now) })
 	if p.table.WantList(s.now) {
-		list := s.readList()
+		list := s.list(p)
 		s.call(p, func() Output { return p.table.List(s.now, list) })
 	}
 	s.schedule(delivery{at: s.now.Add(TickInterval), to: p})
@@ -202,6 +208,9 @@
 			continue
 		}
 		delay := time.Millisecond + time.Duration(s.rng.Int64N(int64(s.maxDelay)))
+		if s.slow != nil {
+			delay += s.slow(p, to)
+		}
 		s.schedule(delivery{at: s.now.Add(delay), to: to, message: m})
 	}
 }
