membership: leaving members represent a failure domain without others

Cause: at 7 daemons a death was noticed by nobody when the only other member of the failure domain was leaving: others wrote to the dead one only, so the leaving one took itself for isolated. Change: leaving members fill up the representatives; a daemon takes itself for isolated after 5 s instead of 3 s, above two exchanges; TestLastMember, which fails without the change; Ranked names the candidates for a duty; the benchmark has three deaths and departures.

--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -47,7 +47,7 @@
 	seen := watch(s, victim.ID, func(m Member) bool { return m.State == Dead })
 	at := s.now
 	s.kill(victim)
-	s.run(30 * time.Second)
+	s.run(20 * time.Second)
 	return delays(seen, at)
 }
 
@@ -55,7 +55,7 @@
 	seen := watch(s, p.ID, func(m Member) bool { return m.State == Leaving })
 	at := s.now
 	s.drain(p)
-	s.run(10 * time.Second)
+	s.run(5 * time.Second)
 	return delays(seen, at)
 }
 
@@ -108,6 +108,9 @@
 	leaving, death                         []float64
 }
 
+// samples is the number of daemons that leave, and of those that die.
+const samples = 3
+
 func measure(daemons, domains, mesh int) result {
 	s := newSim(7)
 	s.options.MeshLimit = mesh
@@ -122,8 +125,16 @@
 	var n int
 	r.bytes, r.worst, r.cpu, n = quiet(s, span)
 	r.suspicions = float64(n) * float64(time.Hour) / float64(span)
-	r.leaving = benchLeaving(s, s.procs[1])
-	r.death = benchDeath(s, s.procs[len(s.procs)-1])
+	// Three of each; in the smallest fleet the failure domains keep a daemon.
+	n = len(s.procs)
+	for i := range samples {
+		r.leaving = append(r.leaving, benchLeaving(s, s.procs[i*n/samples])...)
+	}
+	for i := range samples {
+		r.death = append(r.death, benchDeath(s, s.procs[i*n/samples+1])...)
+	}
+	sort.Float64s(r.leaving)
+	sort.Float64s(r.death)
 	return r
 }
 
@@ -134,7 +145,9 @@
 	b.ReportMetric(r.suspicions, "false_suspicions/h")
 	b.ReportMetric(quantile(r.leaving, 1), "leaving_p100_ms")
 	b.ReportMetric(quantile(r.death, 0.99), "detect_p99_ms")
-	b.ReportMetric(r.daemons-1-float64(min(len(r.death), len(r.leaving))), "unaware")
+	// Each death leaves one observer less for the next.
+	b.ReportMetric(samples*(r.daemons-1)-float64(len(r.leaving)), "unaware_leaving")
+	b.ReportMetric(samples*(r.daemons-2)-float64(len(r.death)), "unaware_death")
 	if before.daemons > 0 && before.daemons < r.daemons {
 		grow := math.Log(r.daemons / before.daemons)
 		b.ReportMetric(math.Log(r.bytes/before.bytes)/grow, "bytes_slope")
--- a/internal/membership/broken_test.go
+++ b/internal/membership/broken_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/google/go-cmp/cmp"
 )
 
 // deathBound is the stated bound on the detection of a death: 10 s of silence,
@@ -184,6 +185,23 @@
 	}
 }
 
+// TestLastMember guards the detection of a death in a failure domain whose only
+// other member is leaving, at the size of the present fleets.
+func TestLastMember(t *testing.T) {
+	s := newFleet(7, 7, 3)
+	s.loss = 0.01
+	s.run(40 * time.Second)
+	s.drain(s.procs[4])
+	s.run(5 * time.Second)
+	s.kill(s.procs[3])
+	s.run(deathBound)
+	c := newChecker(s)
+	c.converged()
+	if len(c.failures) > 0 {
+		t.Errorf("%d daemons are late, the first: %s", len(c.failures), c.failures[0])
+	}
+}
+
 // TestMessageSize guards the stated size of a heartbeat at the target size: 600
 // bytes with a digest of 30 members and 13 other failure domains.
 func TestMessageSize(t *testing.T) {
@@ -238,6 +256,11 @@
 			before[key] = m.ID
 		}
 	}
+	for _, p := range s.procs {
+		if diff := cmp.Diff(s.procs[0].table.Ranked("orders-chat", 3), p.table.Ranked("orders-chat", 3)); diff != "" {
+			t.Errorf("%s names other candidates: %s", p.ID, diff)
+		}
+	}
 	gone := s.byID[before["1"]]
 	s.drain(gone)
 	s.run(3 * time.Second)
--- a/internal/membership/liveness.go
+++ b/internal/membership/liveness.go
@@ -45,10 +45,14 @@
 	return n
 }
 
+// isolated reports whether this daemon hears from nobody. The limit is above two
+// exchanges, because the last member of a failure domain hears only those.
+func (t *Table) isolated() bool { return t.last.Sub(t.heardAny) >= 5*t.o.Exchange/2 }
+
 // endIsolation notes that somebody is heard. After a time in which nobody was,
 // the others get a new chance to be heard before they are judged.
 func (t *Table) endIsolation() {
-	if t.last.Sub(t.heardAny) >= t.o.SuspectAfter {
+	if t.isolated() {
 		for _, n := range t.domains[t.self.Domain].members {
 			if t.last.Sub(n.heard) >= t.o.SuspectAfter {
 				n.heard = t.last
@@ -222,7 +226,7 @@
 // assessNear judges a member of the own failure domain by its beats.
 func (t *Table) assessNear(n *node) {
 	silence := t.last.Sub(n.heard)
-	isolated := t.last.Sub(t.heardAny) >= t.o.SuspectAfter && !t.broken.noPartition
+	isolated := t.isolated() && !t.broken.noPartition
 	switch {
 	case silence >= t.o.SuspectAfter && t.listGone(n):
 		t.declareDead(n, "silent and gone from the list")
--- a/internal/membership/query.go
+++ b/internal/membership/query.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/azurehatch/azurehatch/internal/platform"
@@ -77,6 +78,25 @@
 	return owner.Member, true
 }
 
+// Ranked returns the n live members of all failure domains with the highest
+// rendezvous weights for the key, best first. They are the candidates for a
+// duty, so that not each daemon looks at its key.
+func (t *Table) Ranked(key string, n int) []Member {
+	sum := xxhash.Sum64String(key)
+	var live []*node
+	for _, m := range t.sorted {
+		if m.State == Live {
+			live = append(live, m)
+		}
+	}
+	sort.SliceStable(live, func(i, j int) bool { return mix(sum, uint64(live[i].hash)) > mix(sum, uint64(live[j].hash)) })
+	members := make([]Member, min(n, len(live)))
+	for i := range members {
+		members[i] = live[i].Member
+	}
+	return members
+}
+
 // Endpoints returns the endpoints that the list shows as live or leaving,
 // ordered by ID.
 func (t *Table) Endpoints() []Endpoint {
@@ -112,12 +132,26 @@
 	return live
 }
 
-// representatives returns the candidates with the highest weights.
+// representatives returns the candidates with the highest weights, and leaving
+// members if there are too few, so that the last member of a failure domain
+// still hears others.
 func (t *Table) representatives(name string) []*node {
 	candidates := t.candidates(name)
-	sort.Slice(candidates, func(i, j int) bool {
-		return mix(1, uint64(candidates[i].hash)) > mix(1, uint64(candidates[j].hash))
-	})
+	if d := t.domains[name]; d != nil && len(candidates) < t.o.Representatives {
+		for _, n := range d.members {
+			if n.State == Leaving && !slices.Contains(candidates, n) {
+				candidates = append(candidates, n)
+			}
+		}
+	}
+	weight := func(n *node) uint64 {
+		w := mix(1, uint64(n.hash)) >> 1
+		if n.State == Live {
+			w |= 1 << 63
+		}
+		return w
+	}
+	sort.Slice(candidates, func(i, j int) bool { return weight(candidates[i]) > weight(candidates[j]) })
 	return candidates[:min(len(candidates), t.o.Representatives)]
 }
 
