Keep the limit of the pool when single endpoints are slow

Cause: the token gaps of a slowed endpoint counted in the adaptive limit of the whole pool. With one slowed endpoint in ten a test saw the limit fall to 1.0 of 24 slots.

Change: gaps of more than 4 times the mean are left out, unless more than half of the gaps are that long. Clipping them instead left the limit at 2.3, because they widened the predicted spread.

Conclusion: a slowed endpoint is left to the outlier detector.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -17,9 +17,11 @@
 	// headroom is the number of standard deviations between the mean gap and
 	// the target: 95 in 100 values of a normal distribution are below 1.65.
 	headroom = 1.65
-	// outlierRatio clips gaps of slowed endpoints, which say nothing about
-	// the batch size.
+	// outlierRatio is the ratio to the mean above which a gap is taken for one
+	// of a slowed endpoint, which says nothing about the batch size.
 	outlierRatio = 4
+	// slowShareWeight is the weight of a gap in the share of such gaps.
+	slowShareWeight = 0.01
 	// window is the interval of the feedback on the model.
 	window = 500 * time.Millisecond
 	// minWindowGaps is the number of gaps from which a window counts.
@@ -48,6 +50,7 @@
 	// decayed sums of the regression of gap y on batch size x.
 	n, x, y, xx, xy, yy float64
 
+	slowShare      float64
 	factor         float64
 	windowEnd      time.Time
 	gaps, over     int
@@ -60,14 +63,14 @@
 
 func (l *limiter) observe(now time.Time, gap time.Duration, inFlight int, queued bool) {
 	y, x := float64(gap), float64(inFlight)
+	l.queuedInWindow = l.queuedInWindow || queued
+	if l.slowed(y) {
+		return
+	}
 	l.gaps++
 	if y > l.target {
 		l.over++
 	}
-	l.queuedInWindow = l.queuedInWindow || queued
-	if l.n > minSamples {
-		y = min(y, outlierRatio*l.y/l.n)
-	}
 	l.n = l.n*sampleDecay + 1
 	l.x = l.x*sampleDecay + x
 	l.y = l.y*sampleDecay + y
@@ -79,6 +82,20 @@
 	}
 }
 
+// slowed reports whether a gap is of a slowed endpoint. When more than half of
+// the gaps are that long, the pool itself is slow.
+func (l *limiter) slowed(y float64) bool {
+	if l.n < minSamples {
+		return false
+	}
+	slow := 0.0
+	if y > outlierRatio*l.y/l.n {
+		slow = 1
+	}
+	l.slowShare += slowShareWeight * (slow - l.slowShare)
+	return slow == 1 && l.slowShare < 0.5
+}
+
 func (l *limiter) closeWindow(now time.Time) {
 	if l.gaps >= minWindowGaps {
 		share := float64(l.over) / float64(l.gaps)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -119,6 +119,34 @@
 	}
 }
 
+// Guards against a limit that falls for the whole pool because one endpoint in
+// ten is slowed, and one that ignores a slower pool.
+func TestLimitWithSlowEndpoint(t *testing.T) {
+	q := New(Options{})
+	q.SetCapacity(t0, Capacity{Endpoints: 10, Slots: 240})
+	now := t0
+	observe := func(k int, slow bool) {
+		now = now.Add(time.Millisecond)
+		gap := 25*time.Millisecond + time.Duration(8+k%9)*600*time.Microsecond
+		if slow {
+			gap *= 10
+		}
+		q.Observe(now, gap, 8+k%9)
+	}
+	for k := range 20000 {
+		observe(k, k > 2000 && k%10 == 0)
+	}
+	if got := q.Stats().PerEndpoint; got < 20 {
+		t.Errorf("limit %.1f of 24 slots with one slowed endpoint", got)
+	}
+	for k := range 20000 {
+		observe(k, true)
+	}
+	if got := q.Stats().PerEndpoint; got > 12 {
+		t.Errorf("limit %.1f in a slow pool", got)
+	}
+}
+
 // Guards against a limit that falls and is ignored, or that stops all
 // admissions until enough requests have ended.
 func TestFallenLimit(t *testing.T) {
