--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -120,7 +120,7 @@
 	a := q.account(it)
 	e := &entry{Item: it, account: a, queuedAt: now, bound: q.bound(now, it)}
 	e.key = float64(it.Tokens) + q.opts.AgingRate*float64(now.UnixNano())/1e9
-	if e.short() && q.mayBorrow(a) || !q.anyEligible(now) && q.room(now, it.Long) {
+	if e.short() && q.mayBorrow(a, q.activeWeight(a)) || !q.anyEligible(now) && q.room(now, it.Long) {
 		q.admit(now, e)
 		return Decision{Verdict: Admitted}
 	}
@@ -221,10 +221,14 @@
 
 func (q *Queue) pick(now time.Time) *entry {
 	short, long := q.room(now, false), q.room(now, true)
+	weight := 0.0
+	if !short {
+		weight = q.activeWeight(nil)
+	}
 	var best *entry
 	for _, a := range q.waiting {
 		e := a.head(short, long)
-		if e == nil && len(a.short) > 0 && q.mayBorrow(a) {
+		if e == nil && len(a.short) > 0 && q.mayBorrow(a, weight) {
 			e = a.short[0]
 		}
 		if e == nil {
@@ -291,19 +295,20 @@
 }
 
 // mayBorrow reports whether a short request of account a may run above the
-// limit: the pool is full, and a runs less than its share of it.
-func (q *Queue) mayBorrow(a *account) bool {
+// limit: the pool is full, and a runs less than its share of it. weight is the
+// result of activeWeight.
+func (q *Queue) mayBorrow(a *account, weight float64) bool {
 	if q.opts.Services || len(q.running) < q.runLimit() {
 		return false
 	}
 	if float64(len(q.running)) >= float64(q.runLimit())+max(1, borrowShare*q.share()) && q.ended < lowStart {
 		return false
 	}
-	return float64(a.running+1) <= q.share()*a.weight/q.activeWeight(a)
+	return float64(a.running+1) <= q.share()*a.weight/weight
 }
 
-// activeWeight is the sum of the weights of a and of all accounts with
-// running or queued requests.
+// activeWeight is the sum of the weights of all accounts with running or
+// queued requests, and of a.
 func (q *Queue) activeWeight(a *account) float64 {
 	sum := 0.0
 	for _, x := range q.accounts {
