Measure short work behind long work on plain services

BenchmarkHeadOfLine also runs pools of plain services: 4 and 3 endpoints of 8 slots, shared by 7 daemons, at 80%. No change of the policy.

go test -run xxx -bench HeadOfLine/.*/serv -benchtime 1x ./internal/admission

--- a/internal/admission/headofline_bench_test.go
+++ b/internal/admission/headofline_bench_test.go
@@ -23,16 +23,30 @@
 // 80% of what it completes in the long run. short_p99_ratio compares with the
 // same short jobs alone under the same policy; long_slowdown is the mean ratio
 // to the time of the job alone on an idle engine. Engines of 24 slots share
-// their batch; with 4 slots a burst of long jobs can take all of them.
+// their batch; with 4 slots a burst of long jobs can take all of them. A plain service has
+// the 4 and 3 endpoints of the present deployments.
 func BenchmarkHeadOfLine(b *testing.B) {
 	const tokens, prompt, share, ratio = 40, 200, 0.1, 30
 	meanTokens := tokens * (1 - share + share*ratio)
 	policies := []enginefake.Policy{enginefake.Core, enginefake.Random, enginefake.RoundRobin,
 		enginefake.LeastReported, enginefake.TwoChoices, enginefake.Oracle}
-	for k := range 4 * len(enginefake.Deployments) {
-		dep, seed, slots := enginefake.Deployments[k/4], uint64(1+k%2), []int{24, 4}[k/2%2]
-		b.Run(fmt.Sprintf("%s/slots=%d/seed=%d", dep.Name, slots, seed), func(b *testing.B) {
-			engine := enginefake.DefaultEngine(slots)
+	type pool struct {
+		enginefake.Deployment
+		kind   string
+		engine enginefake.EngineConfig
+	}
+	var pools []pool
+	for _, dep := range enginefake.Deployments {
+		pools = append(pools, pool{dep, "slots=24", enginefake.DefaultEngine(24)}, pool{dep, "slots=4", enginefake.DefaultEngine(4)})
+	}
+	for k, dep := range enginefake.Deployments[:2] {
+		dep.Engines = []int{4, 3}[k]
+		pools = append(pools, pool{dep, "service", enginefake.ServiceEndpoint(8)})
+	}
+	for k := range 2 * len(pools) {
+		dep, seed := pools[k/2], uint64(1+k%2)
+		b.Run(fmt.Sprintf("%s/%s/seed=%d", dep.Name, dep.kind, seed), func(b *testing.B) {
+			engine := dep.engine
 			rate := 0.8 * float64(dep.Engines) * engine.Capacity(engine.Slots, meanTokens, prompt)
 			mixed := enginefake.Generate(enginefake.Shape{Rate: enginefake.Constant(rate), MaxRate: rate, End: holTo,
 				MeanTokens: tokens, MeanPrompt: prompt, LongShare: share, LongRatio: ratio, Accounts: enginefake.Accounts}, seed)
@@ -45,7 +59,7 @@
 			run := func(requests []enginefake.Request) map[enginefake.Policy]*enginefake.Result {
 				return enginefake.Compare(policies, func(p enginefake.Policy) *enginefake.Result {
 					cfg := dep.Config(engine, p, seed)
-					cfg.Batch = engine.Slots
+					cfg.Batch, cfg.Services = engine.Slots, dep.kind == "service"
 					return enginefake.Run(cfg, requests, holEnd)
 				})
 			}
--- a/internal/enginefake/daemon.go
+++ b/internal/enginefake/daemon.go
@@ -62,7 +62,6 @@
 	job    *Job
 	engine int
 	hedge  bool
-	tokens int
 }
 
 func (f *fleet) startDaemons(end time.Duration) {
@@ -74,7 +73,7 @@
 		d := &daemon{
 			fleet: f, name: "daemon-" + strconv.Itoa(k), domain: f.domain(k),
 			rng:  rand.New(rand.NewPCG(f.cfg.Seed, uint64(100+k))),
-			pool: route.New(route.Options{}), queue: admission.New(admission.Options{}),
+			pool: route.New(route.Options{Services: f.cfg.Services}), queue: admission.New(admission.Options{Services: f.cfg.Services}),
 			predict: predict.New(predict.Options{}), budget: retry.New(retry.Options{}),
 			poison: poison.New(poison.Options{}),
 			calls:  make(map[admission.Ticket]*call), open: make([]map[*attempt]bool, len(f.engines)),
@@ -272,7 +271,12 @@
 
 func (a *attempt) token(first, done bool) {
 	d := a.d
-	a.tokens++
+	if d.cfg.Services {
+		if !done {
+			return
+		}
+		first = true
+	}
 	if first {
 		o := d.pool.FirstToken(d.clock(), &a.route)
 		d.budget.FirstToken(o.FirstToken)
--- a/internal/enginefake/engine.go
+++ b/internal/enginefake/engine.go
@@ -93,6 +93,12 @@
 		PerPrompt: 100 * time.Microsecond, Chunk: 256, CacheSize: 16, Restart: 30 * time.Second}
 }
 
+// ServiceEndpoint is a plain service: each of its slots runs a call for as
+// many steps of 10 ms as the call has tokens, whatever the other slots do.
+func ServiceEndpoint(slots int) EngineConfig {
+	return EngineConfig{Slots: slots, Base: 10 * time.Millisecond, Chunk: 1 << 20, Restart: 30 * time.Second}
+}
+
 // Job is one request on an engine.
 type Job struct {
 	Prompt, Tokens int
--- a/internal/enginefake/fleet.go
+++ b/internal/enginefake/fleet.go
@@ -54,6 +54,8 @@
 	Slowdowns []Slowdown
 	// GapsFrom and GapsTo limit the inter-token times that are counted.
 	GapsFrom, GapsTo time.Duration
+	// Services makes the daemons see nothing of a call before its end.
+	Services bool
 	// CallerRetries is the number of times that a refused caller comes back.
 	CallerRetries int
 	// ResendPoison makes the callers of failed poison requests send them
