Reserve slots of the pool for short work

Cause: each daemon kept 10% of its own limit free of long work. In small pools that is less than one slot, and the daemons together filled the pool with long work.

Change: while short work arrives, a long request starts only if the pool keeps free slots for six standard deviations of the number of short requests. Long work may always run in half of a daemon's share.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,10 +13,18 @@
 	defaultQueuedTokens = 200_000
 	defaultTarget       = 75 * time.Millisecond
 	defaultAging        = 500.0
-	// longReserve is the share of the limit that long work leaves free while
-	// short work arrives, so that a burst of long work does not take every
-	// slot for its whole duration.
-	longReserve = 0.1
+	// longReserve times the square root of the mean number of short requests
+	// in the pool is the number of slots that long work leaves free while
+	// short work arrives. The number of short requests is close to Poisson,
+	// so the reserve covers a rise by that many standard deviations; with 4
+	// the p99 of short work on plain services of 24 to 32 slots missed its
+	// bound, and with 6 the slowdown of long work keeps its own.
+	longReserve = 6.0
+	// longFloor is the part of a daemon's share of the limit in which long
+	// work may run without regard to the reserve, so that it always advances.
+	longFloor = 0.5
+	// shortMeanTime is the time constant of the mean number of short requests.
+	shortMeanTime = 10 * time.Second
 	// shortRecent is the time after the last short request in which the
 	// reserve applies; without short work it would only waste slots.
 	shortRecent = 5 * time.Second
@@ -70,7 +78,11 @@
 	// accounts that had queued work at the last admission.
 	virtual   float64
 	lastShort time.Time
-	drain     drainRate
+	// shortMean is the moving average of the running short requests at
+	// shortMeanAt.
+	shortMean   float64
+	shortMeanAt time.Time
+	drain       drainRate
 	// broken selects a deliberately broken variant in tests.
 	broken string
 }
@@ -154,6 +166,7 @@
 	if e == nil {
 		return nil
 	}
+	q.meter(now)
 	delete(q.running, t)
 	if e.Long {
 		q.runningLong--
@@ -257,6 +270,7 @@
 	q.virtual = max(q.virtual, q.leastWaiting(a.time))
 	a.time += float64(e.Tokens) / a.weight
 	a.running++
+	q.meter(now)
 	q.running[e.Ticket] = e
 	if e.Long {
 		q.runningLong++
@@ -282,64 +296,6 @@
 	return len(q.queued) > 0 && q.pick(now) != nil
 }
 
-// room reports whether one more request of the class may run.
-func (q *Queue) room(now time.Time, long bool) bool {
-	limit := q.runLimit()
-	if len(q.running) >= limit && q.ended < freeStart {
-		return false
-	}
-	if !long || now.Sub(q.lastShort) > shortRecent {
-		return true
-	}
-	return float64(q.runningLong) < max(1, float64(limit)*(1-longReserve))
-}
-
-// mayBorrow reports whether a short request of account a may run above the
-// limit: the pool is full, and a runs less than its share of it. weight is the
-// result of activeWeight.
-func (q *Queue) mayBorrow(a *account, weight float64) bool {
-	if q.opts.Services || len(q.running) < q.runLimit() {
-		return false
-	}
-	if float64(len(q.running)) >= float64(q.runLimit())+max(1, borrowShare*q.share()) && q.ended < lowStart {
-		return false
-	}
-	return float64(a.running+1) <= q.share()*a.weight/weight
-}
-
-// activeWeight is the sum of the weights of all accounts with running or
-// queued requests, and of a.
-func (q *Queue) activeWeight(a *account) float64 {
-	sum := 0.0
-	for _, x := range q.accounts {
-		if x == a || x.running > 0 || !x.empty() {
-			sum += x.weight
-		}
-	}
-	return sum
-}
-
-// share is this daemon's even share of the pool's limit.
-func (q *Queue) share() float64 {
-	return q.limit.perEndpoint(q.capacity) * q.capacity.Endpoints / float64(q.capacity.Peers+1)
-}
-
-// runLimit is the number of requests that this daemon may run: its even share
-// of the pool's limit, or more while the other daemons leave room.
-func (q *Queue) runLimit() int {
-	if q.broken == "limit" {
-		return 1 << 30
-	}
-	c := q.capacity
-	total := q.limit.perEndpoint(c) * c.Endpoints
-	share := total / float64(c.Peers+1)
-	if c.Peers == 0 {
-		return max(1, int(total))
-	}
-	free := total - float64(len(q.running)) - float64(c.PeersInFlight)
-	return max(1, int(share), int(float64(len(q.running))+free))
-}
-
 // Stats returns the state for display and metrics.
 func (q *Queue) Stats() Stats {
 	return Stats{
--- /dev/null
+++ b/internal/admission/room.go
@@ -0,0 +1,94 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// room reports whether one more request of the class may run.
+func (q *Queue) room(now time.Time, long bool) bool {
+	limit := q.runLimit()
+	if len(q.running) >= limit && q.ended < freeStart {
+		return false
+	}
+	if !long || now.Sub(q.lastShort) > shortRecent {
+		return true
+	}
+	if q.broken == "reserve" {
+		return false
+	}
+	if float64(q.runningLong) < max(1, longFloor*q.share()) {
+		return true
+	}
+	free := q.poolLimit() - float64(len(q.running)) - float64(q.capacity.PeersInFlight)
+	return free >= 1+q.reserve()
+}
+
+// reserve is the number of free slots of the pool that long work leaves to
+// short work, estimated from this daemon's part of it.
+func (q *Queue) reserve() float64 {
+	return longReserve * math.Sqrt(q.shortMean*float64(q.capacity.Peers+1))
+}
+
+// meter updates the mean number of running short requests; the caller calls it
+// before the number changes.
+func (q *Queue) meter(now time.Time) {
+	dt := now.Sub(q.shortMeanAt)
+	if q.shortMeanAt.IsZero() || dt < 0 {
+		dt = 0
+	}
+	q.shortMeanAt = now
+	w := 1 - math.Exp(-float64(dt)/float64(shortMeanTime))
+	q.shortMean += w * (float64(len(q.running)-q.runningLong) - q.shortMean)
+}
+
+// mayBorrow reports whether a short request of account a may run above the
+// limit: the pool is full, and a runs less than its share of it. weight is the
+// result of activeWeight.
+func (q *Queue) mayBorrow(a *account, weight float64) bool {
+	if q.opts.Services || len(q.running) < q.runLimit() {
+		return false
+	}
+	if float64(len(q.running)) >= float64(q.runLimit())+max(1, borrowShare*q.share()) && q.ended < lowStart {
+		return false
+	}
+	return float64(a.running+1) <= q.share()*a.weight/weight
+}
+
+// activeWeight is the sum of the weights of all accounts with running or
+// queued requests, and of a.
+func (q *Queue) activeWeight(a *account) float64 {
+	sum := 0.0
+	for _, x := range q.accounts {
+		if x == a || x.running > 0 || !x.empty() {
+			sum += x.weight
+		}
+	}
+	return sum
+}
+
+// share is this daemon's even share of the pool's limit.
+func (q *Queue) share() float64 {
+	return q.poolLimit() / float64(q.capacity.Peers+1)
+}
+
+// poolLimit is the number of requests of all daemons that the pool may run.
+func (q *Queue) poolLimit() float64 {
+	return q.limit.perEndpoint(q.capacity) * q.capacity.Endpoints
+}
+
+// runLimit is the number of requests that this daemon may run: its even share
+// of the pool's limit, or more while the other daemons leave room.
+func (q *Queue) runLimit() int {
+	if q.broken == "limit" {
+		return 1 << 30
+	}
+	c := q.capacity
+	total := q.poolLimit()
+	share := total / float64(c.Peers+1)
+	if c.Peers == 0 {
+		return max(1, int(total))
+	}
+	free := total - float64(len(q.running)) - float64(c.PeersInFlight)
+	return max(1, int(share), int(float64(len(q.running))+free))
+}
