cli: commands for configuration, accounts, fleet and audit

Operators in two offices work from the command line. config show writes the revision as the first line and config apply reads it as the base, so that an edit never overwrites the other office's by mistake. Exit codes tell a wrong file (2), a conflict (3), a refusal (4) and an unavailable fleet or unknown outcome (5) apart.

Format no longer writes headers of tables that only hold other tables.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -249,7 +249,8 @@
 		a.opts.Log.Warn().Str("actor", p.name).Str("detail", detail).Msg("refused attempt not audited: limit reached")
 		return
 	}
-	a.record(c, p, audit.Entry{Kind: audit.KindAccess, Result: audit.ResultRefused,
+	// The caller is refused in any case; record logs a failure.
+	_ = a.record(c, p, audit.Entry{Kind: audit.KindAccess, Result: audit.ResultRefused,
 		Detail: c.Request().Method + " " + c.Request().URL.Path + ": " + detail}, uuid.NewString())
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,7 +23,11 @@
 // command is one sub-command: it registers itself and returns what to run.
 type command func(app *kingpin.Application, out io.Writer) (name string, run func() error)
 
-var commands = []command{versionCommand}
+var commands = []command{
+	versionCommand,
+	configCheckCommand, configDiffCommand, configApplyCommand, configShowCommand, configHistoryCommand, configRollbackCommand,
+	auditCommand, accountListCommand, accountShowCommand, accountTopUpCommand, fleetStatusCommand,
+}
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
@@ -46,7 +50,7 @@
 	}
 	if err := run(); err != nil {
 		fmt.Fprintf(errOut, "azurehatch: %v\n", err)
-		return ExitFailure
+		return exitCode(err)
 	}
 	return ExitOK
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// Guards against an entry without keys that is taken for a parent table.
+func TestFormatKeepsEmptyEntries(t *testing.T) {
+	text := "[account.budget]\n[account.x]\n[account.x.budget.budget]\n[account.'x.y']\n[account.'x.y'.budget.a]\n"
+	c := parsed(t, text)
+	if diff := cmp.Diff(c, parsed(t, string(Format(c)))); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(text, strings.ReplaceAll(string(Format(c)), "\n\n", "\n")); diff != "" {
+		t.Errorf("text (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against faults that are accepted, misplaced or misnamed.
 func TestParseErrors(t *testing.T) {
 	edit := func(old, replacement string) string { return strings.Replace(sample, old, replacement, 1) }
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -117,9 +118,14 @@
 		// encode.
 		panic(errors.Wrap(err, "configuration does not encode"))
 	}
-	return out.Bytes()
+	return bytes.TrimLeft(parentTable.ReplaceAll(out.Bytes(), nil), "\n")
 }
 
+// parentTable matches the headers of tables that only hold other tables, which
+// the encoder writes and a reader does not need. Values never span lines.
+var parentTable = regexp.MustCompile(
+	`(?m)^\[(service|endpoint|account|operator|account\.([A-Za-z0-9_-]+|'[^'\n]*'|"[^"\n]*")\.budget)\]\n`)
+
 // decodeErrors translates an error of the decoder. The checks of scan find the
 // usual faults first; this keeps the rest from being lost.
 func (p *positions) decodeErrors(err error) Errors {
