admin: hold the OpenAPI file against the routes

Clients are written from the OpenAPI file, so a test compares its paths with the routes and validates requests and answers against it.

The test needs go.sum entries of the dependencies of kin-openapi, which go.sum does not have yet (go.yaml.in/yaml/v4, go-openapi/jsonpointer, go-openapi/swag/jsonname, santhosh-tekuri/jsonschema/v6).

--- /dev/null
+++ b/internal/admin/openapicheck/openapi_test.go
@@ -0,0 +1,160 @@
+// Package openapicheck holds the OpenAPI file of the administration API against
+// the routes and answers of the package.
+package openapicheck
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/getkin/kin-openapi/openapi3filter"
+	"github.com/getkin/kin-openapi/routers"
+	"github.com/getkin/kin-openapi/routers/legacy"
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/admin"
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+)
+
+type fakes struct{}
+
+func (fakes) Account(_ context.Context, name string) (admin.Account, error) {
+	return admin.Account{Name: name, Budgets: []admin.Budget{{Name: "main"}}}, nil
+}
+func (fakes) List(context.Context) ([]admin.Account, error) {
+	return []admin.Account{{Name: "acme"}}, nil
+}
+func (fakes) TopUp(_ context.Context, t admin.TopUp) (admin.Budget, error) {
+	return admin.Budget{Name: t.Budget, Prepaid: t.Tokens}, nil
+}
+func (fakes) Spent(string) bool { return false }
+func (fakes) Status(context.Context) (admin.FleetStatus, error) {
+	return admin.FleetStatus{Daemons: []admin.Daemon{{ID: "d1"}}}, nil
+}
+
+const configuration = `
+[service.s]
+kind = "plain"
+[endpoint.e1]
+service = "s"
+address = "127.0.0.1:9001"
+domain = "a"
+[account.acme]
+`
+
+func newAPI(current *config.Config) *admin.API {
+	now := time.Unix(1_000_000, 0)
+	clock := func() time.Time { now = now.Add(time.Second); return now }
+	return admin.New(admin.Options{Store: memstore.New(clock), Accounts: fakes{}, Fleet: fakes{},
+		Config: func() *config.Config { return current }, Log: zerolog.Nop(), Now: clock,
+		// The SHA-256 of "token".
+		BootstrapToken: "sha256:3c469e9d6c5875d37a43f353d4f88e61fcf812c66eee3457465a40b0da4153e0"})
+}
+
+func load(t *testing.T) *openapi3.T {
+	t.Helper()
+	doc, err := openapi3.NewLoader().LoadFromFile("../openapi.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := doc.Validate(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return doc
+}
+
+// Guards against a route without description and a description without route.
+func TestRoutesAreDescribed(t *testing.T) {
+	var described []string
+	parameter := regexp.MustCompile(`\{(\w+)\}`)
+	for path, item := range load(t).Paths.Map() {
+		for method := range item.Operations() {
+			described = append(described, method+" "+parameter.ReplaceAllString(path, ":$1"))
+		}
+	}
+	routes := newAPI(nil).Routes()
+	slices.Sort(described)
+	slices.Sort(routes)
+	if diff := cmp.Diff(routes, described); diff != "" {
+		t.Errorf("openapi.yaml differs from the routes (-routes +file):\n%s", diff)
+	}
+}
+
+// Guards against requests and answers that differ from their description.
+func TestAnswersFitTheDescription(t *testing.T) {
+	router, err := legacy.NewRouter(load(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	api := newAPI(nil)
+	for _, test := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"POST", "/v1/configuration", `{"base":0,"reason":"setup","text":` + quote(configuration) + `}`, 200},
+		{"POST", "/v1/configuration", `{"base":0,"reason":"bad","text":"x = 1"}`, 422},
+		{"GET", "/v1/configuration", "", 200},
+		{"GET", "/v1/configuration?revision=7", "", 404},
+		{"POST", "/v1/configuration/check", `{"text":""}`, 200},
+		{"POST", "/v1/configuration/diff", `{"base":1,"text":""}`, 200},
+		{"POST", "/v1/endpoints/e1/drain", `{"reason":"repair","allow":["last-endpoint"]}`, 200},
+		{"POST", "/v1/configuration/rollback", `{"base":2,"to":1,"reason":"undo"}`, 200},
+		{"POST", "/v1/configuration/rollback", `{"base":1,"to":1,"reason":"undo"}`, 409},
+		{"GET", "/v1/configuration/history", "", 200},
+		{"GET", "/v1/accounts", "", 200},
+		{"GET", "/v1/accounts/acme", "", 200},
+		{"POST", "/v1/accounts/acme/topup", `{"budget":"main","tokens":5,"reason":"invoice"}`, 403},
+		{"GET", "/v1/fleet", "", 200},
+		{"GET", "/v1/audit", "", 200},
+		{"GET", "/v1/audit?from=x", "", 400},
+	} {
+		check(t, router, api, test.method, test.path, test.body, test.status)
+	}
+}
+
+func quote(s string) string {
+	return `"` + string(bytes.ReplaceAll(bytes.ReplaceAll([]byte(s), []byte(`"`), []byte(`\"`)), []byte("\n"), []byte(`\n`))) + `"`
+}
+
+func check(t *testing.T, router routers.Router, api *admin.API, method, path, body string, status int) {
+	t.Helper()
+	newRequest := func() *http.Request {
+		r := httptest.NewRequest(method, path, bytes.NewReader([]byte(body)))
+		r.Header.Set("Authorization", "Bearer token")
+		if body != "" {
+			r.Header.Set("Content-Type", "application/json")
+		}
+		return r
+	}
+	r := newRequest()
+	route, params, err := router.FindRoute(r)
+	if err != nil {
+		t.Errorf("%s %s: %v", method, path, err)
+		return
+	}
+	input := &openapi3filter.RequestValidationInput{Request: r, PathParams: params, Route: route,
+		Options: &openapi3filter.Options{AuthenticationFunc: openapi3filter.NoopAuthenticationFunc}}
+	// A request that the API refuses as malformed need not fit.
+	if err := openapi3filter.ValidateRequest(context.Background(), input); err != nil && status != 400 {
+		t.Errorf("%s %s: request: %v", method, path, err)
+	}
+	w := httptest.NewRecorder()
+	api.ServeHTTP(w, newRequest())
+	if w.Code != status {
+		t.Errorf("%s %s: status %d, want %d: %s", method, path, w.Code, status, w.Body)
+	}
+	output := &openapi3filter.ResponseValidationInput{RequestValidationInput: input, Status: w.Code, Header: w.Header(),
+		Body: io.NopCloser(bytes.NewReader(w.Body.Bytes()))}
+	if err := openapi3filter.ValidateResponse(context.Background(), output); err != nil {
+		t.Errorf("%s %s: answer: %v", method, path, err)
+	}
+}
