rollout: delete content of old revisions

Records now search the trail back to their first attempt; TestRecordIsRepeatedAfterRotation guards this.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -251,15 +251,16 @@
 	}
 	// The caller is refused in any case; record logs a failure.
 	_ = a.record(c, p, audit.Entry{Kind: audit.KindAccess, Result: audit.ResultRefused,
-		Detail: c.Request().Method + " " + c.Request().URL.Path + ": " + detail}, uuid.NewString())
+		Detail: c.Request().Method + " " + c.Request().URL.Path + ": " + detail}, uuid.NewString(), time.Time{})
 }
 
-// record appends an audit entry; a failure is logged and returned.
-func (a *API) record(c echo.Context, p principal, e audit.Entry, opID string) error {
+// record appends an audit entry, which may have been written since the given
+// time by an earlier attempt. A failure is logged and returned.
+func (a *API) record(c echo.Context, p principal, e audit.Entry, opID string, since time.Time) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), recordTimeout)
 	defer cancel()
 	e.Actor, e.Office = p.name, p.office
-	_, err := a.edit.run(ctx, rollout.Edit{Action: rollout.ActionRecord, OpID: opID, Entry: e})
+	_, err := a.edit.run(ctx, rollout.Edit{Action: rollout.ActionRecord, OpID: opID, Entry: e, Since: since})
 	if err != nil {
 		a.opts.Log.Error().Err(err).Str("actor", p.name).Str("kind", string(e.Kind)).Msg("audit entry was not written")
 	}
--- a/internal/admin/configuration.go
+++ b/internal/admin/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
@@ -190,7 +191,7 @@
 	}
 	entry := audit.Entry{Kind: kind, Base: req.Base, Reason: req.Reason, Result: audit.ResultRefused, Detail: p.Type[len(problemBase):]}
 	// The entry has an operation id of its own: the refused one may be used again.
-	if err := a.record(c, caller(c), entry, uuid.NewString()); err != nil {
+	if err := a.record(c, caller(c), entry, uuid.NewString(), time.Time{}); err != nil {
 		a.opts.Log.Warn().Str("op_id", req.OpID).Msg("refused edit is not in the audit trail")
 	}
 	return p
--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -20,6 +20,9 @@
 	defaultAuditLimit, maxAuditLimit = 100, 1000
 	// maxAuditSegments bounds the store reads of one query.
 	maxAuditSegments = 50
+	// topUpRepeat is how long a repeat of a top-up finds the entry of its first
+	// attempt; a later one adds a second entry, though no tokens.
+	topUpRepeat = 24 * time.Hour
 )
 
 // TopUpRequest is the body of a top-up.
@@ -81,7 +84,7 @@
 	}
 	entry := audit.Entry{Kind: audit.KindTopUp, Reason: req.Reason, Result: audit.ResultDone,
 		Subjects: []audit.Subject{{Kind: "budget", Name: account + "/" + req.Budget}}, Detail: topUpDetail(req.Tokens)}
-	if err := a.record(c, caller(c), entry, "topup-"+req.OpID); err != nil {
+	if err := a.record(c, caller(c), entry, "topup-"+req.OpID, a.opts.Now().Add(-topUpRepeat)); err != nil {
 		p := problem(http.StatusServiceUnavailable, "audit-unavailable",
 			"the tokens were added, the audit entry was not written; repeat with the same op_id")
 		p.OpID = req.OpID
--- a/internal/admin/runner.go
+++ b/internal/admin/runner.go
@@ -67,7 +67,7 @@
 }
 
 func (r *runner) execute(ctx context.Context, req rollout.Request) []rollout.Answer {
-	answers := make([]rollout.Answer, len(req.Get)+len(req.Put))
+	answers := make([]rollout.Answer, len(req.Get)+len(req.Put)+len(req.Delete))
 	var g errgroup.Group
 	g.SetLimit(callsAtOnce)
 	for i, key := range req.Get {
@@ -82,6 +82,12 @@
 			return nil
 		})
 	}
+	for i, d := range req.Delete {
+		g.Go(func() error {
+			answers[i].Err = r.store.Delete(ctx, d.Key, d.Expected)
+			return nil
+		})
+	}
 	// The calls report their errors in the answers.
 	_ = g.Wait()
 	return answers
--- a/internal/rollout/editor.go
+++ b/internal/rollout/editor.go
@@ -25,6 +25,9 @@
 	// rotateAnyway makes an edit rotate the trail itself when the daemon with the
 	// duty of rotation does not.
 	rotateAnyway = 256
+	// clockSkew is the largest difference between the clocks of two daemons that
+	// the search for a record allows for.
+	clockSkew = time.Minute
 )
 
 // Action is what an Editor does.
@@ -40,6 +43,8 @@
 	ActionRecord Action = "record"
 	// ActionRead returns the configuration of revision Edit.To, 0 for the newest.
 	ActionRead Action = "read"
+	// ActionCollect deletes sections and manifests of old revisions.
+	ActionCollect Action = "collect"
 	// ActionRotate moves old audit entries into a segment.
 	ActionRotate Action = "rotate"
 )
@@ -57,6 +62,9 @@
 	To uint64
 	// Entry has the actor, office, kind and reason; the editor fills in the rest.
 	Entry audit.Entry
+	// Since is the time of the first attempt of a record. The trail is searched for
+	// the operation id back to it; zero stands for the start of this attempt.
+	Since time.Time
 	// Allow lists guards that the operator has confirmed.
 	Allow []config.Guard
 	// Spent reports whether an account has spend; nil stands for all accounts.
@@ -79,11 +87,18 @@
 	Config *config.Config `json:"-"`
 }
 
-// Request is a group of store calls that an editor waits for; either list is
-// empty. The calls of a group may run at the same time.
+// Request is a group of store calls that an editor waits for; only one of the
+// lists has elements. The calls of a group may run at the same time.
 type Request struct {
-	Get []string
-	Put []platform.Write
+	Get    []string
+	Put    []platform.Write
+	Delete []Deletion
+}
+
+// Deletion deletes a key that has the expected revision.
+type Deletion struct {
+	Key      string
+	Expected platform.Revision
 }
 
 // Answer is the outcome of one store call.
@@ -99,7 +114,7 @@
 // editorFaults are deliberate defects that tests switch on to show that the
 // invariant tests see them.
 type editorFaults struct {
-	ignoreOpID, skipMerge, blindSwap, separateAudit, headBeforeSections bool
+	ignoreOpID, skipMerge, blindSwap, separateAudit, headBeforeSections, collectUnfenced, reuseUntouched bool
 }
 
 type stage int
@@ -113,6 +128,10 @@
 	stageSwap
 	stageSegment
 	stageTrim
+	stageGarbage
+	stageFence
+	stageDelete
+	stageCollected
 	stageDone
 )
 
@@ -124,10 +143,13 @@
 	faults   editorFaults
 	// keep and rotateAnyway are the limits of that name.
 	keep, rotateAnyway int
+	// keepRevisions is the limit of that name.
+	keepRevisions uint64
 
 	stage   stage
 	request Request
 	now     time.Time
+	started time.Time
 	swaps   int
 	// swapUnknown is set while a write of the head may still take effect. It is
 	// cleared by a head that names the operation, or by one that no longer has the
@@ -148,6 +170,7 @@
 	next      Head
 	nextValue []byte
 	moved     audit.Segment
+	garbage   garbage
 	lastPut   []platform.Write
 	result    Result
 	err       error
@@ -158,7 +181,7 @@
 	if known == nil {
 		known = make(Sections)
 	}
-	e := &Editor{edit: edit, sections: known, keep: keepInHead, rotateAnyway: rotateAnyway}
+	e := &Editor{edit: edit, sections: known, keep: keepInHead, rotateAnyway: rotateAnyway, keepRevisions: keepRevisions}
 	if edit.Action == ActionApply {
 		if err := edit.Config.Validate(); err != nil {
 			e.finish(Result{}, err)
@@ -186,6 +209,9 @@
 // Step continues with the answers to the last request, in its order.
 func (e *Editor) Step(now time.Time, answers []Answer) {
 	e.now = now
+	if e.started.IsZero() {
+		e.started = now
+	}
 	e.request = Request{}
 	var err error
 	switch e.stage {
@@ -203,6 +229,8 @@
 		err = e.gotSwap(answers[0])
 	case stageSegment:
 		err = e.gotSegmentWrite(answers[0])
+	default:
+		err = e.stepCollect(answers)
 	}
 	if err != nil {
 		e.finish(Result{}, err)
--- a/internal/rollout/editor_read.go
+++ b/internal/rollout/editor_read.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 
@@ -54,6 +53,8 @@
 	}
 	switch {
 	case e.edit.Action == ActionRead:
+	case e.edit.Action == ActionCollect:
+		return e.collect()
 	case e.edit.Action == ActionRotate, len(e.head.Audit.Entries) >= e.rotateAnyway:
 		return e.rotate()
 	case e.edit.Action == ActionRecord:
@@ -71,14 +72,20 @@
 	case ActionRotate:
 		return true
 	case ActionRecord:
-		// A record has no base; its retry comes soon, so the newest segment is
-		// enough.
-		return !e.swapUnknown || e.segment <= e.head.Audit.Segments
+		// A record has no base revision; it is later than its first attempt.
+		since := e.edit.Since
+		if since.IsZero() {
+			since = e.started
+		}
+		return len(e.trail) == 0 || e.trail[0].At.Before(since.Add(-clockSkew))
 	case ActionRollback, ActionRead:
-		oldest = min(oldest, e.edit.To)
+		oldest = min(oldest, e.edit.To, e.edit.Base)
+	case ActionCollect:
+		oldest = e.head.Collected + 1
+	default:
+		oldest = min(oldest, e.edit.Base)
 	}
-	oldest = min(oldest, e.edit.Base)
-	if oldest == e.head.Revision {
+	if oldest >= e.head.Revision {
 		return true
 	}
 	for _, entry := range e.trail {
@@ -155,6 +162,9 @@
 
 func (e *Editor) gotManifests(answers []Answer) error {
 	for i, a := range answers {
+		if errors.Is(a.Err, platform.ErrNotFound) {
+			return &UnknownRevisionError{Revision: e.pending[i]}
+		}
 		if a.Err != nil {
 			return errors.Wrapf(a.Err, "manifest of revision %d", e.pending[i])
 		}
@@ -198,26 +208,3 @@
 	}
 	return e.build()
 }
-
-// gotWrites checks that the sections and the manifest are stored.
-func (e *Editor) gotWrites(answers []Answer) error {
-	var again []platform.Write
-	for i, a := range answers {
-		w := e.lastPut[i]
-		conflict, exists := platform.AsConflict(a.Err)
-		switch {
-		case a.Err == nil:
-		case exists && bytes.Equal(conflict.Actual.Value, w.Value):
-			// An earlier edit wrote the same content.
-		case errors.Is(a.Err, platform.ErrOutcomeUnknown):
-			again = append(again, w)
-		default:
-			return errors.Wrapf(a.Err, "write of %s", w.Key)
-		}
-	}
-	if len(again) > 0 {
-		e.put(stageWrite, again)
-		return nil
-	}
-	return e.swap()
-}
--- a/internal/rollout/editor_test.go
+++ b/internal/rollout/editor_test.go
@@ -27,6 +27,9 @@
 			item, err := s.CompareAndSwap(context.Background(), put)
 			answers = append(answers, Answer{item, err})
 		}
+		for _, d := range e.Request().Delete {
+			answers = append(answers, Answer{Err: s.Delete(context.Background(), d.Key, d.Expected)})
+		}
 		e.Step(time.Unix(2000, 0), answers)
 	}
 	return e.Result()
@@ -118,4 +121,51 @@
 	if _, err := run(s, Edit{Action: ActionRecord, OpID: "t", Entry: audit.Entry{Kind: audit.KindTopUp}}); err != nil {
 		t.Fatal(err)
 	}
+	collected(t, s, rotateAnyway+50)
+}
+
+// collected checks that a collection bounds the store and keeps the revisions
+// that it must keep.
+func collected(t *testing.T, s *memstore.Store, newest uint64) {
+	t.Helper()
+	for range 4 {
+		if _, err := run(s, Edit{Action: ActionCollect, OpID: "c"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	items, err := s.List(context.Background(), "config/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if most := 2*(keepRevisions+1) + 1; len(items) > most {
+		t.Errorf("%d keys after the collection, want at most %d", len(items), most)
+	}
+	if _, err := run(s, Edit{Action: ActionRead, OpID: "old", To: newest - keepRevisions + 1}); err != nil {
+		t.Errorf("a kept revision is lost: %v", err)
+	}
+	var unknown *UnknownRevisionError
+	if _, err := run(s, Edit{Action: ActionRead, OpID: "older", To: 1}); !errors.As(err, &unknown) {
+		t.Errorf("collected revision: got %v", err)
+	}
+}
+
+// Guards against a second audit entry for one operation: a repeat by another
+// daemon must find the entry of the first attempt in a segment.
+func TestRecordIsRepeatedAfterRotation(t *testing.T) {
+	s := memstore.New(nil)
+	record := func(op string) Result {
+		result, err := run(s, Edit{Action: ActionRecord, OpID: op, Since: time.Unix(2000, 0),
+			Entry: audit.Entry{Kind: audit.KindTopUp, Result: audit.ResultDone}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return result
+	}
+	record("first")
+	for i := range rotateAnyway + 10 {
+		record(fmt.Sprintf("other-%d", i))
+	}
+	if result := record("first"); !result.Repeated {
+		t.Errorf("repeat is recorded again: %+v", result)
+	}
 }
--- a/internal/rollout/editor_write.go
+++ b/internal/rollout/editor_write.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -124,10 +125,47 @@
 			continue
 		}
 		e.sections[h] = contents[h]
-		writes = append(writes, platform.Write{Key: SectionKey(h), Value: contents[h], OpID: string(h)})
+		writes = append(writes, e.contentWrite(SectionKey(h), contents[h]))
 	}
-	key := ManifestKey(m.Hash())
-	return append(writes, platform.Write{Key: key, Value: m.Encode(), OpID: key})
+	return append(writes, e.contentWrite(ManifestKey(m.Hash()), m.Encode()))
+}
+
+// contentWrite returns the write of immutable content. Its operation id differs
+// for each version of the head that was read, so that the store does not take a
+// write that a collection may since have found for this one.
+func (e *Editor) contentWrite(key string, value []byte) platform.Write {
+	return platform.Write{Key: key, Value: value, OpID: fmt.Sprintf("%s/%d/%s", e.edit.OpID, e.item.Revision, key)}
+}
+
+// gotWrites checks that the sections and the manifest are stored. Content that
+// an earlier edit wrote is written again over itself: its new revision protects
+// it from a collection that found it unused (see collect).
+func (e *Editor) gotWrites(answers []Answer) error {
+	var again []platform.Write
+	for i, a := range answers {
+		w := e.lastPut[i]
+		conflict, exists := platform.AsConflict(a.Err)
+		switch {
+		case a.Err == nil:
+		case exists && conflict.Actual.Revision == 0:
+			w.Expected = 0
+			again = append(again, w)
+		case exists && bytes.Equal(conflict.Actual.Value, w.Value):
+			if !e.faults.reuseUntouched {
+				w.Expected = conflict.Actual.Revision
+				again = append(again, w)
+			}
+		case errors.Is(a.Err, platform.ErrOutcomeUnknown):
+			again = append(again, w)
+		default:
+			return errors.Wrapf(a.Err, "write of %s", w.Key)
+		}
+	}
+	if len(again) > 0 {
+		e.put(stageWrite, again)
+		return nil
+	}
+	return e.swap()
 }
 
 // swap writes the head if it is still the one that was read.
--- a/internal/rollout/head.go
+++ b/internal/rollout/head.go
@@ -30,6 +30,10 @@
 	Revision uint64          `json:"revision"`
 	Manifest config.Manifest `json:"manifest"`
 	Audit    audit.Log       `json:"audit"`
+	// Collected is the newest revision whose own sections were deleted; Collecting
+	// is ahead of it while a deletion is going on.
+	Collected  uint64 `json:"collected,omitempty"`
+	Collecting uint64 `json:"collecting,omitempty"`
 }
 
 // DecodeHead reads a head record.
@@ -63,12 +67,13 @@
 	return fmt.Sprintf("revision %d is not the newest, which is %d; look at the changes and repeat", e.Base, e.Current)
 }
 
-// UnknownRevisionError names a revision that was never accepted.
+// UnknownRevisionError names a revision that was never accepted or that is no
+// longer kept.
 type UnknownRevisionError struct {
 	Revision uint64 `json:"revision"`
 }
 
 // Error implements error.
 func (e *UnknownRevisionError) Error() string {
-	return fmt.Sprintf("configuration revision %d does not exist", e.Revision)
+	return fmt.Sprintf("configuration revision %d does not exist or is no longer kept", e.Revision)
 }
--- a/internal/rollout/world_daemon_test.go
+++ b/internal/rollout/world_daemon_test.go
@@ -14,6 +14,7 @@
 		"rollback": func() { w.begin(ActionRollback) },
 		"record":   func() { w.begin(ActionRecord) },
 		"rotate":   func() { w.begin(ActionRotate) },
+		"collect":  func() { w.begin(ActionCollect) },
 		"edit":     func() { w.stepSession(true) },
 		"edits":    func() { w.times(20, func() { w.stepSession(true) }) },
 		"late write": func() {
