--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,6 +25,8 @@
 
 var commands = []command{
 	versionCommand, serveCommand, devCommand, loadCommand, settingsPrintCommand, settingsCheckCommand,
+	configCheckCommand, configDiffCommand, configApplyCommand, configShowCommand, configHistoryCommand, configRollbackCommand,
+	auditCommand, accountListCommand, accountShowCommand, accountTopUpCommand, fleetStatusCommand,
 	standinPlatformCommand, standinEngineCommand, standinServiceCommand,
 }
 
@@ -62,7 +64,7 @@
 	}
 	if err := run(); err != nil {
 		fmt.Fprintf(errOut, "azurehatch: %v\n", err)
-		return ExitFailure
+		return exitCode(err)
 	}
 	return ExitOK
 }
