--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -50,6 +50,7 @@
 
 // do sends the request and waits for the first byte of the answer's body.
 func (j *job) do(d *dispatch) {
+	//nolint:bodyclose // attempt closes the winner's body and faster the loser's.
 	d.resp, d.err = j.x.g.Upstream.Do(d.ctx, upstream.Call{
 		Endpoint: d.endpoint.ID, Addr: d.endpoint.Addr, Method: j.x.r.Method, Path: j.path, Header: j.header(), Body: j.body,
 	})
--- a/internal/pool/ticket.go
+++ b/internal/pool/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -215,7 +216,7 @@
 		return gateway.Endpoint{}, false
 	}
 	exclude := t.request.Exclude
-	t.request.Exclude = append(exclude[:len(exclude):len(exclude)], t.attempt.Endpoint)
+	t.request.Exclude = append(slices.Clone(exclude), t.attempt.Endpoint)
 	e, attempt, err := t.dispatch(now)
 	t.request.Exclude = exclude
 	if err != nil {
