Rebuild the pool only when its set of endpoints changes

Cause: the list of instances is read every second, and each Update sorted the endpoints and built the ring again.

Change: Update compares first. Adds BenchmarkUpdate.

go test -run xxx -bench Update ./internal/route

--- a/internal/route/choose_bench_test.go
+++ b/internal/route/choose_bench_test.go
@@ -98,3 +98,19 @@
 		})
 	}
 }
+
+// BenchmarkUpdate measures the list that a daemon reads every second, without
+// a change and with one endpoint that starts or ends leaving.
+func BenchmarkUpdate(b *testing.B) {
+	for _, change := range []bool{false, true} {
+		b.Run(fmt.Sprintf("endpoints=4300/change=%t", change), func(b *testing.B) {
+			p, set := newPool(4300), endpoints(4300)
+			for b.Loop() {
+				if change {
+					set[7].State = 1 - set[7].State
+				}
+				p.Update(t0, set)
+			}
+		})
+	}
+}
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -141,10 +141,11 @@
 }
 
 // Update replaces the set of endpoints. Endpoints that were not in the first
-// set ramp up; a missing endpoint is forgotten with its work.
+// set ramp up; a missing endpoint is forgotten with its work. A set without a
+// change is cheap, so the caller may pass the list that it reads every second.
 func (p *Pool) Update(now time.Time, set []Endpoint) {
 	t := now.UnixNano()
-	first := len(p.byID) == 0
+	first, changed := len(p.byID) == 0, false
 	seen := make(map[EndpointID]bool, len(set))
 	for _, e := range set {
 		if seen[e.ID] {
@@ -160,18 +161,22 @@
 			p.det.Remove(i)
 			p.det.Add(t, i, true)
 		}
+		changed = changed || ep.Endpoint != e
 		ep.Endpoint = e
 		ep.slots = float32(e.Slots)
 		if e.Slots <= 0 {
 			ep.slots = float32(p.opts.DefaultSlots)
 		}
 	}
-	for id, i := range p.byID {
-		if !seen[id] {
-			p.remove(id, i)
+	for i := range p.eps {
+		if ep := &p.eps[i]; ep.present && !seen[ep.ID] {
+			p.remove(ep.ID, int32(i))
+			changed = true
 		}
 	}
-	p.rebuild(t)
+	if changed {
+		p.rebuild(t)
+	}
 }
 
 func (p *Pool) add(now int64, e Endpoint, ramp bool) int32 {
