rollout: test long pauses of daemons

The state machine now also pauses daemons for any time and lets them go on with old messages. A daemon without a configuration reports age 0 instead of the time since year 1.

--- a/internal/rollout/editor_test.go
+++ b/internal/rollout/editor_test.go
@@ -16,7 +16,10 @@
 
 // run carries out an edit without faults.
 func run(s *memstore.Store, edit Edit) (Result, error) {
-	e := NewEditor(edit, nil)
+	return runEditor(s, NewEditor(edit, nil))
+}
+
+func runEditor(s *memstore.Store, e *Editor) (Result, error) {
 	for !e.Done() {
 		var answers []Answer
 		for _, key := range e.Request().Get {
@@ -154,15 +157,17 @@
 func TestRecordIsRepeatedAfterRotation(t *testing.T) {
 	s := memstore.New(nil)
 	record := func(op string) Result {
-		result, err := run(s, Edit{Action: ActionRecord, OpID: op, Since: time.Unix(2000, 0),
-			Entry: audit.Entry{Kind: audit.KindTopUp, Result: audit.ResultDone}})
+		e := NewEditor(Edit{Action: ActionRecord, OpID: op, Since: time.Unix(2000, 0),
+			Entry: audit.Entry{Kind: audit.KindTopUp, Result: audit.ResultDone}}, nil)
+		e.keep, e.rotateAnyway = 2, 6
+		result, err := runEditor(s, e)
 		if err != nil {
 			t.Fatal(err)
 		}
 		return result
 	}
 	record("first")
-	for i := range rotateAnyway + 10 {
+	for i := range 30 {
 		record(fmt.Sprintf("other-%d", i))
 	}
 	if result := record("first"); !result.Repeated {
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -101,7 +101,8 @@
 // Status describes a follower to operators.
 type Status struct {
 	Revision uint64 `json:"revision"`
-	// Age is the time since the store confirmed that Revision is the newest.
+	// Age is the time since the store confirmed that Revision is the newest, as far
+	// as this daemon knows; 0 if there is no revision.
 	Age     time.Duration `json:"age"`
 	Watcher bool          `json:"watcher"`
 	// StoreBehind is set if the store last showed a lower revision, for example
@@ -178,7 +179,11 @@
 
 // Status returns the follower's state at now.
 func (f *Follower) Status(now time.Time) Status {
-	return Status{Revision: f.revision, Age: now.Sub(f.confirmed), Watcher: f.watcher, StoreBehind: f.storeBehind}
+	s := Status{Revision: f.revision, Watcher: f.watcher, StoreBehind: f.storeBehind}
+	if f.revision > 0 {
+		s.Age = now.Sub(f.confirmed)
+	}
+	return s
 }
 
 // jitter returns a time between 75% and 125% of d that differs by daemon and
--- a/internal/rollout/world_daemon_test.go
+++ b/internal/rollout/world_daemon_test.go
@@ -37,6 +37,11 @@
 			d.isolated = w.pick(4) == 0
 			d.disturbed = true
 		},
+		"pause": func() {
+			d := w.anyDaemon()
+			d.paused = w.pick(3) == 0
+			d.disturbed = true
+		},
 		"restart": func() { w.boot(w.anyDaemon()) },
 		"restart and read": func() {
 			d := w.anyDaemon()
@@ -75,6 +80,10 @@
 	p := w.net[i]
 	w.net = append(w.net[:i:i], w.net[i+1:]...)
 	from, to := w.daemon(p.from), w.daemon(p.to)
+	if to.paused {
+		w.net = append(w.net, p)
+		return
+	}
 	if drop || from.isolated || to.isolated {
 		from.disturbed, to.disturbed = true, true
 		return
@@ -84,7 +93,7 @@
 
 // answerRead answers a read of the head, perhaps with an old version.
 func (w *world) answerRead(d *simDaemon, lag, lose bool) {
-	if d.reads == 0 {
+	if d.reads == 0 || d.paused {
 		return
 	}
 	d.reads--
@@ -103,7 +112,7 @@
 
 // watchEvent delivers the next event of a watch, or an old one again.
 func (w *world) watchEvent(d *simDaemon, old bool) {
-	if !d.watching || d.cut || len(w.heads) == 0 {
+	if !d.watching || d.cut || d.paused || len(w.heads) == 0 {
 		return
 	}
 	if old {
@@ -125,7 +134,7 @@
 }
 
 func (w *world) answerFetch(d *simDaemon, lose bool) {
-	if len(d.fetches) == 0 {
+	if len(d.fetches) == 0 || d.paused {
 		return
 	}
 	hashes := d.fetches[0]
@@ -155,7 +164,9 @@
 	for end := w.now.Add(by); w.now.Before(end); {
 		w.now = w.now.Add(100 * time.Millisecond)
 		for _, d := range w.daemons {
-			w.perform(d, d.follower.Tick(w.now))
+			if !d.paused {
+				w.perform(d, d.follower.Tick(w.now))
+			}
 		}
 	}
 }
@@ -163,7 +174,7 @@
 // settleAll ends all faults and delivers everything for the given time.
 func (w *world) settleAll(d time.Duration) {
 	for _, daemon := range w.daemons {
-		daemon.cut, daemon.isolated = false, false
+		daemon.cut, daemon.isolated, daemon.paused = false, false, false
 	}
 	for end := w.now.Add(d); w.now.Before(end) && w.err == nil; {
 		for len(w.sessions) > 0 && w.err == nil {
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -72,7 +72,10 @@
 	revision   uint64
 	cut        bool
 	isolated   bool
-	watching   bool
+	// paused stops the daemon's clock and input, as a long garbage collection or a
+	// suspended machine does.
+	paused   bool
+	watching bool
 	// seen is the index in heads of the next event of the watch.
 	seen    int
 	reads   int
@@ -108,7 +111,7 @@
 
 // boot starts or restarts a daemon, which loses all its state.
 func (w *world) boot(d *simDaemon) {
-	d.floor, d.disturbed, d.started = 0, d.isolated, w.now
+	d.floor, d.disturbed, d.started, d.paused = 0, d.isolated, w.now, false
 	for _, o := range w.daemons {
 		if o != d && o.domain == d.domain && o.follower != nil && !o.isolated {
 			d.floor = max(d.floor, o.revision)
