Wait for the outcome of an order in progress

Change: an attempt that meets another in progress looks again until its patience ends; it never answers that nothing ran. Conclusion: a prompt repeat gets the first answer.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -29,6 +29,9 @@
 	patience    = 2 * time.Second
 	callTimeout = 2 * time.Second
 	drainPoll   = 20 * time.Millisecond
+	// progressPoll is the interval at which an attempt looks again for the
+	// outcome of another one.
+	progressPoll = 100 * time.Millisecond
 )
 
 // Options configure a Claims.
@@ -220,25 +223,57 @@
 	return claim.UnknownOutcome
 }
 
-// Claim implements gateway.Claims.
+// Claim implements gateway.Claims. An attempt that meets another one in
+// progress waits for its outcome: the first answer reaches the store a little
+// after it reaches the first caller.
 func (c *Claims) Claim(ctx context.Context, k gateway.ClaimKey) (gateway.Claim, *gateway.Answer, error) {
 	id := claim.ID{Account: k.Account, Service: k.Service, Key: k.Key}
-	held := &heldClaim{c: c, id: id, token: uuid.NewString()}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	met := claim.Answer{}
+	for {
+		held := &heldClaim{c: c, id: id, token: uuid.NewString()}
+		a, err := c.attempt(ctx, held)
+		if err != nil && met.Result == claim.InProgress {
+			return held.answered(met) // the other attempt may have run
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+		met = a
+		if a.Result != claim.InProgress || !wait(ctx, progressPoll) {
+			return held.answered(a)
+		}
+	}
+}
+
+func (c *Claims) attempt(ctx context.Context, held *heldClaim) (claim.Answer, error) {
 	ch := make(chan claim.Answer, 1)
 	c.mu.Lock()
-	w := c.writer(claim.ShardOf(id))
+	w := c.writer(claim.ShardOf(held.id))
 	c.waits[held.token] = ch
-	w.w.Attempt(time.Now(), id, held.token)
+	w.w.Attempt(time.Now(), held.id, held.token)
 	c.pump(w)
 	c.mu.Unlock()
 	select {
 	case a := <-ch:
-		return held.answered(a)
+		return a, nil
 	case <-ctx.Done():
-		go held.abandon(ch)
-		return nil, nil, problem.New(problem.ClaimUnavailable, "the claim was not made in time").Because(ctx.Err())
+		c.spawn(func() { held.abandon(ch) })
+		return claim.Answer{}, problem.New(problem.ClaimUnavailable, "the claim was not made in time").Because(ctx.Err())
 	case <-c.ctx.Done():
-		return nil, nil, problem.New(problem.ShuttingDown, "this daemon is stopping")
+		return claim.Answer{}, problem.New(problem.ShuttingDown, "this daemon is stopping")
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
