Do not judge endpoints by the progress of whole answers

Cause: an answer that is not streamed shows no progress before its end, so an endpoint with only such requests looked stalled after 700 ms. Change: such attempts reach the outlier detector at their end only; load digests follow route.DigestInterval. Conclusion: whole answers count for load and for breaks.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -13,9 +13,9 @@
 
 // Intervals of the traffic between daemons.
 const (
-	// loadInterval is how often load digests go to the other daemons of the
-	// failure domain.
-	loadInterval = 500 * time.Millisecond
+	// loadTick is how often the interval of load digests is looked at; see
+	// route.DigestInterval.
+	loadTick = 100 * time.Millisecond
 	// poisonInterval is how soon a crash reaches them.
 	poisonInterval = 20 * time.Millisecond
 	shareTimeout   = time.Second
@@ -29,12 +29,16 @@
 	wg   sync.WaitGroup
 	// nextReport is the position in the turn of readReports.
 	nextReport int
+	// sharedLoad and loadInterval are the time of the last load digests and
+	// the wait for the next.
+	sharedLoad   time.Time
+	loadInterval time.Duration
 }
 
 func newControl(d *Daemon) *control {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &control{d: d, ctx: ctx, stop: stop}
-	c.every(loadInterval, c.shareLoad)
+	c.every(loadTick, c.shareLoad)
 	c.every(poisonInterval, c.sharePoison)
 	c.every(reportInterval, c.readReports)
 	return c
@@ -82,9 +86,21 @@
 	}
 }
 
+// shareLoad sends load digests to the other daemons of the failure domain, as
+// often as their size and number allow.
 func (c *control) shareLoad() {
 	self := c.d.s.Instance.ID
-	for service, body := range c.d.pools.Digests() {
+	if time.Since(c.sharedLoad) < c.loadInterval {
+		return
+	}
+	digests := c.d.pools.Digests()
+	size := 0
+	for _, body := range digests {
+		size += len(body)
+	}
+	peers := len(c.d.fleet.LiveIn(c.d.s.Instance.FailureDomain)) - 1
+	c.sharedLoad, c.loadInterval = time.Now(), route.DigestInterval(peers, size)
+	for service, body := range digests {
 		c.toPeers(func(ctx context.Context, addr string) error {
 			return c.d.peers.ShareLoad(ctx, addr, self, service, body)
 		})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,7 +134,9 @@
 	// PromptTokens is an upper bound; MaxOutput the cap of the answer.
 	PromptTokens, MaxOutput int64
 	Idempotent              bool
-	Deadline                time.Time
+	// Stream is true if the answer shows progress before its end.
+	Stream   bool
+	Deadline time.Time
 }
 
 // Endpoint is a chosen endpoint.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -66,7 +66,7 @@
 		MaxOutput: x.service.Price,
 	}
 	if q != nil {
-		j.work.PromptTokens, j.work.MaxOutput = q.prompt, q.maxTokens
+		j.work.PromptTokens, j.work.MaxOutput, j.work.Stream = q.prompt, q.maxTokens, q.stream
 		j.work.Digest, j.work.PrefixDigest = digests(x.service.Name, body, q.raw["messages"])
 	} else {
 		j.work.Digest, _ = digests(x.service.Name, append([]byte(x.r.Method+j.path), body...), nil)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -167,7 +167,7 @@
 	return &Pool{
 		set: s, service: service,
 		rng:     rand.New(rand.NewPCG(s.o.Seed, uint64(len(s.pools)))),
-		route:   route.New(route.Options{}),
+		route:   route.New(route.Options{Services: !model}),
 		queue:   admission.New(admission.Options{Services: !model, MaxWait: s.o.MaxWait}),
 		predict: predict.New(predict.Options{}),
 		retry:   retry.New(retry.Options{}),
--- a/internal/pool/ticket.go
+++ b/internal/pool/ticket.go
@@ -63,6 +63,7 @@
 	}
 	t.request = route.Request{
 		PredictedTokens: predicted, PromptTokens: prompt, PrefixHash: w.PrefixDigest, PrefixTokens: prompt, Domain: p.set.o.Domain,
+		Opaque: w.Service.Model && !w.Stream,
 	}
 	if predicted >= longTokens {
 		t.request.Class = route.Long
@@ -257,7 +258,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t.gotToken = true
-	p.retry.FirstToken(p.route.FirstToken(now, t.attempt).FirstToken)
+	if obs := p.route.FirstToken(now, t.attempt); obs.FirstToken > 0 {
+		p.retry.FirstToken(obs.FirstToken)
+	}
 }
 
 // Token implements gateway.Ticket.
--- a/internal/route/observe.go
+++ b/internal/route/observe.go
@@ -8,7 +8,7 @@
 	ep := &p.eps[c.index]
 	*a = Attempt{
 		Endpoint: c.Endpoint, index: c.index, generation: ep.generation, open: true,
-		tokens: int32(max(r.PredictedTokens, 1)), prefix: r.PrefixHash, started: t, last: t,
+		opaque: r.Opaque, tokens: int32(max(r.PredictedTokens, 1)), prefix: r.PrefixHash, started: t, last: t,
 	}
 	if !ep.present || ep.ID != c.Endpoint {
 		a.open = false
@@ -17,7 +17,9 @@
 	ep.own++
 	ep.ownTokens += int64(a.tokens)
 	p.own++
-	p.det.Started(t, c.index)
+	if !a.opaque {
+		p.det.Started(t, c.index)
+	}
 	if r.PrefixHash != 0 && r.PrefixTokens >= minPrefixTokens {
 		p.prefix.put(t, r.PrefixHash, c.index, ep.generation)
 	}
@@ -40,7 +42,7 @@
 // service endpoint.
 func (p *Pool) FirstToken(now time.Time, a *Attempt) Observation {
 	ep := p.of(a)
-	if ep == nil || a.first {
+	if ep == nil || a.first || a.opaque {
 		return Observation{}
 	}
 	t := now.UnixNano()
@@ -88,6 +90,10 @@
 	ep.own--
 	ep.ownTokens -= int64(a.tokens)
 	p.own--
+	if a.opaque {
+		// The detector hears of the attempt at its end only.
+		p.det.Started(t, a.index)
+	}
 	switch o {
 	case Completed:
 		p.det.Finished(t, a.index, a.first, true)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -56,6 +56,9 @@
 	PrefixTokens int
 	// Domain is the failure domain of the daemon.
 	Domain string
+	// Opaque is true if the answer comes whole, so that a long one can't be
+	// told from a stall before its end.
+	Opaque bool
 	// Class is the length class of the request.
 	Class Class
 	// Exclude lists endpoints that must not be chosen, for example those
@@ -93,6 +96,7 @@
 	generation uint32
 	open       bool
 	first      bool
+	opaque     bool
 	tokens     int32 // predicted tokens not yet seen
 	prefix     uint64
 	started    int64
