--- a/cmd/benchcheck/main.go
+++ b/cmd/benchcheck/main.go
@@ -17,6 +17,8 @@
 	app.Flag("bounds", "File of bounds.").Default("bench/bounds.toml").StringVar(&o.Bounds)
 	app.Flag("json", "Write the results as JSON.").StringVar(&o.JSON)
 	app.Flag("html", "Write a report.").StringVar(&o.HTML)
+	app.Flag("without", "Leave out the bounds whose benchmark contains this; may be repeated.").StringsVar(&o.Without)
+	app.Flag("known-red", "File that lists known broken bounds.").StringVar(&o.KnownRed)
 	app.Arg("results", "Output of go test -bench.").Required().StringVar(&o.Input)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := benchcheck.Run(o, os.Stdout); err != nil {
