budget: ask three failure domains for idle tokens, spread conflicts, test faults

With 14 failure domains a request for idle tokens made 13 allocators write at once, and most writes met a conflict. The three largest grants are now asked first, and a write that meets a second conflict waits for a jitter.

--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -17,6 +17,8 @@
 	// retryMin and retryMax bound the backoff after a store failure.
 	retryMin = 100 * time.Millisecond
 	retryMax = 10 * time.Second
+	// conflictSpread is the window over which repeated conflicts are spread.
+	conflictSpread = 40 * time.Millisecond
 	// maxWaiters bounds the requests that wait for tokens in one allocator.
 	maxWaiters = 4096
 	// decisionPoll is the time between reads for an operator's decision while
@@ -135,7 +137,9 @@
 	// reclaim are tokens that another failure domain asks for.
 	reclaim   int64
 	reclaimed time.Time
-	use       meter
+	// asked is the number of failure domains asked since a pause.
+	asked int
+	use   meter
 }
 
 func (p *pool) free() int64 {
@@ -185,9 +189,11 @@
 // flight is the store write under way.
 type flight struct {
 	flush *Flush // nil for a takeover
-	epoch uint64
-	write StoreWrite
-	sent  bool
+	// conflicts is the number of times that the write met a newer record.
+	conflicts int
+	epoch     uint64
+	write     StoreWrite
+	sent      bool
 	// held are the tokens held for mirrors that the flush sets free.
 	held map[string]int64
 }
@@ -305,7 +311,7 @@
 }
 
 func (a *Allocator) busy() bool {
-	if a.urgent || len(a.waiters) > 0 || a.wantRead {
+	if a.urgent || len(a.waiters) > 0 || a.wantRead || (a.flight != nil && !a.flight.sent) {
 		return true
 	}
 	for _, s := range a.streams {
--- a/internal/budget/doc.go
+++ b/internal/budget/doc.go
@@ -19,8 +19,8 @@
 //     later than its request; a caller that gives up settles the key with 0.
 //   - Mirrors: send each to its member's Holder.Mirror and pass the answer to
 //     MirrorAnswered. An unanswered one is produced again by Tick.
-//   - Reclaims: send each to the allocators of the same shard in other failure
-//     domains (Reclaim), when they can be reached.
+//   - Reclaims: send each to the allocator of the same shard in failure domain
+//     To (Reclaim), if it can be reached; there is no answer.
 //   - Next: call Tick no later than this time.
 //
 // Membership is an input: SetMembers with the live holders of the failure
--- a/internal/budget/flaw_test.go
+++ b/internal/budget/flaw_test.go
@@ -38,13 +38,13 @@
 		// seed is one with which the flaw shows early.
 		seed string
 	}{
-		{"reclaim on time alone", flawReclaimOnTime, "6"},
-		{"no sequence in the flush", flawNoSequence, "4"},
-		{"release what a dead daemon reserved", flawReleaseDead, "6"},
-		{"accept an old epoch's answer", flawOldAck, "6"},
-		{"skip the mirror", flawNoMirror, "6"},
-		{"no settlement numbers", flawNoWatermark, "6"},
-		{"reuse tokens that a mirror shows", flawReuseMirrored, "6"},
+		{"reclaim on time alone", flawReclaimOnTime, "8"},
+		{"no sequence in the flush", flawNoSequence, "8"},
+		{"release what a dead daemon reserved", flawReleaseDead, "8"},
+		{"accept an old epoch's answer", flawOldAck, "8"},
+		{"skip the mirror", flawNoMirror, "4"},
+		{"no settlement numbers", flawNoWatermark, "8"},
+		{"reuse tokens that a mirror shows", flawReuseMirrored, "8"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			setFlags(t, map[string]string{"rapid.shrinktime": "0s", "rapid.seed": tt.seed, "rapid.checks": "150"})
--- a/internal/budget/fuzz_test.go
+++ b/internal/budget/fuzz_test.go
@@ -51,6 +51,7 @@
 	add("repeat", 2, func() { w.disturb("repeat") })
 	add("lose", 1, func() { w.disturb("lose") })
 	add("rush", 1, on(allocates, w.rush))
+	add("lost answer", 1, w.lostAnswer)
 	add("delay", 3, w.delay)
 	add("arrive", 2, func() { w.net, w.late = append(w.late, w.net...), nil })
 	add("all", 2, w.deliverAll)
@@ -90,6 +91,22 @@
 	}
 }
 
+// lostAnswer loses the answer of the next write, and lets another writer change
+// the record before the retry.
+func (w *world) lostAnswer() {
+	for _, n := range w.nodes {
+		if n.up() {
+			w.sync(n)
+		}
+	}
+	w.lose++
+	w.tick(time.Second)
+	w.deliverAll()
+	w.tick(20 * time.Millisecond)
+	w.deliverAll()
+	w.topUp(false)
+}
+
 // rush uses a grant up, settles the allocator's own requests and crashes it
 // before the store knows of that.
 func (w *world) rush(n *node) {
--- a/internal/budget/message.go
+++ b/internal/budget/message.go
@@ -174,13 +174,14 @@
 	OK bool
 }
 
-// ReclaimRequest asks the allocators of other failure domains to return idle
+// ReclaimRequest asks the allocator of another failure domain to return idle
 // tokens of a budget.
 type ReclaimRequest struct {
-	Shard  int
-	From   string
-	Budget string
-	Tokens int64
+	Shard int
+	// From and To are failure domains.
+	From, To string
+	Budget   string
+	Tokens   int64
 }
 
 // StoreWrite is a compare-and-swap of the record.
--- /dev/null
+++ b/internal/budget/record_test.go
@@ -0,0 +1,133 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against a stored record that loses or changes state.
+func TestRecordRoundTrip(t *testing.T) {
+	r := fullShard()
+	d := r.Domains["region-0-zone-0"]
+	d.Cleared = []Cleared{{"m", Key{"h", 1, 2}}}
+	d.Waiting, d.Decision, d.Seq, d.Solo = []string{"x"}, Spend, 7, true
+	d.Holders["h"] = Mark{Gen: 2, Settled: 9, Closed: true, Unix: 5}
+	r.Bills[0].Provisional, r.Bills[0].Key = true, Key{"h", 1, 3}
+	r.Accounts["account-00000"] = &Totals{Requests: 1, Spent: 2}
+	r.TopUps = []string{"op"}
+	value, err := r.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Unmarshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(r, got); diff != "" {
+		t.Errorf("record changed (-want +got):\n%s", diff)
+	}
+	if len(value) > 256<<10 {
+		t.Errorf("a full shard takes %d bytes, want far below a megabyte", len(value))
+	}
+}
+
+// Guards against a top-up that counts twice and one that takes back tokens
+// which are granted.
+func TestTopUp(t *testing.T) {
+	r := NewRecord()
+	r.SetBudgets([]Spec{{ID: testBudget, Initial: 100}})
+	r.Budgets[testBudget].setGrant("a", Grant{Tokens: 80})
+	for range 2 {
+		if err := r.TopUp("op", testBudget, 50); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.TopUp("back", testBudget, -71); err == nil || r.Budgets[testBudget].Prepaid != 150 {
+		t.Fatalf("error %v, prepaid %d, want a refusal and 150", err, r.Budgets[testBudget].Prepaid)
+	}
+	if r.SetBudgets(nil); !r.Budgets[testBudget].Removed || r.Budgets[testBudget].Prepaid != 150 {
+		t.Fatal("a budget that is no longer configured must be kept and marked")
+	}
+}
+
+// inOffice returns an allocator of failure domain a that took the record over.
+func inOffice(t *testing.T, r *Record, owner string) *Allocator {
+	t.Helper()
+	value, err := r.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	a := NewAllocator(now, Options{Domain: "a", Shard: testShard, Owner: owner})
+	a.Loaded(now, value, 1, true)
+	a.Stored(now, StoreResult{Outcome: Applied, Revision: 2})
+	if a.Epoch() == 0 {
+		t.Fatal("not in office")
+	}
+	return a
+}
+
+func oldGrant(owner string, members ...string) *Record {
+	r := NewRecord()
+	r.SetBudgets([]Spec{{ID: testBudget, Initial: 1000}})
+	r.TakeOver("a", owner, members)
+	r.Budgets[testBudget].setGrant("a", Grant{Tokens: 500})
+	return r
+}
+
+// Guards against a second charge of a reservation that was settled while its
+// mirror had not registered; the mirror is the previous owner, or a member.
+func TestStaleMirrorIsCleared(t *testing.T) {
+	r := oldGrant("previous", "m", "h")
+	r.Domains["a"].Holders["previous"] = Mark{Gen: 1} // it was a mirror once
+	a := inOffice(t, r, "owner")
+	key := Key{"h", 1, 1}
+	a.Register(a.now, RegisterRequest{Epoch: a.Epoch(), Holder: "h", Gen: 1, Bills: []Bill{{N: 1, Key: key, ID: "u1", Budget: testBudget, Tokens: 10}}})
+	for _, mirror := range []string{"previous", "m"} {
+		if _, ok := a.cleared[Cleared{mirror, key}]; !ok {
+			t.Errorf("the reservation is not cleared with %s", mirror)
+		}
+	}
+	a.Register(a.now, RegisterRequest{Epoch: a.Epoch(), Holder: "m", Gen: 1, Mirrored: []Reservation{{Key: key, ID: "u1", Budget: testBudget, Tokens: 10}}})
+	if len(a.open) != 0 {
+		t.Errorf("the settled reservation is open again: %s", a.dump())
+	}
+}
+
+// Guards against a bill cut to the smaller total that a mirror knew.
+func TestBillAboveMirroredTotal(t *testing.T) {
+	a := inOffice(t, oldGrant("previous", "m", "h"), "owner")
+	key := Key{"h", 1, 1}
+	a.Register(a.now, RegisterRequest{Epoch: a.Epoch(), Holder: "m", Gen: 1, Mirrored: []Reservation{{Key: key, ID: "u1", Budget: testBudget, Tokens: 9}}})
+	a.Register(a.now, RegisterRequest{Epoch: a.Epoch(), Holder: "h", Gen: 1, Bills: []Bill{{N: 1, Key: key, ID: "u1", Budget: testBudget, Tokens: 10}}})
+	p := a.pools[testBudget]
+	if p.pendingOld+p.pending+a.rec.Budgets[testBudget].Spent != 10 {
+		t.Errorf("billed %d, want 10", p.pendingOld+p.pending)
+	}
+}
+
+// Guards against old grants that return before all members have registered,
+// and against a decision that is not carried out.
+func TestDisputeWaitsForDecision(t *testing.T) {
+	r := oldGrant("previous", "m", "h")
+	a := inOffice(t, r, "owner")
+	a.Register(a.now, RegisterRequest{Epoch: a.Epoch(), Holder: "m", Gen: 1})
+	if a.recoverReady(a.now.Add(time.Hour)) {
+		t.Fatal("the old grant would return although h has not registered")
+	}
+	if d := a.rec.Disputes(); len(d) != 1 || d[0].Tokens[testBudget] != 500 {
+		t.Fatalf("disputes %+v, want 500 tokens", d)
+	}
+	if err := a.rec.Decide("a", Spend); err != nil {
+		t.Fatal(err)
+	}
+	f := a.buildFlush(a.now)
+	if err := a.rec.Apply(f); err != nil {
+		t.Fatal(err)
+	}
+	if b := a.rec.Budgets[testBudget]; b.Spent != 500 || len(a.rec.Disputes()) != 0 {
+		t.Errorf("spent %d, disputes %v, want 500 and none", b.Spent, a.rec.Disputes())
+	}
+}
--- a/internal/budget/sizing.go
+++ b/internal/budget/sizing.go
@@ -1,7 +1,10 @@
 package budget
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -20,6 +23,8 @@
 	keepWhenAsked = 2 * time.Second
 	// reclaimEvery is the time between requests for idle tokens of a budget.
 	reclaimEvery = 150 * time.Millisecond
+	// reclaimFanOut is the number of failure domains asked at once.
+	reclaimFanOut = 3
 )
 
 // meter measures a rate as the larger of a fast and a slow moving average, so
@@ -153,15 +158,36 @@
 		return
 	}
 	a.wantRead = true
-	elsewhere := b.Held() - b.Grants[a.opts.Domain].Tokens - b.Grants[a.opts.Domain].Old
-	if elsewhere > 0 && now.Sub(p.reclaimed) >= reclaimEvery {
-		p.reclaimed = now
+	if now.Sub(p.reclaimed) < reclaimEvery {
+		return
+	}
+	if now.Sub(p.reclaimed) > emptyFresh {
+		p.asked = 0
+	}
+	p.reclaimed = now
+	for _, to := range a.holdersOf(b, p.asked) {
+		p.asked++
 		a.out.Reclaims = append(a.out.Reclaims, ReclaimRequest{
-			Shard: a.opts.Shard, From: a.opts.Domain, Budget: id, Tokens: a.short[id] + int64(p.use.rate(now)),
+			Shard: a.opts.Shard, From: a.opts.Domain, To: to, Budget: id, Tokens: a.short[id] + int64(p.use.rate(now)),
 		})
 	}
 }
 
+// holdersOf returns the next failure domains to ask for tokens of a budget:
+// those with the largest grants first. Asking all 13 at once made each of them
+// write, and most of these writes met a conflict.
+func (a *Allocator) holdersOf(b *Budget, asked int) []string {
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(b.Grants)), func(name string) bool {
+		return name == a.opts.Domain || b.Grants[name].Tokens == 0
+	})
+	slices.SortStableFunc(names, func(x, y string) int { return cmp.Compare(b.Grants[y].Tokens, b.Grants[x].Tokens) })
+	if len(names) == 0 {
+		return nil
+	}
+	first := asked % len(names)
+	return names[first:min(first+reclaimFanOut, len(names))]
+}
+
 // Reclaim handles the request of another failure domain for idle tokens: half
 // of what is idle, or what was asked for if that is more.
 func (a *Allocator) Reclaim(now time.Time, r ReclaimRequest) {
--- a/internal/budget/store.go
+++ b/internal/budget/store.go
@@ -78,7 +78,6 @@
 		}
 		return
 	}
-	urgentDue := now.Sub(a.lastUrgent) >= a.urgentGap()
 	switch {
 	case a.rec == nil:
 		a.read(now)
@@ -86,7 +85,10 @@
 		a.startTakeover()
 	case a.wantRead && now.Sub(a.lastRead) >= max(a.urgentGap(), 100*time.Millisecond):
 		a.read(now)
-	case a.dirty && (!now.Before(a.nextFlush) || (a.urgent && urgentDue)):
+	case !a.flushDue(now):
+	case !a.fresh(now):
+		a.read(now)
+	default:
 		if a.urgent {
 			a.lastUrgent = now
 		}
@@ -94,6 +96,23 @@
 	}
 }
 
+// flushDue reports whether it is time for a flush.
+func (a *Allocator) flushDue(now time.Time) bool {
+	if !a.dirty && !now.Before(a.nextFlush) {
+		// Keep the own phase: allocators that become dirty together would
+		// otherwise write together and conflict.
+		a.nextFlush = now.Add(a.opts.Interval - a.phase(now))
+	}
+	return a.dirty && (!now.Before(a.nextFlush) || (a.urgent && now.Sub(a.lastUrgent) >= a.urgentGap()))
+}
+
+// fresh reports whether a write is likely to find the record as it is known.
+// With several failure domains it seldom is: a conflict on each flush doubled
+// the writes, and reads are allowed seven times as often.
+func (a *Allocator) fresh(now time.Time) bool {
+	return len(a.rec.Domains) < 2 || now.Sub(a.lastLoaded) < 10*time.Millisecond
+}
+
 func (a *Allocator) startTakeover() {
 	epoch := a.rec.TakeOver(a.opts.Domain, a.opts.Owner, slices.Collect(maps.Keys(a.live)))
 	a.flight = &flight{epoch: epoch, write: StoreWrite{OpID: fmt.Sprintf("%s/%d/%s", a.opts.Domain, epoch, a.opts.Owner)}}
@@ -270,9 +289,24 @@
 		a.fail(err)
 	default:
 		a.encode()
+		a.spread(now)
 	}
 }
 
+// spread delays a write that met a conflict, so that many writers of a record
+// do not meet again.
+func (a *Allocator) spread(now time.Time) {
+	fl := a.flight
+	fl.conflicts++
+	if fl.conflicts == 1 || a.out.Write == nil {
+		return // the first repeat goes at once: there is mostly one other writer
+	}
+	window := conflictSpread << min(fl.conflicts-2, 3)
+	jitter := xxhash.Sum64String(fmt.Sprint(a.opts.Domain, a.opts.Shard, fl.write.OpID, fl.conflicts)) % uint64(window)
+	a.out.Write, fl.sent = nil, false
+	a.retryAt = now.Add(time.Duration(jitter))
+}
+
 // confirm books the write under way as durable.
 func (a *Allocator) confirm(now time.Time) {
 	fl := a.flight
--- a/internal/budget/world_test.go
+++ b/internal/budget/world_test.go
@@ -166,7 +166,7 @@
 	}
 	for _, r := range out.Reclaims {
 		for _, to := range w.nodes {
-			if to.a != nil && to.domain != n.domain {
+			if to.a != nil && to.domain == r.To {
 				w.send(n, to, func() { w.call(to, to.a, func() { to.a.Reclaim(w.now, r) }) })
 			}
 		}
