budget: let another run's bill replace a provisional one; shorten waits

A retry on another daemon after a charge for a dead one was billed at most the dead one's reservation, so a request that used 59 tokens was billed 5. The larger use is now charged, covered by the retry's own grant.

At the target size an allocator waited 1 s between urgent calls, longer than a request waits, so requests were refused while tokens were idle elsewhere. The gaps are now 250 ms for flushes and 100 ms for reads, and after one request waited in vain others are refused at once for 2 s.

--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -19,6 +19,12 @@
 	retryMax = 10 * time.Second
 	// conflictSpread is the window over which repeated conflicts are spread.
 	conflictSpread = 40 * time.Millisecond
+	// dryPause is how long requests are refused at once after one waited for
+	// tokens in vain. Without it an exhausted budget needed 10 reads/s in each
+	// failure domain.
+	dryPause = 2 * time.Second
+	// readGap is the time between reads for waiting requests.
+	readGap = 100 * time.Millisecond
 	// maxWaiters bounds the requests that wait for tokens in one allocator.
 	maxWaiters = 4096
 	// decisionPoll is the time between reads for an operator's decision while
@@ -137,6 +143,9 @@
 	// reclaim are tokens that another failure domain asks for.
 	reclaim   int64
 	reclaimed time.Time
+	// dryUntil is the time until which requests do not wait for tokens,
+	// because one waited in vain.
+	dryUntil time.Time
 	// asked is the number of failure domains asked since a pause.
 	asked int
 	use   meter
--- a/internal/budget/bills.go
+++ b/internal/budget/bills.go
@@ -11,7 +11,7 @@
 )
 
 // applyBills charges the bills of a flush. A request id has one bill: a second
-// bill replaces a provisional one if it is smaller, and is otherwise ignored.
+// one can replace a provisional bill, and is otherwise ignored.
 func (r *Record) applyBills(f *Flush) {
 	if len(f.Bills) == 0 {
 		return
@@ -28,9 +28,10 @@
 			continue
 		}
 		i, known := index[bill.ID]
+		known = known && r.Bills[i].Budget == bill.Budget
 		switch {
 		case known:
-			r.replaceBill(&r.Bills[i], bill)
+			r.replaceBill(f.Domain, &r.Bills[i], bill)
 			if r.Bills[i].Tokens == 0 {
 				delete(index, bill.ID) // lifted: the request has no bill now
 			}
@@ -57,25 +58,41 @@
 	r.trimBills()
 }
 
-// replaceBill applies a bill whose request id is already billed. A provisional
-// bill of the same or another run never replaces anything.
-func (r *Record) replaceBill(e *RecentBill, bill Bill) {
-	if !e.Provisional || bill.Provisional || (bill.Late && bill.Key != e.Key) {
+// replaceBill applies a bill whose request id is already billed. A late bill can
+// only lower the provisional charge of its own run. Another run of the request
+// replaces the charge with its own use; what that is more is covered by its
+// own grant.
+func (r *Record) replaceBill(domain string, e *RecentBill, bill Bill) {
+	more := bill.Tokens - e.Tokens
+	switch {
+	case !e.Provisional, bill.Late && bill.Key != e.Key:
 		return
-	}
-	if bill.Tokens == 0 && !bill.Late {
+	case bill.Tokens == 0 && !bill.Late:
 		return // another attempt that did not run
+	case bill.Provisional && more <= 0:
+		return // of two provisional charges the larger one stands
 	}
-	if less := e.Tokens - bill.Tokens; less > 0 {
-		r.Budgets[e.Budget].Spent -= less
-		t := r.totals(e.Budget)
-		t.Spent -= less
-		if bill.Tokens == 0 {
-			t.Requests--
-		}
-		e.Tokens = bill.Tokens
+	if bill.Late {
+		more = min(0, more)
+	}
+	b, t := r.Budgets[e.Budget], r.totals(e.Budget)
+	if more > 0 {
+		g := b.Grants[domain]
+		old := min(bill.Old, more)
+		g.Old -= old
+		g.Tokens -= more - old
+		b.setGrant(domain, g)
+	}
+	b.Spent += more
+	t.Spent += more
+	e.Tokens += more
+	if e.Tokens == 0 {
+		t.Requests--
+	}
+	e.Provisional, e.Key = bill.Provisional, Key{}
+	if e.Provisional {
+		e.Key = bill.Key
 	}
-	e.Provisional, e.Key = false, Key{}
 }
 
 // trimBills drops bills above the bounds: unkeyed final ones first, then keyed
--- a/internal/budget/fuzz_test.go
+++ b/internal/budget/fuzz_test.go
@@ -51,6 +51,7 @@
 	add("repeat", 2, func() { w.disturb("repeat") })
 	add("lose", 1, func() { w.disturb("lose") })
 	add("rush", 1, on(allocates, w.rush))
+	add("false death", 1, on(busy, w.falseDeath))
 	add("lost answer", 1, w.lostAnswer)
 	add("delay", 3, w.delay)
 	add("arrive", 2, func() { w.net, w.late = append(w.late, w.net...), nil })
@@ -91,6 +92,16 @@
 	}
 }
 
+// falseDeath pauses a daemon with requests until it is taken for dead.
+func (w *world) falseDeath(n *node) {
+	w.cycle()
+	w.pause(n)
+	w.cycle()
+	w.suspect(n)
+	w.cycle()
+	n.paused = false
+}
+
 // lostAnswer loses the answer of the next write, and lets another writer change
 // the record before the retry.
 func (w *world) lostAnswer() {
--- a/internal/budget/record_test.go
+++ b/internal/budget/record_test.go
@@ -131,3 +131,88 @@
 		t.Errorf("spent %d, disputes %v, want 500 and none", b.Spent, a.rec.Disputes())
 	}
 }
+
+// Guards against tokens that a daemon keeps after a planned stop.
+func TestRetireReturnsIdleTokens(t *testing.T) {
+	r := NewRecord()
+	r.SetBudgets([]Spec{{ID: testBudget, Initial: 1000}})
+	a := inOffice(t, r, "owner")
+	a.Stored(a.now, StoreResult{Outcome: Applied, Revision: 3}) // the first draw
+	if a.pools[testBudget].free() == 0 {
+		t.Fatal("no standing grant")
+	}
+	a.Retire(a.now)
+	a.Tick(a.now.Add(time.Second))
+	a.Stored(a.now, StoreResult{Outcome: Applied, Revision: 4})
+	if held := a.rec.Budgets[testBudget].Held(); held != 0 {
+		t.Errorf("%d tokens are still held", held)
+	}
+}
+
+// Guards against a flush interval that breaks the write allowance of 72/s at
+// the target size.
+func TestFlushInterval(t *testing.T) {
+	for _, tt := range []struct {
+		pairs int
+		want  time.Duration
+	}{{14 * Shards, 24888888888}, {4, time.Second}, {1 << 20, 30 * time.Second}} {
+		if got := FlushInterval(tt.pairs, 72); got != tt.want {
+			t.Errorf("%d pairs: %v, want %v", tt.pairs, got, tt.want)
+		}
+	}
+}
+
+// Guards against a paused daemon whose late settlement does not lower the
+// provisional charge, raises it, or counts twice.
+func TestLateSettlementReplacesProvisional(t *testing.T) {
+	for _, tt := range []struct{ used, want int64 }{{4, 4}, {50, 50}, {0, 0}} {
+		a := inOffice(t, oldGrant("previous", "h", "m"), "owner")
+		h := NewHolder("h")
+		h.ObserveEpoch(testShard, 1)
+		h.shard(testShard).registered = true
+		req, _ := h.Reserve(testShard, "u1", testBudget, 50, false)
+		key := req.Reservation.Key
+		h.ReserveAnswered(Reply{Kind: KindReserve, Shard: testShard, Holder: "h", Gen: 1, Key: key, Epoch: 1, Status: StatusOK, Tokens: 50})
+		rev := int64(2)
+		step := func() {
+			a.Tick(a.now.Add(11 * time.Second))
+			for out := a.Take(); out.Read || out.Write != nil || len(out.Replies) > 0; out = a.Take() {
+				for _, r := range out.Replies {
+					switch r.Kind {
+					case KindRegister:
+						h.RegisterAnswered(r)
+					case KindSettle:
+						h.SettleAnswered(r)
+					}
+				}
+				if out.Write != nil {
+					rev++
+					a.Stored(a.now, StoreResult{Outcome: Applied, Revision: rev})
+				}
+				if out.Read {
+					value, _ := a.rec.Marshal()
+					a.Loaded(a.now, value, rev, true)
+				}
+			}
+		}
+		for range 12 {
+			h.ObserveEpoch(testShard, a.Epoch())
+			r, _ := h.Register(testShard)
+			a.Register(a.now, r)
+			a.Register(a.now, RegisterRequest{Epoch: a.Epoch(), Holder: "m", Gen: 1})
+			if s, ok := h.Unsettled(testShard); ok {
+				a.Settle(a.now, s)
+			}
+			step()
+			switch h.shard(testShard).gen {
+			case 1:
+				a.HolderGone(a.now, "h")
+			case 2:
+				_ = h.Settle(testShard, key, tt.used)
+			}
+		}
+		if b := a.rec.Budgets[testBudget]; b.Spent != tt.want || !h.Idle() {
+			t.Errorf("used %d: spent %d, want %d; idle %v", tt.used, b.Spent, tt.want, h.Idle())
+		}
+	}
+}
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -144,7 +144,11 @@
 		a.reply(e.kind, e.res.Key, StatusOK, e.res.Tokens)
 		return true
 	}
-	if !now.Before(e.deadline) || (!e.taken && a.knownEmpty(now, e.res.Budget)) {
+	late := !now.Before(e.deadline)
+	if late && !e.taken {
+		p.dryUntil = now.Add(dryPause)
+	}
+	if late || (!e.taken && (a.knownEmpty(now, e.res.Budget) || now.Before(p.dryUntil))) {
 		a.refuse(e, a.refusal(e.res.Budget))
 		return true
 	}
--- a/internal/budget/sizing.go
+++ b/internal/budget/sizing.go
@@ -74,7 +74,8 @@
 // urgentGap is the shortest time between two flushes that do not wait for the
 // period. It grows with the interval, because both share the allowance.
 func (a *Allocator) urgentGap() time.Duration {
-	return min(max(a.opts.Interval/25, 50*time.Millisecond), time.Second)
+	// 1 s at the target size was longer than a request waits (waitLimit).
+	return min(max(a.opts.Interval/100, 50*time.Millisecond), 250*time.Millisecond)
 }
 
 // target returns the unreserved tokens that this failure domain should hold of
@@ -85,16 +86,16 @@
 	}
 	domains := float64(len(a.rec.Domains))
 	rate := p.use.rate(now)
-	others := 0.0
+	var others int64
 	for name, g := range b.Grants {
 		if name != a.opts.Domain {
-			others += float64(g.Rate) / 60
+			others += g.Rate
 		}
 	}
 	left := float64(b.Prepaid - b.Spent)
 	// One token a second for each failure domain keeps an idle one in the
 	// division.
-	share := shareOfLeft * left * (rate + 1) / (rate + others + domains)
+	share := shareOfLeft * left * (rate + 1) / (rate + float64(others)/60 + domains)
 	standing := min(float64(standingSteps*a.opts.Step), left/(8*domains))
 	return int64(min(rate*horizon.Seconds()+standing, share))
 }
--- a/internal/budget/store.go
+++ b/internal/budget/store.go
@@ -83,7 +83,7 @@
 		a.read(now)
 	case a.epoch == 0:
 		a.startTakeover()
-	case a.wantRead && now.Sub(a.lastRead) >= max(a.urgentGap(), 100*time.Millisecond):
+	case a.wantRead && now.Sub(a.lastRead) >= readGap:
 		a.read(now)
 	case !a.flushDue(now):
 	case !a.fresh(now):
