claim: write a change that came while a write was under way

A change that came while a write was under way was not scheduled if no retry was pending, so a claim stayed in the store until the next request of the shard. It is now collected for the next write. The new test fails without the fix. Found by the fuzz.

--- a/internal/claim/fuzz_test.go
+++ b/internal/claim/fuzz_test.go
@@ -346,3 +346,31 @@
 	}
 	t.Logf("granted %d of %d", granted, groups*group)
 }
+
+// Guards against a change that is forgotten because it came while a write was
+// under way.
+func TestChangeDuringWrite(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := New(Options{Daemon: "d"})
+	later := func() Output {
+		now = now.Add(60 * time.Millisecond)
+		w.Tick(now)
+		return w.Take()
+	}
+	id := ID{"acme", "order", "1"}
+	w.Attempt(now, id, "t1")
+	if out := later(); !out.Read {
+		t.Fatal("no read")
+	}
+	w.Loaded(now, nil, 0, true)
+	if w.Take().Write == nil {
+		t.Fatal("no write")
+	}
+	w.pending[0].deadline = now // refused while the write is under way
+	later()
+	w.Stored(now, Applied, nil, 1)
+	w.Take()
+	if out := later(); out.Write == nil {
+		t.Fatal("the claim of the refused attempt is not released")
+	}
+}
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -327,7 +327,7 @@
 	switch o {
 	case Applied:
 		w.rev = revision
-		w.settle(w.inWrite)
+		w.settle(now, w.inWrite)
 	case Conflict:
 		// A write whose answer was lost may be in the newer record: its claims
 		// carry the tokens of the attempts, so the next round recognises them.
@@ -339,7 +339,7 @@
 		w.rec, w.rev, w.dueAt = rec, revision, now
 	default:
 		if w.opts.flaws&flawGrantUnconfirmed != 0 {
-			w.settle(w.inWrite)
+			w.settle(now, w.inWrite)
 		}
 		w.reset(now)
 	}
@@ -347,9 +347,9 @@
 }
 
 // settle answers the attempts after their record became current.
-func (w *Writer) settle(placed []*attempt) {
+func (w *Writer) settle(now time.Time, placed []*attempt) {
 	for token, ch := range w.written {
-		if now, ok := w.changes[token]; ok && now.remove == ch.remove && now.claim.State == ch.claim.State {
+		if c, ok := w.changes[token]; ok && c.remove == ch.remove && c.claim.State == ch.claim.State {
 			delete(w.changes, token)
 		}
 	}
@@ -372,6 +372,6 @@
 		return true
 	})
 	if len(w.pending) > 0 || len(w.changes) > 0 {
-		w.dueAt = w.retryAt
+		w.collect(now)
 	}
 }
