--- /dev/null
+++ b/internal/budget/build.go
@@ -0,0 +1,79 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// buildFlush fixes the content of the next flush.
+func (a *Allocator) buildFlush(now time.Time) *Flush {
+	a.seq++
+	f := &Flush{
+		Domain: a.opts.Domain, Epoch: a.epoch, Seq: a.seq, Unix: now.Unix(),
+		Return: make(map[string]int64), Draw: make(map[string]int64), Rates: make(map[string]int64),
+	}
+	f.Recover = a.recovering && a.recoverReady(now)
+	f.Bills, a.bills = a.bills, nil
+	f.Marks = a.marks(now)
+	for h := range a.members {
+		if c := a.clients[h]; a.gone[h] && (c == nil || !c.registered) {
+			delete(a.members, h) // it never had a reservation of this epoch
+		}
+	}
+	f.Members = slices.Sorted(maps.Keys(a.members))
+	f.Solo = a.wantSolo || len(f.Members) == 0 || a.ownUnmirrored()
+	a.wantSolo = false
+	f.Cleared = slices.SortedFunc(maps.Keys(a.cleared), Cleared.compare)
+	if f.Recover {
+		f.Keep = a.keep(f.Bills)
+	}
+	a.size(now, f)
+	return f
+}
+
+// marks returns the state of each holder for the record.
+func (a *Allocator) marks(now time.Time) map[string]Mark {
+	marks := make(map[string]Mark, len(a.clients))
+	for h, c := range a.clients {
+		if c.gen == 0 {
+			continue
+		}
+		m := Mark{Gen: c.gen, Settled: c.accepted, Closed: c.closing || c.closed}
+		if m.Closed {
+			m.Unix = now.Unix()
+			if old := a.rec.domain(a.opts.Domain).Holders[h]; old.Closed && old.Gen == c.gen {
+				m.Unix = old.Unix
+			}
+		}
+		marks[h] = m
+	}
+	return marks
+}
+
+// keep returns what of the old grants is known to be open or billed later than
+// by the given bills.
+func (a *Allocator) keep(bills []Bill) map[string]int64 {
+	keep := make(map[string]int64, len(a.pools))
+	for id, p := range a.pools {
+		keep[id] = p.reservedOld + p.pendingOld
+		p.heldOld = 0 // cleared by this flush
+	}
+	for _, b := range bills {
+		keep[b.Budget] -= b.Old
+	}
+	return keep
+}
+
+// ownUnmirrored reports whether an own reservation goes without a mirror.
+func (a *Allocator) ownUnmirrored() bool {
+	if !a.solo {
+		return false
+	}
+	for key, e := range a.open {
+		if key.Holder == a.opts.Owner && e.granted && !a.mirrored(e) {
+			return true
+		}
+	}
+	return false
+}
