--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -144,7 +144,11 @@
 		a.reply(e.kind, e.res.Key, StatusOK, e.res.Tokens)
 		return true
 	}
-	if need := e.want - e.res.Tokens; !now.Before(e.deadline) || (!e.taken && a.knownShort(now, e.res.Budget, need)) {
+	late, need := !now.Before(e.deadline), e.want-e.res.Tokens
+	if late && !e.taken {
+		p.dryUntil = now.Add(dryPause)
+	}
+	if late || (!e.taken && (a.knownShort(now, e.res.Budget, need) || now.Before(p.dryUntil))) {
 		a.refuse(e, a.refusal(e.res.Budget, need))
 		return true
 	}
--- a/internal/budget/store.go
+++ b/internal/budget/store.go
@@ -78,15 +78,17 @@
 		}
 		return
 	}
-	urgentDue := now.Sub(a.lastUrgent) >= a.urgentGap()
 	switch {
 	case a.rec == nil:
 		a.read(now)
 	case a.epoch == 0:
 		a.startTakeover()
-	case a.wantRead && now.Sub(a.lastRead) >= max(a.urgentGap(), 100*time.Millisecond):
+	case a.wantRead && now.Sub(a.lastRead) >= readGap:
 		a.read(now)
-	case a.dirty && (!now.Before(a.nextFlush) || (a.urgent && urgentDue)):
+	case !a.flushDue(now):
+	case !a.fresh(now):
+		a.read(now)
+	default:
 		if a.urgent {
 			a.lastUrgent = now
 		}
@@ -94,6 +96,23 @@
 	}
 }
 
+// flushDue reports whether it is time for a flush.
+func (a *Allocator) flushDue(now time.Time) bool {
+	if !a.dirty && !now.Before(a.nextFlush) {
+		// Keep the own phase: allocators that become dirty together would
+		// otherwise write together and conflict.
+		a.nextFlush = now.Add(a.opts.Interval - a.phase(now))
+	}
+	return a.dirty && (!now.Before(a.nextFlush) || (a.urgent && now.Sub(a.lastUrgent) >= a.urgentGap()))
+}
+
+// fresh reports whether a write is likely to find the record as it is known.
+// With several failure domains it seldom is: a conflict on each flush doubled
+// the writes, and reads are allowed seven times as often.
+func (a *Allocator) fresh(now time.Time) bool {
+	return len(a.rec.Domains) < 2 || now.Sub(a.lastLoaded) < 10*time.Millisecond
+}
+
 func (a *Allocator) startTakeover() {
 	epoch := a.rec.TakeOver(a.opts.Domain, a.opts.Owner, slices.Collect(maps.Keys(a.live)))
 	a.flight = &flight{epoch: epoch, write: StoreWrite{OpID: fmt.Sprintf("%s/%d/%s", a.opts.Domain, epoch, a.opts.Owner)}}
@@ -141,79 +160,6 @@
 	a.out.Write, a.flight.sent = &w, true
 }
 
-// buildFlush fixes the content of the next flush.
-func (a *Allocator) buildFlush(now time.Time) *Flush {
-	a.seq++
-	f := &Flush{
-		Domain: a.opts.Domain, Epoch: a.epoch, Seq: a.seq, Unix: now.Unix(),
-		Return: make(map[string]int64), Draw: make(map[string]int64), Rates: make(map[string]int64),
-	}
-	f.Recover = a.recovering && a.recoverReady(now)
-	f.Bills, a.bills = a.bills, nil
-	f.Marks = a.marks(now)
-	for h := range a.members {
-		if c := a.clients[h]; a.gone[h] && (c == nil || !c.registered) {
-			delete(a.members, h) // it never had a reservation of this epoch
-		}
-	}
-	f.Members = slices.Sorted(maps.Keys(a.members))
-	f.Solo = a.wantSolo || len(f.Members) == 0 || a.unmirrored()
-	a.wantSolo = false
-	f.Cleared = slices.SortedFunc(maps.Keys(a.cleared), Cleared.compare)
-	if f.Recover {
-		f.Keep = a.keep(f.Bills)
-	}
-	a.size(now, f)
-	return f
-}
-
-// marks returns the state of each holder for the record.
-func (a *Allocator) marks(now time.Time) map[string]Mark {
-	marks := make(map[string]Mark, len(a.clients))
-	for h, c := range a.clients {
-		if c.gen == 0 {
-			continue
-		}
-		m := Mark{Gen: c.gen, Settled: c.accepted, Closed: c.closing || c.closed}
-		if m.Closed {
-			m.Unix = now.Unix()
-			if old := a.rec.domain(a.opts.Domain).Holders[h]; old.Closed && old.Gen == c.gen {
-				m.Unix = old.Unix
-			}
-		}
-		marks[h] = m
-	}
-	return marks
-}
-
-// keep returns what of the old grants is known to be open or billed later than
-// by the given bills.
-func (a *Allocator) keep(bills []Bill) map[string]int64 {
-	keep := make(map[string]int64, len(a.pools))
-	for id, p := range a.pools {
-		keep[id] = p.reservedOld + p.pendingOld
-		p.heldOld = 0 // cleared by this flush
-	}
-	for _, b := range bills {
-		keep[b.Budget] -= b.Old
-	}
-	return keep
-}
-
-// unmirrored reports whether a reservation is known to this process alone: an
-// own one without a mirror, or an adopted one whose holder is gone.
-func (a *Allocator) unmirrored() bool {
-	if !a.solo {
-		return false
-	}
-	for _, e := range a.open {
-		if e.granted && !a.mirrored(e) {
-			return true
-		}
-	}
-	return false
-}
-
 // Stored passes the outcome of Output.Write.
 func (a *Allocator) Stored(now time.Time, r StoreResult) {
 	if fl := a.flight; fl != nil && fl.sent && !a.deposed {
@@ -271,9 +217,24 @@
 		a.fail(err)
 	default:
 		a.encode()
+		a.spread(now)
 	}
 }
 
+// spread delays a write that met a conflict, so that many writers of a record
+// do not meet again.
+func (a *Allocator) spread(now time.Time) {
+	fl := a.flight
+	fl.conflicts++
+	if fl.conflicts == 1 || a.out.Write == nil {
+		return // the first repeat goes at once: there is mostly one other writer
+	}
+	window := conflictSpread << min(fl.conflicts-2, 3)
+	jitter := xxhash.Sum64String(fmt.Sprint(a.opts.Domain, a.opts.Shard, fl.write.OpID, fl.conflicts)) % uint64(window)
+	a.out.Write, fl.sent = nil, false
+	a.retryAt = now.Add(time.Duration(jitter))
+}
+
 // confirm books the write under way as durable.
 func (a *Allocator) confirm(now time.Time) {
 	fl := a.flight
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/azurehatch/azurehatch/internal/daemon"
 	"github.com/azurehatch/azurehatch/internal/dev"
+	"github.com/azurehatch/azurehatch/internal/ledger"
 	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp"
 	"github.com/azurehatch/azurehatch/internal/settings"
 )
@@ -61,7 +62,12 @@
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.Failed():
+		d.Close()
+		return errors.Wrap(ledger.ErrIDReused, s.Instance.ID)
+	}
 	cancel() // a second signal then ends the process
 	return d.Stop(context.Background())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -247,6 +247,10 @@
 	}
 }
 
+// Failed returns a channel that is closed if the daemon can't serve because
+// its instance id was used before.
+func (d *Daemon) Failed() <-chan struct{} { return d.ledger.Reused() }
+
 // Ready reports whether the daemon takes requests: it is not stopping, has a
 // configuration and knows the other daemons.
 func (d *Daemon) Ready() bool { return d.ready.Load() && d.configured.Load() && d.fleet.Listed() }
--- a/internal/ledger/adopt.go
+++ b/internal/ledger/adopt.go
@@ -24,6 +24,9 @@
 // allocator would wait for the next request to the same shard, and the first
 // request after a start would wait for the takeover, the grant and a mirror.
 func (l *Ledger) adopt() {
+	if l.awaitID(l.ctx) != nil {
+		return
+	}
 	for {
 		select {
 		case <-l.adopting:
--- /dev/null
+++ b/internal/ledger/identity.go
@@ -0,0 +1,71 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// claimRetry is the wait after a failed attempt to claim the holder's id.
+const claimRetry = time.Second
+
+// holderPrefix precedes the ids of holders in the store.
+const holderPrefix = "holder/"
+
+// ErrIDReused means that another process used this instance's id before.
+var ErrIDReused = errors.New("the instance id was used before; each start needs a new one")
+
+// claimID records that this process uses the holder's id. The settlements of
+// two processes with one id could not be told apart: the second one's would
+// pass for repeats and go unbilled. Without the record no reservation is made.
+func (l *Ledger) claimID() {
+	write := platform.Write{Key: holderPrefix + l.o.ID, Value: []byte(l.o.Domain), OpID: uuid.NewString()}
+	for {
+		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+		_, err := l.o.Store.CompareAndSwap(ctx, write)
+		cancel()
+		if err == nil {
+			close(l.unused)
+			return
+		}
+		if c, ok := platform.AsConflict(err); ok && c.Actual.OpID != write.OpID {
+			l.o.Log.Error().Str("holder", l.o.ID).Msg(ErrIDReused.Error())
+			close(l.reused)
+			return
+		}
+		l.o.Log.Warn().Err(err).Msg("holder id can't be recorded")
+		if !sleep(l.ctx, claimRetry) {
+			return
+		}
+	}
+}
+
+// Reused returns a channel that is closed if another process used the
+// holder's id before.
+func (l *Ledger) Reused() <-chan struct{} { return l.reused }
+
+// idRecorded reports whether the holder's id is recorded.
+func (l *Ledger) idRecorded() bool {
+	select {
+	case <-l.unused:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitID waits until the holder's id is recorded.
+func (l *Ledger) awaitID(ctx context.Context) error {
+	select {
+	case <-l.unused:
+		return nil
+	case <-l.reused:
+		return ErrIDReused
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -29,7 +29,7 @@
 	announceInterval = time.Second
 	announceFor      = 30 * time.Second
 	// retryInterval spaces attempts to register or reserve.
-	retryInterval = 20 * time.Millisecond
+	retryInterval = 50 * time.Millisecond
 	// callTimeout bounds one call to a peer.
 	callTimeout = 2 * time.Second
 )
@@ -99,6 +99,9 @@
 	registering map[int]chan struct{}
 	// adopting has an element if the shards owned may have changed.
 	adopting chan struct{}
+	// unused is closed once the store shows that no other process used the
+	// holder's id; reused is closed if one did.
+	unused, reused chan struct{}
 	// settling marks the shards with a settlement in progress.
 	settling map[int]bool
 }
@@ -135,8 +138,10 @@
 		o: o, ctx: ctx, stop: stop, holder: budget.NewHolder(o.ID), offices: make(map[int]*office),
 		waits: make(map[wait][]chan budget.Reply), registering: make(map[int]chan struct{}), settling: make(map[int]bool),
 		adopting: make(chan struct{}, 1),
+		unused:   make(chan struct{}), reused: make(chan struct{}),
 	}
 	l.spawn(func() { l.loop(tickInterval, l.tick) })
+	l.spawn(l.claimID)
 	l.spawn(l.adopt)
 	l.spawn(func() { l.loop(settleInterval, l.settleAll) })
 	return l
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -268,3 +268,18 @@
 		t.Errorf("statement %+v, error %v, want 30 tokens", s, err)
 	}
 }
+
+// Guards against settlements that pass for repeats of those of an earlier
+// process with the same id.
+func TestReusedIDIsRefused(t *testing.T) {
+	store := memstore.New(nil)
+	topUp(t, store, 1000)
+	first := newGroup(t, store, "d1", "d2")
+	<-first.ledgers["d1"].unused
+	again := newGroup(t, store, "d1", "d3")
+	<-again.ledgers["d1"].Reused()
+	_, err := again.ledgers["d1"].Gateway().Reserve(context.Background(), gateway.Charge{ID: "r1", Account: "shop", Tokens: 5})
+	if !errors.Is(err, ErrIDReused) {
+		t.Errorf("got %v, want ErrIDReused", err)
+	}
+}
--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,7 +20,7 @@
 	if f, ok := l.offices[shard]; ok && !f.retired {
 		return f, nil
 	}
-	if m, ok := l.owner(shard); !ok || m.ID != l.o.ID {
+	if m, ok := l.owner(shard); !ok || m.ID != l.o.ID || !l.idRecorded() {
 		return nil, ErrNotOwner
 	}
 	now := time.Now()
@@ -167,20 +166,15 @@
 }
 
 func (l *Ledger) sendReclaim(r budget.ReclaimRequest) {
-	for _, domain := range l.o.Members.Domains() {
-		if domain == l.o.Domain {
-			continue
-		}
-		m, ok := l.o.Members.Owner(domain, Key(r.Shard))
-		if !ok {
-			continue
-		}
-		l.send(func(ctx context.Context) {
-			if err := l.o.Peers.Reclaim(ctx, m.Addr, r); err != nil {
-				l.o.Log.Debug().Err(err).Msg("request for idle tokens not delivered")
-			}
-		})
+	m, ok := l.o.Members.Owner(r.To, Key(r.Shard))
+	if !ok {
+		return
 	}
+	l.send(func(ctx context.Context) {
+		if err := l.o.Peers.Reclaim(ctx, m.Addr, r); err != nil {
+			l.o.Log.Debug().Err(err).Msg("request for idle tokens not delivered")
+		}
+	})
 }
 
 func (l *Ledger) read(ctx context.Context, f *office) {
@@ -191,29 +185,21 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	f.allocator.Loaded(now, item.Value, int64(item.Revision), err == nil || missing)
-	for _, id := range l.goneHolders(item.Value) {
-		f.allocator.HolderGone(now, id)
-	}
+	f.allocator.Loaded(time.Now(), item.Value, int64(item.Revision), err == nil || missing)
+	l.dropGone(f)
 	l.pump(f)
 }
 
-// goneHolders returns the daemons that a record names for this failure domain
-// and that are gone. A new allocator has missed the events that told so, and
-// their open reservations would stay open.
-func (l *Ledger) goneHolders(value []byte) []string {
-	record, err := budget.Unmarshal(value)
-	if err != nil {
-		return nil
-	}
-	d := record.Domains[l.o.Domain]
-	if d == nil {
-		return nil
-	}
-	named := slices.Concat([]string{d.Owner}, d.Members, d.Waiting)
-	slices.Sort(named)
-	return slices.DeleteFunc(slices.Compact(named), func(id string) bool { return id == l.o.ID || !l.o.Members.Gone(id) })
+// dropGone tells the allocator which of the holders that it knows are gone. A
+// new allocator has missed the events that told so, and their reservations
+// would stay open. The caller holds l.mu.
+func (l *Ledger) dropGone(f *office) {
+	now := time.Now()
+	for _, id := range f.allocator.Holders() {
+		if id != l.o.ID && l.o.Members.Gone(id) {
+			f.allocator.HolderGone(now, id)
+		}
+	}
 }
 
 func (l *Ledger) write(ctx context.Context, f *office, w budget.StoreWrite) {
@@ -227,6 +213,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f.allocator.Stored(time.Now(), result)
+	l.dropGone(f)
 	l.pump(f)
 }
 
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -39,6 +39,9 @@
 // register makes sure that the holder is registered with the shard's newest
 // allocator.
 func (l *Ledger) register(ctx context.Context, shard int) error {
+	if err := l.awaitID(ctx); err != nil {
+		return err
+	}
 	for {
 		l.mu.Lock()
 		if l.holder.Registered(shard) {
--- a/internal/ledger/serve.go
+++ b/internal/ledger/serve.go
@@ -109,7 +109,7 @@
 
 // observe is ObserveEpoch under l.mu.
 func (l *Ledger) observe(shard int, epoch uint64) {
-	if l.holder.ObserveEpoch(shard, epoch) {
+	if l.holder.ObserveEpoch(shard, epoch) && l.idRecorded() {
 		l.startRegister(shard)
 	}
 }
--- a/internal/peer/budget.go
+++ b/internal/peer/budget.go
@@ -124,11 +124,13 @@
 }
 
 func reclaimToProto(r budget.ReclaimRequest) *peerpb.ReclaimRequest {
-	return &peerpb.ReclaimRequest{Shard: uint32(r.Shard), From: r.From, Budget: r.Budget, Tokens: r.Tokens}
+	return &peerpb.ReclaimRequest{Shard: uint32(r.Shard), From: r.From, To: r.To, Budget: r.Budget, Tokens: r.Tokens}
 }
 
 func reclaimFromProto(r *peerpb.ReclaimRequest) budget.ReclaimRequest {
-	return budget.ReclaimRequest{Shard: int(r.GetShard()), From: r.GetFrom(), Budget: r.GetBudget(), Tokens: r.GetTokens()}
+	return budget.ReclaimRequest{
+		Shard: int(r.GetShard()), From: r.GetFrom(), To: r.GetTo(), Budget: r.GetBudget(), Tokens: r.GetTokens(),
+	}
 }
 
 func mapSlice[A, B any](in []A, f func(A) B) []B {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,7 @@
 
 // Instance names the daemon.
 type Instance struct {
-	ID            string `toml:"id" comment:"Unique for the life of the instance; a replacement has a new one."`
+	ID            string `toml:"id" comment:"New for each start of a daemon; the store remembers used ones and a reused one is refused."`
 	FailureDomain string `toml:"failure_domain" comment:"Failure domain of this instance."`
 	Region        string `toml:"region" comment:"Region that holds the failure domain."`
 }
