admin: show orders and resume halted rollouts

Cause: operators could not see the plan and the progress of a rollout, nor end a halt, and a diff did not tell which orders a change leads to.

Change: GET /v1/orders, POST /v1/orders/:service/resume (role operator, audited with its reason, a refused one too), the orders that would follow in the answer to a diff, and the commands "orders" and "orders resume". A diff whose orders can't be shown still shows the changes and says why.

Conclusion: the interface Orders is to be implemented by the shell.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -101,6 +101,7 @@
 	Store    platform.Store
 	Accounts Accounts
 	Fleet    Fleet
+	Orders   Orders
 	// Config returns the configuration in force on this daemon, whose operators
 	// may use the API; nil if there is none yet.
 	Config func() *config.Config
@@ -175,6 +176,8 @@
 	v1.POST("/accounts/:name/topup", a.topUp, pay)
 	v1.GET("/fleet", a.fleetStatus, read)
 	v1.GET("/audit", a.queryAudit, read)
+	v1.GET("/orders", a.listOrders, read)
+	v1.POST("/orders/:service/resume", a.resumeOrders, edit)
 }
 
 // allow admits operators with one of the roles.
--- a/internal/admin/configuration.go
+++ b/internal/admin/configuration.go
@@ -96,6 +96,16 @@
 	return c.JSON(http.StatusOK, map[string]bool{"valid": true})
 }
 
+// DiffResult is the answer to a comparison.
+type DiffResult struct {
+	Base    uint64          `json:"base"`
+	Changes []config.Change `json:"changes"`
+	// Orders are the orders that would follow in the services whose desired
+	// state changes; OrdersError tells why they can't be shown.
+	Orders      []ServiceOrders `json:"orders,omitempty"`
+	OrdersError string          `json:"orders_error,omitempty"`
+}
+
 // diffConfiguration compares two revisions, or a text with a revision.
 func (a *API) diffConfiguration(c echo.Context) error {
 	req, err := a.bindEdit(c, false)
@@ -121,7 +131,11 @@
 	if changes == nil {
 		changes = []config.Change{}
 	}
-	return c.JSON(http.StatusOK, map[string]any{"base": base.Revision, "changes": changes})
+	answer := DiffResult{Base: base.Revision, Changes: changes}
+	if answer.Orders, err = a.follow(c.Request().Context(), base.Config, next); err != nil {
+		answer.OrdersError = err.Error()
+	}
+	return c.JSON(http.StatusOK, answer)
 }
 
 func (a *API) applyConfiguration(c echo.Context) error {
--- a/internal/admin/openapicheck/openapi_test.go
+++ b/internal/admin/openapicheck/openapi_test.go
@@ -41,6 +41,26 @@
 	return admin.FleetStatus{Daemons: []admin.Daemon{{ID: "d1"}}}, nil
 }
 
+func (fakes) Resume(_ context.Context, service string) error {
+	if service != "halted" {
+		return admin.ErrNotHalted
+	}
+	return nil
+}
+func (fakes) Preview(context.Context, *config.Config, []string) ([]admin.ServiceOrders, error) {
+	return []admin.ServiceOrders{{
+		Service: "m", Halt: &admin.Halt{Version: "v2"}, Unhealthy: []string{"e1"}, Unreachable: []string{"e2"},
+		Orders: []admin.OpenOrder{{ID: 1, Endpoint: "e1"}}, Plan: []admin.PlannedOrder{{Step: 1, Endpoint: "e1", Risk: "late"}},
+	}}, nil
+}
+
+// orders implements admin.Orders; its Status differs from the fleet's.
+type orders struct{ fakes }
+
+func (o orders) Status(ctx context.Context, _ string) ([]admin.ServiceOrders, error) {
+	return o.Preview(ctx, nil, nil)
+}
+
 const configuration = `
 [service.s]
 kind = "plain"
@@ -54,7 +74,7 @@
 func newAPI(current *config.Config) *admin.API {
 	now := time.Unix(1_000_000, 0)
 	clock := func() time.Time { now = now.Add(time.Second); return now }
-	return admin.New(admin.Options{Store: memstore.New(clock), Accounts: fakes{}, Fleet: fakes{},
+	return admin.New(admin.Options{Store: memstore.New(clock), Accounts: fakes{}, Fleet: fakes{}, Orders: orders{},
 		Config: func() *config.Config { return current }, Log: zerolog.Nop(), Now: clock,
 		// The SHA-256 of "token".
 		BootstrapToken: "sha256:3c469e9d6c5875d37a43f353d4f88e61fcf812c66eee3457465a40b0da4153e0"})
@@ -114,6 +134,12 @@
 		{"GET", "/v1/accounts/acme", "", 200},
 		{"POST", "/v1/accounts/acme/topup", `{"budget":"main","tokens":5,"reason":"invoice"}`, 403},
 		{"GET", "/v1/fleet", "", 200},
+		{"GET", "/v1/orders", "", 200},
+		{"GET", "/v1/orders?service=m", "", 200},
+		{"POST", "/v1/orders/halted/resume", `{"reason":"repaired"}`, 200},
+		{"POST", "/v1/orders/m/resume", `{"reason":"repaired"}`, 409},
+		{"POST", "/v1/orders/halted/resume", `{}`, 400},
+		{"POST", "/v1/configuration/diff", `{"base":1,"text":"[service.m]\nkind = \"model\"\nmodels = [\"m\"]\nversion = \"v2\"\n"}`, 200},
 		{"GET", "/v1/audit", "", 200},
 		{"GET", "/v1/audit?from=x", "", 400},
 	} {
--- /dev/null
+++ b/internal/admin/orders_test.go
@@ -0,0 +1,102 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/audit"
+	"github.com/azurehatch/azurehatch/internal/config"
+)
+
+// rollouts is a fake of the orders: the rollout of service chat is halted.
+type rollouts struct {
+	halted  bool
+	failing bool
+}
+
+func (r *rollouts) Status(context.Context, string) ([]ServiceOrders, error) {
+	return []ServiceOrders{{Service: "chat", Total: 2}}, nil
+}
+
+func (r *rollouts) Preview(_ context.Context, c *config.Config, services []string) ([]ServiceOrders, error) {
+	if r.failing {
+		return nil, errors.New("store is down")
+	}
+	var list []ServiceOrders
+	for _, s := range services {
+		list = append(list, ServiceOrders{Service: s, Version: c.Services[s].Version})
+	}
+	return list, nil
+}
+
+func (r *rollouts) Resume(context.Context, string) error {
+	if !r.halted {
+		return ErrNotHalted
+	}
+	r.halted = false
+	return nil
+}
+
+// Guards against a resumption by a role that may not make it, and against one
+// that is not in the audit trail with its reason.
+func TestResumeIsAudited(t *testing.T) {
+	h := start(t)
+	fake := &rollouts{halted: true}
+	h.api.opts.Orders = fake
+	const path = "/v1/orders/chat/resume"
+	h.call("GET", "/v1/orders", "viewer", nil, http.StatusOK, nil)
+	for _, role := range []string{"viewer", "billing"} {
+		h.call("POST", path, role, ResumeRequest{Reason: "repaired"}, http.StatusForbidden, nil)
+	}
+	if !fake.halted {
+		t.Fatal("a role without the right resumed the rollout")
+	}
+	h.call("POST", path, "operator", ResumeRequest{}, http.StatusBadRequest, nil)
+	h.call("POST", path, "operator", ResumeRequest{Reason: "repaired"}, http.StatusOK, nil)
+	h.call("POST", path, "operator", ResumeRequest{Reason: "again"}, http.StatusConflict, nil)
+	var page AuditPage
+	h.call("GET", "/v1/audit?kind=order&service=chat", "viewer", nil, http.StatusOK, &page)
+	if len(page.Entries) != 2 {
+		t.Fatalf("%d entries, want 2: %+v", len(page.Entries), page.Entries)
+	}
+	for i, want := range []struct {
+		result audit.Result
+		reason string
+	}{{audit.ResultDone, "repaired"}, {audit.ResultRefused, "again"}} {
+		if e := page.Entries[i]; e.Result != want.result || e.Reason != want.reason || e.Actor != "operator" || e.Office != "north" {
+			t.Errorf("entry %d: %+v", i, e)
+		}
+	}
+}
+
+// Guards against a diff that hides the orders of a version change, shows them
+// for services that stay as they are, or fails with the endpoints.
+func TestDiffShowsOrders(t *testing.T) {
+	h := start(t)
+	fake := &rollouts{}
+	h.api.opts.Orders = fake
+	next := h.config.Clone()
+	chat := next.Services["chat"]
+	chat.Version = "v2"
+	next.Services["chat"] = chat
+	var diff DiffResult
+	req := EditRequest{Text: string(config.Format(next))}
+	h.call("POST", "/v1/configuration/diff", "viewer", req, http.StatusOK, &diff)
+	if len(diff.Orders) != 1 || diff.Orders[0].Version != "v2" {
+		t.Errorf("orders %+v", diff.Orders)
+	}
+	fake.failing = true
+	diff = DiffResult{}
+	h.call("POST", "/v1/configuration/diff", "viewer", req, http.StatusOK, &diff)
+	if diff.OrdersError == "" || len(diff.Changes) != 1 {
+		t.Errorf("diff without orders: %+v", diff)
+	}
+	diff = DiffResult{}
+	h.call("POST", "/v1/configuration/diff", "viewer", EditRequest{Text: text + operators()}, http.StatusOK, &diff)
+	if len(diff.Orders) != 0 || diff.OrdersError != "" {
+		t.Errorf("orders of services that stay as they are: %+v", diff)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,7 +26,7 @@
 var commands = []command{
 	versionCommand, serveCommand, devCommand, loadCommand, settingsPrintCommand, settingsCheckCommand,
 	configCheckCommand, configDiffCommand, configApplyCommand, configShowCommand, configHistoryCommand, configRollbackCommand,
-	auditCommand, accountListCommand, accountShowCommand, accountTopUpCommand, fleetStatusCommand,
+	auditCommand, accountListCommand, accountShowCommand, accountTopUpCommand, fleetStatusCommand, ordersListCommand, ordersResumeCommand,
 	standinPlatformCommand, standinEngineCommand, standinServiceCommand,
 }
 
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -81,14 +81,14 @@
 			}
 			req.Text = string(text)
 		}
-		var result struct {
-			Base    uint64          `json:"base"`
-			Changes []config.Change `json:"changes"`
-		}
+		var result admin.DiffResult
 		if err := c.call("POST", "/v1/configuration/diff", req, &result); err != nil {
 			return err
 		}
-		return c.print(result, func() { printChanges(out, result.Changes) })
+		return c.print(result, func() {
+			printChanges(out, result.Changes)
+			printFollowing(out, result)
+		})
 	}
 }
 
