orders: place orders and rotate the audit trail

Cause: the state machines of duties and orders had no input and output.

Change: internal/orders runs them over the store and over HTTP to the endpoints, for each model service with a version or adapters. No order goes out before all endpoints of the service were read once. The holder of the duty "rotation" rotates the trail. The fleet gives the candidates and the leaving endpoints.

Conclusion: a version change reaches each engine once through deaths and drains of the holder, lost answers and an outage of the store.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -242,6 +242,37 @@
 	return f.table.LiveIn(domain)
 }
 
+// Ranked returns the ids of the up to n live members that rank highest for the
+// key, in any failure domain. There are none before the platform's list was
+// read, so that a starting daemon does not rank itself alone.
+func (f *Fleet) Ranked(key string, n int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed {
+		return nil
+	}
+	members := f.table.Ranked(key, n)
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
+// Leaving returns the addresses of the endpoints that the platform's list shows
+// as leaving or gone.
+func (f *Fleet) Leaving() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	leaving := make(map[string]bool)
+	for _, e := range f.table.Endpoints() {
+		if e.Gone || e.State == platform.InstanceLeaving {
+			leaving[e.Addr] = true
+		}
+	}
+	return leaving
+}
+
 // Addr returns a member's address.
 func (f *Fleet) Addr(id string) (string, bool) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/orders/duty.go
@@ -0,0 +1,88 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/lease"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// storePeer is the peer in errors of calls to the store.
+const storePeer = "store"
+
+// duty runs a lease.Holder. Its fields are guarded by Manager.mu.
+type duty struct {
+	m      *Manager
+	name   string
+	holder *lease.Holder
+}
+
+func newDuty(m *Manager, name string) *duty {
+	return &duty{m: m, name: name, holder: lease.New(lease.Options{Duty: name, Owner: m.o.Self})}
+}
+
+func (d *duty) tick(now time.Time) {
+	// A holder keeps the duty when the ranking changes, because the open orders
+	// are in doubt after a change of hands.
+	candidate := d.holder.State(now) != lease.Idle || slices.Contains(d.m.o.Ranked(d.name, candidates), d.m.o.Self)
+	d.apply(d.holder.SetCandidate(now, candidate))
+	d.apply(d.holder.Tick(now))
+}
+
+// renew gives the duty back and takes it again, for a higher fencing number.
+func (d *duty) renew(now time.Time) {
+	d.apply(d.holder.SetCandidate(now, false))
+	d.apply(d.holder.SetCandidate(now, true))
+}
+
+// holds reports whether the duty is certainly held with the fencing number for
+// the time that an effect takes.
+func (d *duty) holds(fence platform.Revision, effect time.Duration) bool {
+	d.m.mu.Lock()
+	defer d.m.mu.Unlock()
+	now := time.Now()
+	have, until, ok := d.holder.Fence(now)
+	return ok && have == fence && !now.Add(effect).After(until)
+}
+
+// apply does what the holder wants done. The caller holds Manager.mu.
+func (d *duty) apply(out lease.Output) {
+	for _, ev := range out.Events {
+		d.m.o.Log.Info().Str("duty", ev.Duty).Str("state", ev.State.String()).Int64("fence", int64(ev.Fence)).Str("cause", ev.Cause).Msg("duty changed")
+		d.m.trail.note(ev.Duty, "", fmt.Sprintf("duty %s, fencing number %d: %s", ev.State, ev.Fence, ev.Cause))
+	}
+	for _, c := range out.Calls {
+		d.m.call(func() {
+			a := d.execute(c)
+			if a.Err != nil {
+				d.m.o.Log.Debug().Err(failure.At(a.Err, "duty."+d.name, storePeer)).Msg("call for a duty failed")
+			}
+			d.m.mu.Lock()
+			defer d.m.mu.Unlock()
+			d.apply(d.holder.Step(time.Now(), a))
+		})
+	}
+}
+
+func (d *duty) execute(c lease.Call) lease.Answer {
+	ctx, cancel := context.WithTimeout(d.m.ctx, storeTimeout)
+	defer cancel()
+	a := lease.Answer{ID: c.ID}
+	switch store := d.m.o.Store; c.Kind {
+	case lease.Read:
+		a.Item, a.Err = store.Get(ctx, c.Key)
+	case lease.Grant:
+		a.Lease, a.Err = store.GrantLease(ctx, c.TTL)
+	case lease.Create:
+		a.Item, a.Err = store.CompareAndSwap(ctx, c.Write)
+	case lease.KeepAlive:
+		a.Err = store.KeepAlive(ctx, c.Lease)
+	case lease.Revoke:
+		a.Err = store.Revoke(ctx, c.Lease)
+	}
+	return a
+}
--- /dev/null
+++ b/internal/orders/orders.go
@@ -0,0 +1,265 @@
+// Package orders places the orders of the services and rotates the audit
+// trail. It runs the state machines of packages lease and order over the
+// platform's store and over HTTP to the endpoints.
+package orders
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/lease"
+	"github.com/azurehatch/azurehatch/internal/order"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+const (
+	// candidates is the number of daemons that try to take a duty. Those that
+	// wait read its key every 2 s, so two of them for 24 duties cost 24 reads/s.
+	candidates = 3
+	// storeTimeout bounds one call to the store; packages lease and order take
+	// an answer that is later as lost.
+	storeTimeout = 3 * time.Second
+	// idleConnTimeout and idlePerEndpoint bound the idle connections to
+	// endpoints.
+	idleConnTimeout = 30 * time.Second
+	idlePerEndpoint = 1
+)
+
+// Options configure a Manager.
+type Options struct {
+	// Self is the instance's id.
+	Self  string
+	Store platform.Store
+	// Ranked returns the ids of the daemons that may take a duty, the most
+	// suitable first; none before the members are known.
+	Ranked func(duty string, n int) []string
+	// Leaving returns the addresses of the endpoints that the platform's list
+	// shows as leaving or gone; nil stands for no list.
+	Leaving func() map[string]bool
+	// Transport carries the requests to endpoints; nil stands for one of the
+	// manager's own.
+	Transport http.RoundTripper
+	Log       zerolog.Logger
+}
+
+// Manager is a daemon's part in the duties.
+type Manager struct {
+	o         Options
+	client    *http.Client
+	transport *http.Transport // nil if the transport is the caller's
+	ctx       context.Context
+	stop      context.CancelFunc
+	wg        sync.WaitGroup
+	trail     *trail
+
+	// mu guards the fields below and all state machines. It is not held during
+	// calls to the store or to endpoints.
+	mu       sync.Mutex
+	draining bool
+	services map[string]*service
+	// former are services without orders whose duty is being given back.
+	former   []*service
+	rotation *rotation
+	// calls counts the calls under way that a drain waits for.
+	calls sync.WaitGroup
+
+	// config is the configuration in force.
+	config atomic.Pointer[config.Config]
+	// viewMu guards viewed, the readings by address made for operators. It is
+	// held during the readings, so that they are made once at a time.
+	viewMu sync.Mutex
+	viewed map[string]reading
+}
+
+// New returns a running manager; Close ends it.
+func New(o Options) *Manager {
+	ctx, stop := context.WithCancel(context.Background())
+	m := &Manager{o: o, ctx: ctx, stop: stop, services: make(map[string]*service), viewed: make(map[string]reading)}
+	transport := o.Transport
+	if transport == nil {
+		m.transport = &http.Transport{IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: idlePerEndpoint}
+		transport = m.transport
+	}
+	m.client = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	m.trail = newTrail(m)
+	m.rotation = newRotation(m)
+	m.spawn(m.loop)
+	m.spawn(m.trail.loop)
+	return m
+}
+
+// Close ends the manager without giving the duties back.
+func (m *Manager) Close() {
+	m.stop()
+	m.wg.Wait()
+	if m.transport != nil {
+		m.transport.CloseIdleConnections()
+	}
+}
+
+// Drain places no more orders, waits for the sends under way, gives the duties
+// back and writes the audit entries that wait.
+func (m *Manager) Drain(ctx context.Context) error {
+	m.mu.Lock()
+	m.draining = true
+	m.mu.Unlock()
+	if err := m.awaitCalls(ctx); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	now := time.Now()
+	for _, d := range m.duties() {
+		d.apply(d.holder.SetCandidate(now, false))
+	}
+	m.mu.Unlock()
+	if err := m.awaitCalls(ctx); err != nil {
+		return err
+	}
+	return m.trail.flush(ctx)
+}
+
+func (m *Manager) awaitCalls(ctx context.Context) error {
+	done := make(chan struct{})
+	m.spawn(func() {
+		m.calls.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (m *Manager) spawn(run func()) {
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		run()
+	}()
+}
+
+// call runs a call that a drain waits for. The caller holds m.mu.
+func (m *Manager) call(run func()) {
+	m.calls.Add(1)
+	m.spawn(func() {
+		defer m.calls.Done()
+		run()
+	})
+}
+
+func (m *Manager) loop() {
+	ticker := time.NewTicker(lease.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			m.tick(time.Now())
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
+func (m *Manager) tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.draining {
+		return
+	}
+	for _, s := range m.services {
+		s.tick(now)
+	}
+	m.rotation.tick(now)
+	m.former = slices.DeleteFunc(m.former, func(s *service) bool {
+		s.duty.apply(s.duty.holder.SetCandidate(now, false))
+		return s.duty.holder.State(now) == lease.Idle
+	})
+}
+
+// duties returns all duties. The caller holds m.mu.
+func (m *Manager) duties() []*duty {
+	list := []*duty{m.rotation.duty}
+	for _, s := range m.services {
+		list = append(list, s.duty)
+	}
+	for _, s := range m.former {
+		list = append(list, s.duty)
+	}
+	return list
+}
+
+// leaving returns Options.Leaving's addresses.
+func (m *Manager) leaving() map[string]bool {
+	if m.o.Leaving == nil {
+		return nil
+	}
+	return m.o.Leaving()
+}
+
+// SetConfig puts a configuration in force.
+func (m *Manager) SetConfig(c *config.Config) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.config.Store(c)
+	for name, s := range c.Services {
+		if !hasOrders(s) {
+			continue
+		}
+		run, ok := m.services[name]
+		if !ok {
+			run = newService(m, name)
+			m.services[name] = run
+		}
+		run.set(desiredOf(name, s), endpointsOf(c, name))
+	}
+	for name, run := range m.services {
+		if !hasOrders(c.Services[name]) {
+			delete(m.services, name)
+			m.former = append(m.former, run)
+		}
+	}
+}
+
+// hasOrders reports whether the configuration asks for a state of the
+// service's endpoints.
+func hasOrders(s config.Service) bool {
+	return s.Kind == config.KindModel && (s.Version != "" || len(s.Adapters) > 0)
+}
+
+// desiredOf returns the desired state of a service. The version is that of its
+// first model; further models are names of the same one.
+func desiredOf(name string, s config.Service) order.Desired {
+	d := order.Desired{Service: name, Version: s.Version, Adapters: s.Adapters}
+	if len(s.Models) > 0 {
+		d.Model = s.Models[0]
+	}
+	return d
+}
+
+// endpoint is an endpoint of a service as the configuration names it.
+type endpoint struct {
+	id, addr string
+	leaving  bool
+	fences   bool
+}
+
+func endpointsOf(c *config.Config, service string) []endpoint {
+	var list []endpoint
+	for id, e := range c.Endpoints {
+		if e.Service == service {
+			list = append(list, endpoint{id: id, addr: e.Address, leaving: e.State == config.StateLeaving, fences: !c.Services[service].IgnoresFencing})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
+	return list
+}
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,226 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/admin"
+	"github.com/azurehatch/azurehatch/internal/lease"
+	"github.com/azurehatch/azurehatch/internal/order"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/azurehatch/azurehatch/internal/standin/engine"
+)
+
+// Guards against an engine that is ordered twice or never, and against a
+// version change that takes several engines out of work at once.
+func TestVersionReachesEachEngineOnce(t *testing.T) {
+	inBubble(t, 10, false, func(r *rig) {
+		r.start("d1")
+		r.until("all engines have the version", 10*time.Minute, func() bool { return r.loaded("v2") == 10 })
+		r.until("the orders are done", time.Minute, func() bool { s := r.status(); return s.Open == 0 && s.Ready == 10 })
+		r.once()
+	})
+}
+
+// Guards against an order that is placed again after its holder died or its
+// answer was lost, and against a rollout that ends with its holder.
+func TestAnotherDaemonTakesOver(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inBubble(t, 4, false, func(r *rig) {
+				rnd := rand.New(rand.NewPCG(seed, 7))
+				first := r.start("d1")
+				r.until("the first daemon holds the duty", time.Minute, func() bool { return r.status().Holder == "d1" })
+				second := r.start("d2")
+				time.Sleep(time.Duration(rnd.IntN(60_000)) * time.Millisecond)
+				r.mu.Lock()
+				r.loseAnswers = rnd.IntN(2)
+				r.mu.Unlock()
+				switch rnd.IntN(3) {
+				case 0:
+					first.m.Close()
+				case 1:
+					if err := first.m.Drain(context.Background()); err != nil {
+						t.Fatal(err)
+					}
+				default:
+					first.cut(true)
+				}
+				r.until("the second daemon holds the duty", time.Minute, func() bool {
+					second.m.mu.Lock()
+					defer second.m.mu.Unlock()
+					return second.m.services["chat"].duty.holder.State(time.Now()) == lease.Held
+				})
+				first.cut(false)
+				r.until("all engines have the version", 30*time.Minute, func() bool { return r.loaded("v2") == 4 })
+				r.until("the orders are done", 10*time.Minute, func() bool { s := r.status(); return s.Open == 0 && s.Ready == 4 })
+				r.once()
+			})
+		})
+	}
+}
+
+// Guards against a send that is written to the connection after its holder was
+// paused beyond the lease.
+func TestPausedSendIsNotWritten(t *testing.T) {
+	inBubble(t, 2, true, func(r *rig) {
+		first := r.start("d1")
+		first.hold = make(chan struct{})
+		r.until("an order is intended", time.Minute, func() bool { return r.status().Open == 1 })
+		time.Sleep(2 * time.Second)
+		first.cut(true)
+		r.start("d2")
+		r.until("the second daemon holds the duty", time.Minute, func() bool { return r.status().Holder == "d2" })
+		close(first.hold)
+		synctest.Wait()
+		for i, e := range r.engines {
+			if orders := e.Orders(); len(orders) != 0 {
+				t.Errorf("engine %d got an order of the paused daemon: %+v", i, orders)
+			}
+		}
+	})
+}
+
+// Guards against orders that are lost or repeated when the store fails in the
+// middle of a rollout, and against sends while the duty is in doubt.
+func TestStoreDownInTheMiddle(t *testing.T) {
+	inBubble(t, 5, false, func(r *rig) {
+		r.start("d1")
+		r.start("d2")
+		r.until("two engines have the version", 5*time.Minute, func() bool { return r.loaded("v2") == 2 })
+		r.store.SetFaults(memstore.Faults{Outage: true})
+		time.Sleep(30 * time.Second)
+		before := len(r.allOrders())
+		time.Sleep(2 * time.Minute)
+		if after := len(r.allOrders()); after != before {
+			t.Errorf("%d orders were sent while the duty was in doubt", after-before)
+		}
+		r.store.SetFaults(memstore.Faults{LoseAnswers: 3})
+		r.until("all engines have the version", 30*time.Minute, func() bool { return r.loaded("v2") == 5 })
+		r.once()
+	})
+}
+
+func (r *rig) allOrders() []engine.Order {
+	var all []engine.Order
+	for _, e := range r.engines {
+		all = append(all, e.Orders()...)
+	}
+	return all
+}
+
+// Guards against a refused order that counts as done, and against a rollout
+// that stays behind an endpoint that knows a higher fencing number.
+func TestEngineRefusesOldNumber(t *testing.T) {
+	inBubble(t, 2, false, func(r *rig) {
+		r.engines[0].Place(engine.Order{ID: "other", Kind: engine.OrderSetRole, Target: "prefill", Fencing: 30})
+		time.Sleep(loadTime + time.Second)
+		r.start("d1")
+		r.until("an order is refused", 2*time.Minute, func() bool {
+			for _, o := range r.record().Orders {
+				if o.State == order.Refused {
+					return true
+				}
+			}
+			return false
+		})
+		if s := r.status(); s.Ready != 0 && r.loaded("v2") == 0 {
+			t.Errorf("%d endpoints count as ready after a refusal", s.Ready)
+		}
+		r.until("all engines have the version", 30*time.Minute, func() bool { return r.loaded("v2") == 2 })
+		for _, o := range r.engines[0].Orders() {
+			if o.State == engine.OrderDone && o.Fencing < 30 {
+				t.Errorf("an order with an old number was run: %+v", o)
+			}
+		}
+	})
+}
+
+// Guards against a new order to an endpoint that ignores fencing numbers before
+// the lost one must have ended, and against an operator who is not told.
+func TestEnginesThatIgnoreNumbersWait(t *testing.T) {
+	inBubble(t, 2, true, func(r *rig) {
+		first := r.start("d1")
+		// The order stays at the sender, so that no effect is ever seen.
+		first.hold = make(chan struct{})
+		defer close(first.hold)
+		r.until("an order is intended", time.Minute, func() bool { return r.status().Open == 1 })
+		first.cut(true)
+		r.start("d2")
+		r.until("the second daemon sees an unknown outcome", 2*time.Minute, func() bool { return r.status().Unknown == 1 })
+		s := r.status()
+		if !s.IgnoresFencing || len(s.Plan) != 2 || s.Plan[0].Risk != order.LateOrderRisk || !strings.Contains(s.Plan[0].WaitsFor, "the end of sends by an earlier holder") {
+			t.Errorf("the plan does not tell what is waited for: %+v", s)
+		}
+		var unknown order.Order
+		for _, o := range r.record().Orders {
+			if o.State == order.Unknown {
+				unknown = o
+			}
+		}
+		r.until("an order to the endpoint follows", 30*time.Minute, func() bool { return len(r.engines[0].Orders()) > 0 })
+		if waited := time.Since(unknown.At); waited < 15*time.Second+5*time.Minute {
+			t.Errorf("the next order came %v after the outcome became unknown", waited)
+		}
+	})
+}
+
+// Guards against a rollout that goes on past sick endpoints, a halt that an
+// operator can't end, and a resumption that ends the next halt as well.
+func TestHaltAndResume(t *testing.T) {
+	inBubble(t, 3, false, func(r *rig) {
+		d := r.start("d1")
+		ctx := context.Background()
+		if err := d.m.Resume(ctx, "chat"); !errors.Is(err, admin.ErrNotHalted) {
+			t.Errorf("resume of a running rollout: %v", err)
+		}
+		r.until("one engine has the version", 5*time.Minute, func() bool { return r.loaded("v2") == 1 })
+		r.setSick(true)
+		r.until("the rollout halts", 5*time.Minute, func() bool { return r.status().Halt != nil })
+		time.Sleep(5 * time.Minute)
+		if n := r.loaded("v2"); n != 1 {
+			t.Errorf("%d engines have the version after the halt, want 1", n)
+		}
+		if s := r.status(); !strings.Contains(s.Plan[0].WaitsFor, "operator") {
+			t.Errorf("the plan does not name the operator: %+v", s.Plan)
+		}
+		for range 2 {
+			if err := d.m.Resume(ctx, "chat"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r.until("the halt ends", time.Minute, func() bool { return r.status().Halt == nil })
+		r.setSick(false)
+		r.until("a second engine has the version", 5*time.Minute, func() bool { return r.loaded("v2") == 2 })
+		r.setSick(true)
+		r.until("the rollout halts again", 5*time.Minute, func() bool { return r.status().Halt != nil })
+		if r.status().Halt.Resumed {
+			t.Error("the earlier resumption counts for the second halt")
+		}
+		r.setSick(false)
+		if err := d.m.Resume(ctx, "chat"); err != nil {
+			t.Fatal(err)
+		}
+		r.until("all engines have the version", 10*time.Minute, func() bool { return r.loaded("v2") == 3 })
+		r.once()
+	})
+}
+
+func (r *rig) setSick(sick bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, e := range r.engines {
+		for _, m := range e.Load().Models {
+			if m == "v2" {
+				r.sick[fmt.Sprintf("e%02d", i)] = sick
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/orders/rotation.go
@@ -0,0 +1,66 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/rollout"
+)
+
+const (
+	// rotationDuty is the name of the duty of rotating the audit trail.
+	rotationDuty = "rotation"
+	// rotationInterval is how often its holder reads the head record. Refused
+	// callers add at most 1 entry/s for each daemon; the head admits 160 more
+	// entries after rotation is due before an edit rotates itself.
+	rotationInterval = 10 * time.Second
+)
+
+// rotation moves old audit entries out of the head record. Its fields are
+// guarded by Manager.mu.
+type rotation struct {
+	m       *Manager
+	duty    *duty
+	running bool
+	nextAt  time.Time
+}
+
+func newRotation(m *Manager) *rotation { return &rotation{m: m, duty: newDuty(m, rotationDuty)} }
+
+func (r *rotation) tick(now time.Time) {
+	r.duty.tick(now)
+	fence, _, held := r.duty.holder.Fence(now)
+	if !held || r.running || now.Before(r.nextAt) {
+		return
+	}
+	r.running, r.nextAt = true, now.Add(rotationInterval)
+	r.m.call(func() {
+		if err := r.rotate(fence); err != nil {
+			r.m.o.Log.Warn().Err(failure.At(err, "rotation", storePeer)).Msg("audit trail was not rotated")
+		}
+		r.m.mu.Lock()
+		defer r.m.mu.Unlock()
+		r.running = false
+	})
+}
+
+func (r *rotation) rotate(fence platform.Revision) error {
+	ctx, cancel := context.WithTimeout(r.m.ctx, storeTimeout)
+	defer cancel()
+	item, err := r.m.o.Store.Get(ctx, rollout.HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	head, err := rollout.DecodeHead(item.Value)
+	if err != nil || !head.NeedsRotation() {
+		return err
+	}
+	return r.m.edit(r.m.ctx, rollout.Edit{Action: rollout.ActionRotate}, func() bool { return r.duty.holds(fence, storeTimeout) })
+}
--- /dev/null
+++ b/internal/orders/service.go
@@ -0,0 +1,233 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/lease"
+	"github.com/azurehatch/azurehatch/internal/order"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+const (
+	// reportsPerRound bounds the endpoints of a service whose state is read each
+	// second. The two answers take about 500 bytes, so that 10 cost 5 of the
+	// daemon's 21 KB/s; 187 endpoints are read in 19 s.
+	reportsPerRound = 10
+	// resumeInterval is how often a halted rollout looks for an operator's word.
+	resumeInterval = 5 * time.Second
+	// resumePrefix is the prefix of the keys with order.Desired.Resume.
+	resumePrefix = "order-resume/"
+)
+
+// service runs the duty and the controller of one service. Its fields are
+// guarded by Manager.mu.
+type service struct {
+	m         *Manager
+	name      string
+	duty      *duty
+	ctrl      *order.Controller
+	desired   order.Desired
+	endpoints []endpoint
+	// reports are the last readings by endpoint, since the duty was taken.
+	reports map[string]reading
+	next    int
+	nextAt  time.Time
+	// resumeKnown is set once Desired.Resume was read in this hold of the duty.
+	// Without it a holder would record a halt that an older word already ends.
+	resumeKnown, resumeReading bool
+	resumeAt                   time.Time
+}
+
+func newService(m *Manager, name string) *service {
+	return &service{
+		m: m, name: name, duty: newDuty(m, order.DutyPrefix+name), ctrl: order.NewController(m.o.Self, name), reports: make(map[string]reading),
+	}
+}
+
+func (s *service) set(d order.Desired, endpoints []endpoint) {
+	d.Resume = s.desired.Resume
+	s.desired, s.endpoints = d, endpoints
+	s.ctrl.SetDesired(d)
+}
+
+// tick lets time pass. The caller holds Manager.mu.
+func (s *service) tick(now time.Time) {
+	s.duty.tick(now)
+	if now.Before(s.nextAt) {
+		return
+	}
+	s.nextAt = now.Add(order.TickInterval)
+	if s.duty.holder.State(now) == lease.Idle {
+		s.resumeKnown = false
+		clear(s.reports)
+		s.apply(s.ctrl.Tick(now, order.Duty{}))
+		return
+	}
+	s.readReports()
+	s.lookForResume(now)
+	observed, complete := s.observed()
+	if !complete || !s.resumeKnown {
+		// Orders placed by a part of the reports could take too many endpoints
+		// out of work.
+		return
+	}
+	s.ctrl.SetObserved(observed)
+	fence, until, held := s.duty.holder.Fence(now)
+	s.apply(s.ctrl.Tick(now, order.Duty{Held: held, Fence: fence, Until: until}))
+}
+
+// observed returns the reports, and whether all endpoints were read.
+func (s *service) observed() ([]order.Observed, bool) {
+	leaving := s.m.leaving()
+	list := make([]order.Observed, 0, len(s.endpoints))
+	for _, e := range s.endpoints {
+		r, ok := s.reports[e.id]
+		if !ok {
+			return nil, false
+		}
+		list = append(list, r.observed(s.desired, e, e.leaving || leaving[e.addr]))
+	}
+	return list, true
+}
+
+func (s *service) readReports() {
+	for range min(reportsPerRound, len(s.endpoints)) {
+		e := s.endpoints[s.next%len(s.endpoints)]
+		s.next++
+		s.m.spawn(func() {
+			r := s.m.read(s.m.ctx, e)
+			s.m.mu.Lock()
+			defer s.m.mu.Unlock()
+			if old, ok := s.reports[e.id]; ok && old.at.After(r.at) {
+				return
+			}
+			s.reports[e.id] = r
+		})
+	}
+}
+
+func (s *service) apply(out order.Output) {
+	s.log(out.Events)
+	if out.Read != "" {
+		s.m.call(func() { s.readRecord(out.Read) })
+	}
+	if out.Write != nil {
+		s.m.call(func() { s.write(*out.Write) })
+	}
+	for _, send := range out.Sends {
+		addr := ""
+		for _, e := range s.endpoints {
+			if e.id == send.Order.Endpoint {
+				addr = e.addr
+			}
+		}
+		s.m.call(func() { s.send(send, addr) })
+	}
+	if out.Renew {
+		s.duty.renew(time.Now())
+	}
+}
+
+func (s *service) log(events []order.Event) {
+	for _, ev := range events {
+		o := ev.Order
+		log := s.m.o.Log.Info().Str("service", s.name).Str("detail", ev.Detail)
+		if o.ID != 0 {
+			log = log.Uint64("order", o.ID).Str("peer", o.Endpoint).Str("kind", string(o.Action.Kind)).Str("value", o.Action.Value)
+			s.m.trail.note(s.duty.name, o.Endpoint, string(o.Action.Kind)+" "+o.Action.Value+" "+string(o.State))
+		} else {
+			s.m.trail.note(s.duty.name, "", ev.Detail)
+		}
+		log.Msg("order changed")
+	}
+}
+
+// step gives a result to the controller.
+func (s *service) step(f func(now time.Time) order.Output) {
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	out := f(time.Now())
+	if s.m.draining {
+		// The send of a recorded intent is left to the successor, which sees it as
+		// unknown.
+		out.Sends = nil
+	}
+	s.apply(out)
+}
+
+func (s *service) readRecord(key string) {
+	ctx, cancel := context.WithTimeout(s.m.ctx, storeTimeout)
+	defer cancel()
+	item, err := s.m.o.Store.Get(ctx, key)
+	s.failed(err, "orders.read", storePeer)
+	s.step(func(time.Time) order.Output { return s.ctrl.Read(item, err) })
+}
+
+// write is safe without a check of the duty: a holder that was overtaken has an
+// old revision, and the store refuses the write.
+func (s *service) write(w platform.Write) {
+	ctx, cancel := context.WithTimeout(s.m.ctx, storeTimeout)
+	defer cancel()
+	item, err := s.m.o.Store.CompareAndSwap(ctx, w)
+	s.failed(err, "orders.write", storePeer)
+	s.step(func(now time.Time) order.Output { return s.ctrl.Written(now, w.OpID, item, err) })
+}
+
+func (s *service) send(send order.Send, addr string) {
+	result, err := s.m.place(s.name, send, addr, func() bool {
+		return s.duty.holds(send.Order.Fence, send.Timeout) && !time.Now().After(send.NotAfter)
+	})
+	s.failed(err, "orders.send", addr)
+	s.step(func(time.Time) order.Output { return s.ctrl.Sent(send.Order.ID, result) })
+}
+
+// failed logs an error with its step and peer.
+func (s *service) failed(err error, step, peer string) {
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		s.m.o.Log.Warn().Err(failure.At(err, step, peer)).Str("service", s.name).Msg("call for orders failed")
+	}
+}
+
+// lookForResume reads the operator's word when the duty was taken and while
+// the rollout is halted.
+func (s *service) lookForResume(now time.Time) {
+	r := s.ctrl.Record()
+	halted := r != nil && r.Halt != nil
+	if s.resumeReading || s.resumeKnown && (!halted || now.Sub(s.resumeAt) < resumeInterval) {
+		return
+	}
+	s.resumeReading, s.resumeAt = true, now
+	s.m.call(func() {
+		ctx, cancel := context.WithTimeout(s.m.ctx, storeTimeout)
+		defer cancel()
+		resume, _, err := s.m.readResume(ctx, s.name)
+		s.failed(err, "orders.resume", storePeer)
+		s.m.mu.Lock()
+		defer s.m.mu.Unlock()
+		s.resumeReading = false
+		if err == nil {
+			s.resumeKnown = true
+			s.desired.Resume = max(s.desired.Resume, resume)
+			s.ctrl.SetDesired(s.desired)
+		}
+	})
+}
+
+// readResume returns order.Desired.Resume of a service and its item.
+func (m *Manager) readResume(ctx context.Context, service string) (uint64, platform.Item, error) {
+	item, err := m.o.Store.Get(ctx, resumePrefix+service)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, platform.Item{}, nil
+	}
+	if err != nil {
+		return 0, item, err
+	}
+	var resume uint64
+	err = json.Unmarshal(item.Value, &resume)
+	return resume, item, errors.Wrap(err, "decode the number of resumptions")
+}
