daemon: run the duties

Cause: no daemon took a duty.

Change: a daemon starts orders.Manager, gives it each configuration in force and gives the duties back at the start of a planned stop, before the requests in progress end. A failure to do so is logged and does not fail the stop, since the leases expire.

Conclusion: orders follow from the configuration of a running fleet.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/azurehatch/azurehatch/internal/gateway"
 	"github.com/azurehatch/azurehatch/internal/ledger"
 	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/orders"
 	"github.com/azurehatch/azurehatch/internal/peer"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/pool"
@@ -32,6 +33,10 @@
 // idleTimeout closes a caller's connection that is not used.
 const idleTimeout = 2 * time.Minute
 
+// ordersDrainTimeout covers an order that is being sent (5 s) and the calls
+// that give the duties back.
+const ordersDrainTimeout = 10 * time.Second
+
 // Options configure a Daemon besides its settings.
 type Options struct {
 	Settings settings.Settings
@@ -55,6 +60,7 @@
 	ledger    *ledger.Ledger
 	claimed   *claims.Claims
 	follower  *follower.Follower
+	orders    *orders.Manager
 	pools     *pool.Set
 	gateway   *gateway.Gateway
 	upstream  *upstream.Client
@@ -143,6 +149,7 @@
 		Interval: d.s.Budget.FlushMin.Std(), Step: d.s.Budget.Step, Timeout: d.s.Budget.Timeout.Std(), Log: d.log, Scope: d.scope,
 	})
 	d.claimed = claims.New(claims.Options{Daemon: self.ID, Store: d.store, Log: d.log})
+	d.orders = orders.New(orders.Options{Self: self.ID, Store: d.store, Ranked: d.fleet.Ranked, Leaving: d.fleet.Leaving, Log: d.log})
 	d.follower = follower.New(follower.Options{
 		Self: self.ID, Domain: self.Domain, Store: d.store, Sender: d.peers, Addr: d.fleet.Addr, Install: d.install, Log: d.log,
 	})
@@ -192,6 +199,7 @@
 func (d *Daemon) install(revision uint64, c *config.Config) {
 	d.directory.Set(c)
 	d.refreshPools()
+	d.orders.SetConfig(c)
 	d.configured.Store(true)
 	d.log.Info().Uint64("revision", revision).Msg("configuration in force")
 }
@@ -203,6 +211,7 @@
 	d.ready.Store(false)
 	d.fleet.Drain()
 	d.log.Info().Int("active", d.gateway.Active()).Msg("daemon is leaving")
+	d.drainOrders(ctx)
 	wait(ctx, d.s.Shutdown.Announce.Std())
 	drain, cancel := context.WithTimeout(ctx, d.s.Shutdown.Drain.Std())
 	defer cancel()
@@ -219,6 +228,16 @@
 	return err
 }
 
+// drainOrders gives the duties back. Without it they are free when their leases
+// expire, so that a failure does not fail the stop.
+func (d *Daemon) drainOrders(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ordersDrainTimeout)
+	defer cancel()
+	if err := d.orders.Drain(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("duties are not known to be given back")
+	}
+}
+
 // Close ends the daemon at once, as a crash would.
 func (d *Daemon) Close() {
 	d.ready.Store(false)
@@ -229,6 +248,7 @@
 	d.control.close()
 	d.fleet.Close()
 	d.follower.Close()
+	d.orders.Close()
 	d.ledger.Close()
 	d.claimed.Close()
 	d.pools.Close()
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -21,7 +21,7 @@
 func (d *Daemon) newAdmin() *admin.API {
 	accounts := &accounts{books: ledger.Books{Store: d.store}, config: d.directory.Config}
 	return admin.New(admin.Options{
-		Store: d.store, Accounts: accounts, Fleet: fleetView{d}, Config: d.directory.Config,
+		Store: d.store, Accounts: accounts, Fleet: fleetView{d}, Orders: d.orders, Config: d.directory.Config,
 		BootstrapToken: d.s.Operators.BootstrapToken, Log: d.log,
 	})
 }
