orders: test drains, first reports and lost audit answers

Cause: four broken variants were not noticed: orders before all endpoints have reported, a drain that keeps the duties, a resumption that raises the number at each call, and audit entries that are repeated under another operation id.

go test -race -run Calls -v ./internal/orders

Conclusion: each of the four variants now fails a test.

--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -12,8 +12,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/azurehatch/azurehatch/internal/admin"
+	"github.com/azurehatch/azurehatch/internal/config"
 	"github.com/azurehatch/azurehatch/internal/lease"
 	"github.com/azurehatch/azurehatch/internal/order"
+	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/platform/memstore"
 	"github.com/azurehatch/azurehatch/internal/standin/engine"
 )
@@ -172,6 +174,66 @@
 	})
 }
 
+// Guards against a duty that a daemon keeps after its planned stop, until the
+// lease expires.
+func TestDrainGivesDutiesBack(t *testing.T) {
+	inBubble(t, 2, false, func(r *rig) {
+		d := r.start("d1")
+		ctx := context.Background()
+		r.until("the daemon holds both duties", time.Minute, func() bool {
+			held, err := r.store.List(ctx, lease.KeyPrefix)
+			return err == nil && len(held) == 2
+		})
+		// A configuration without the service comes right before the stop.
+		d.m.SetConfig(config.New())
+		if err := d.m.Drain(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if held, err := r.store.List(ctx, lease.KeyPrefix); err != nil || len(held) != 0 {
+			t.Errorf("duties after the drain: %+v (%v)", held, err)
+		}
+		time.Sleep(time.Minute)
+		if held, _ := r.store.List(ctx, lease.KeyPrefix); len(held) != 0 {
+			t.Errorf("the drained daemon took duties again: %+v", held)
+		}
+	})
+}
+
+// Guards against a duty that is kept for a service whose configuration asks for
+// nothing any more.
+func TestServiceWithoutVersionGivesDutyBack(t *testing.T) {
+	inBubble(t, 2, false, func(r *rig) {
+		d := r.start("d1")
+		key := lease.KeyPrefix + order.DutyPrefix + "chat"
+		r.until("the daemon holds the duty", time.Minute, func() bool {
+			_, err := r.store.Get(context.Background(), key)
+			return err == nil
+		})
+		d.m.SetConfig(config.New())
+		r.until("the duty is given back", 5*time.Second, func() bool {
+			_, err := r.store.Get(context.Background(), key)
+			return errors.Is(err, platform.ErrNotFound)
+		})
+	})
+}
+
+// Guards against orders that are decided before all endpoints have reported:
+// sick endpoints that were not read yet would not count as out of work.
+func TestAllReportsComeFirst(t *testing.T) {
+	inBubble(t, 100, false, func(r *rig) {
+		for i := 80; i < 100; i++ {
+			r.sick[fmt.Sprintf("e%02d", i)] = true
+		}
+		r.start("d1")
+		time.Sleep(20 * time.Second)
+		for i, e := range r.engines[:80] {
+			if orders := e.Orders(); len(orders) != 0 {
+				t.Errorf("engine %d got an order while a fifth of the engines is sick: %+v", i, orders)
+			}
+		}
+	})
+}
+
 // Guards against a rollout that goes on past sick endpoints, a halt that an
 // operator can't end, and a resumption that ends the next halt as well.
 func TestHaltAndResume(t *testing.T) {
@@ -196,6 +258,9 @@
 				t.Fatal(err)
 			}
 		}
+		if n, _, err := d.m.readResume(ctx, "chat"); n != 1 || err != nil {
+			t.Errorf("two resumptions of one halt count as %d (%v)", n, err)
+		}
 		r.until("the halt ends", time.Minute, func() bool { return r.status().Halt == nil })
 		r.setSick(false)
 		r.until("a second engine has the version", 5*time.Minute, func() bool { return r.loaded("v2") == 2 })
--- a/internal/orders/rig_test.go
+++ b/internal/orders/rig_test.go
@@ -55,6 +55,10 @@
 
 	mu   sync.Mutex
 	down bool
+	// loseHead is the number of next writes of the configuration head whose
+	// answer is lost; the head can't be read for 5 s after each, until headDown.
+	loseHead int
+	headDown time.Time
 	// hold delays the next orders between the start of the request and the
 	// reading of its body.
 	hold chan struct{}
@@ -73,7 +77,10 @@
 }
 
 func (n *node) Get(ctx context.Context, key string) (platform.Item, error) {
-	if n.isDown() {
+	n.mu.Lock()
+	headDown := key == rollout.HeadKey && time.Now().Before(n.headDown)
+	n.mu.Unlock()
+	if headDown || n.isDown() {
 		return platform.Item{}, platform.ErrUnavailable
 	}
 	return n.Store.Get(ctx, key)
@@ -83,7 +90,15 @@
 	if n.isDown() {
 		return platform.Item{}, platform.ErrUnavailable
 	}
-	return n.Store.CompareAndSwap(ctx, w)
+	item, err := n.Store.CompareAndSwap(ctx, w)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err == nil && w.Key == rollout.HeadKey && n.loseHead > 0 {
+		n.loseHead--
+		n.headDown = time.Now().Add(5 * time.Second)
+		return platform.Item{}, platform.ErrOutcomeUnknown
+	}
+	return item, err
 }
 
 func (n *node) KeepAlive(ctx context.Context, id platform.LeaseID) error {
@@ -151,7 +166,7 @@
 
 func (r *rig) start(id string) *node {
 	n := &node{r: r, Store: r.store}
-	n.m = New(Options{Self: id, Store: n, Transport: n, Log: zerolog.Nop(), Ranked: func(string, int) []string { return []string{"d1", "d2"} }})
+	n.m = New(Options{Self: id, Store: n, Transport: n, Log: zerolog.Nop(), Ranked: func(string, int) []string { return []string{"d1", "d2", "d3"} }})
 	n.m.SetConfig(r.config)
 	r.daemons = append(r.daemons, n)
 	return n
--- a/internal/orders/trail_test.go
+++ b/internal/orders/trail_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/audit"
-	"github.com/azurehatch/azurehatch/internal/platform/memstore"
 	"github.com/azurehatch/azurehatch/internal/rollout"
 )
 
@@ -38,7 +37,9 @@
 		d := r.start("d1")
 		started := time.Now()
 		r.until("five engines have the version", 10*time.Minute, func() bool { return r.loaded("v2") >= 5 })
-		r.store.SetFaults(memstore.Faults{LoseAnswers: 5})
+		d.mu.Lock()
+		d.loseHead = 5
+		d.mu.Unlock()
 		r.until("all engines have the version", 20*time.Minute, func() bool { return r.loaded("v2") == 20 })
 		r.until("the orders are done", time.Minute, func() bool { return r.status().Open == 0 })
 		elapsed := time.Since(started)
