orders: test that resumptions are read first

Cause: a variant that acts before it has read the number of resumptions was not noticed.

Change: a test in which that number can't be read for a minute.

Conclusion: the variant now fails.

--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -278,6 +278,25 @@
 	})
 }
 
+// Guards against a holder that records a halt without the number of the last
+// resumption, which would end that halt at once.
+func TestResumptionsAreReadFirst(t *testing.T) {
+	inBubble(t, 2, false, func(r *rig) {
+		d := r.start("d1")
+		d.mu.Lock()
+		d.resumeDown = true
+		d.mu.Unlock()
+		time.Sleep(time.Minute)
+		if r.record().Fence != 0 || len(r.allOrders()) != 0 {
+			t.Errorf("the holder acted before it knew the resumptions: %+v", r.record())
+		}
+		d.mu.Lock()
+		d.resumeDown = false
+		d.mu.Unlock()
+		r.until("all engines have the version", 10*time.Minute, func() bool { return r.loaded("v2") == 2 })
+	})
+}
+
 func (r *rig) setSick(sick bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/orders/rig_test.go
+++ b/internal/orders/rig_test.go
@@ -59,6 +59,8 @@
 	// answer is lost; the head can't be read for 5 s after each, until headDown.
 	loseHead int
 	headDown time.Time
+	// resumeDown makes the numbers of resumptions unreadable.
+	resumeDown bool
 	// hold delays the next orders between the start of the request and the
 	// reading of its body.
 	hold chan struct{}
@@ -78,9 +80,9 @@
 
 func (n *node) Get(ctx context.Context, key string) (platform.Item, error) {
 	n.mu.Lock()
-	headDown := key == rollout.HeadKey && time.Now().Before(n.headDown)
+	unreadable := key == rollout.HeadKey && time.Now().Before(n.headDown) || n.resumeDown && strings.HasPrefix(key, resumePrefix)
 	n.mu.Unlock()
-	if headDown || n.isDown() {
+	if unreadable || n.isDown() {
 		return platform.Item{}, platform.ErrUnavailable
 	}
 	return n.Store.Get(ctx, key)
