Add metrics of the store, the configuration and the pools' endpoints

/metrics showed requests and queues only, so no alert could be written for a platform outage, an old configuration, ejected endpoints, crashes or the tokens billed.

Add store_calls and store_failures by call, configuration_revision and configuration_age_seconds, ready, peers_live, requests_active, pool_endpoints, pool_endpoints_up and pool_endpoints_ejected (counted once a second), retries, hedges, endpoint_crashes and tokens_billed. Counters of calls, retries, hedges and crashes exist from the start, so that the first event shows as an increase.

The tests of internal/gateway and internal/dev pass; the cost was not measured at the target size.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -37,6 +37,7 @@
 	c.every(loadInterval, c.shareLoad)
 	c.every(poisonInterval, c.sharePoison)
 	c.every(reportInterval, c.readReports)
+	c.every(metricsInterval, c.updateGauges)
 	return c
 }
 
--- /dev/null
+++ b/internal/daemon/countedstore.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// countedStore counts the calls to the store and their failures by name of the
+// call.
+type countedStore struct {
+	platform.Store
+	calls, failures map[string]tally.Counter
+}
+
+// storeCalls are the names of the calls. All counters exist from the start, so
+// that the first failure shows as an increase.
+var storeCalls = []string{
+	"get", "list", "compare_and_swap", "delete", "watch", "grant_lease", "keep_alive", "revoke", "instances",
+}
+
+func newCountedStore(store platform.Store, scope tally.Scope) *countedStore {
+	c := &countedStore{Store: store, calls: make(map[string]tally.Counter), failures: make(map[string]tally.Counter)}
+	for _, name := range storeCalls {
+		tagged := scope.Tagged(map[string]string{"call": name})
+		c.calls[name], c.failures[name] = tagged.Counter("store_calls"), tagged.Counter("store_failures")
+	}
+	return c
+}
+
+// note counts one call. A key that does not exist and a lost race are answers
+// of a healthy store, and a cancelled call tells nothing about it.
+func (c *countedStore) note(name string, err error) {
+	c.calls[name].Inc(1)
+	var conflict *platform.ConflictError
+	if err == nil || errors.Is(err, platform.ErrNotFound) || errors.As(err, &conflict) || errors.Is(err, context.Canceled) {
+		return
+	}
+	c.failures[name].Inc(1)
+}
+
+// Get implements platform.Store.
+func (c *countedStore) Get(ctx context.Context, key string) (platform.Item, error) {
+	item, err := c.Store.Get(ctx, key)
+	c.note("get", err)
+	return item, err
+}
+
+// List implements platform.Store.
+func (c *countedStore) List(ctx context.Context, prefix string) ([]platform.Item, error) {
+	items, err := c.Store.List(ctx, prefix)
+	c.note("list", err)
+	return items, err
+}
+
+// CompareAndSwap implements platform.Store.
+func (c *countedStore) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Item, error) {
+	item, err := c.Store.CompareAndSwap(ctx, w)
+	c.note("compare_and_swap", err)
+	return item, err
+}
+
+// Delete implements platform.Store.
+func (c *countedStore) Delete(ctx context.Context, key string, expected platform.Revision) error {
+	err := c.Store.Delete(ctx, key, expected)
+	c.note("delete", err)
+	return err
+}
+
+// Watch implements platform.Store.
+func (c *countedStore) Watch(ctx context.Context, prefix string, after platform.Revision) (<-chan platform.Event, error) {
+	events, err := c.Store.Watch(ctx, prefix, after)
+	c.note("watch", err)
+	return events, err
+}
+
+// GrantLease implements platform.Store.
+func (c *countedStore) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	id, err := c.Store.GrantLease(ctx, ttl)
+	c.note("grant_lease", err)
+	return id, err
+}
+
+// KeepAlive implements platform.Store.
+func (c *countedStore) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	err := c.Store.KeepAlive(ctx, id)
+	c.note("keep_alive", err)
+	return err
+}
+
+// Revoke implements platform.Store.
+func (c *countedStore) Revoke(ctx context.Context, id platform.LeaseID) error {
+	err := c.Store.Revoke(ctx, id)
+	c.note("revoke", err)
+	return err
+}
+
+// Instances implements platform.Store.
+func (c *countedStore) Instances(ctx context.Context) ([]platform.Instance, error) {
+	list, err := c.Store.Instances(ctx)
+	c.note("instances", err)
+	return list, err
+}
+
+// updateGauges sets the gauges of the daemon as a whole.
+func (c *control) updateGauges() {
+	d := c.d
+	ready := 0.0
+	if d.Ready() {
+		ready = 1
+	}
+	status := d.follower.Status()
+	d.scope.Gauge("ready").Update(ready)
+	d.scope.Gauge("requests_active").Update(float64(d.gateway.Active()))
+	d.scope.Gauge("peers_live").Update(float64(d.Peers()))
+	d.scope.Gauge("configuration_revision").Update(float64(status.Revision))
+	d.scope.Gauge("configuration_age_seconds").Update(status.Age.Seconds())
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,6 +127,7 @@
 
 func (d *Daemon) assemble() error {
 	d.scope, d.closeScope, d.metricsHTTP = newScope(d.s.Instance)
+	d.store = newCountedStore(d.store, d.scope)
 	creds, err := peerCredentials(d.s.Peers)
 	if err != nil {
 		return err
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -197,6 +197,9 @@
 // settle bills what ran. A request that certainly did not run, or that an
 // endpoint failed before its first token, costs nothing.
 func (j *job) settle(ctx context.Context, err error) {
+	if j.ran != upstream.RanNo {
+		j.x.g.Scope.Tagged(map[string]string{"service": j.x.service.Name}).Counter("tokens_billed").Inc(j.billed)
+	}
 	switch {
 	case j.ran == upstream.RanNo:
 		j.hold.release()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/azurehatch/azurehatch/internal/admission"
 	"github.com/azurehatch/azurehatch/internal/gateway"
+	"github.com/azurehatch/azurehatch/internal/outlier"
 	"github.com/azurehatch/azurehatch/internal/poison"
 	"github.com/azurehatch/azurehatch/internal/predict"
 	"github.com/azurehatch/azurehatch/internal/problem"
@@ -75,6 +76,11 @@
 	// running maps each endpoint to the digests of this daemon's requests on
 	// it, for poison requests.
 	running map[route.EndpointID]map[*ticket]poison.Digest
+
+	scope                    tally.Scope
+	retries, hedges, crashes tally.Counter
+	// counted is the time at which the endpoints were last counted.
+	counted time.Time
 }
 
 // verdict ends the wait of a queued request; refused is nil if it may start.
@@ -164,8 +170,10 @@
 }
 
 func (s *Set) newPool(service string, model bool) *Pool {
+	scope := s.o.Scope.Tagged(map[string]string{"service": service})
 	return &Pool{
-		set: s, service: service,
+		set: s, service: service, scope: scope,
+		retries: scope.Counter("retries"), hedges: scope.Counter("hedges"), crashes: scope.Counter("endpoint_crashes"),
 		rng:     rand.New(rand.NewPCG(s.o.Seed, uint64(len(s.pools)))),
 		route:   route.New(route.Options{}),
 		queue:   admission.New(admission.Options{Services: !model, MaxWait: s.o.MaxWait}),
@@ -198,7 +206,7 @@
 		p.wake(r.Ticket, verdict{refused: &r})
 	}
 	p.refresh(now)
-	p.metrics()
+	p.metrics(now)
 }
 
 // refresh passes the pool's capacity to the queue. The caller holds p.mu.
@@ -222,12 +230,31 @@
 	}
 }
 
-func (p *Pool) metrics() {
+// countInterval is how often the endpoints are counted: at the target size a
+// count copies the status of 4,300 endpoints.
+const countInterval = time.Second
+
+func (p *Pool) metrics(now time.Time) {
 	st := p.queue.Stats()
-	scope := p.set.o.Scope.Tagged(map[string]string{"service": p.service})
-	scope.Gauge("pool_running").Update(float64(st.Running))
-	scope.Gauge("pool_queued").Update(float64(st.Queued))
-	scope.Gauge("pool_limit").Update(float64(st.Limit))
+	p.scope.Gauge("pool_running").Update(float64(st.Running))
+	p.scope.Gauge("pool_queued").Update(float64(st.Queued))
+	p.scope.Gauge("pool_limit").Update(float64(st.Limit))
+	if now.Sub(p.counted) < countInterval {
+		return
+	}
+	p.counted = now
+	endpoints, up, ejected := p.route.Status(), 0, 0
+	for _, e := range endpoints {
+		if e.Weight > 0 {
+			up++
+		}
+		if e.EjectReason != outlier.None.String() {
+			ejected++
+		}
+	}
+	p.scope.Gauge("pool_endpoints").Update(float64(len(endpoints)))
+	p.scope.Gauge("pool_endpoints_up").Update(float64(up))
+	p.scope.Gauge("pool_endpoints_ejected").Update(float64(ejected))
 }
 
 // Up reports whether the service has an endpoint that takes work.
--- a/internal/pool/share.go
+++ b/internal/pool/share.go
@@ -74,6 +74,7 @@
 		digests = append(digests, other)
 	}
 	p.mu.Unlock()
+	p.crashes.Inc(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.o.Now()
--- a/internal/pool/ticket.go
+++ b/internal/pool/ticket.go
@@ -224,6 +224,7 @@
 		return gateway.Endpoint{}, false
 	}
 	t.hedge = attempt
+	p.hedges.Inc(1)
 	return e, true
 }
 
@@ -299,7 +300,9 @@
 		// the crash, so that the caller's repeat finds it isolated.
 		d.Delay = poison.HoldFailure
 	}
-	if !d.OK {
+	if d.OK {
+		p.retries.Inc(1)
+	} else {
 		p.set.o.Log.Debug().Str("request", t.w.RequestID).Str("reason", d.Reason.String()).Msg("no retry")
 	}
 	return d.Delay, d.OK
