Say that a stream ran when its budget ends it

A stream whose reservation could not be extended ended with an error event with "ran": "no" after 257 tokens had been relayed, and with the detail budget "". The log and the metric counted it as endpoint-failed.

The event now says "ran": "yes" and names the budget. The new assertion in TestStreamStopsAtBudget and the new test against a fleet fail without the change and pass with it.

--- /dev/null
+++ b/internal/docscheck/stream_test.go
@@ -0,0 +1,29 @@
+package docscheck
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against the end of a stream for lack of tokens that says that nothing
+// ran, or that does not name the budget.
+func TestStreamEndsWithBudget(t *testing.T) {
+	e := newEnv(t, "maracas")
+	// Covers the prompt's bound and the first step, but no second one.
+	topUp := `azurehatch account topup --admin "$ADMIN" --token-file "$BILLING_FILE" --reason test trial main 400`
+	if out, err := e.sh(topUp); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	// The connection is broken after the error event, so that curl fails.
+	out, err := e.sh(`curl -sS -N "$DAEMON/v1/chat/completions" -H 'Authorization: Bearer dev-trial' ` +
+		`-d '{"model":"tray-planner","stream":true,"messages":[{"role":"user","content":"plan words:500"}]}'`)
+	if err == nil || strings.Contains(out, "[DONE]") {
+		t.Errorf("the stream looks whole, error %v", err)
+	}
+	_, event, found := strings.Cut(out, "event: error\n")
+	for _, part := range []string{`problems/budget-exhausted"`, `"ran":"yes"`, `budget \"trial/main\" does not cover`} {
+		if !found || !strings.Contains(event, part) {
+			t.Errorf("the error event %q lacks %q", event, part)
+		}
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -229,6 +229,10 @@
 	if err == nil || strings.Contains(text, "[DONE]") || !strings.Contains(text, "budget-exhausted") {
 		t.Errorf("got %q, error %v, want a budget refusal in the stream", text, err)
 	}
+	// Tokens were relayed before the refusal, so it must not say that nothing ran.
+	if !strings.Contains(text, `"ran":"yes"`) {
+		t.Errorf("got %q, want the refusal to say that the request ran", text)
+	}
 	if x.fleet.balance < 0 {
 		t.Errorf("balance is %d", x.fleet.balance)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -117,6 +117,11 @@
 	if !errors.As(err, &refusal) {
 		refusal = (&problem.Error{Kind: problem.StreamTruncated, Detail: "the endpoint's stream was cut"}).Having(upstream.RanYes).Because(err)
 	}
+	if refusal.Ran == upstream.RanNo {
+		// A refused extension of the reservation did not run; the request did.
+		ran := *refusal
+		refusal = ran.Having(upstream.RanYes)
+	}
 	j.sendErrorEvent(refusal)
 	return refusal
 }
--- a/internal/ledger/hold.go
+++ b/internal/ledger/hold.go
@@ -22,7 +22,9 @@
 type hold struct {
 	l     *Ledger
 	shard int
-	key   budget.Key
+	// budget is the id of the budget that is drawn on.
+	budget string
+	key    budget.Key
 }
 
 // Reserve implements gateway.Ledger.
@@ -33,7 +35,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.l.o.Timeout)
 	defer cancel()
-	h := &hold{l: c.l, shard: budget.ShardOf(charge.Account)}
+	h := &hold{l: c.l, shard: budget.ShardOf(charge.Account), budget: id}
 	for {
 		err := h.reserve(ctx, charge, id)
 		if !errors.Is(err, errAgain) {
@@ -146,7 +148,7 @@
 	case budget.Granted:
 		return nil
 	case budget.Refused:
-		return refusal(reply.Status, "")
+		return refusal(reply.Status, h.budget)
 	}
 	return errAgain
 }
