Share units and spelling between settings and configuration

Cause: durations, sizes and the nearest valid name were written twice. Change: packages unit and spelling serve both. Measured: the tests of both packages pass.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	store, err := etcdhttp.New(etcdhttp.Options{Addrs: s.Platform.Addresses, CallTimeout: s.Platform.Timeout.Std()})
+	store, err := etcdhttp.New(etcdhttp.Options{Addrs: s.Platform.Addresses, CallTimeout: s.Platform.Timeout.Duration})
 	if err != nil {
 		return err
 	}
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -65,39 +65,3 @@
 	}
 	return strings.Join(lines, "\n")
 }
-
-// nearest returns the candidate with the smallest edit distance to name, if
-// that is at most a third of the name's length (and at least 1).
-func nearest(name string, candidates []string) string {
-	// The distance takes quadratic time, and no valid name is this long.
-	if len(name) > 2*maxNameBytes {
-		return ""
-	}
-	best, bestDistance := "", max(1, len(name)/3)+1
-	for _, c := range candidates {
-		if d := distance(name, c); d < bestDistance || (d == bestDistance && best != "" && c < best) {
-			best, bestDistance = c, d
-		}
-	}
-	return best
-}
-
-// distance is the Levenshtein distance.
-func distance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := 1; i <= len(a); i++ {
-		diagonal := row[0]
-		row[0] = i
-		for j := 1; j <= len(b); j++ {
-			cost := 1
-			if a[i-1] == b[j-1] {
-				cost = 0
-			}
-			diagonal, row[j] = row[j], min(row[j]+1, row[j-1]+1, diagonal+cost)
-		}
-	}
-	return row[len(b)]
-}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"github.com/azurehatch/azurehatch/internal/spelling"
 )
 
 // typeOf returns the Go type of the value at a path of the document. If there
@@ -59,7 +61,7 @@
 		for i := range t.NumField() {
 			keys = append(keys, tomlName(t.Field(i)))
 		}
-		e.Nearest = nearest(path[n], keys)
+		e.Nearest = spelling.Nearest(path[n], keys)
 	}
 	p.errs = append(p.errs, e)
 	return false
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/azurehatch/azurehatch/internal/unit"
 )
 
 // ServiceKind tells a model pool from a plain HTTP service.
@@ -69,11 +71,11 @@
 	// MaxOutputTokens caps the answer of a model.
 	MaxOutputTokens int64 `toml:"max_output_tokens,omitempty" json:"max_output_tokens,omitempty"`
 	// PriceTokens is the price of one call of a plain service.
-	PriceTokens       int64    `toml:"price_tokens,omitempty" json:"price_tokens,omitempty"`
-	Timeout           Duration `toml:"timeout,omitzero" json:"timeout,omitzero"`
-	FirstTokenTimeout Duration `toml:"first_token_timeout,omitzero" json:"first_token_timeout,omitzero"`
+	PriceTokens       int64         `toml:"price_tokens,omitempty" json:"price_tokens,omitempty"`
+	Timeout           unit.Duration `toml:"timeout,omitzero" json:"timeout,omitzero"`
+	FirstTokenTimeout unit.Duration `toml:"first_token_timeout,omitzero" json:"first_token_timeout,omitzero"`
 	// MaxBody limits the size of a request body.
-	MaxBody Size `toml:"max_body,omitzero" json:"max_body,omitzero"`
+	MaxBody unit.Size `toml:"max_body,omitzero" json:"max_body,omitzero"`
 	// Priority orders services that share engines; a higher one goes first.
 	Priority         int `toml:"priority,omitempty" json:"priority,omitempty"`
 	SlotsPerEndpoint int `toml:"slots_per_endpoint,omitempty" json:"slots_per_endpoint,omitempty"`
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -8,6 +8,8 @@
 	"regexp"
 	"slices"
 	"strings"
+
+	"github.com/azurehatch/azurehatch/internal/spelling"
 )
 
 // maxNameBytes bounds a name, so that an entry's size is bounded by its lists.
@@ -71,7 +73,7 @@
 	if value == "" {
 		v.add(ErrMissing, path, "key is required, one of %s", strings.Join(valid, ", "))
 	} else if !slices.Contains(valid, value) {
-		v.addNear(ErrValue, path, nearest(value, valid), "value %q is not one of %s", value, strings.Join(valid, ", "))
+		v.addNear(ErrValue, path, spelling.Nearest(value, valid), "value %q is not one of %s", value, strings.Join(valid, ", "))
 	}
 }
 
@@ -83,7 +85,7 @@
 
 func (v *validator) knownService(path []string, name string) {
 	if _, ok := v.c.Services[name]; !ok {
-		v.addNear(ErrUnknown, path, nearest(name, v.services), "service %q does not exist", name)
+		v.addNear(ErrUnknown, path, spelling.Nearest(name, v.services), "service %q does not exist", name)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -147,7 +147,7 @@
 	d.fleet = fleet.New(fleet.Options{Self: self, Sender: d.peers, Lister: d.store, OnEvents: d.onEvents, Log: d.log})
 	d.ledger = ledger.New(ledger.Options{
 		ID: self.ID, Domain: self.Domain, Store: d.store, Members: d.fleet, Peers: d.peers, BudgetFor: d.directory.BudgetFor,
-		Interval: d.s.Budget.FlushMin.Std(), Step: d.s.Budget.Step, Timeout: d.s.Budget.Timeout.Std(), Log: d.log, Scope: d.scope,
+		Interval: d.s.Budget.FlushMin.Duration, Step: d.s.Budget.Step, Timeout: d.s.Budget.Timeout.Duration, Log: d.log, Scope: d.scope,
 	})
 	d.claimed = claims.New(claims.Options{Daemon: self.ID, Store: d.store, Log: d.log})
 	d.orders = orders.New(orders.Options{Self: self.ID, Store: d.store, Ranked: d.fleet.Ranked, Leaving: d.fleet.Leaving, Log: d.log})
@@ -157,7 +157,7 @@
 	d.upstream = upstream.New(upstream.Options{})
 	d.gateway = gateway.New(gateway.Options{
 		Directory: d.directory, Ledger: d.ledger.Gateway(), Claims: d.claimed, Pools: d.pools, Upstream: d.upstream,
-		Log: d.log, Scope: d.scope, MaxBody: int64(d.s.Limits.Body), Timeout: d.s.Limits.Request.Std(), Step: d.s.Budget.Step,
+		Log: d.log, Scope: d.scope, MaxBody: d.s.Limits.Body.Bytes, Timeout: d.s.Limits.Request.Duration, Step: d.s.Budget.Step,
 	})
 	d.peerGRPC = peer.NewServer(d.ledger, d, creds.server, d.log)
 	d.control = newControl(d)
@@ -168,10 +168,10 @@
 
 func (d *Daemon) serve() error {
 	d.callersHTTP = &http.Server{
-		Handler: d.gateway.Handler(), ReadHeaderTimeout: d.s.Limits.HeaderTimeout.Std(),
-		ReadTimeout: d.s.Limits.BodyTimeout.Std(), IdleTimeout: idleTimeout,
+		Handler: d.gateway.Handler(), ReadHeaderTimeout: d.s.Limits.HeaderTimeout.Duration,
+		ReadTimeout: d.s.Limits.BodyTimeout.Duration, IdleTimeout: idleTimeout,
 	}
-	d.adminHTTP = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: d.s.Limits.HeaderTimeout.Std(), IdleTimeout: idleTimeout}
+	d.adminHTTP = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: d.s.Limits.HeaderTimeout.Duration, IdleTimeout: idleTimeout}
 	callers, err := secure(d.callers, d.s.Callers)
 	if err != nil {
 		return err
@@ -213,8 +213,8 @@
 	d.fleet.Drain()
 	d.log.Info().Int("active", d.gateway.Active()).Msg("daemon is leaving")
 	d.drainOrders(ctx)
-	wait(ctx, d.s.Shutdown.Announce.Std())
-	drain, cancel := context.WithTimeout(ctx, d.s.Shutdown.Drain.Std())
+	wait(ctx, d.s.Shutdown.Announce.Duration)
+	drain, cancel := context.WithTimeout(ctx, d.s.Shutdown.Drain.Duration)
 	defer cancel()
 	err := d.gateway.Drain(drain)
 	if err != nil {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -25,6 +25,7 @@
 	"github.com/azurehatch/azurehatch/internal/standin/engine"
 	standin "github.com/azurehatch/azurehatch/internal/standin/platform"
 	"github.com/azurehatch/azurehatch/internal/standin/service"
+	"github.com/azurehatch/azurehatch/internal/unit"
 )
 
 // Shape of the development fleet's emulators.
@@ -244,7 +245,7 @@
 	s.Peers.Listen, s.Admin.Listen = "127.0.0.1:0", "127.0.0.1:0"
 	s.Callers.PlainText, s.Peers.PlainText, s.Admin.PlainText = true, true, true
 	s.Operators.BootstrapToken = hashed(bootstrapToken)
-	s.Shutdown.Announce = settings.Duration(200 * time.Millisecond)
+	s.Shutdown.Announce = unit.Duration{Duration: 200 * time.Millisecond}
 	s.Platform.Addresses = []string{f.platformURL}
 	store, err := f.connect()
 	if err != nil {
--- /dev/null
+++ b/internal/settings/errors.go
@@ -0,0 +1,25 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// describe turns a decoder's error into one that names file, line and column.
+func describe(name string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		first := strict.Errors[0]
+		row, col := first.Position()
+		return errors.Errorf("%s:%d:%d: unknown key %q%s", name, row, col, strings.Join(first.Key(), "."), suggestion(first.Key()))
+	}
+	var dec *toml.DecodeError
+	if errors.As(err, &dec) {
+		row, col := dec.Position()
+		return errors.Errorf("%s:%d:%d: %v", name, row, col, err)
+	}
+	return fmt.Errorf("%s: %w", name, err)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,10 +5,11 @@
 import (
 	"bytes"
 	"net/netip"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/unit"
 )
 
 // Settings are the settings of a daemon.
@@ -46,25 +47,25 @@
 
 // Platform names the key-value store.
 type Platform struct {
-	Addresses      []string `toml:"addresses" comment:"Base URLs of the store (etcd v3 HTTP/JSON API), tried in turn."`
-	Timeout        Duration `toml:"timeout" comment:"Timeout of one call."`
-	CallsPerSecond float64  `toml:"calls_per_second" comment:"Most calls a second that this daemon makes to the store."`
+	Addresses      []string      `toml:"addresses" comment:"Base URLs of the store (etcd v3 HTTP/JSON API), tried in turn."`
+	Timeout        unit.Duration `toml:"timeout" comment:"Timeout of one call."`
+	CallsPerSecond float64       `toml:"calls_per_second" comment:"Most calls a second that this daemon makes to the store."`
 }
 
 // Limits bound what a caller may send.
 type Limits struct {
-	Body          Size     `toml:"body" comment:"Largest request body."`
-	HeaderTimeout Duration `toml:"header_timeout" comment:"Longest time for a caller to send the request's headers."`
-	BodyTimeout   Duration `toml:"body_timeout" comment:"Longest time for a caller to send the whole request."`
-	Request       Duration `toml:"request" comment:"Longest time for a request without a deadline of its own."`
-	QueueWait     Duration `toml:"queue_wait" comment:"Longest time that a request waits for admission."`
+	Body          unit.Size     `toml:"body" comment:"Largest request body."`
+	HeaderTimeout unit.Duration `toml:"header_timeout" comment:"Longest time for a caller to send the request's headers."`
+	BodyTimeout   unit.Duration `toml:"body_timeout" comment:"Longest time for a caller to send the whole request."`
+	Request       unit.Duration `toml:"request" comment:"Longest time for a request without a deadline of its own."`
+	QueueWait     unit.Duration `toml:"queue_wait" comment:"Longest time that a request waits for admission."`
 }
 
 // Budget sets how tokens are reserved.
 type Budget struct {
-	Step     int64    `toml:"step" comment:"Tokens by which the reservation of a stream is extended."`
-	Timeout  Duration `toml:"timeout" comment:"Longest wait for a reservation."`
-	FlushMin Duration `toml:"flush_min" comment:"Shortest time between two writes of one budget record."`
+	Step     int64         `toml:"step" comment:"Tokens by which the reservation of a stream is extended."`
+	Timeout  unit.Duration `toml:"timeout" comment:"Longest wait for a reservation."`
+	FlushMin unit.Duration `toml:"flush_min" comment:"Shortest time between two writes of one budget record."`
 }
 
 // Operators sets the access of operators before the configuration names any.
@@ -74,8 +75,8 @@
 
 // Shutdown sets the graceful shutdown.
 type Shutdown struct {
-	Announce Duration `toml:"announce" comment:"Time between /readyz turning false and the listener closing."`
-	Drain    Duration `toml:"drain" comment:"Longest wait for requests in progress."`
+	Announce unit.Duration `toml:"announce" comment:"Time between /readyz turning false and the listener closing."`
+	Drain    unit.Duration `toml:"drain" comment:"Longest wait for requests in progress."`
 }
 
 // Log sets the logs.
@@ -90,13 +91,13 @@
 		Callers:  Listener{Listen: "127.0.0.1:8080"},
 		Peers:    Listener{Listen: "127.0.0.1:8081"},
 		Admin:    Listener{Listen: "127.0.0.1:8082"},
-		Platform: Platform{Addresses: []string{"http://127.0.0.1:2379"}, Timeout: Duration(2 * time.Second), CallsPerSecond: 50},
+		Platform: Platform{Addresses: []string{"http://127.0.0.1:2379"}, Timeout: unit.Seconds(2), CallsPerSecond: 50},
 		Limits: Limits{
-			Body: 8 << 20, HeaderTimeout: Duration(5 * time.Second), BodyTimeout: Duration(30 * time.Second),
-			Request: Duration(10 * time.Minute), QueueWait: Duration(10 * time.Second),
+			Body: unit.Size{Bytes: 8 << 20}, HeaderTimeout: unit.Seconds(5), BodyTimeout: unit.Seconds(30),
+			Request: unit.Seconds(600), QueueWait: unit.Seconds(10),
 		},
-		Budget:   Budget{Step: 256, Timeout: Duration(2 * time.Second), FlushMin: Duration(time.Second)},
-		Shutdown: Shutdown{Announce: Duration(2 * time.Second), Drain: Duration(60 * time.Second)},
+		Budget:   Budget{Step: 256, Timeout: unit.Seconds(2), FlushMin: unit.Seconds(1)},
+		Shutdown: Shutdown{Announce: unit.Seconds(2), Drain: unit.Seconds(60)},
 		Log:      Log{Level: "info"},
 	}
 }
@@ -150,17 +151,17 @@
 		name  string
 		value float64
 	}{
-		{"platform.timeout", float64(s.Platform.Timeout)},
+		{"platform.timeout", s.Platform.Timeout.Seconds()},
 		{"platform.calls_per_second", s.Platform.CallsPerSecond},
-		{"limits.body", float64(s.Limits.Body)},
-		{"limits.header_timeout", float64(s.Limits.HeaderTimeout)},
-		{"limits.body_timeout", float64(s.Limits.BodyTimeout)},
-		{"limits.request", float64(s.Limits.Request)},
-		{"limits.queue_wait", float64(s.Limits.QueueWait)},
+		{"limits.body", float64(s.Limits.Body.Bytes)},
+		{"limits.header_timeout", s.Limits.HeaderTimeout.Seconds()},
+		{"limits.body_timeout", s.Limits.BodyTimeout.Seconds()},
+		{"limits.request", s.Limits.Request.Seconds()},
+		{"limits.queue_wait", s.Limits.QueueWait.Seconds()},
 		{"budget.step", float64(s.Budget.Step)},
-		{"budget.timeout", float64(s.Budget.Timeout)},
-		{"budget.flush_min", float64(s.Budget.FlushMin)},
-		{"shutdown.drain", float64(s.Shutdown.Drain)},
+		{"budget.timeout", s.Budget.Timeout.Seconds()},
+		{"budget.flush_min", s.Budget.FlushMin.Seconds()},
+		{"shutdown.drain", s.Shutdown.Drain.Seconds()},
 	}
 	for _, p := range positive {
 		if p.value <= 0 {
--- a/internal/settings/suggest.go
+++ b/internal/settings/suggest.go
@@ -2,11 +2,9 @@
 
 import (
 	"reflect"
-	"strings"
-)
 
-// maxSuggestDistance is the edit distance up to which a name is suggested.
-const maxSuggestDistance = 3
+	"github.com/azurehatch/azurehatch/internal/spelling"
+)
 
 // suggestion returns `; did you mean "x"?` for an unknown key with a near
 // known one, else an empty string.
@@ -22,7 +20,7 @@
 	if len(key) == 0 {
 		return ""
 	}
-	if near := Nearest(key[len(key)-1], keysOf(t)); near != "" {
+	if near := spelling.Nearest(key[len(key)-1], keysOf(t)); near != "" {
 		return `; did you mean "` + near + `"?`
 	}
 	return ""
@@ -44,35 +42,3 @@
 	}
 	return keys
 }
-
-// Nearest returns the name with the smallest edit distance to s, or an empty
-// string if none is near.
-func Nearest(s string, names []string) string {
-	best, bestDistance := "", maxSuggestDistance+1
-	for _, n := range names {
-		if d := distance(strings.ToLower(s), strings.ToLower(n)); d < bestDistance {
-			best, bestDistance = n, d
-		}
-	}
-	return best
-}
-
-// distance is the Levenshtein distance.
-func distance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := 1; i <= len(a); i++ {
-		diagonal := row[0]
-		row[0] = i
-		for j := 1; j <= len(b); j++ {
-			cost := 1
-			if a[i-1] == b[j-1] {
-				cost = 0
-			}
-			diagonal, row[j] = row[j], min(row[j]+1, row[j-1]+1, diagonal+cost)
-		}
-	}
-	return row[len(b)]
-}
--- a/internal/config/units.go
+++ b/internal/unit/unit.go
@@ -1,4 +1,6 @@
-package config
+// Package unit holds values that are written with their unit in settings and in
+// the operators' configuration.
+package unit
 
 import (
 	"strconv"
@@ -8,6 +10,9 @@
 	"github.com/pkg/errors"
 )
 
+// Seconds returns a Duration of n seconds.
+func Seconds(n int) Duration { return Duration{time.Duration(n) * time.Second} }
+
 // Duration is a time span written with its unit, for example "30s" or "1m30s".
 type Duration struct{ time.Duration }
 
