capacity: measure the processor time of lists, digests and reservations

The sum of processor time left out the decoding of the instance list, load digests and the allocator's part of a request.

--- a/internal/capacity/compute.go
+++ b/internal/capacity/compute.go
@@ -41,7 +41,7 @@
 	Membership, Digests, Rollout, Reports, Reserves, Settle1, Settle25, List, Bytes1, Bytes25 float64
 	SettleCalls1, SettleCalls25                                                               float64
 	// Nanoseconds of processor time a second of a daemon.
-	CPUMembership, CPUChoice, CPUTick, CPUConfig, CPUFlush1, CPUFlush25, CPU1, CPU25 float64
+	CPUMembership, CPUDigests, CPUBudget, CPUReader, CPUChoice, CPUTick, CPUConfig, CPUFlush1, CPUFlush25, CPU1, CPU25 float64
 	// Heap in bytes.
 	HeapConfig, HeapBudgets, HeapRoute, Heap float64
 	// Store calls a second of the fleet.
@@ -109,7 +109,11 @@
 	r.CPUConfig = ChangesPerDay * (l.at("config.install", Accounts) + l.at("config.join", Accounts)) / secondsPerDay
 	flush := shardsPerDaemon * l.at("budget.encode", 531)
 	r.CPUFlush1, r.CPUFlush25 = flush/defaultInterval, flush/longInterval
-	base := r.CPUMembership + r.CPUChoice + r.CPUTick + r.CPUConfig
+	digests := float64(Models * digestsPerSecond)
+	r.CPUDigests = digests * (l.at("route.digest_encode", 13) + peers*l.at("route.digest_decode", 13))
+	r.CPUBudget = RequestsPerDaemon * l.at("budget.request", 400)
+	r.CPUReader = l.at("list.decode", Instances)
+	base := r.CPUMembership + r.CPUDigests + r.CPUBudget + r.CPUChoice + r.CPUTick + r.CPUConfig
 	r.CPU1, r.CPU25 = base+r.CPUFlush1, base+r.CPUFlush25
 }
 
--- a/internal/capacity/route_test.go
+++ b/internal/capacity/route_test.go
@@ -77,25 +77,29 @@
 	}
 }
 
-// BenchmarkCapacityList measures one reading of the instance list as the
-// platform adapter receives it.
+// instanceList returns an answer of the platform's store as the adapter
+// receives it.
+func instanceList(b testing.TB, n int) []byte {
+	var out etcdjson.RangeResponse
+	for i := range n {
+		in := platform.Instance{ID: fmt.Sprintf("worker-%05d", i), Addr: fmt.Sprintf("10.%d.%d.1:9000", i/250, i%250),
+			Domain: fmt.Sprintf("domain-%02d", i%Domains), Region: fmt.Sprintf("region-%d", i%Regions),
+			Role: platform.RoleEngine, State: platform.InstanceLive}
+		value, err := json.Marshal(in)
+		out.Kvs = append(out.Kvs, etcdjson.KeyValue{Key: []byte("platform/instances/" + in.ID), Value: must(b, value, err),
+			ModRevision: int64(1_000_000 + i)})
+	}
+	out.Count = int64(n)
+	text, err := json.Marshal(out)
+	return must(b, text, err)
+}
+
+// BenchmarkCapacityList measures one reading of the instance list.
 func BenchmarkCapacityList(b *testing.B) {
 	for b.Loop() {
 		var points []Point
 		for _, part := range fractions {
-			n := Instances / part
-			var out etcdjson.RangeResponse
-			for i := range n {
-				in := platform.Instance{ID: fmt.Sprintf("worker-%05d", i), Addr: fmt.Sprintf("10.%d.%d.1:9000", i/250, i%250),
-					Domain: fmt.Sprintf("domain-%02d", i%Domains), Region: fmt.Sprintf("region-%d", i%Regions),
-					Role: platform.RoleEngine, State: platform.InstanceLive}
-				value, err := json.Marshal(in)
-				out.Kvs = append(out.Kvs, etcdjson.KeyValue{Key: []byte("platform/instances/" + in.ID), Value: must(b, value, err),
-					ModRevision: int64(1_000_000 + i)})
-			}
-			out.Count = int64(n)
-			text, err := json.Marshal(out)
-			points = append(points, Point{float64(n), float64(len(must(b, text, err)))})
+			points = append(points, Point{float64(Instances / part), float64(len(instanceList(b, Instances/part)))})
 		}
 		add("list.read", "bytes", "instances", false, points)
 	}
