capacity: measure the store writes of an allocator

The writes of flushes were computed as one a period, which leaves out early flushes for exhausted grants.

Run an allocator in virtual time at its share of the peak load at three intervals. Uneven demand and budgets near zero are not measured.

--- a/internal/capacity/budget_test.go
+++ b/internal/capacity/budget_test.go
@@ -87,7 +87,11 @@
 // office returns an allocator in office after its takeover; pump carries out
 // its store calls until there are none.
 func office(b testing.TB, value []byte, members []string) *budget.Allocator {
-	a := budget.NewAllocator(start, budget.Options{Domain: "domain-00", Shard: 1, Owner: "daemon-new", Interval: 25 * time.Second})
+	return officeAt(b, value, members, 25*time.Second)
+}
+
+func officeAt(b testing.TB, value []byte, members []string, interval time.Duration) *budget.Allocator {
+	a := budget.NewAllocator(start, budget.Options{Domain: "domain-00", Shard: 1, Owner: "daemon-new", Interval: interval})
 	a.SetMembers(start, append(members, "daemon-new"))
 	rev := int64(1)
 	for range 100 {
--- a/internal/capacity/compute.go
+++ b/internal/capacity/compute.go
@@ -127,7 +127,7 @@
 
 func (r *Figures) store(l *lookup) {
 	const pairs = Domains * Shards
-	r.Flush1, r.Flush25 = pairs/defaultInterval, float64(pairs)/longInterval
+	r.Flush1, r.Flush25 = pairs*l.at("flush.writes", 1.0/defaultInterval), pairs*l.at("flush.writes", 1.0/longInterval)
 	// Each end of a daemon moves its shards to others and back to its successor.
 	r.Takeovers = (Replaced + Failed) * shardsPerDaemon * 2 / secondsPerDay
 	r.Changes = float64(ChangesPerDay) * writesPerChange / secondsPerDay
