capacity: show headroom and check bytes and flushes against the file

The table showed no headroom, and called sums met that leave out parts.

Add the headroom, mark partial sums, and recompute the writes of an allocator, the instance list and a Reserve message in tests.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -52,6 +52,13 @@
 		"ms":  func(ns float64) string { return number(ns / 1e6) },
 		"mb":  func(b float64) string { return number(b / 1e6) },
 		"met": met,
+		"partly": func(figure, bound float64) string {
+			if figure <= bound {
+				return "met by the parts measured"
+			}
+			return met(figure, bound)
+		},
+		"room": func(figure, bound float64) string { return number(bound / figure) },
 	}
 	t, err := template.New("page").Funcs(funcs).Parse(pageText)
 	if err != nil {
--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -5,8 +5,12 @@
 	"math"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/peer"
 )
 
 // Guards against a wrong fit: the line through points on a line is that line,
@@ -118,3 +122,42 @@
 		}
 	}
 }
+
+// Guards against more store writes than the page counts, for example by early
+// flushes at a steady load.
+func TestFlushesMatchSlopes(t *testing.T) {
+	f, err := Read(slopesPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := f.At("flush.writes", 1.0/longInterval)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := flushes(t, longInterval*time.Second); got.writes != want || got.refused != 0 {
+		t.Errorf("%v writes/s and %v refused, want %v and 0", got.writes, got.refused, want)
+	}
+}
+
+// Guards against a list or a message that grows without a change of the page.
+func TestBytesMatchSlopes(t *testing.T) {
+	f, err := Read(slopesPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := f.At("list.read", Instances)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := float64(len(instanceList(t, Instances))); got != list {
+		t.Errorf("instance list of %v bytes, the file has %v", got, list)
+	}
+	reserve, err := f.At("wire.reserve", nameBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := budget.ReserveRequest{Shard: 100, Epoch: 100, Low: 20_000, Reservation: reservation(1)}
+	if got := float64(peer.ReserveBytes(r)); got != reserve {
+		t.Errorf("Reserve of %v bytes, the file has %v", got, reserve)
+	}
+}
