Test a fleet of real processes

Cause: internal/dev tests a fleet in one process, so signals, exit codes, the settings file and the commands were not tested together.

Change: internal/e2e builds the binary once and starts a platform stand-in, three engines, a service and four daemons in two failure domains as processes on loopback. At most three fleets (27 processes) run at a time. Each process is killed by its id at the end of its test, and shortly before the deadline of the test binary.

The test of a killed and a paused daemon under load is not in this commit, since it fails.

--- /dev/null
+++ b/internal/e2e/books_test.go
@@ -0,0 +1,80 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/azurehatch/azurehatch/internal/admin"
+	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/ledger"
+)
+
+// checkAccount compares an account's totals with its bills and with the tokens
+// that were prepaid, and returns the bills by request id.
+func (f *fleet) checkAccount(account int) (map[string]budget.RecentBill, error) {
+	name := accountName(account)
+	s, err := (ledger.Books{Store: f.store}).Statement(context.Background(), name)
+	if err != nil {
+		return nil, err
+	}
+	bills := make(map[string]budget.RecentBill)
+	var billed int64
+	for _, b := range s.Bills {
+		if _, ok := bills[b.ID]; ok {
+			return nil, fmt.Errorf("%s: request %s is billed twice", name, b.ID)
+		}
+		bills[b.ID] = b
+		billed += b.Tokens
+	}
+	// Exact: the tests make fewer requests than a shard keeps bills.
+	if s.Spent != billed || s.Requests != int64(len(bills)) {
+		return nil, fmt.Errorf("%s: spent %d for %d requests, bills %d for %d", name, s.Spent, s.Requests, billed, len(bills))
+	}
+	for _, b := range s.Budgets {
+		if b.Prepaid != prepaid || b.Spent+b.Held+b.Available != prepaid || b.Spent < 0 || b.Held < 0 || b.Available < 0 || b.Spent != billed {
+			return nil, fmt.Errorf("%s: %+v, bills %d, want prepaid %d", name, b, billed, prepaid)
+		}
+	}
+	return bills, nil
+}
+
+// checkRecords checks the invariant of each account's budget record.
+func (f *fleet) checkRecords() error {
+	for i := range accountCount {
+		item, err := f.store.Get(context.Background(), ledger.Key(budget.ShardOf(accountName(i))))
+		if err != nil {
+			return err
+		}
+		r, err := budget.Unmarshal(item.Value)
+		if err != nil {
+			return err
+		}
+		if err := r.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkShown compares what a daemon shows to operators with the prepaid tokens.
+func (f *fleet) checkShown(d int) error {
+	var list struct {
+		Accounts []admin.Account `json:"accounts"`
+	}
+	status, err := f.admin(d, viewerToken, http.MethodGet, "/v1/accounts", nil, &list)
+	if err != nil || status != http.StatusOK {
+		return fmt.Errorf("accounts: status %d, %w", status, err)
+	}
+	if len(list.Accounts) != accountCount {
+		return fmt.Errorf("%d accounts are shown, want %d", len(list.Accounts), accountCount)
+	}
+	for _, a := range list.Accounts {
+		for _, b := range a.Budgets {
+			if b.Prepaid != prepaid || b.Spent+b.Granted+b.Available != prepaid || b.Available < 0 || b.Granted < 0 {
+				return fmt.Errorf("%s is shown as %+v", a.Name, b)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/e2e/caller_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/settings"
+)
+
+// Guards against callers that hold connections of a daemon for ever by never
+// finishing the headers.
+func TestCallersThatNeverFinishHeaders(t *testing.T) {
+	f := startFleet(t, options{settings: func(s *settings.Settings) { s.Limits.HeaderTimeout = settings.Duration(2 * time.Second) }})
+	const connections = 50
+	ended := make(chan error, connections)
+	for range connections {
+		conn, err := net.Dial("tcp", f.daemons[0].callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		go func() { ended <- trickle(conn) }()
+	}
+	for n := range 20 {
+		if r := f.send(context.Background(), chat{account: n % accountCount, words: 5}); !r.complete {
+			t.Errorf("request %d beside slow callers: status %d, %q, %v", n, r.status, r.body, r.err)
+		}
+	}
+	for range connections {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+	if !f.daemons[0].running() || !f.ready(f.daemons[0]) {
+		t.Error("the daemon is down")
+	}
+}
+
+// trickle sends a header byte by byte until the connection is closed.
+func trickle(conn net.Conn) error {
+	closed := make(chan error, 1)
+	go func() {
+		_ = conn.SetReadDeadline(time.Now().Add(patience))
+		_, err := io.Copy(io.Discard, conn)
+		closed <- err
+	}()
+	_, _ = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Slow: ")
+	for {
+		select {
+		case err := <-closed:
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() {
+				return fmt.Errorf("the daemon keeps the connection: %w", err)
+			}
+			return nil
+		case <-time.After(100 * time.Millisecond):
+			_, _ = conn.Write([]byte("a")) // fails once the daemon has closed
+		}
+	}
+}
+
+// Guards against a caller that goes away and leaves its work running, unbilled,
+// or the daemon down.
+func TestCallersThatGoAway(t *testing.T) {
+	f := startFleet(t, options{})
+	const callers, words = 6, 2000
+	done := make(chan reply, callers)
+	for i := range callers {
+		go func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			done <- f.send(ctx, chat{account: i % accountCount, words: words, key: fmt.Sprintf("gone-%d", i), started: cancel})
+		}()
+	}
+	for range callers {
+		if r := <-done; r.complete || r.tokens == 0 {
+			t.Errorf("the caller left with %d tokens, complete %t", r.tokens, r.complete)
+		}
+	}
+	eventually(t, func() error {
+		cancelled := 0
+		for _, e := range f.engines {
+			for _, u := range f.usage(e) {
+				cancelled += u.Cancelled
+			}
+		}
+		if cancelled < callers {
+			return fmt.Errorf("%d of %d generations are cancelled", cancelled, callers)
+		}
+		return nil
+	})
+	eventually(t, func() error {
+		billed := 0
+		for i := range accountCount {
+			bills, err := f.checkAccount(i)
+			if err != nil {
+				return err
+			}
+			for id, b := range bills {
+				if b.Tokens <= 0 || b.Tokens >= words {
+					t.Errorf("request %s is billed %d tokens", id, b.Tokens)
+				}
+			}
+			billed += len(bills)
+		}
+		if billed != callers {
+			return fmt.Errorf("%d of %d requests are billed", billed, callers)
+		}
+		return nil
+	})
+	if status, err := f.call(http.MethodGet, "http://"+f.daemons[0].admin+"/healthz", "", nil, nil); err != nil || status != http.StatusOK {
+		t.Errorf("the daemon is down: status %d, %v", status, err)
+	}
+	if r := f.send(context.Background(), chat{words: 5}); !r.complete {
+		t.Errorf("request afterwards: status %d, %q, %v", r.status, r.body, r.err)
+	}
+}
--- /dev/null
+++ b/internal/e2e/config_test.go
@@ -0,0 +1,154 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/admin"
+	"github.com/azurehatch/azurehatch/internal/config"
+)
+
+// apply runs "config apply" with the text of c and decodes the result.
+func (f *fleet) apply(d int, token, name string, base uint64, c *config.Config, args ...string) (command, admin.EditResult) {
+	f.t.Helper()
+	file := f.write(name+".toml", string(config.Format(c)))
+	args = append([]string{"config", "apply", file, "--base", fmt.Sprint(base), "--reason", name, "--output", "json"}, args...)
+	run := f.cli(d, token, args...)
+	var result admin.EditResult
+	if run.code == 0 {
+		if err := json.Unmarshal([]byte(run.out), &result); err != nil {
+			f.t.Fatalf("config apply printed %q: %v", run.out, err)
+		}
+	}
+	return run, result
+}
+
+// awaitRevision waits until the fleet status shows the revision at each of the
+// daemons.
+func (f *fleet) awaitRevision(revision uint64, daemons ...int) {
+	f.t.Helper()
+	eventually(f.t, func() error {
+		for _, d := range daemons {
+			m, err := f.member(daemons[0], f.daemons[d].id)
+			if err != nil {
+				return err
+			}
+			if m.Revision < revision {
+				return fmt.Errorf("%s has revision %d, want %d", m.ID, m.Revision, revision)
+			}
+		}
+		return nil
+	})
+}
+
+// checkNoRevert checks that no daemon installed a lower revision than before.
+func (f *fleet) checkNoRevert() {
+	f.t.Helper()
+	for _, d := range f.daemons {
+		last := 0.0
+		lines := d.lines("configuration in force")
+		if len(lines) == 0 {
+			f.t.Errorf("%s logged no configuration", d.id)
+		}
+		for _, line := range lines {
+			revision, _ := line["revision"].(float64)
+			if revision <= last {
+				f.t.Errorf("%s installed revision %v after %v", d.id, revision, last)
+			}
+			last = revision
+		}
+	}
+}
+
+// weighted returns the first configuration with another weight of an account.
+func (f *fleet) weighted(account, weight int) *config.Config {
+	c := f.configuration()
+	a := c.Accounts[accountName(account)]
+	a.Weight = weight
+	c.Accounts[accountName(account)] = a
+	return c
+}
+
+// applyBoth applies two configurations at the same time at daemons of two
+// failure domains, as operators of two offices.
+func (f *fleet) applyBoth(name string, base uint64, north, south *config.Config) (runs [2]command, results [2]admin.EditResult) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		runs[0], results[0] = f.apply(0, northToken, name+"-north", base, north)
+	}()
+	runs[1], results[1] = f.apply(1, southToken, name+"-south", base, south)
+	<-done
+	return runs, results
+}
+
+// Guards against an edit that is lost when two offices apply at the same time,
+// and against a silent choice between two edits of one entry.
+func TestTwoOfficesApplyAtOnce(t *testing.T) {
+	f := startFleet(t, options{})
+	runs, results := f.applyBoth("merge", 1, f.weighted(0, 3), f.weighted(1, 4))
+	for i, r := range runs {
+		if r.code != 0 {
+			t.Fatalf("office %d: exit code %d: %s", i, r.code, r.errors)
+		}
+	}
+	revision := max(results[0].Revision, results[1].Revision)
+	if revision != 3 || results[0].Merged == results[1].Merged {
+		t.Errorf("results %+v, want revisions 2 and 3, the later one merged", results)
+	}
+	f.awaitRevision(revision, 0, 1, 2, 3)
+	shown := f.cli(2, viewerToken, "config", "show")
+	c, err := config.Parse("shown", []byte(shown.out))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, b := c.Accounts[accountName(0)].Weight, c.Accounts[accountName(1)].Weight; a != 3 || b != 4 {
+		t.Errorf("weights %d and %d, want 3 and 4", a, b)
+	}
+
+	runs, results = f.applyBoth("conflict", revision, f.weighted(2, 5), f.weighted(2, 6))
+	accepted := 0
+	for i, r := range runs {
+		switch {
+		case r.code == 0:
+			accepted++
+			revision = results[i].Revision
+		case r.code != 3 || !strings.Contains(r.errors, accountName(2)):
+			t.Errorf("office %d: exit code %d: %s", i, r.code, r.errors)
+		}
+	}
+	if accepted != 1 {
+		t.Errorf("%d of two conflicting edits were accepted", accepted)
+	}
+	f.awaitRevision(revision, 0, 1, 2, 3)
+	f.checkNoRevert()
+}
+
+// Guards against a paused daemon that goes on with the configuration from
+// before its pause, or that spreads it.
+func TestDaemonPausedOverAChange(t *testing.T) {
+	f := startFleet(t, options{})
+	const paused = 3
+	f.daemons[paused].signal(t, syscall.SIGSTOP)
+	run, result := f.apply(0, northToken, "over-the-pause", 1, f.weighted(0, 7))
+	if run.code != 0 {
+		t.Fatalf("exit code %d: %s", run.code, run.errors)
+	}
+	f.awaitRevision(result.Revision, 0, 1, 2)
+	f.daemons[paused].signal(t, syscall.SIGCONT)
+	f.awaitRevision(result.Revision, paused)
+	// No daemon takes the old revision from the one that was paused.
+	for range 20 {
+		for d := range f.daemons {
+			if m, err := f.member(d, f.daemons[d].id); err != nil || m.Revision < result.Revision {
+				t.Errorf("%s has revision %d, %v, want %d", f.daemons[d].id, m.Revision, err, result.Revision)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.checkNoRevert()
+}
--- /dev/null
+++ b/internal/e2e/doc.go
@@ -0,0 +1,3 @@
+// Package e2e tests a fleet of real processes on loopback: a platform stand-in,
+// engines, a plain service and daemons. It has no code but its tests.
+package e2e
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,275 @@
+package e2e
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/admin"
+	"github.com/azurehatch/azurehatch/internal/config"
+	"github.com/azurehatch/azurehatch/internal/ledger"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/etcdhttp"
+	"github.com/azurehatch/azurehatch/internal/settings"
+)
+
+// Shape of a fleet: nine processes.
+const (
+	daemonCount  = 4
+	engineCount  = 3
+	accountCount = 5
+	prepaid      = 1_000_000
+	step         = 256 // of settings.Budget
+	model        = "standin"
+	modelService = "planner"
+	plainService = "stock"
+)
+
+// fleetSlots bounds the fleets at a time to 27 processes; the commands that a
+// test runs come on top.
+var fleetSlots = make(chan struct{}, 3)
+
+// Tokens of the operators.
+const (
+	bootstrapToken = "e2e-bootstrap"
+	northToken     = "e2e-north"
+	southToken     = "e2e-south"
+	billingToken   = "e2e-billing"
+	viewerToken    = "e2e-viewer"
+)
+
+// endpoint is an engine or a service with its process.
+type endpoint struct {
+	*process
+	id, addr string
+}
+
+// daemon is a daemon with its process.
+type daemon struct {
+	*process
+	id, domain            string
+	callers, admin, peers string
+}
+
+// fleet is a set of processes on loopback.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	platform *process
+	url      string
+	engines  []*endpoint
+	service  *endpoint
+	daemons  []*daemon
+	store    *etcdhttp.Store
+	http     *http.Client
+}
+
+// options change a fleet.
+type options struct {
+	engineArgs, serviceArgs []string
+	settings                func(*settings.Settings)
+}
+
+func domainOf(i int) string { return []string{"a", "b"}[i%2] }
+
+func accountName(i int) string { return fmt.Sprintf("account-%d", i+1) }
+
+func hashed(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// startFleet starts a fleet and waits until it is ready. Other tests may run at
+// the same time.
+func startFleet(t *testing.T, o options) *fleet {
+	t.Helper()
+	t.Parallel()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+	f := &fleet{t: t, dir: logDir(t), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}, Timeout: patience}}
+	t.Cleanup(f.http.CloseIdleConnections)
+	f.platform, f.url = f.standin("platform", "platform", "a")
+	f.url = "http://" + f.url
+	store, err := etcdhttp.New(etcdhttp.Options{Addrs: []string{f.url}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	f.store = store
+	for i := range engineCount {
+		f.engines = append(f.engines, f.startEndpoint("engine", i, platform.RoleEngine, append([]string{
+			"--model", model, "--slots", "16", "--inter-token", "3ms", "--inter-token-per-slot", "200us", "--prefill-rate", "20000",
+		}, o.engineArgs...)))
+	}
+	f.service = f.startEndpoint("service", 0, platform.RoleService, o.serviceArgs)
+	f.topUp()
+	for i := range daemonCount {
+		f.startDaemon(i, o)
+	}
+	f.bootstrap()
+	f.awaitReady()
+	return f
+}
+
+// logDir returns a directory for settings and logs. It is kept if
+// AZUREHATCH_E2E_DIR names its parent.
+func logDir(t *testing.T) string {
+	parent := os.Getenv("AZUREHATCH_E2E_DIR")
+	if parent == "" {
+		return t.TempDir()
+	}
+	dir, err := os.MkdirTemp(parent, t.Name()+"-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// standin starts a stand-in and returns its address.
+func (f *fleet) standin(kind, id, domain string, args ...string) (*process, string) {
+	args = append([]string{"standin", kind, "--listen", "127.0.0.1:0", "--id", id, "--domain", domain}, args...)
+	p := startProcess(f.t, f.dir, id, args...)
+	return p, p.await(f.t, "listening")["addr"].(string)
+}
+
+func (f *fleet) startEndpoint(kind string, i int, role platform.Role, args []string) *endpoint {
+	e := &endpoint{id: fmt.Sprintf("%s-%d", kind, i+1)}
+	e.process, e.addr = f.standin(kind, e.id, domainOf(i), args...)
+	f.list(e.id, e.addr, domainOf(i), role)
+	return e
+}
+
+func (f *fleet) startDaemon(i int, o options) {
+	d := &daemon{id: fmt.Sprintf("daemon-%d", i+1), domain: domainOf(i)}
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: d.id, FailureDomain: d.domain, Region: "region"}
+	s.Callers.Listen, s.Peers.Listen, s.Admin.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Callers.PlainText, s.Peers.PlainText, s.Admin.PlainText = true, true, true
+	s.Platform.Addresses = []string{f.url}
+	s.Budget.Step = step
+	s.Operators.BootstrapToken = hashed(bootstrapToken)
+	s.Shutdown.Announce = settings.Duration(200 * time.Millisecond)
+	if o.settings != nil {
+		o.settings(&s)
+	}
+	text, err := s.Format()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	file := f.write(d.id+".toml", string(text))
+	d.process = startProcess(f.t, f.dir, d.id, "serve", "--settings", file)
+	line := d.await(f.t, "daemon started")
+	d.callers, d.admin, d.peers = line["callers"].(string), line["admin"].(string), line["peers"].(string)
+	f.list(d.id, d.peers, d.domain, platform.RoleDaemon)
+	f.daemons = append(f.daemons, d)
+}
+
+func (f *fleet) write(name, text string) string {
+	file := filepath.Join(f.dir, name)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return file
+}
+
+// list adds an instance to the platform's list.
+func (f *fleet) list(id, addr, domain string, role platform.Role) {
+	f.put(http.MethodPost, f.url+"/admin/instances", platform.Instance{
+		ID: id, Addr: addr, Domain: domain, Region: "region", Role: role, State: platform.InstanceLive,
+	})
+}
+
+// unlist removes an instance from the platform's list.
+func (f *fleet) unlist(id string) { f.put(http.MethodDelete, f.url+"/admin/instances/"+id, nil) }
+
+// faults sets the faults of a stand-in.
+func (f *fleet) faults(addr string, faults map[string]any) {
+	f.put(http.MethodPut, addr+"/admin/faults", faults)
+}
+
+func (f *fleet) topUp() {
+	books := ledger.Books{Store: f.store}
+	for i := range accountCount {
+		id := config.BudgetID(accountName(i), "main")
+		if err := books.TopUp(context.Background(), "start-"+id, id, prepaid); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+// configuration returns the first configuration.
+func (f *fleet) configuration() *config.Config {
+	c := config.New()
+	c.Services[modelService] = config.Service{
+		Kind: config.KindModel, Models: []string{model}, MaxOutputTokens: 2048, SlotsPerEndpoint: 16,
+		FirstTokenTimeout: config.Duration{Duration: 2 * time.Second},
+	}
+	c.Services[plainService] = config.Service{
+		Kind: config.KindPlain, PriceTokens: 10, SlotsPerEndpoint: 64, NonIdempotentCalls: []string{"POST /reserve"},
+	}
+	for i, e := range f.engines {
+		c.Endpoints[e.id] = config.Endpoint{Service: modelService, Address: e.addr, Domain: domainOf(i)}
+	}
+	c.Endpoints[f.service.id] = config.Endpoint{Service: plainService, Address: f.service.addr, Domain: domainOf(0)}
+	for i := range accountCount {
+		c.Accounts[accountName(i)] = config.Account{Keys: []string{hashed("key-" + accountName(i))}, Weight: 1}
+		c.Budgets[config.BudgetID(accountName(i), "main")] = config.Budget{}
+	}
+	c.Operators["north-1"] = config.Operator{Office: "north", Role: config.RoleOperator, Token: hashed(northToken)}
+	c.Operators["south-1"] = config.Operator{Office: "south", Role: config.RoleOperator, Token: hashed(southToken)}
+	c.Operators["billing-1"] = config.Operator{Office: "north", Role: config.RoleBilling, Token: hashed(billingToken)}
+	c.Operators["viewer-1"] = config.Operator{Office: "south", Role: config.RoleViewer, Token: hashed(viewerToken)}
+	return c
+}
+
+// bootstrap makes the first revision with the token that the settings name.
+func (f *fleet) bootstrap() {
+	f.t.Helper()
+	c := f.configuration()
+	if err := c.Validate(); err != nil {
+		f.t.Fatal(err)
+	}
+	req := admin.EditRequest{Reason: "first configuration", Text: string(config.Format(c))}
+	var result admin.EditResult
+	if status, err := f.admin(0, bootstrapToken, http.MethodPost, "/v1/configuration", req, &result); err != nil || status != http.StatusOK {
+		f.t.Fatalf("first configuration: status %d, %v", status, err)
+	}
+}
+
+// awaitReady waits until each daemon is ready, has a configuration and knows
+// all others as live.
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	eventually(f.t, func() error {
+		for i, d := range f.daemons {
+			if !f.ready(d) {
+				return fmt.Errorf("%s is not ready", d.id)
+			}
+			status, err := f.status(i)
+			if err != nil {
+				return err
+			}
+			for _, m := range status.Daemons {
+				if m.State != "live" || m.Revision == 0 || len(status.Daemons) != daemonCount {
+					return fmt.Errorf("%s sees %+v", d.id, status.Daemons)
+				}
+			}
+		}
+		return nil
+	})
+}
+
+func (f *fleet) ready(d *daemon) bool {
+	resp, err := f.http.Get("http://" + d.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/e2e/order_test.go
@@ -0,0 +1,146 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/azurehatch/azurehatch/internal/problem"
+)
+
+// checkOrder accepts the answers that a repeated order may get: the first
+// answer, or a refusal that does not deny a run that took place.
+func checkOrder(t *testing.T, r reply, answer string, kinds ...problem.Kind) {
+	t.Helper()
+	if r.complete && r.body == answer {
+		return
+	}
+	for _, k := range kinds {
+		if r.refusal != nil && r.refusal.Type == problemType(k) {
+			return
+		}
+	}
+	t.Errorf("repeated order: status %d, body %q, %v; first answer %q", r.status, r.body, r.err, answer)
+}
+
+// Guards against an order that runs twice because two daemons of different
+// failure domains get it at the same instant, or because it is repeated after
+// the daemon that ran it has died.
+func TestOrderSentToTwoDaemons(t *testing.T) {
+	f := startFleet(t, options{serviceArgs: []string{"--latency", "300ms"}})
+	const orders = 4
+	answers := make(map[string]string)
+	for n := range orders {
+		key := fmt.Sprintf("order-%d", n)
+		answers[key] = sendTwice(t, f, key)
+		// The answer is recorded after it went to the caller. Once another daemon
+		// gives it, the death of the first one must not matter.
+		for d := 1; d < daemonCount; d++ {
+			repeatOrder(t, f, d, key, answers[key])
+		}
+	}
+	f.daemons[0].kill()
+	f.unlist(f.daemons[0].id)
+	for key, answer := range answers {
+		for d := 1; d < daemonCount; d++ {
+			repeatOrder(t, f, d, key, answer)
+		}
+	}
+}
+
+// sendTwice sends an order to two daemons at the same instant and returns the
+// answer.
+func sendTwice(t *testing.T, f *fleet, key string) string {
+	replies := make(chan reply, 2)
+	start := make(chan struct{})
+	for d := range 2 {
+		go func() {
+			<-start
+			replies <- f.order(d, key)
+		}()
+	}
+	close(start)
+	answer := ""
+	var others []reply
+	for range 2 {
+		if r := <-replies; r.complete && answer == "" {
+			answer = r.body
+		} else {
+			others = append(others, r)
+		}
+	}
+	if answer == "" {
+		t.Errorf("%s: neither daemon answered: %+v", key, others)
+	}
+	for _, r := range others {
+		checkOrder(t, r, answer, problem.Duplicate)
+	}
+	if runs := f.runs(key); runs.Started != 1 || runs.Completed != 1 {
+		t.Errorf("%s ran %+v, want once", key, runs)
+	}
+	return answer
+}
+
+// repeatOrder sends an order to a daemon until it gets the first answer. Before
+// that, the daemon may only refuse: the answer is not recorded yet, or a budget
+// is being taken over from a dead daemon.
+func repeatOrder(t *testing.T, f *fleet, d int, key, answer string) {
+	t.Helper()
+	eventually(t, func() error {
+		r := f.order(d, key)
+		if r.refusal != nil && (r.status == http.StatusServiceUnavailable || r.refusal.Type == problemType(problem.Duplicate)) {
+			return fmt.Errorf("%s: daemon %d refuses: %s", key, d, r.body)
+		}
+		checkOrder(t, r, answer)
+		return nil
+	})
+	if runs := f.runs(key); runs.Started != 1 {
+		t.Errorf("%s ran %+v after the repeats, want once", key, runs)
+	}
+}
+
+func problemType(k problem.Kind) string { return "https://azurehatch.example/problems/" + string(k) }
+
+// Guards against an order that runs again because the daemon that had sent it
+// died before the service answered.
+func TestOrderOfKilledDaemon(t *testing.T) {
+	f := startFleet(t, options{serviceArgs: []string{"--latency", "2s"}})
+	const key = "order-killed"
+	first := make(chan reply, 1)
+	go func() { first <- f.order(0, key) }()
+	eventually(t, func() error {
+		if f.runs(key).Started == 0 {
+			return fmt.Errorf("the order has not started")
+		}
+		return nil
+	})
+	f.daemons[0].kill()
+	f.unlist(f.daemons[0].id)
+	if r := <-first; r.complete {
+		t.Errorf("the killed daemon answered: %+v", r)
+	}
+	for range 3 {
+		for d := 1; d < daemonCount; d++ {
+			r := f.order(d, key)
+			if r.complete || r.refusal == nil {
+				t.Errorf("daemon %d: status %d, body %q, %v", d, r.status, r.body, r.err)
+			}
+		}
+	}
+	// In the end each daemon tells that the order was sent before.
+	for d := 1; d < daemonCount; d++ {
+		eventually(t, func() error {
+			r := f.order(d, key)
+			if r.refusal == nil || r.refusal.Type != problemType(problem.OutcomeUnknown) {
+				return fmt.Errorf("daemon %d: status %d, body %q", d, r.status, r.body)
+			}
+			if r.refusal.Ran == "no" {
+				t.Errorf("daemon %d denies that the order may have run: %q", d, r.body)
+			}
+			return nil
+		})
+	}
+	if runs := f.runs(key); runs.Started != 1 {
+		t.Errorf("order ran %+v, want once", runs)
+	}
+}
--- /dev/null
+++ b/internal/e2e/outage_test.go
@@ -0,0 +1,103 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"testing"
+)
+
+// Guards against a fleet that stops with the platform, against a refusal that
+// leaves open whether the request ran, and against an edit that is made twice
+// because its outcome was unknown.
+func TestPlatformOutage(t *testing.T) {
+	f := startFleet(t, options{})
+	// Each failure domain draws on each budget before the outage.
+	for i := range accountCount {
+		for d := range daemonCount {
+			eventually(t, func() error {
+				if r := f.send(context.Background(), chat{daemon: d, account: i, words: 5}); !r.complete {
+					return fmt.Errorf("daemon %d, account %d: status %d, %q, %w", d, i, r.status, r.body, r.err)
+				}
+				return nil
+			})
+		}
+	}
+	f.faults(f.url, map[string]any{"outage": true})
+	next := f.weighted(0, 9)
+	run, _ := f.apply(0, northToken, "during-outage", 1, next, "--op-id", "outage-1")
+	if run.code != 5 {
+		t.Errorf("apply during the outage: exit code %d, want 5: %s", run.code, run.errors)
+	}
+	served := f.trafficDuringOutage(t)
+	for d, n := range served {
+		if n == 0 {
+			t.Errorf("daemon %d served nothing from its grants", d)
+		}
+	}
+	if r := f.order(0, "outage-order"); r.refusal == nil || r.refusal.Ran != "no" {
+		t.Errorf("order without a claim: status %d, %q, %v", r.status, r.body, r.err)
+	}
+	if runs := f.runs("outage-order"); runs.Started != 0 {
+		t.Errorf("order refused as not run ran %+v", runs)
+	}
+	f.faults(f.url, map[string]any{})
+
+	var revision uint64
+	eventually(t, func() error {
+		run, result := f.apply(1, northToken, "after-outage", 1, next, "--op-id", "outage-1")
+		if revision = result.Revision; run.code != 0 {
+			return fmt.Errorf("apply after the outage: exit code %d: %s", run.code, run.errors)
+		}
+		return nil
+	})
+	run, again := f.apply(2, northToken, "repeat", 1, next, "--op-id", "outage-1")
+	if run.code != 0 || again.Revision != revision || revision != 2 {
+		t.Errorf("repeat: exit code %d, %+v after revision %d, want revision 2 twice: %s", run.code, again, revision, run.errors)
+	}
+	f.awaitRevision(revision, 0, 1, 2, 3)
+	eventually(t, func() error {
+		if r := f.order(0, "outage-order"); !r.complete {
+			return fmt.Errorf("order after the outage: status %d, %q", r.status, r.body)
+		}
+		return nil
+	})
+	if runs := f.runs("outage-order"); runs.Started != 1 {
+		t.Errorf("order ran %+v, want once", runs)
+	}
+	f.checkNoRevert()
+	eventually(t, func() error {
+		for i := range accountCount {
+			if _, err := f.checkAccount(i); err != nil {
+				return err
+			}
+		}
+		return f.checkRecords()
+	})
+}
+
+// trafficDuringOutage returns the complete answers by daemon. Each other
+// request must be refused as not run, and must not have run.
+func (f *fleet) trafficDuringOutage(t *testing.T) (served [daemonCount]int) {
+	refused := make(map[string]bool)
+	for n := range 40 {
+		d := n % daemonCount
+		r := f.send(context.Background(), chat{daemon: d, account: n % accountCount, words: 5, maxTokens: 8})
+		switch {
+		case r.complete:
+			served[d]++
+		case r.refusal != nil && r.refusal.Ran == "no":
+			refused[r.id] = true
+		default:
+			t.Errorf("request %d: status %d, %q, %v", n, r.status, r.body, r.err)
+		}
+	}
+	for _, e := range f.engines {
+		for id, u := range f.usage(e) {
+			if refused[id] && u.Runs > 0 {
+				t.Errorf("request %s was refused as not run and ran on %s", id, e.id)
+			}
+		}
+	}
+	t.Logf("served %v, refused %d", served, len(refused))
+	return served
+}
--- /dev/null
+++ b/internal/e2e/process_test.go
@@ -0,0 +1,180 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience bounds waits for an event; no test measures time.
+const patience = 90 * time.Second
+
+const pollInterval = 50 * time.Millisecond
+
+// binary is the path of the azurehatch binary that TestMain builds.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "azurehatch-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "azurehatch")
+	build := exec.Command("go", "build", "-o", binary, "github.com/azurehatch/azurehatch/cmd/azurehatch")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// eventually polls until check returns nil.
+func eventually(t *testing.T, check func() error) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal(err)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// process is a started process of the binary.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  string
+
+	exited chan struct{}
+	once   sync.Once
+}
+
+// startProcess starts the binary; the process is killed at the end of the test.
+// It is also killed shortly before the deadline of the test binary, since a test
+// that times out runs no cleanup.
+func startProcess(t *testing.T, dir, name string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, cmd: exec.Command(binary, args...), log: filepath.Join(dir, name+".log"), exited: make(chan struct{})}
+	out, err := os.Create(p.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait() // the exit code is read from ProcessState
+		close(p.exited)
+	}()
+	stopWatch := func() bool { return true }
+	if deadline, ok := t.Deadline(); ok {
+		stopWatch = time.AfterFunc(time.Until(deadline)-time.Second, p.kill).Stop
+	}
+	t.Cleanup(func() {
+		p.kill()
+		stopWatch()
+		if t.Failed() {
+			t.Logf("end of the log of %s:\n%s", name, p.tail())
+		}
+	})
+	return p
+}
+
+// kill ends the process with SIGKILL and waits until it is gone.
+func (p *process) kill() {
+	p.once.Do(func() { _ = p.cmd.Process.Kill() }) // an error means that it is gone
+	<-p.exited
+}
+
+// signal sends a signal; the process must be running.
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatalf("signal %v to %s: %v", s, p.name, err)
+	}
+}
+
+// running reports whether the process has not exited.
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// exitCode waits until the process ends by itself.
+func (p *process) exitCode(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.exited:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(patience):
+		t.Fatalf("%s did not end", p.name)
+		return 0
+	}
+}
+
+func (p *process) tail() []byte {
+	const limit = 3000
+	text, _ := os.ReadFile(p.log) // only for the report of a failure
+	return text[max(0, len(text)-limit):]
+}
+
+// lines returns the log lines with the message.
+func (p *process) lines(message string) []map[string]any {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return nil
+	}
+	var found []map[string]any
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	for scanner.Scan() {
+		var line map[string]any
+		if json.Unmarshal(scanner.Bytes(), &line) == nil && line["message"] == message {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// await waits for a log line with the message and returns the first one.
+func (p *process) await(t *testing.T, message string) map[string]any {
+	t.Helper()
+	var line map[string]any
+	eventually(t, func() error {
+		lines := p.lines(message)
+		if len(lines) == 0 {
+			if !p.running() {
+				t.Fatalf("%s ended: %s", p.name, p.tail())
+			}
+			return fmt.Errorf("%s has not logged %q", p.name, message)
+		}
+		line = lines[0]
+		return nil
+	})
+	return line
+}
