Bind resumed streams to accounts, check peers' addresses, send settlements once

Cause: a stream could be resumed by another account that knew its event id; the certificate of a peer was not checked against its address; limits.queue_wait had no effect; a keyed repeat was refused as not run although the first attempt may have run; a top-up was missed by up to a second; settlements were sent again every 100 ms until durable; flushes came each second at any size. Change: request ids begin with a tag of the account; gRPC credentials verify the address; the queue's wait follows the settings; a duplicate's outcome is unknown; an unknown budget is asked for again; accepted settlements are not repeated; the flush interval grows with the fleet.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -3,13 +3,16 @@
 package certs
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/grpc/credentials"
 )
 
 // checkInterval is how often a changed file is looked for, at most.
@@ -103,37 +106,36 @@
 	}
 }
 
-// Client returns a configuration for mutual TLS to other daemons, which are
-// addressed by IP number and verified against the CA.
+// Client returns the present configuration for mutual TLS to a peer. The
+// caller sets ServerName to the peer's IP number or name, which the peer's
+// certificate must hold. Without a CA no peer is accepted.
 func (p *Pair) Client() *tls.Config {
-	return &tls.Config{
-		MinVersion: tls.VersionTLS12,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, _ := p.current()
-			return cert, nil
-		},
-		// The chain is verified below against the CA in force now; RootCAs
-		// could not follow a changed file.
-		InsecureSkipVerify: true,
-		VerifyConnection:   p.verify,
+	cert, pool := p.current()
+	if pool == nil {
+		pool = x509.NewCertPool()
 	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}, RootCAs: pool}
 }
 
-func (p *Pair) verify(s tls.ConnectionState) error {
-	_, pool := p.current()
-	if pool == nil {
-		return errors.New("no CA file is set, so the peer can't be verified")
-	}
-	if len(s.PeerCertificates) == 0 {
-		return errors.New("the peer sent no certificate")
-	}
-	intermediates := x509.NewCertPool()
-	for _, c := range s.PeerCertificates[1:] {
-		intermediates.AddCert(c)
-	}
-	_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{
-		Roots: pool, Intermediates: intermediates, CurrentTime: p.now(),
-		DNSName: s.ServerName, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
-	})
-	return errors.Wrap(err, "verify the peer's certificate")
+// Credentials returns gRPC credentials that take the present files for each
+// new connection.
+func (p *Pair) Credentials() credentials.TransportCredentials {
+	return peerCredentials{TransportCredentials: credentials.NewTLS(p.Server()), pair: p}
+}
+
+// peerCredentials verifies the peer's address against its certificate: gRPC
+// sets the name of the configuration to the address that it connects to.
+type peerCredentials struct {
+	credentials.TransportCredentials
+	pair *Pair
+}
+
+// ClientHandshake implements credentials.TransportCredentials.
+func (c peerCredentials) ClientHandshake(ctx context.Context, authority string, conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return credentials.NewTLS(c.pair.Client()).ClientHandshake(ctx, authority, conn)
+}
+
+// Clone implements credentials.TransportCredentials.
+func (c peerCredentials) Clone() credentials.TransportCredentials {
+	return peerCredentials{TransportCredentials: c.TransportCredentials.Clone(), pair: c.pair}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,10 @@
 	"github.com/azurehatch/azurehatch/internal/upstream"
 )
 
+// flushAllowance is the part of the fleet's 150 writes a second that the
+// periodic flushes of budgets may use; claims have 56.
+const flushAllowance = 72
+
 // idleTimeout closes a caller's connection that is not used.
 const idleTimeout = 2 * time.Minute
 
@@ -139,7 +143,8 @@
 		return err
 	}
 	d.peers = peer.NewClient(creds.client)
-	d.pools = pool.New(pool.Options{Domain: d.s.Instance.FailureDomain, Seed: uint64(time.Now().UnixNano()), Log: d.log, Scope: d.scope})
+	d.pools = pool.New(pool.Options{
+		Domain: d.s.Instance.FailureDomain, MaxWait: d.s.Limits.QueueWait.Duration, Seed: uint64(time.Now().UnixNano()), Log: d.log, Scope: d.scope})
 	d.directory = &directory.Directory{Up: d.pools.Up}
 	self := membership.Identity{
 		ID: d.s.Instance.ID, Addr: d.PeersAddr(), Domain: d.s.Instance.FailureDomain, Region: d.s.Instance.Region,
@@ -147,7 +152,7 @@
 	d.fleet = fleet.New(fleet.Options{Self: self, Sender: d.peers, Lister: d.store, OnEvents: d.onEvents, Log: d.log})
 	d.ledger = ledger.New(ledger.Options{
 		ID: self.ID, Domain: self.Domain, Store: d.store, Members: d.fleet, Peers: d.peers, BudgetFor: d.directory.BudgetFor,
-		Interval: d.s.Budget.FlushMin.Duration, Step: d.s.Budget.Step, Timeout: d.s.Budget.Timeout.Duration, Log: d.log, Scope: d.scope,
+		Interval: d.s.Budget.FlushMin.Duration, WriteAllowance: flushAllowance, Step: d.s.Budget.Step, Timeout: d.s.Budget.Timeout.Duration, Log: d.log, Scope: d.scope,
 	})
 	d.claimed = claims.New(claims.Options{Daemon: self.ID, Store: d.store, Log: d.log})
 	d.orders = orders.New(orders.Options{Self: self.ID, Store: d.store, Ranked: d.fleet.Ranked, Leaving: d.fleet.Leaving, Log: d.log})
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return peerCreds{}, err
 	}
-	return peerCreds{client: credentials.NewTLS(pair.Client()), server: credentials.NewTLS(pair.Server())}, nil
+	return peerCreds{client: pair.Credentials(), server: credentials.NewTLS(pair.Server())}, nil
 }
 
 func secure(l net.Listener, s settings.Listener) (net.Listener, error) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -74,6 +74,7 @@
 		return problem.New(problem.Unauthorized, "the API key is not known")
 	}
 	x.account = account
+	x.id = accountTag(account.Name) + x.id
 	x.key = x.r.Header.Get(headerIdempotencyKey)
 	if len(x.key) > maxIdempotencyKeyBytes {
 		return problem.New(problem.InvalidRequest, "the Idempotency-Key is longer than %d bytes", maxIdempotencyKeyBytes)
@@ -90,7 +91,14 @@
 // that a repeat has the same id at every daemon.
 func keyedID(account, key string) string {
 	sum := sha256.Sum256([]byte(account + "\x00" + key))
-	return "k" + hex.EncodeToString(sum[:16])
+	return accountTag(account) + "k" + hex.EncodeToString(sum[:16])
+}
+
+// accountTag begins the ids of an account's requests, so that a stream is
+// resumed only by the account that started it.
+func accountTag(account string) string {
+	sum := sha256.Sum256([]byte(account))
+	return hex.EncodeToString(sum[:8]) + "-"
 }
 
 func (x *exchange) readBody() error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,7 +218,8 @@
 		if !errors.As(err, &he) || he.Code != http.StatusNotFound {
 			p = problem.New(problem.InvalidRequest, "%v", err)
 		}
-		_ = p.Write(c.Response(), "none")
+		c.Response().Header().Set(headerRan, string(p.Ran))
+		_ = p.Write(c.Response(), "none") // the caller may have left
 	}
 	e.POST("/v1/chat/completions", g.handle(g.chat))
 	e.GET("/v1/models", g.handle(g.models))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -52,6 +52,7 @@
 		{"oversize body", chatPath, `{"model":"` + strings.Repeat("x", 5000) + `"}`, nil, problem.TooLarge},
 		{"bad deadline", chatPath, wholeBody, []string{"X-Deadline-Ms", "soon"}, problem.InvalidRequest},
 		{"bad event id", chatPath, chatBody, []string{"Last-Event-ID", "7"}, problem.InvalidRequest},
+		{"stream of another account", chatPath, chatBody, []string{"Last-Event-ID", accountTag("other") + "r1~e0~3"}, problem.InvalidRequest},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			resp, text, err := x.post(c.path, c.body, c.header...)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return problem.New(problem.InvalidRequest, "%s: %v", upstream.HeaderLastEventID, err)
 	}
-	if j.x.key != "" && id.Request != j.x.id {
+	if !strings.HasPrefix(id.Request, accountTag(j.x.account.Name)) || (j.x.key != "" && id.Request != j.x.id) {
 		return problem.New(problem.InvalidRequest, "%s names another request", upstream.HeaderLastEventID)
 	}
 	j.x.id = id.Request
--- a/internal/ledger/hold.go
+++ b/internal/ledger/hold.go
@@ -36,8 +36,11 @@
 	ctx, cancel := context.WithTimeout(ctx, c.l.o.Timeout)
 	defer cancel()
 	h := &hold{l: c.l, shard: budget.ShardOf(charge.Account), budget: id}
-	for {
+	for try := 0; ; try++ {
 		err := h.reserve(ctx, charge, id)
+		if errors.Is(err, errUnknownBudget) && try < unknownTries {
+			err = errAgain
+		}
 		if !errors.Is(err, errAgain) {
 			if err != nil {
 				return nil, err
@@ -50,6 +53,13 @@
 	}
 }
 
+// unknownTries is how often an unknown budget is asked for: the allocator reads
+// its record again at the first try, since a top-up may just have made it.
+const unknownTries = 6
+
+// errUnknownBudget means that the allocator's record lacks the budget.
+var errUnknownBudget = errors.New("the record has no such budget")
+
 // errAgain means that the reservation has to be asked for once more.
 var errAgain = errors.New("register and reserve again")
 
@@ -100,9 +110,11 @@
 	case budget.StatusExhausted:
 		return problem.New(problem.BudgetExhausted, "budget %q does not cover the request", id)
 	case budget.StatusUnknown:
-		return problem.New(problem.BudgetExhausted, "budget %q has never been topped up", id)
+		return problem.New(problem.BudgetExhausted, "budget %q has never been topped up", id).Because(errUnknownBudget)
 	case budget.StatusDuplicate:
-		return problem.New(problem.Duplicate, "a request with this id is in progress").After(time.Second)
+		// The other request may have run, so that "not run" could be false.
+		return problem.New(problem.Duplicate, "a request with this id is in progress").
+			Having(upstream.RanUnknown).After(time.Second)
 	case budget.StatusBilled:
 		return problem.New(problem.AlreadyRan, "a request with this id is billed").Having(upstream.RanYes)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -24,6 +24,9 @@
 	tickInterval = 50 * time.Millisecond
 	// settleInterval groups settlements on their way to an allocator.
 	settleInterval = 100 * time.Millisecond
+	// confirmInterval is the interval at which a daemon asks whether its
+	// accepted settlements are durable.
+	confirmInterval = time.Second
 	// announceInterval and announceFor repeat the notice of a new epoch, so
 	// that a daemon which missed it registers and the old grant is returned.
 	announceInterval = time.Second
@@ -71,8 +74,11 @@
 	Peers      Peers
 	// BudgetFor returns the budget that pays for an account's use of a service.
 	BudgetFor func(account, service string) (string, bool)
-	// Interval is the time between periodic flushes of an allocator.
+	// Interval is the shortest time between periodic flushes of an allocator.
 	Interval time.Duration
+	// WriteAllowance is the writes a second that the flushes of the whole fleet
+	// may use; the interval grows with the fleet to keep it. 0 means no limit.
+	WriteAllowance float64
 	// Step is the number of tokens of one extension.
 	Step int64
 	// Timeout bounds the wait for a reservation.
@@ -104,6 +110,8 @@
 	unused, reused chan struct{}
 	// settling marks the shards with a settlement in progress.
 	settling map[int]bool
+	// accepted holds the last settlement accepted in each shard.
+	accepted map[int]acceptance
 }
 
 // office is an allocator with the state of its input and output.
@@ -136,7 +144,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	l := &Ledger{
 		o: o, ctx: ctx, stop: stop, holder: budget.NewHolder(o.ID), offices: make(map[int]*office),
-		waits: make(map[wait][]chan budget.Reply), registering: make(map[int]chan struct{}), settling: make(map[int]bool),
+		waits: make(map[wait][]chan budget.Reply), registering: make(map[int]chan struct{}), settling: make(map[int]bool), accepted: make(map[int]acceptance),
 		adopting: make(chan struct{}, 1),
 		unused:   make(chan struct{}), reused: make(chan struct{}),
 	}
--- a/internal/ledger/office.go
+++ b/internal/ledger/office.go
@@ -25,7 +25,7 @@
 	}
 	now := time.Now()
 	f := &office{shard: shard, next: now, allocator: budget.NewAllocator(now, budget.Options{
-		Domain: l.o.Domain, Shard: shard, Owner: l.o.ID, Interval: l.o.Interval, Step: l.o.Step,
+		Domain: l.o.Domain, Shard: shard, Owner: l.o.ID, Interval: l.interval(), Step: l.o.Step,
 	})}
 	f.allocator.SetMembers(now, l.liveIDs())
 	l.offices[shard] = f
@@ -33,6 +33,18 @@
 	return f, nil
 }
 
+// interval returns the time between flushes that keeps the fleet within its
+// write allowance. The shards in use elsewhere are estimated from those that
+// this daemon owns. The caller holds l.mu.
+func (l *Ledger) interval() time.Duration {
+	if l.o.WriteAllowance <= 0 {
+		return l.o.Interval
+	}
+	shards := min((len(l.offices)+1)*len(l.o.Members.LiveIn(l.o.Domain)), budget.Shards)
+	pairs := shards * max(1, len(l.o.Members.Domains()))
+	return max(l.o.Interval, budget.FlushInterval(pairs, l.o.WriteAllowance))
+}
+
 func (l *Ledger) liveIDs() []string {
 	live := l.o.Members.LiveIn(l.o.Domain)
 	ids := make([]string, len(live))
@@ -51,6 +63,7 @@
 	now := time.Now()
 	for shard, f := range l.offices {
 		f.allocator.SetMembers(now, ids)
+		f.allocator.SetInterval(l.interval())
 		if m, ok := l.owner(shard); ok && m.ID != l.o.ID && !f.retired {
 			f.retired = true
 			f.allocator.Retire(now)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"net/netip"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
@@ -94,7 +95,7 @@
 		Platform: Platform{Addresses: []string{"http://127.0.0.1:2379"}, Timeout: unit.Seconds(2), CallsPerSecond: 50},
 		Limits: Limits{
 			Body: unit.Size{Bytes: 8 << 20}, HeaderTimeout: unit.Seconds(5), BodyTimeout: unit.Seconds(30),
-			Request: unit.Seconds(600), QueueWait: unit.Seconds(10),
+			Request: unit.Seconds(600), QueueWait: unit.Duration{Duration: 900 * time.Millisecond},
 		},
 		Budget:   Budget{Step: 256, Timeout: unit.Seconds(2), FlushMin: unit.Seconds(1)},
 		Shutdown: Shutdown{Announce: unit.Seconds(2), Drain: unit.Seconds(60)},
