Send the load digests of all services in one message

Change: one message of digests at the interval that its true size allows; the filter of settlements is shared with the measurement. Conclusion: settlements of several shards should share a message next.

--- a/internal/capacity/compute.go
+++ b/internal/capacity/compute.go
@@ -1,6 +1,11 @@
 package capacity
 
-import "math"
+import (
+	"math"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/route"
+)
 
 // Rates and sizes that the mechanisms fix; each names its place.
 const (
@@ -8,10 +13,9 @@
 	framing = 80
 	// nameBytes is the length of a daemon's id, as in "daemon-00-07".
 	nameBytes = 12
-	// digestNames is the holder's and the service's name in a digest message.
-	digestNames = 24
-	// digestsPerSecond follows from daemon.loadInterval, 500 ms.
-	digestsPerSecond = 2
+	// digestName is a service's name and the lengths around it in a digest
+	// message, which holds the digests of all services and the sender's name.
+	digestName = 16
 	// reportBytes and reportsPerSecond are those of daemon.reportsPerRound.
 	reportBytes, reportsPerSecond = 300, 20
 	ticksPerSecond                = 10
@@ -39,7 +43,7 @@
 type Figures struct {
 	// Bytes a second sent by a daemon.
 	Membership, Digests, Rollout, Reports, Reserves, Settle1, Settle25, List, Bytes1, Bytes25 float64
-	SettleCalls1, SettleCalls25                                                               float64
+	SettleCalls1, SettleCalls25, DigestMessage, DigestsPerSecond                              float64
 	// Nanoseconds of processor time a second of a daemon.
 	CPUMembership, CPUDigests, CPUBudget, CPUReader, CPUChoice, CPUTick, CPUConfig, CPUFlush1, CPUFlush25, CPU1, CPU25 float64
 	// Heap in bytes.
@@ -85,7 +89,9 @@
 	const entries = Accounts + Budgets + Endpoints
 	r.Membership = l.at("membership.bytes", Daemons)
 	r.Rollout, r.RolloutWorst = l.at("rollout.bytes", entries), l.at("rollout.worst", entries)
-	r.Digests = peers * Models * digestsPerSecond * (l.at("route.digest", 13) + digestNames + framing)
+	r.DigestMessage = Models*(l.at("route.digest", 13)+digestName) + nameBytes
+	r.DigestsPerSecond = float64(time.Second) / float64(route.DigestInterval(peers, int(r.DigestMessage)))
+	r.Digests = peers * r.DigestsPerSecond * (r.DigestMessage + framing)
 	r.Reports = reportsPerSecond * reportBytes
 	// An extension follows the first step, since a mean answer has 267 tokens
 	// and a step 256. The allocator of a request is in 29 of 30 cases remote.
@@ -109,7 +115,7 @@
 	r.CPUConfig = ChangesPerDay * (l.at("config.install", Accounts) + l.at("config.join", Accounts)) / secondsPerDay
 	flush := shardsPerDaemon * l.at("budget.encode", 531)
 	r.CPUFlush1, r.CPUFlush25 = flush/defaultInterval, flush/longInterval
-	digests := float64(Models * digestsPerSecond)
+	digests := Models * r.DigestsPerSecond
 	r.CPUDigests = digests * (l.at("route.digest_encode", 13) + peers*l.at("route.digest_decode", 13))
 	r.CPUBudget = RequestsPerDaemon * l.at("budget.request", 400)
 	r.CPUReader = l.at("list.decode", Instances)
--- a/internal/capacity/settle_test.go
+++ b/internal/capacity/settle_test.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/ledger"
 	"github.com/azurehatch/azurehatch/internal/peer"
 )
 
-// settleTick is the interval of the ledger's settlement messages; a bill is
-// sent with each until the allocator's flush makes it durable.
+// settleTick is the interval of the ledger's settlement messages. A bill is
+// sent once; the last one is repeated each second until it is durable.
 const settleTick = 100 * time.Millisecond
 
 // traffic is the settlement traffic that a holder sends.
@@ -27,9 +28,11 @@
 		h.RegisterAnswered(budget.Reply{Kind: budget.KindRegister, Shard: shard, Holder: h.ID(), Gen: r.Gen, Epoch: 1, Status: budget.StatusOK})
 	}
 	var sum traffic
+	accepted, now := make(ledger.Accepted), time.Unix(0, 0)
 	requests := 0
 	ticks := int(interval / settleTick)
 	for k := range 3 * ticks {
+		now = now.Add(settleTick)
 		for ; float64(requests) < float64(k+1)*settleTick.Seconds()*RequestsPerDaemon; requests++ {
 			shard := requests * 37 % budget.Shards
 			settled[shard]++
@@ -40,9 +43,10 @@
 				durable[shard] = settled[shard]
 			}
 			r, ok := h.Unsettled(shard)
-			if !ok {
+			if !ok || !accepted.Trim(&r, now) {
 				continue
 			}
+			accepted.Note(r, now)
 			if k >= 2*ticks {
 				sum.bytes += float64(peer.SettleBytes(r))
 				sum.calls++
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurehatch/azurehatch/internal/config"
 	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/peer"
 	"github.com/azurehatch/azurehatch/internal/pool"
 	"github.com/azurehatch/azurehatch/internal/route"
 )
@@ -94,18 +95,10 @@
 	if time.Since(c.sharedLoad) < c.loadInterval {
 		return
 	}
-	digests := c.d.pools.Digests()
-	size := 0
-	for _, body := range digests {
-		size += len(body)
-	}
+	load := peer.NewLoad(self, c.d.pools.Digests())
 	peers := len(c.d.fleet.LiveIn(c.d.s.Instance.FailureDomain)) - 1
-	c.sharedLoad, c.loadInterval = time.Now(), route.DigestInterval(peers, size)
-	for service, body := range digests {
-		c.toPeers(func(ctx context.Context, addr string) error {
-			return c.d.peers.ShareLoad(ctx, addr, self, service, body)
-		})
-	}
+	c.sharedLoad, c.loadInterval = time.Now(), route.DigestInterval(peers, load.Size())
+	c.toPeers(func(ctx context.Context, addr string) error { return c.d.peers.ShareLoad(ctx, addr, load) })
 }
 
 func (c *control) sharePoison() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -110,8 +110,7 @@
 	unused, reused chan struct{}
 	// settling marks the shards with a settlement in progress.
 	settling map[int]bool
-	// accepted holds the last settlement accepted in each shard.
-	accepted map[int]acceptance
+	accepted Accepted
 }
 
 // office is an allocator with the state of its input and output.
@@ -144,7 +143,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	l := &Ledger{
 		o: o, ctx: ctx, stop: stop, holder: budget.NewHolder(o.ID), offices: make(map[int]*office),
-		waits: make(map[wait][]chan budget.Reply), registering: make(map[int]chan struct{}), settling: make(map[int]bool), accepted: make(map[int]acceptance),
+		waits: make(map[wait][]chan budget.Reply), registering: make(map[int]chan struct{}), settling: make(map[int]bool), accepted: make(Accepted),
 		adopting: make(chan struct{}, 1),
 		unused:   make(chan struct{}), reused: make(chan struct{}),
 	}
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,7 +106,7 @@
 			continue
 		}
 		r, ok := l.holder.Unsettled(shard)
-		if !ok || !l.trim(&r) {
+		if !ok || !l.accepted.Trim(&r, time.Now()) {
 			continue
 		}
 		l.settling[shard] = true
@@ -126,38 +125,12 @@
 	}
 	switch l.holder.SettleAnswered(reply) {
 	case budget.Granted:
-		l.accepted[r.Shard] = acceptance{epoch: r.Epoch, gen: r.Gen, n: r.Bills[len(r.Bills)-1].N, at: time.Now()}
+		l.accepted.Note(r, time.Now())
 	case budget.Again:
 		l.startRegister(r.Shard)
 	}
 }
 
-// acceptance is the last settlement that an allocator has accepted. The
-// allocator takes settlements without gaps, so that it has all earlier ones.
-type acceptance struct {
-	epoch, gen, n uint64
-	at            time.Time
-}
-
-// trim removes the settlements that the allocator has accepted and that wait
-// for its next write. Sending them again each time cost 25 KB/s a daemon at
-// the target size. Without new ones, the last is repeated once a second, whose
-// answer tells when they are durable; until then trim reports false. The
-// caller holds l.mu.
-func (l *Ledger) trim(r *budget.SettleRequest) bool {
-	a := l.accepted[r.Shard]
-	if a.epoch != r.Epoch || a.gen != r.Gen {
-		return true
-	}
-	i := slices.IndexFunc(r.Bills, func(b budget.Bill) bool { return b.N > a.n })
-	if i >= 0 {
-		r.Bills = r.Bills[i:]
-		return true
-	}
-	r.Bills = r.Bills[len(r.Bills)-1:]
-	return time.Since(a.at) >= confirmInterval
-}
-
 // Drain returns idle tokens and waits until all settlements are durable or ctx
 // is done.
 func (l *Ledger) Drain(ctx context.Context) error {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/azurehatch/azurehatch/internal/budget"
 	"github.com/azurehatch/azurehatch/internal/failure"
@@ -149,10 +150,25 @@
 	return err
 }
 
-// ShareLoad sends a load digest of a service.
-func (c *Client) ShareLoad(ctx context.Context, addr, from, service string, body []byte) error {
-	m := &peerpb.LoadDigest{From: from, Service: service, Body: body}
-	_, err := call(c, ctx, addr, "load.share", m, peerpb.PeerClient.ShareLoad, nothing)
+// Load holds the load digests of all services in the form in which they are
+// sent.
+type Load struct{ m *peerpb.LoadDigests }
+
+// NewLoad encodes the load digests of a daemon by service.
+func NewLoad(from string, digests map[string][]byte) Load {
+	m := &peerpb.LoadDigests{From: from}
+	for service, body := range digests {
+		m.Digests = append(m.Digests, &peerpb.LoadDigest{Service: service, Body: body})
+	}
+	return Load{m}
+}
+
+// Size returns the bytes of the message without its headers.
+func (l Load) Size() int { return proto.Size(l.m) }
+
+// ShareLoad sends load digests.
+func (c *Client) ShareLoad(ctx context.Context, addr string, l Load) error {
+	_, err := call(c, ctx, addr, "load.share", l.m, peerpb.PeerClient.ShareLoad, nothing)
 	return err
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -112,8 +112,10 @@
 }
 
 // ShareLoad implements peerpb.PeerServer.
-func (s *Server) ShareLoad(_ context.Context, m *peerpb.LoadDigest) (*peerpb.Empty, error) {
-	s.handler.Load(m.GetFrom(), m.GetService(), m.GetBody())
+func (s *Server) ShareLoad(_ context.Context, m *peerpb.LoadDigests) (*peerpb.Empty, error) {
+	for _, d := range m.GetDigests() {
+		s.handler.Load(m.GetFrom(), d.GetService(), d.GetBody())
+	}
 	return &peerpb.Empty{}, nil
 }
 
