--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -52,7 +52,11 @@
 	return func(c echo.Context) error {
 		x := &exchange{g: g, w: c.Response(), r: c.Request(), started: g.Now(), id: uuid.NewString(), log: g.Log}
 		if !g.drain.enter() {
-			return x.refuse(problem.New(problem.ShuttingDown, "this daemon takes no new requests").After(time.Second))
+			p := problem.New(problem.ShuttingDown, "this daemon takes no new requests").After(time.Second)
+			if x.r.Header.Get(headerIdempotencyKey) != "" {
+				p.Ran = upstream.RanUnknown // an earlier attempt with the key may have run
+			}
+			return x.refuse(p)
 		}
 		defer g.drain.leave()
 		err := x.prepare()
