--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -242,14 +242,13 @@
 	return out
 }
 
-// Epoch returns the epoch in office; 0 before the takeover is durable.
+// Epoch returns the current epoch; 0 before the takeover is durable.
 func (a *Allocator) Epoch() uint64 { return a.epoch }
 
 // Deposed reports whether a newer epoch exists.
 func (a *Allocator) Deposed() bool { return a.deposed }
 
-// Fault returns the violated invariant that made the allocator give up its
-// office, if any. It shows a defect of this package or a damaged record.
+// Fault returns the violated invariant that made the allocator stop, if any. It shows a defect of this package or a damaged record.
 func (a *Allocator) Fault() error { return a.fault }
 
 // Record returns the newest record that the allocator knows; it must not be
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -145,7 +145,7 @@
 }
 
 // RegisterAnswered passes the reply; it returns Granted, Ignored, Refused (not
-// in office) or Again (send Register once more).
+// current) or Again (send Register once more).
 func (h *Holder) RegisterAnswered(r Reply) Verdict {
 	s := h.shard(r.Shard)
 	if v, done := h.common(s, r); done {
--- a/internal/budget/holder_request.go
+++ b/internal/budget/holder_request.go
@@ -36,7 +36,7 @@
 	switch r.Status {
 	case StatusOK:
 	case StatusStale:
-		s.release(r.Key) // another copy of the request may reach an allocator in office
+		s.release(r.Key) // another copy of the request may reach a current allocator
 		return Again
 	default:
 		if r.Tokens > 0 {
--- a/internal/budget/message.go
+++ b/internal/budget/message.go
@@ -79,7 +79,7 @@
 	// were charged. The holder goes on with a new generation.
 	StatusClosed
 	// StatusStale: the request came too late, or this allocator is not (or no
-	// longer) in office.
+	// longer) the current one.
 	StatusStale
 	// StatusUnknown: the budget does not exist.
 	StatusUnknown
--- a/internal/budget/operator.go
+++ b/internal/budget/operator.go
@@ -101,7 +101,7 @@
 }
 
 // Decide records an operator's order on the disputed tokens of a failure
-// domain. The allocator in office carries it out with its next flush, so that
+// domain. The current allocator carries it out with its next flush, so that
 // reservations which it knows stay covered. Release is safe only if the
 // processes in Waiting have ended and their unsettled requests need no bill.
 func (r *Record) Decide(domain string, decision Decision) error {
--- a/internal/budget/record_test.go
+++ b/internal/budget/record_test.go
@@ -64,7 +64,7 @@
 	a.Loaded(now, value, 1, true)
 	a.Stored(now, StoreResult{Outcome: Applied, Revision: 2})
 	if a.Epoch() == 0 {
-		t.Fatal("not in office")
+		t.Fatal("not the current allocator")
 	}
 	return a
 }
--- a/internal/budget/store.go
+++ b/internal/budget/store.go
@@ -252,7 +252,7 @@
 	a.noteBills()
 }
 
-// begin takes office with what the record says of the failure domain.
+// begin starts an epoch with what the record says of the failure domain.
 func (a *Allocator) begin(now time.Time, epoch uint64) {
 	a.epoch, a.tookOver, a.lastReview = epoch, now, now
 	a.dirty, a.urgent = true, true
--- a/internal/capacity/budget_test.go
+++ b/internal/capacity/budget_test.go
@@ -70,7 +70,7 @@
 				_, err := budget.Unmarshal(value)
 				must(b, 0, err)
 			})})
-			heap = append(heap, Point{size, heapOf(func() any { return office(b, value, nil) })})
+			heap = append(heap, Point{size, heapOf(func() any { return current(b, value, nil) })})
 		}
 		add("budget.record", "bytes", "budgets in a shard", false, bytes)
 		add("budget.record_full", "bytes", "budgets in a shard, 2,000 bills", false, full)
@@ -84,13 +84,13 @@
 	return func(v []byte, err error) []byte { b.Helper(); return must(b, v, err) }
 }
 
-// office returns an allocator in office after its takeover; pump carries out
+// current returns an allocator after its takeover; pump carries out
 // its store calls until there are none.
-func office(b testing.TB, value []byte, members []string) *budget.Allocator {
-	return officeAt(b, value, members, 25*time.Second)
+func current(b testing.TB, value []byte, members []string) *budget.Allocator {
+	return currentAt(b, value, members, 25*time.Second)
 }
 
-func officeAt(b testing.TB, value []byte, members []string, interval time.Duration) *budget.Allocator {
+func currentAt(b testing.TB, value []byte, members []string, interval time.Duration) *budget.Allocator {
 	a := budget.NewAllocator(start, budget.Options{Domain: "domain-00", Shard: 1, Owner: "daemon-new", Interval: interval})
 	a.SetMembers(start, append(members, "daemon-new"))
 	rev := int64(1)
--- a/internal/capacity/cpu_test.go
+++ b/internal/capacity/cpu_test.go
@@ -90,7 +90,7 @@
 	r := budget.NewRecord()
 	r.Budgets["account-00001/b0"] = &budget.Budget{Prepaid: 1e12}
 	holder := holderName(0, 7)
-	a := office(b, must2(b)(r.Marshal()), []string{holder})
+	a := current(b, must2(b)(r.Marshal()), []string{holder})
 	a.Register(start, budget.RegisterRequest{Shard: 1, Epoch: a.Epoch(), Holder: holder, Gen: 1})
 	rev := int64(100)
 	serve := func() (granted int) {
--- a/internal/capacity/flush_test.go
+++ b/internal/capacity/flush_test.go
@@ -26,7 +26,7 @@
 		r.Budgets[fmt.Sprintf("account-%05d/b0", i)] = &budget.Budget{Prepaid: 1e9}
 	}
 	holder := holderName(0, 7)
-	a := officeAt(b, must2(b)(r.Marshal()), []string{holder}, interval)
+	a := currentAt(b, must2(b)(r.Marshal()), []string{holder}, interval)
 	a.Register(start, budget.RegisterRequest{Shard: 1, Epoch: a.Epoch(), Holder: holder, Gen: 1})
 	var out flushRun
 	rev, sent, settled, refused, now := int64(100), 0, 0, 0, start
--- a/internal/ledger/adopt.go
+++ b/internal/ledger/adopt.go
@@ -34,7 +34,7 @@
 			return
 		}
 		for shard := range budget.Shards {
-			for l.ownsWithoutOffice(shard) {
+			for l.ownsUnserved(shard) {
 				if l.adoptShard(shard) {
 					break
 				}
@@ -54,14 +54,14 @@
 	}
 }
 
-func (l *Ledger) ownsWithoutOffice(shard int) bool {
+func (l *Ledger) ownsUnserved(shard int) bool {
 	m, ok := l.owner(shard)
 	if !ok || m.ID != l.o.ID {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f, ok := l.offices[shard]
+	f, ok := l.shards[shard]
 	return !ok || f.retired
 }
 
@@ -87,6 +87,6 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, err = l.office(shard)
+	_, err = l.allocator(shard)
 	return err == nil || errors.Is(err, ErrNotOwner)
 }
--- a/internal/ledger/office.go
+++ b/internal/ledger/allocator.go
@@ -11,24 +11,24 @@
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
-// office returns the allocator of a shard, creating it if this daemon owns the
+// allocator returns the allocator of a shard, creating it if this daemon owns the
 // shard now. The caller holds l.mu.
-func (l *Ledger) office(shard int) (*office, error) {
+func (l *Ledger) allocator(shard int) (*shardState, error) {
 	if shard < 0 || shard >= budget.Shards {
 		return nil, errors.Errorf("shard %d does not exist", shard)
 	}
-	if f, ok := l.offices[shard]; ok && !f.retired {
+	if f, ok := l.shards[shard]; ok && !f.retired {
 		return f, nil
 	}
 	if m, ok := l.owner(shard); !ok || m.ID != l.o.ID || !l.idRecorded() {
 		return nil, ErrNotOwner
 	}
 	now := time.Now()
-	f := &office{shard: shard, next: now, allocator: budget.NewAllocator(now, budget.Options{
+	f := &shardState{shard: shard, next: now, allocator: budget.NewAllocator(now, budget.Options{
 		Domain: l.o.Domain, Shard: shard, Owner: l.o.ID, Interval: l.interval(), Step: l.o.Step,
 	})}
 	f.allocator.SetMembers(now, l.liveIDs())
-	l.offices[shard] = f
+	l.shards[shard] = f
 	l.pump(f)
 	return f, nil
 }
@@ -40,7 +40,7 @@
 	if l.o.WriteAllowance <= 0 {
 		return l.o.Interval
 	}
-	shards := min((len(l.offices)+1)*len(l.o.Members.LiveIn(l.o.Domain)), budget.Shards)
+	shards := min((len(l.shards)+1)*len(l.o.Members.LiveIn(l.o.Domain)), budget.Shards)
 	pairs := shards * max(1, len(l.o.Members.Domains()))
 	return max(l.o.Interval, budget.FlushInterval(pairs, l.o.WriteAllowance))
 }
@@ -61,7 +61,7 @@
 	defer l.mu.Unlock()
 	ids := l.liveIDs()
 	now := time.Now()
-	for shard, f := range l.offices {
+	for shard, f := range l.shards {
 		f.allocator.SetMembers(now, ids)
 		f.allocator.SetInterval(l.interval())
 		if m, ok := l.owner(shard); ok && m.ID != l.o.ID && !f.retired {
@@ -76,7 +76,7 @@
 func (l *Ledger) MemberGone(m membership.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, f := range l.offices {
+	for _, f := range l.shards {
 		f.allocator.HolderGone(time.Now(), m.ID)
 		l.pump(f)
 	}
@@ -86,10 +86,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	for shard, f := range l.offices {
+	for shard, f := range l.shards {
 		if f.allocator.Deposed() {
 			l.o.Log.Info().Int("shard", shard).Uint64("epoch", f.epoch).Msg("another daemon is the allocator now")
-			delete(l.offices, shard)
+			delete(l.shards, shard)
 			continue
 		}
 		if !now.Before(f.next) {
@@ -102,7 +102,7 @@
 
 // announce tells the failure domain's daemons of a new epoch, so that they
 // register and the rest of the old grant can be returned.
-func (l *Ledger) announce(f *office, now time.Time) {
+func (l *Ledger) announce(f *shardState, now time.Time) {
 	epoch := f.allocator.Epoch()
 	if epoch == 0 {
 		return
@@ -139,7 +139,7 @@
 }
 
 // pump does what the allocator wants done. The caller holds l.mu.
-func (l *Ledger) pump(f *office) {
+func (l *Ledger) pump(f *shardState) {
 	out := f.allocator.Take()
 	f.next = out.Next
 	for _, r := range out.Replies {
@@ -160,7 +160,7 @@
 	}
 }
 
-func (l *Ledger) sendMirror(f *office, m budget.MirrorRequest) {
+func (l *Ledger) sendMirror(f *shardState, m budget.MirrorRequest) {
 	addr, ok := l.o.Members.Addr(m.Member)
 	if !ok {
 		return
@@ -190,7 +190,7 @@
 	})
 }
 
-func (l *Ledger) read(ctx context.Context, f *office) {
+func (l *Ledger) read(ctx context.Context, f *shardState) {
 	item, err := l.o.Store.Get(ctx, Key(f.shard))
 	missing := errors.Is(err, platform.ErrNotFound)
 	if err != nil && !missing {
@@ -206,7 +206,7 @@
 // dropGone tells the allocator which of the holders that it knows are gone. A
 // new allocator has missed the events that told so, and their reservations
 // would stay open. The caller holds l.mu.
-func (l *Ledger) dropGone(f *office) {
+func (l *Ledger) dropGone(f *shardState) {
 	now := time.Now()
 	for _, id := range f.allocator.Holders() {
 		if id != l.o.ID && l.o.Members.Gone(id) {
@@ -215,7 +215,7 @@
 	}
 }
 
-func (l *Ledger) write(ctx context.Context, f *office, w budget.StoreWrite) {
+func (l *Ledger) write(ctx context.Context, f *shardState, w budget.StoreWrite) {
 	item, err := l.o.Store.CompareAndSwap(ctx, platform.Write{
 		Key: Key(f.shard), Value: w.Value, Expected: platform.Revision(w.Expected), OpID: w.OpID,
 	})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -96,8 +96,8 @@
 
 	mu     sync.Mutex
 	holder *budget.Holder
-	// offices holds the allocators of the shards that this daemon owns.
-	offices map[int]*office
+	// shards holds the allocators of the shards that this daemon owns.
+	shards map[int]*shardState
 	// waits holds the callers that wait for an allocator's reply.
 	waits map[wait][]chan budget.Reply
 	// registering has a channel for each shard whose registration is in
@@ -110,18 +110,19 @@
 	unused, reused chan struct{}
 	// settling marks the shards with a settlement in progress.
 	settling map[int]bool
-	accepted Accepted
+	accepted Accepted // by the allocators, of this daemon's settlements
 }
 
-// office is an allocator with the state of its input and output.
-type office struct {
+// shardState is an allocator with the state of its input and output.
+type shardState struct {
 	shard     int
 	allocator *budget.Allocator
-	next      time.Time
-	epoch     uint64
-	announced time.Time
-	since     time.Time
-	retired   bool
+	next      time.Time // of the allocator's Tick
+	// epoch was first seen at since and last announced at announced.
+	epoch            uint64
+	since, announced time.Time
+	// retired is true once another daemon owns the shard.
+	retired bool
 }
 
 // wait names the reply that a caller waits for.
@@ -142,7 +143,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	l := &Ledger{
-		o: o, ctx: ctx, stop: stop, holder: budget.NewHolder(o.ID), offices: make(map[int]*office),
+		o: o, ctx: ctx, stop: stop, holder: budget.NewHolder(o.ID), shards: make(map[int]*shardState),
 		waits: make(map[wait][]chan budget.Reply), registering: make(map[int]chan struct{}), settling: make(map[int]bool), accepted: make(Accepted),
 		adopting: make(chan struct{}, 1),
 		unused:   make(chan struct{}), reused: make(chan struct{}),
--- a/internal/ledger/serve.go
+++ b/internal/ledger/serve.go
@@ -11,7 +11,7 @@
 // ask passes a request to the allocator of a shard and waits for its reply.
 func (l *Ledger) ask(ctx context.Context, shard int, w wait, request func(*budget.Allocator)) (budget.Reply, error) {
 	l.mu.Lock()
-	f, err := l.office(shard)
+	f, err := l.allocator(shard)
 	if err != nil {
 		l.mu.Unlock()
 		return budget.Reply{}, err
@@ -94,7 +94,7 @@
 func (l *Ledger) Reclaim(r budget.ReclaimRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if f, ok := l.offices[r.Shard]; ok {
+	if f, ok := l.shards[r.Shard]; ok {
 		f.allocator.Reclaim(time.Now(), r)
 		l.pump(f)
 	}
