Give a resumable stream one bill

Cause: a stream without an idempotency key that was resumed in another failure domain while its first daemon lived would have been billed twice. Conclusion: taking over a live reservation at a resume remains open.

--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -188,7 +188,8 @@
 	}
 	hold, err := j.x.g.Ledger.Reserve(ctx, Charge{
 		ID: j.x.id, Account: j.x.account.Name, Service: j.x.service.Name, Tokens: first,
-		Keyed: j.x.key != "" || j.resume != nil, Resume: j.resume != nil,
+		// A resumable stream can come again under its id, and has one bill.
+		Keyed: j.x.key != "" || j.resumable, Resume: j.resume != nil,
 	})
 	if err != nil {
 		return err
