Guard the members of the ledger tests' fake

Change: the fake has a lock of its own. Conclusion: the race was in the test; the ledger's code is unchanged.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,7 +25,21 @@
 // first live member owns all shards.
 type group struct {
 	ledgers map[string]*Ledger
-	live    []string
+
+	mu   sync.Mutex
+	live []string
+}
+
+func (g *group) setLive(ids ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.live = ids
+}
+
+func (g *group) ids() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.live
 }
 
 func (g *group) Owner(string, string) (membership.Member, bool) {
@@ -33,7 +48,7 @@
 
 func (g *group) LiveIn(string) []membership.Member {
 	var list []membership.Member
-	for _, id := range g.live {
+	for _, id := range g.ids() {
 		list = append(list, membership.Member{Identity: membership.Identity{ID: id, Addr: id}})
 	}
 	return list
@@ -41,7 +56,7 @@
 
 func (g *group) Addr(id string) (string, bool) { return id, true }
 func (g *group) Domains() []string             { return []string{"a"} }
-func (g *group) Gone(id string) bool           { return !slices.Contains(g.live, id) }
+func (g *group) Gone(id string) bool           { return !slices.Contains(g.ids(), id) }
 
 var errUnreachable = errors.New("unreachable")
 
@@ -142,7 +157,7 @@
 	g := newGroup(t, store, "d1", "d2")
 	store.SetFaults(memstore.Faults{LoseAnswers: 2})
 	for i := range 10 {
-		l := g.ledgers[g.live[i%2]]
+		l := g.ledgers[g.ids()[i%2]]
 		h, err := l.Gateway().Reserve(context.Background(), gateway.Charge{ID: fmt.Sprint("r", i), Account: "shop", Tokens: 50})
 		if err != nil {
 			t.Fatalf("request %d: %v", i, err)
@@ -191,12 +206,7 @@
 		t.Fatal(err)
 	}
 	g.ledgers["d1"].Close()
-	for _, id := range []string{"d2", "d3"} {
-		l := g.ledgers[id]
-		l.mu.Lock()
-		g.live = []string{"d2", "d3"}
-		l.mu.Unlock()
-	}
+	g.setLive("d2", "d3")
 	g.ledgers["d2"].MembersChanged()
 	g.ledgers["d3"].MembersChanged()
 	h2, err := g.ledgers["d3"].Gateway().Reserve(ctx, gateway.Charge{ID: "r2", Account: "shop", Tokens: 50})
@@ -226,9 +236,7 @@
 	}
 	g.ledgers["d1"].Close()
 	l := g.ledgers["d2"]
-	l.mu.Lock()
-	g.live = []string{"d2"}
-	l.mu.Unlock()
+	g.setLive("d2")
 	l.MemberGone(membership.Member{Identity: membership.Identity{ID: "d1"}})
 	l.MembersChanged()
 	deadline := time.Now().Add(30 * time.Second)
