--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,294 @@
+// Package balance chooses the endpoint of a request among the endpoints of its
+// service: by the work that it would wait for, by the prompt that the endpoint
+// still remembers, and by how the endpoint has fared lately.
+//
+// A Pool holds the state of one service. It does no input or output; the caller
+// holds the lock and passes the time.
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is one part of a prompt, in the order of the prompt. Requests with the
+// same part ids at the front share the work of reading them.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Endpoint is a member of a pool.
+type Endpoint struct {
+	ID, Addr, Domain string
+	Slots            int
+	// Leaving endpoints finish what they have and get no new work.
+	Leaving bool
+}
+
+// Work describes a request to choose an endpoint for.
+type Work struct {
+	// Prompt is the request's prompt; empty for a plain service.
+	Prompt []Part
+	// PromptTokens is the size of the whole prompt.
+	PromptTokens int64
+	// Repeatable requests may be tried at an endpoint of doubtful health.
+	Repeatable bool
+	// Tried are the endpoints that the request was sent to before.
+	Tried map[string]bool
+}
+
+// shared returns the parts that other requests may have too: the last part
+// belongs to the request itself.
+func (w Work) shared() []Part {
+	if len(w.Prompt) == 0 {
+		return nil
+	}
+	return w.Prompt[:len(w.Prompt)-1]
+}
+
+// Load is what a peer tells of its own requests at an endpoint.
+type Load struct {
+	Requests int
+	// Reading is the number of prompt tokens not yet read.
+	Reading int64
+	// OK and Failed count recent outcomes.
+	OK, Failed float64
+}
+
+// Report is an endpoint's own view of its load, as of its last answer.
+type Report struct {
+	Running, Waiting, Slots int
+	// Slowness is the time that work takes there now over the usual time.
+	Slowness float64
+}
+
+// Options configure a Pool.
+type Options struct {
+	// Domain is the daemon's own failure domain.
+	Domain string
+	// KVTokens is an engine's prompt memory; 0 for plain services.
+	KVTokens int64
+}
+
+// Pool is the state of one service's endpoints.
+type Pool struct {
+	opts    Options
+	members map[string]*member
+	// daemons is the number of daemons that share the pool.
+	daemons int
+}
+
+// New returns an empty pool.
+func New(o Options) *Pool {
+	return &Pool{opts: o, members: make(map[string]*member), daemons: 1}
+}
+
+// SetDaemons sets the number of daemons that share the pool.
+func (p *Pool) SetDaemons(n int) { p.daemons = max(n, 1) }
+
+// SetKVTokens sets the engines' prompt memory.
+func (p *Pool) SetKVTokens(n int64) { p.opts.KVTokens = n }
+
+// Put adds an endpoint or changes its entry.
+func (p *Pool) Put(e Endpoint) {
+	m, ok := p.members[e.ID]
+	if !ok {
+		m = newMember(e)
+		p.members[e.ID] = m
+	}
+	m.Endpoint = e
+}
+
+// Remove removes an endpoint; its open requests end on their own.
+func (p *Pool) Remove(id string) { delete(p.members, id) }
+
+// Reset forgets what was learned of an endpoint, which has started anew.
+func (p *Pool) Reset(id string) {
+	if m, ok := p.members[id]; ok {
+		p.members[id] = newMember(m.Endpoint)
+	}
+}
+
+// Len returns the number of endpoints that take new work.
+func (p *Pool) Len() int {
+	n := 0
+	for _, m := range p.members {
+		if !m.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// IDs returns the ids of all endpoints.
+func (p *Pool) IDs() []string {
+	ids := make([]string, 0, len(p.members))
+	for id := range p.members {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Endpoint returns an endpoint by id.
+func (p *Pool) Endpoint(id string) (Endpoint, bool) {
+	m, ok := p.members[id]
+	if !ok {
+		return Endpoint{}, false
+	}
+	return m.Endpoint, true
+}
+
+// Choice is the endpoint chosen for a request, with what decided it.
+type Choice struct {
+	Endpoint
+	// Reading is the part of the prompt that the endpoint probably has to read.
+	Reading int64
+	// Cost is the predicted time to the first token or answer, in ms, with
+	// penalties.
+	Cost float64
+	// Candidates is the number of endpoints considered.
+	Candidates int
+}
+
+// Choose returns the endpoint with the least cost and records the request
+// there. The caller calls Done exactly once. It returns false if no endpoint
+// may be tried.
+func (p *Pool) Choose(now time.Time, w Work) (Choice, bool) {
+	best, c := p.best(now, w)
+	if best == nil {
+		return Choice{}, false
+	}
+	best.requests++
+	best.reading += c.Reading
+	best.remember(now, w.Prompt, p.opts.KVTokens)
+	return c, true
+}
+
+func (p *Pool) best(now time.Time, w Work) (*member, Choice) {
+	home := p.home(w.shared())
+	var best *member
+	choice := Choice{Cost: math.Inf(1)}
+	limit := p.ejectable()
+	for _, m := range p.members {
+		if m.Leaving || w.Tried[m.ID] {
+			continue
+		}
+		choice.Candidates++
+		reading := m.unread(now, w, m == home)
+		cost := p.cost(now, m, w, reading)
+		if m.ejected(now) {
+			if limit <= 0 {
+				cost += ejectedCost / 2
+			} else {
+				cost += ejectedCost
+			}
+		}
+		if cost < choice.Cost || cost == choice.Cost && m.ID < choice.ID {
+			best, choice.Endpoint, choice.Reading, choice.Cost = m, m.Endpoint, reading, cost
+		}
+	}
+	return best, choice
+}
+
+// ejectable returns how many endpoints may be avoided for their failures: when
+// more fail, the pool is in trouble and avoiding them only moves the load.
+func (p *Pool) ejectable() int { return (len(p.members) + 1) / 2 }
+
+// home returns the endpoint on which the daemons agree for a shared prompt:
+// the first in rendezvous order of the last shared part.
+func (p *Pool) home(shared []Part) *member {
+	if len(shared) == 0 {
+		return nil
+	}
+	key := shared[len(shared)-1].ID
+	var best *member
+	var top uint64
+	for _, m := range p.members {
+		if m.Leaving {
+			continue
+		}
+		if score := xxhash.Sum64String(key + "\x00" + m.ID); best == nil || score > top {
+			best, top = m, score
+		}
+	}
+	return best
+}
+
+// Done ends a request that Choose recorded. read tells whether the endpoint
+// has read the prompt, as its first token shows.
+func (p *Pool) Done(c Choice, read bool) {
+	m, ok := p.members[c.ID]
+	if !ok {
+		return
+	}
+	m.requests = max(0, m.requests-1)
+	if !read {
+		m.reading = max(0, m.reading-c.Reading)
+	}
+}
+
+// Started records that the endpoint has read the prompt, elapsed after the
+// request was sent.
+func (p *Pool) Started(c Choice, elapsed time.Duration) {
+	m, ok := p.members[c.ID]
+	if !ok {
+		return
+	}
+	m.reading = max(0, m.reading-c.Reading)
+	m.observeTime(float64(elapsed.Milliseconds()), c.Cost)
+}
+
+// Reported records an endpoint's own view of its load.
+func (p *Pool) Reported(now time.Time, id string, r Report) {
+	if m, ok := p.members[id]; ok {
+		m.report, m.reportAt = r, now
+	}
+}
+
+// Merge records the load that a peer has at an endpoint.
+func (p *Pool) Merge(now time.Time, peer, id string, l Load) {
+	if m, ok := p.members[id]; ok {
+		m.peers[peer] = peerLoad{Load: l, at: now}
+	}
+}
+
+// Loads returns this daemon's own load at each endpoint that has any.
+func (p *Pool) Loads(now time.Time) map[string]Load {
+	loads := make(map[string]Load)
+	for id, m := range p.members {
+		m.decay(now)
+		if m.requests > 0 || m.ok+m.failed > minOutcomes {
+			loads[id] = Load{Requests: m.requests, Reading: m.reading, OK: m.ok, Failed: m.failed}
+		}
+	}
+	return loads
+}
+
+// Busy returns the share of the pool's places in use, as far as it is known,
+// and the number of requests that wait.
+func (p *Pool) Busy(now time.Time) (share float64, waiting int) {
+	var slots, used int
+	for _, m := range p.members {
+		if m.Leaving || m.ejected(now) {
+			continue
+		}
+		n := m.known(now)
+		slots += m.Slots
+		used += min(n, m.Slots)
+		waiting += max(0, n-m.Slots)
+	}
+	if slots == 0 {
+		return 1, waiting
+	}
+	return float64(used) / float64(slots), waiting
+}
+
+// ForgetPeer drops the load that a peer told of before.
+func (p *Pool) ForgetPeer(peer string) {
+	for _, m := range p.members {
+		delete(m.peers, peer)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -24,7 +24,7 @@
 type command func(app *kingpin.Application, out io.Writer) (name string, run func() error)
 
 var commands = []command{
-	versionCommand, serveCommand, devCommand, loadCommand, settingsPrintCommand, settingsCheckCommand,
+	versionCommand, serveCommand, frontCommand, devCommand, loadCommand, settingsPrintCommand, settingsCheckCommand, frontCheckCommand,
 	configCheckCommand, configDiffCommand, configApplyCommand, configShowCommand, configHistoryCommand, configRollbackCommand,
 	auditCommand, accountListCommand, accountShowCommand, accountTopUpCommand, fleetStatusCommand, ordersListCommand, ordersResumeCommand,
 	standinPlatformCommand, standinEngineCommand, standinServiceCommand,
--- /dev/null
+++ b/internal/cli/front.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/front"
+	"github.com/azurehatch/azurehatch/internal/settings"
+	"github.com/azurehatch/azurehatch/platform"
+)
+
+// memoryShare is the part of the process's memory that the collector may let
+// the heap grow to; the rest is for stacks, buffers of sockets and the runtime.
+const memoryShare = 0.6
+
+// collectAt trades memory for processor time: a daemon's live heap is a few
+// MB, so doubling it again costs little and halves the collections.
+const collectAt = 200
+
+func frontCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
+	cmd := app.Command("front", "Run an entry daemon on the users' platform until SIGTERM. SIGHUP reads the settings again.")
+	file := cmd.Flag("settings", "Settings file.").Required().String()
+	return cmd.FullCommand(), func() error {
+		s, err := readFront(*file)
+		if err != nil {
+			return err
+		}
+		return runFront(*file, s, out)
+	}
+}
+
+func frontCheckCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
+	cmd := app.GetCommand("settings").Command("check-front", "Check a settings file of an entry daemon.")
+	file := cmd.Arg("file", "Settings file.").Required().String()
+	return cmd.FullCommand(), func() error {
+		s, err := readFront(*file)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(out, "%s: settings of instance %s are valid\n", *file, s.Instance.Name)
+		return err
+	}
+}
+
+func readFront(file string) (settings.Front, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Front{}, errors.Wrap(err, "read settings")
+	}
+	return settings.ParseFront(file, text)
+}
+
+func runFront(file string, s settings.Front, out io.Writer) error {
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return errors.Errorf("log level %q is not one of debug, info, warn, error", s.Log.Level)
+	}
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Machine.Memory.Bytes)))
+	log, flush := front.NewLog(out, level)
+	defer flush()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	d, err := front.New(front.Options{
+		Settings: s, Log: log,
+		Store: func(scope tally.Scope) front.Store { return platform.NewStore(s.Store.Address, scope) },
+		Wire: front.Wire{
+			Codec: platform.Codec{}, DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint,
+			ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, EndpointPrefix: platform.EndpointPrefix,
+			ReadyPath: platform.ReadyPath,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		reloadFront(file, d, log)
+	}
+	signal.Reset(syscall.SIGTERM, syscall.SIGINT) // a second signal then ends the process
+	return d.Stop(context.Background())
+}
+
+// reloadFront takes over the settings that may change while a daemon runs.
+func reloadFront(file string, d *front.Daemon, log zerolog.Logger) {
+	s, err := readFront(file)
+	if err != nil {
+		log.Error().Err(err).Msg("settings not reloaded; the former ones stay")
+		return
+	}
+	d.Reload(s)
+}
--- /dev/null
+++ b/internal/escrow/bank/bank.go
@@ -0,0 +1,500 @@
+// Package bank is the shell of package escrow: it keeps this daemon's holdings,
+// draws tokens from the store and from other daemons, and answers their asks.
+package bank
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/escrow"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/problem"
+	"github.com/azurehatch/azurehatch/internal/relay"
+	"github.com/azurehatch/azurehatch/internal/routing"
+)
+
+// Times of the bank.
+const (
+	// storeTimeout bounds a write of a record; the store answers in 4 ms.
+	storeTimeout = 400 * time.Millisecond
+	// storePause is the time after a failed call during which reservations ask
+	// the other daemons first.
+	storePause = 700 * time.Millisecond
+	// peerTimeout bounds an ask of a peer, a few ms away.
+	peerTimeout = 150 * time.Millisecond
+	// maxWait bounds the wait of one reservation.
+	maxWait = 500 * time.Millisecond
+	// retryExhausted is when a caller whose budget is used up may come again.
+	retryExhausted = time.Second
+	// retryUnavailable is the same where tokens could not be drawn.
+	retryUnavailable = 300 * time.Millisecond
+	// conflictTries bounds the repeats of a write that met other daemons'.
+	conflictTries = 6
+	// topUpPause is the least time between two draws ahead of need.
+	topUpPause = 400 * time.Millisecond
+)
+
+// keyPrefix is the prefix of the accounts' records.
+const keyPrefix = "azurehatch/budget/"
+
+// Peers are the other daemons.
+type Peers interface {
+	// Richest returns the peers that may hold tokens of an account, the one
+	// with the most first.
+	Richest(account string) []string
+	// Ask asks a peer for tokens.
+	Ask(ctx context.Context, peer, account string, tokens int64) (int64, error)
+	// Count returns the number of live daemons, this one included.
+	Count() int
+}
+
+// Options configure a Bank.
+type Options struct {
+	// Holder is the id of this start of this instance.
+	Holder string
+	Store  platform.Records
+	Peers  Peers
+	Log    zerolog.Logger
+	Scope  tally.Scope
+}
+
+// Bank holds this daemon's part of each account's budget.
+type Bank struct {
+	Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu        sync.Mutex
+	accounts  map[string]*account
+	storeDown time.Time
+	closed    bool
+}
+
+// account is one holding with the reservations that wait for it.
+type account struct {
+	name    string
+	holding *escrow.Holding
+	waiting []*waiter
+	// filling is true while a goroutine draws tokens.
+	filling  bool
+	toppedUp time.Time
+}
+
+// waiter is a reservation that the holding does not cover yet.
+type waiter struct {
+	tokens int64
+	done   chan error
+}
+
+// New returns a bank without holdings.
+func New(o Options) *Bank {
+	b := &Bank{Options: o, accounts: make(map[string]*account)}
+	if b.Scope == nil {
+		b.Scope = tally.NoopScope
+	}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	return b
+}
+
+// Configure sets the budgets of the accounts.
+func (b *Bank) Configure(accounts []routing.Account) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range accounts {
+		if !a.Unlimited {
+			b.account(a.Name).holding.SetPrepaid(a.Prepaid)
+		}
+	}
+}
+
+func (b *Bank) account(name string) *account {
+	a, ok := b.accounts[name]
+	if !ok {
+		a = &account{name: name, holding: escrow.NewHolding(b.Holder)}
+		b.accounts[name] = a
+	}
+	return a
+}
+
+// hold is a reservation.
+type hold struct {
+	b      *Bank
+	a      *account
+	tokens int64
+}
+
+// Settle implements relay.Hold.
+func (h *hold) Settle(used int64) {
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	h.a.holding.Settle(time.Now(), h.tokens, used)
+	h.b.serveWaiting(h.a)
+	h.b.topUp(h.a)
+}
+
+// Reserve implements relay.Bank.
+func (b *Bank) Reserve(ctx context.Context, ra *routing.Account, tokens int64) (relay.Hold, error) {
+	if tokens > ra.Prepaid {
+		return nil, problem.New(problem.BudgetExhausted, "the request may use %d tokens, the whole budget is %d", tokens, ra.Prepaid)
+	}
+	b.mu.Lock()
+	a := b.account(ra.Name)
+	if len(a.waiting) == 0 && a.holding.Reserve(tokens) {
+		b.topUp(a)
+		b.mu.Unlock()
+		return &hold{b: b, a: a, tokens: tokens}, nil
+	}
+	w := &waiter{tokens: tokens, done: make(chan error, 1)}
+	a.waiting = append(a.waiting, w)
+	b.fill(a)
+	b.mu.Unlock()
+	if err := b.await(ctx, a, w); err != nil {
+		return nil, err
+	}
+	return &hold{b: b, a: a, tokens: tokens}, nil
+}
+
+func (b *Bank) await(ctx context.Context, a *account, w *waiter) error {
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	select {
+	case err := <-w.done:
+		return err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if b.leave(a, w) {
+		return problem.New(problem.BudgetUnavailable, "no tokens of account %q could be drawn in time", a.name).After(retryUnavailable)
+	}
+	return <-w.done
+}
+
+// leave takes a waiter out of the queue; false means that it was served.
+func (b *Bank) leave(a *account, w *waiter) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, other := range a.waiting {
+		if other == w {
+			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// serveWaiting gives tokens to the waiters that the holding covers.
+func (b *Bank) serveWaiting(a *account) {
+	kept := a.waiting[:0]
+	for _, w := range a.waiting {
+		if a.holding.Reserve(w.tokens) {
+			w.done <- nil
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	a.waiting = kept
+}
+
+// need is what the waiters lack.
+func (a *account) need() int64 {
+	var sum int64
+	for _, w := range a.waiting {
+		sum += w.tokens
+	}
+	return max(0, sum-a.holding.Available())
+}
+
+// least is what the smallest waiter lacks.
+func (a *account) least() int64 {
+	least := a.waiting[0].tokens
+	for _, w := range a.waiting {
+		least = min(least, w.tokens)
+	}
+	return max(0, least-a.holding.Available())
+}
+
+// topUp draws ahead of need if the holding is low.
+func (b *Bank) topUp(a *account) {
+	now := time.Now()
+	if a.filling || !a.holding.Low(now) || now.Sub(a.toppedUp) < topUpPause || now.Before(b.storeDown) {
+		return
+	}
+	a.toppedUp = now
+	b.fill(a)
+}
+
+// fill starts the goroutine that draws tokens for an account, if none runs.
+func (b *Bank) fill(a *account) {
+	if a.filling || b.closed {
+		return
+	}
+	a.filling = true
+	b.wg.Add(1)
+	go func() {
+		defer b.wg.Done()
+		b.fillLoop(a)
+	}()
+}
+
+// fillLoop draws until no reservation waits or no more tokens can be had.
+func (b *Bank) fillLoop(a *account) {
+	for {
+		fromStore := b.drawFromStore(a)
+		fromPeers := peersSilent
+		if b.waits(a) {
+			fromPeers = b.drawFromPeers(a)
+		}
+		b.mu.Lock()
+		if len(a.waiting) == 0 {
+			a.filling = false
+			b.mu.Unlock()
+			return
+		}
+		if fromStore != storeDrawn && fromPeers != peersGave {
+			b.refuseWaiting(a, fromStore == storeEmpty && fromPeers == peersEmpty)
+			a.filling = false
+			b.mu.Unlock()
+			return
+		}
+		b.mu.Unlock()
+	}
+}
+
+func (b *Bank) waits(a *account) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(a.waiting) > 0
+}
+
+// refuseWaiting ends the wait of all; certain means that the budget is used up.
+func (b *Bank) refuseWaiting(a *account, certain bool) {
+	for _, w := range a.waiting {
+		b.Log.Warn().Str("account", a.name).Int64("tokens", w.tokens).Int64("available", a.holding.Available()).
+			Int64("undrawn", a.holding.Undrawn()).Bool("certain", certain).Msg("reservation refused")
+		p := problem.New(problem.BudgetUnavailable, "no tokens of account %q can be drawn now", a.name).After(retryUnavailable)
+		if certain {
+			p = problem.New(problem.BudgetUnavailable, "the rest of account %q's budget does not cover %d tokens", a.name, w.tokens).After(retryExhausted)
+		}
+		w.done <- p
+	}
+	a.waiting = a.waiting[:0]
+}
+
+// drawResult is the outcome of a draw from the store.
+type drawResult uint8
+
+const (
+	storeDrawn drawResult = iota
+	storeEmpty
+	storeAway
+)
+
+// drawFromStore takes tokens from the account's record.
+func (b *Bank) drawFromStore(a *account) drawResult {
+	for range conflictTries {
+		b.mu.Lock()
+		if time.Now().Before(b.storeDown) {
+			b.mu.Unlock()
+			return storeAway
+		}
+		need := a.need()
+		if len(a.waiting) > 0 && a.holding.Undrawn() < need {
+			need = min(need, max(a.least(), a.holding.Undrawn()))
+		}
+		w, ok := a.holding.Draw(time.Now(), need, b.Peers.Count())
+		b.mu.Unlock()
+		if !ok && !b.refresh(a, need) {
+			return storeEmpty
+		}
+		if !ok {
+			continue
+		}
+		if done, result := b.write(a, w, "draw"); done {
+			return result
+		}
+	}
+	return storeAway
+}
+
+// refresh reads an account's record again, since other daemons may have
+// returned tokens; it tells whether the record now leaves what is needed.
+func (b *Bank) refresh(a *account, need int64) bool {
+	b.mu.Lock()
+	skip := need <= 0 || !a.holding.MayRefresh(time.Now())
+	b.mu.Unlock()
+	if skip {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, storeTimeout)
+	defer cancel()
+	item, err := b.Store.Get(ctx, keyPrefix+a.name)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err != nil {
+		b.storeDown = time.Now().Add(storePause)
+		b.Log.Warn().Err(err).Str("account", a.name).Msg("budget record not read")
+		return false
+	}
+	b.adopt(a, item)
+	if a.holding.Undrawn() >= need {
+		return true
+	}
+	a.holding.Exhausted(time.Now())
+	return false
+}
+
+// write makes one conditional write of a record; done is false after a
+// conflict.
+func (b *Bank) write(a *account, w escrow.Write, what string) (done bool, r drawResult) {
+	value, err := w.Record.Encode()
+	if err != nil {
+		b.Log.Error().Err(err).Str("account", a.name).Msg("budget record not encoded")
+		return true, storeAway
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, storeTimeout)
+	defer cancel()
+	item, err := b.Store.CompareAndSwap(ctx, platform.Write{Key: keyPrefix + a.name, Value: value, Expected: platform.Revision(w.Expected)})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	conflict, isConflict := platform.AsConflict(err)
+	switch {
+	case err == nil:
+		a.holding.Written(w, int64(item.Revision))
+		b.Scope.Counter("budget_draws").Inc(1)
+		b.Log.Info().Str("account", a.name).Str("write", what).Int64("revision", int64(item.Revision)).
+			Int64("available", a.holding.Available()).Int64("undrawn", a.holding.Undrawn()).Msg("budget record written")
+		b.serveWaiting(a)
+		return true, storeDrawn
+	case isConflict:
+		b.adopt(a, conflict.Actual)
+		return false, storeAway
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		a.holding.Unknown()
+	default:
+		a.holding.Failed()
+	}
+	b.storeDown = time.Now().Add(storePause)
+	b.Log.Warn().Err(err).Str("account", a.name).Str("write", what).Msg("budget record not written")
+	return true, storeAway
+}
+
+func (b *Bank) adopt(a *account, actual platform.Item) {
+	record, err := escrow.ParseRecord(actual.Value)
+	if err != nil {
+		b.Log.Error().Err(err).Str("account", a.name).Int64("revision", int64(actual.Revision)).Msg("budget record not readable")
+		a.holding.Failed()
+		return
+	}
+	a.holding.Conflict(record, int64(actual.Revision))
+	b.serveWaiting(a)
+}
+
+// peersResult is the outcome of asking the peers.
+type peersResult uint8
+
+const (
+	peersGave peersResult = iota
+	peersEmpty
+	peersSilent
+)
+
+// drawFromPeers asks the peers for what the waiters lack.
+func (b *Bank) drawFromPeers(a *account) peersResult {
+	result := peersEmpty
+	for _, peer := range b.Peers.Richest(a.name) {
+		b.mu.Lock()
+		need := a.need()
+		b.mu.Unlock()
+		if need == 0 {
+			return peersGave
+		}
+		ctx, cancel := context.WithTimeout(b.ctx, peerTimeout)
+		got, err := b.Peers.Ask(ctx, peer, a.name, need)
+		cancel()
+		if err != nil {
+			b.Log.Info().Err(err).Str("account", a.name).Str("peer", peer).Msg("peer not asked for tokens")
+			if result == peersEmpty {
+				result = peersSilent
+			}
+			continue
+		}
+		if got <= 0 {
+			continue
+		}
+		result = peersGave
+		b.mu.Lock()
+		a.holding.Receive(got)
+		b.serveWaiting(a)
+		b.mu.Unlock()
+		b.Log.Info().Str("account", a.name).Str("peer", peer).Int64("asked", need).Int64("got", got).Msg("tokens received")
+	}
+	return result
+}
+
+// Give answers a peer's ask.
+func (b *Bank) Give(account string, tokens int64) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a, ok := b.accounts[account]
+	if !ok || b.closed {
+		return 0
+	}
+	given := a.holding.Give(tokens)
+	if given > 0 {
+		b.Log.Info().Str("account", account).Int64("asked", tokens).Int64("given", given).Msg("tokens given")
+	}
+	return given
+}
+
+// Balances returns the tokens held, by account.
+func (b *Bank) Balances() map[string]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	balances := make(map[string]int64)
+	for name, a := range b.accounts {
+		if n := a.holding.Available(); n > 0 {
+			balances[name] = n
+		}
+	}
+	return balances
+}
+
+// Close returns what was not spent to the store.
+func (b *Bank) Close(ctx context.Context) {
+	b.mu.Lock()
+	b.closed = true
+	names := make([]string, 0, len(b.accounts))
+	for name := range b.accounts {
+		names = append(names, name)
+	}
+	b.mu.Unlock()
+	sort.Strings(names)
+	var wg sync.WaitGroup
+	for _, name := range names {
+		wg.Go(func() { b.retire(ctx, b.accounts[name]) })
+	}
+	wg.Wait()
+	b.cancel()
+	b.wg.Wait()
+}
+
+func (b *Bank) retire(ctx context.Context, a *account) {
+	for range conflictTries {
+		b.mu.Lock()
+		w, ok := a.holding.Return()
+		b.mu.Unlock()
+		if !ok || ctx.Err() != nil {
+			return
+		}
+		if done, _ := b.write(a, w, "return"); done {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/escrow/holding.go
@@ -0,0 +1,216 @@
+package escrow
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the size of a holding.
+const (
+	// horizon is the time for which a holding should last at the recent rate
+	// of spend. It covers a loss of the store of about eight seconds.
+	horizon = 9 * time.Second
+	// lowWater is the part of the target below which tokens are drawn before a
+	// request needs them.
+	lowWater = 0.55
+	// rateWindow is the time constant of the rate of spend.
+	rateWindow = 6 * time.Second
+	// reserveShare bounds a draw beyond the need of a request: the part of the
+	// undrawn tokens, divided by the number of daemons.
+	reserveShare = 0.5
+	// retryDraw is the pause after a draw that found the budget used up.
+	retryDraw = 300 * time.Millisecond
+)
+
+// Holding is this daemon's part of one account's budget. The zero value holds
+// nothing.
+//
+// Invariant: spent + reserved + given + returning <= drawn + received.
+type Holding struct {
+	holder  string
+	prepaid int64
+
+	// record is the newest known state of the store's record, at revision.
+	record   Record
+	revision int64
+
+	// drawn is what record says this holder has taken.
+	drawn int64
+	// received and given are tokens from and to other daemons.
+	received, given int64
+	// spent is settled, reserved is held for open requests.
+	spent, reserved int64
+	// returning is being given back to the store, with unknown outcome until
+	// the record is seen at a later revision.
+	returning int64
+
+	// busy is true while a write to the record is in flight.
+	busy bool
+	// exhaustedUntil is the end of the pause after a draw found nothing.
+	exhaustedUntil time.Time
+
+	// rate is the recent spend a second, largest the recent largest request.
+	rate, largest float64
+	rateAt        time.Time
+}
+
+// NewHolding returns the holding of holder, whose id no other start uses.
+func NewHolding(holder string) *Holding { return &Holding{holder: holder} }
+
+// SetPrepaid sets the account's budget.
+func (h *Holding) SetPrepaid(tokens int64) {
+	if tokens > h.prepaid {
+		h.exhaustedUntil = time.Time{}
+	}
+	h.prepaid = tokens
+}
+
+// Available is what can be reserved now.
+func (h *Holding) Available() int64 {
+	return h.drawn + h.received - h.given - h.spent - h.reserved - h.returning
+}
+
+// Undrawn is what the newest known record leaves in the store.
+func (h *Holding) Undrawn() int64 { return max(0, h.prepaid-h.record.Granted()) }
+
+// Reserved is the amount held for open requests.
+func (h *Holding) Reserved() int64 { return h.reserved }
+
+// Spent is the amount settled.
+func (h *Holding) Spent() int64 { return h.spent }
+
+// Reserve takes tokens for a request if the holding covers them.
+func (h *Holding) Reserve(tokens int64) bool {
+	if tokens > h.Available() {
+		return false
+	}
+	h.reserved += tokens
+	return true
+}
+
+// Settle ends a reservation of the given size at the tokens used.
+func (h *Holding) Settle(now time.Time, reserved, used int64) {
+	h.reserved -= reserved
+	h.spent += min(used, reserved)
+	h.observe(now, float64(used), reserved)
+}
+
+func (h *Holding) observe(now time.Time, used float64, reserved int64) {
+	if !h.rateAt.IsZero() {
+		decay := math.Exp(-now.Sub(h.rateAt).Seconds() / rateWindow.Seconds())
+		h.rate *= decay
+		h.largest *= decay
+	}
+	h.rateAt = now
+	h.rate += used / rateWindow.Seconds()
+	h.largest = max(h.largest, float64(reserved))
+}
+
+// Target is the amount that the holding should keep.
+func (h *Holding) Target(now time.Time) int64 {
+	if h.rateAt.IsZero() {
+		return 0
+	}
+	decay := math.Exp(-now.Sub(h.rateAt).Seconds() / rateWindow.Seconds())
+	return int64(decay * (h.rate*horizon.Seconds() + h.largest))
+}
+
+// Low tells whether tokens should be drawn although no request waits.
+func (h *Holding) Low(now time.Time) bool {
+	return float64(h.Available()) < lowWater*float64(h.Target(now)) && h.Undrawn() > 0
+}
+
+// Give takes tokens out for a peer: what it needs and half of the rest, but
+// nothing if the need can't be met, and keeps at least its own open demand.
+func (h *Holding) Give(need int64) int64 {
+	have := h.Available()
+	if have <= 0 {
+		return 0
+	}
+	amount := min(have, max(need, min(have/2, 2*need)))
+	h.given += amount
+	return amount
+}
+
+// Receive adds tokens that a peer gave.
+func (h *Holding) Receive(tokens int64) { h.received += tokens }
+
+// Write is a compare-and-swap of the account's record.
+type Write struct {
+	Record   Record
+	Expected int64
+}
+
+// Draw returns the write that takes at least need tokens more, and false if
+// the record leaves too few, another write is in flight or the last draw found
+// nothing. The caller reports the outcome by Written, Conflict, Failed or
+// Unknown.
+func (h *Holding) Draw(now time.Time, need int64, daemons int) (Write, bool) {
+	if h.busy || now.Before(h.exhaustedUntil) {
+		return Write{}, false
+	}
+	left := h.Undrawn()
+	if left < need || left <= 0 {
+		return Write{}, false
+	}
+	share := int64(reserveShare * float64(left) / float64(max(daemons, 1)))
+	amount := max(need, min(h.Target(now)-h.Available(), share))
+	if amount <= 0 {
+		return Write{}, false
+	}
+	h.busy = true
+	return Write{Record: h.record.with(h.holder, h.drawn+amount), Expected: h.revision}, true
+}
+
+// Busy tells whether a write is in flight.
+func (h *Holding) Busy() bool { return h.busy }
+
+// Return returns the write that ends the holder and frees what it did not
+// spend. Open reservations count as spent. The holding is empty from then on.
+func (h *Holding) Return() (Write, bool) {
+	if h.busy || h.drawn == 0 && h.received == 0 && h.given == 0 {
+		return Write{}, false
+	}
+	h.returning += max(0, h.Available())
+	h.busy = true
+	net := h.spent + h.reserved + h.given - h.received
+	return Write{Record: h.record.without(h.holder, net), Expected: h.revision}, true
+}
+
+// Written records that a write took effect at a revision.
+func (h *Holding) Written(w Write, revision int64) {
+	h.busy = false
+	h.adopt(w.Record, revision)
+}
+
+// Conflict records the state that the store has instead of the expected one.
+func (h *Holding) Conflict(actual Record, revision int64) {
+	h.busy = false
+	h.adopt(actual, revision)
+}
+
+// Failed records that a write had no effect.
+func (h *Holding) Failed() { h.busy = false }
+
+// Unknown records that a write may have taken effect or may still do so, while
+// its condition holds. What it would draw is not counted: the next write has
+// the same condition, so its outcome shows whether the earlier one happened.
+func (h *Holding) Unknown() { h.busy = false }
+
+// Exhausted pauses draws: the store's record leaves less than was needed.
+func (h *Holding) Exhausted(now time.Time) { h.exhaustedUntil = now.Add(retryDraw) }
+
+// MayRefresh tells whether the record should be read again: it has been read
+// before, and the last reading that found nothing is not recent.
+func (h *Holding) MayRefresh(now time.Time) bool {
+	return !h.busy && h.revision > 0 && !now.Before(h.exhaustedUntil)
+}
+
+func (h *Holding) adopt(r Record, revision int64) {
+	if revision <= h.revision {
+		return
+	}
+	h.record, h.revision = r, revision
+	h.drawn = r.Drawn[h.holder]
+	h.returning = 0
+}
--- /dev/null
+++ b/internal/front/configuration.go
@@ -0,0 +1,84 @@
+package front
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/routing"
+)
+
+// installedTable is a configuration with the time of its installation.
+type installedTable struct {
+	*routing.Table
+	at       time.Time
+	revision platform.Revision
+}
+
+// configuration keeps the newest readable configuration. It never goes back to
+// an older one.
+type configuration struct {
+	wire      Wire
+	log       zerolog.Logger
+	installed func(*routing.Table)
+	current   atomic.Pointer[installedTable]
+}
+
+// table returns the configuration in force and its age.
+func (c *configuration) table() (*routing.Table, time.Duration) {
+	t := c.current.Load()
+	if t == nil {
+		return nil, 0
+	}
+	return t.Table, time.Since(t.at)
+}
+
+func (c *configuration) replace(now time.Time, items []platform.Item, _ platform.Revision) {
+	for _, i := range items {
+		c.put(now, i)
+	}
+}
+
+func (c *configuration) apply(now time.Time, events []platform.Event, _ platform.Revision) {
+	for _, ev := range events {
+		if ev.Deleted {
+			c.log.Warn().Str("key", ev.Item.Key).Int64("revision", int64(ev.Item.Revision)).Msg("configuration deleted; the last one stays")
+			continue
+		}
+		c.put(now, ev.Item)
+	}
+}
+
+// away and back change nothing: the last configuration stays in force.
+func (c *configuration) away() {}
+
+func (c *configuration) back(time.Time) {}
+
+func (c *configuration) put(now time.Time, i platform.Item) {
+	if i.Key != c.wire.ConfigKey {
+		return
+	}
+	old := c.current.Load()
+	if old != nil && i.Revision <= old.revision {
+		return
+	}
+	decoded, err := c.wire.DecodeConfig(i)
+	var table *routing.Table
+	if err == nil {
+		table, err = routing.NewTable(decoded)
+	}
+	if err != nil {
+		c.log.Error().Err(err).Int64("revision", int64(i.Revision)).Msg("configuration refused; the last one stays")
+		return
+	}
+	c.installed(table)
+	c.current.Store(&installedTable{Table: table, at: now, revision: i.Revision})
+	var former int64
+	if old != nil {
+		former = old.Version
+	}
+	c.log.Info().Int64("version", table.Version).Int64("former", former).Int64("revision", int64(i.Revision)).
+		Int("routes", len(table.Routes)).Int("accounts", len(table.Accounts)).Msg("configuration installed")
+}
--- /dev/null
+++ b/internal/front/endpoints.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/discovery"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// endpoints applies the list of endpoints to the pools.
+type endpoints struct {
+	pools *pools
+	log   zerolog.Logger
+
+	mu   sync.Mutex
+	list *discovery.Table
+}
+
+func newEndpoints(decode discovery.Decode, p *pools, log zerolog.Logger) *endpoints {
+	return &endpoints{pools: p, log: log, list: discovery.NewTable(decode)}
+}
+
+func (e *endpoints) replace(now time.Time, items []platform.Item, at platform.Revision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.carryOut(e.list.Replace(now, items, at))
+}
+
+func (e *endpoints) apply(now time.Time, events []platform.Event, at platform.Revision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.carryOut(e.list.Apply(now, events, at))
+}
+
+func (e *endpoints) away() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list.StoreAway()
+}
+
+func (e *endpoints) back(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list.StoreBack(now)
+}
+
+func (e *endpoints) tick(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.carryOut(e.list.Tick(now))
+}
+
+func (e *endpoints) carryOut(changes []discovery.Change) {
+	kinds := map[discovery.ChangeKind]string{discovery.Put: "put", discovery.Restarted: "restarted", discovery.Removed: "removed"}
+	for _, c := range changes {
+		e.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("peer", c.Entry.Addr).
+			Bool("leaving", c.Entry.Leaving).Int64("revision", int64(c.Revision)).Str("change", kinds[c.Kind]).Msg("endpoint changed")
+		e.pools.change(c.Kind, c.Entry.Service, balance.Endpoint{
+			ID: c.Entry.ID, Addr: c.Entry.Addr, Domain: c.Entry.Domain, Slots: c.Entry.Slots, Leaving: c.Entry.Leaving,
+		})
+	}
+}
--- /dev/null
+++ b/internal/front/feed.go
@@ -0,0 +1,204 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// Times of a feed.
+const (
+	// pollWait is the longest wait of one poll: each costs a call.
+	pollWait = 12 * time.Second
+	// firstPause doubles after each failure up to lastPause.
+	firstPause = 100 * time.Millisecond
+	lastPause  = time.Second
+	// awayAfter is the time of failures after which the store counts as away.
+	awayAfter = time.Second
+	// fetchPause is the least time between two copies from peers.
+	fetchPause = 400 * time.Millisecond
+)
+
+// reader takes what a feed reads. Its methods are called one at a time.
+type reader interface {
+	// replace takes a whole list as of a revision.
+	replace(now time.Time, items []platform.Item, at platform.Revision)
+	// apply takes changes up to a revision.
+	apply(now time.Time, events []platform.Event, at platform.Revision)
+	// away and back tell whether the store can be read.
+	away()
+	back(now time.Time)
+}
+
+// feed follows the items with a prefix, from the store while it can be read
+// and from other daemons' copies while it can't.
+type feed struct {
+	prefix string
+	log    zerolog.Logger
+	source platform.ChangeLog
+	reader reader
+
+	mu    sync.Mutex
+	items map[string]platform.Item
+	// at is the store revision up to which items is complete, changed that of
+	// the last change.
+	at, changed platform.Revision
+	// behindSince is when a peer was first seen with newer changes.
+	behindSince time.Time
+	fetching    bool
+	fetched     time.Time
+}
+
+func newFeed(prefix string, source platform.ChangeLog, r reader, log zerolog.Logger) *feed {
+	return &feed{prefix: prefix, source: source, reader: r, log: log, items: make(map[string]platform.Item)}
+}
+
+// run follows the store until ctx ends.
+func (f *feed) run(ctx context.Context) {
+	listed := false
+	pause := firstPause
+	var failing time.Time
+	for ctx.Err() == nil {
+		err := f.step(ctx, &listed)
+		now := time.Now()
+		if err == nil || errors.Is(err, platform.ErrCompacted) {
+			listed = listed && err == nil
+			if !failing.IsZero() {
+				f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(failing)).Msg("store regained")
+			}
+			failing, pause = time.Time{}, firstPause
+			f.mu.Lock()
+			f.reader.back(now)
+			f.mu.Unlock()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if failing.IsZero() {
+			failing = now
+			f.log.Warn().Err(err).Str("prefix", f.prefix).Int64("revision", int64(f.revision())).Msg("store lost")
+		} else if now.Sub(failing) > awayAfter {
+			f.mu.Lock()
+			f.reader.away()
+			f.mu.Unlock()
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// step reads the list once, then waits for changes.
+func (f *feed) step(ctx context.Context, listed *bool) error {
+	if !*listed {
+		items, at, err := f.source.Range(ctx, f.prefix)
+		if err != nil {
+			return err
+		}
+		*listed = true
+		f.replace(items, at)
+		return nil
+	}
+	c, err := f.source.Poll(ctx, f.prefix, f.revision(), pollWait)
+	if err != nil {
+		return err
+	}
+	f.apply(c)
+	return nil
+}
+
+func (f *feed) revision() platform.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at
+}
+
+// newest returns the revision of the last change.
+func (f *feed) newest() platform.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *feed) replace(items []platform.Item, at platform.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at < f.at {
+		return
+	}
+	f.items = make(map[string]platform.Item, len(items))
+	for _, i := range items {
+		f.items[i.Key] = i
+		f.changed = max(f.changed, i.Revision)
+	}
+	f.at = at
+	f.reader.replace(time.Now(), items, at)
+}
+
+func (f *feed) apply(c platform.Changes) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, ev := range c.Events {
+		if ev.Item.Revision <= f.at {
+			continue
+		}
+		if ev.Deleted {
+			delete(f.items, ev.Item.Key)
+		} else {
+			f.items[ev.Item.Key] = ev.Item
+		}
+		f.changed = max(f.changed, ev.Item.Revision)
+	}
+	f.reader.apply(time.Now(), c.Events, c.At)
+	f.at = max(f.at, c.At)
+}
+
+// copied returns the items for a peer.
+func (f *feed) copied() ([]platform.Item, platform.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	items := make([]platform.Item, 0, len(f.items))
+	for _, i := range f.items {
+		items = append(items, i)
+	}
+	return items, f.at
+}
+
+// behind notes that a peer knows changes up to a revision; it returns true if
+// the peer's copy should be read now.
+func (f *feed) behind(now time.Time, changed platform.Revision) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if changed <= f.at {
+		f.behindSince = time.Time{}
+		return false
+	}
+	if f.behindSince.IsZero() {
+		f.behindSince = now
+	}
+	if f.fetching || now.Sub(f.behindSince) < fetchPause && f.at > 0 || now.Sub(f.fetched) < fetchPause {
+		return false
+	}
+	f.fetching, f.fetched = true, now
+	return true
+}
+
+// fetch reads a peer's copy.
+func (f *feed) fetch(peer string, get func(addr, prefix string) ([]platform.Item, platform.Revision, error)) {
+	items, at, err := get(peer, f.prefix)
+	f.mu.Lock()
+	f.fetching = false
+	f.mu.Unlock()
+	if err != nil {
+		f.log.Warn().Err(err).Str("prefix", f.prefix).Msg("copy of a peer not read")
+		return
+	}
+	f.log.Info().Str("prefix", f.prefix).Str("peer", peer).Int64("revision", int64(at)).Int64("former", int64(f.revision())).
+		Msg("copy of a peer read")
+	f.replace(items, at)
+}
--- /dev/null
+++ b/internal/front/log.go
@@ -0,0 +1,45 @@
+package front
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+)
+
+// Bounds of the log.
+const (
+	// logBuffer is the number of lines that wait for a slow reader; more are
+	// dropped and counted.
+	logBuffer = 4096
+	// logPoll is the period in which waiting lines are written.
+	logPoll = 20 * time.Millisecond
+	// logBurst lines are written in each logPeriod, then one in logSample.
+	logBurst  = 400
+	logPeriod = time.Second
+	logSample = 20
+)
+
+// NewLog returns a logger of JSON lines that never blocks: under load it
+// samples lines below the level warn, and it drops what a slow reader does not
+// take. Flush writes what waits.
+func NewLog(out io.Writer, level zerolog.Level) (log zerolog.Logger, flush func()) {
+	var dropped atomic.Int64
+	w := diode.NewWriter(out, logBuffer, logPoll, func(missed int) { dropped.Add(int64(missed)) })
+	sampler := &zerolog.LevelSampler{
+		DebugSampler: burst(), InfoSampler: burst(),
+	}
+	log = zerolog.New(w).Level(level).With().Timestamp().Logger().Sample(sampler).
+		Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+			if n := dropped.Swap(0); n > 0 {
+				e.Int64("lines_dropped", n)
+			}
+		}))
+	return log, func() { _ = w.Close() }
+}
+
+func burst() zerolog.Sampler {
+	return &zerolog.BurstSampler{Burst: logBurst, Period: logPeriod, NextSampler: &zerolog.BasicSampler{N: logSample}}
+}
--- /dev/null
+++ b/internal/front/pools.go
@@ -0,0 +1,165 @@
+package front
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/discovery"
+	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/relay"
+	"github.com/azurehatch/azurehatch/internal/routing"
+)
+
+// pools holds the pool of each service under one lock.
+type pools struct {
+	domain string
+	log    zerolog.Logger
+
+	mu      sync.Mutex
+	byName  map[string]*balance.Pool
+	engines map[string]int64
+	daemons int
+}
+
+var _ relay.Pools = (*pools)(nil)
+
+func newPools(domain string, log zerolog.Logger) *pools {
+	return &pools{domain: domain, log: log, byName: make(map[string]*balance.Pool), engines: make(map[string]int64), daemons: 1}
+}
+
+func (p *pools) pool(service string) *balance.Pool {
+	pool, ok := p.byName[service]
+	if !ok {
+		pool = balance.New(balance.Options{Domain: p.domain, KVTokens: p.engines[service]})
+		pool.SetDaemons(p.daemons)
+		p.byName[service] = pool
+	}
+	return pool
+}
+
+// configure takes the engines' memory from the configuration.
+func (p *pools) configure(services []routing.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range services {
+		if s.Engine != nil {
+			p.engines[s.Name] = s.Engine.KVTokens
+			p.pool(s.Name).SetKVTokens(s.Engine.KVTokens)
+		}
+	}
+}
+
+func (p *pools) setDaemons(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.daemons = n
+	for _, pool := range p.byName {
+		pool.SetDaemons(n)
+	}
+}
+
+// change applies a change of the list of endpoints.
+func (p *pools) change(kind discovery.ChangeKind, service string, e balance.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.pool(service)
+	switch kind {
+	case discovery.Removed:
+		pool.Remove(e.ID)
+	case discovery.Restarted:
+		pool.Put(e)
+		pool.Reset(e.ID)
+	case discovery.Put:
+		pool.Put(e)
+	}
+}
+
+// known tells whether any endpoint is known.
+func (p *pools) known() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byName {
+		if pool.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Choose implements relay.Pools.
+func (p *pools) Choose(service string, w balance.Work) (balance.Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool(service).Choose(time.Now(), w)
+}
+
+// Started implements relay.Pools.
+func (p *pools) Started(service string, c balance.Choice, elapsed time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(service).Started(c, elapsed)
+}
+
+// Done implements relay.Pools.
+func (p *pools) Done(service string, c balance.Choice, started bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(service).Done(c, started)
+}
+
+// Observe implements relay.Pools.
+func (p *pools) Observe(service, endpoint string, o balance.Outcome) {
+	p.mu.Lock()
+	ejected := p.pool(service).Observe(time.Now(), endpoint, o)
+	p.mu.Unlock()
+	if ejected {
+		p.log.Warn().Str("service", service).Str("endpoint", endpoint).Uint8("outcome", uint8(o)).Msg("endpoint ejected")
+	}
+}
+
+// Reported implements relay.Pools.
+func (p *pools) Reported(service, endpoint string, r balance.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(service).Reported(time.Now(), endpoint, r)
+}
+
+// Gone implements relay.Pools.
+func (p *pools) Gone(service, endpoint string) {
+	p.mu.Lock()
+	p.pool(service).Remove(endpoint)
+	p.mu.Unlock()
+	p.log.Warn().Str("service", service).Str("endpoint", endpoint).Msg("endpoint gone: another one has its address")
+}
+
+// loads returns the daemon's own load for its peers.
+func (p *pools) loads(now time.Time) []*meshpb.EndpointLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var loads []*meshpb.EndpointLoad
+	for service, pool := range p.byName {
+		for id, l := range pool.Loads(now) {
+			loads = append(loads, &meshpb.EndpointLoad{
+				Service: service, Endpoint: id, Requests: int64(l.Requests), Reading: l.Reading, Ok: l.OK, Failed: l.Failed,
+			})
+		}
+	}
+	return loads
+}
+
+// merge takes a peer's load; endpoints that it does not name have none.
+func (p *pools) merge(now time.Time, peer string, loads []*meshpb.EndpointLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byName {
+		pool.ForgetPeer(peer)
+	}
+	for _, l := range loads {
+		if pool, ok := p.byName[l.Service]; ok {
+			pool.Merge(now, peer, l.Endpoint, balance.Load{Requests: int(l.Requests), Reading: l.Reading, OK: l.Ok, Failed: l.Failed})
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/changelog.go
@@ -0,0 +1,40 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrCompacted means that the store no longer has the changes asked for; the
+// caller reads the keys again.
+var ErrCompacted = errors.New("history no longer available")
+
+// Changes are the changes of keys with a prefix.
+type Changes struct {
+	Events []Event
+	// At is the store revision up to which Events is complete.
+	At Revision
+}
+
+// ChangeLog reads keys and their changes in batches, so that a reader that was
+// cut off goes on where it stopped.
+type ChangeLog interface {
+	// Range returns the items with the prefix and a store revision that is not
+	// newer than any of the pages read.
+	Range(ctx context.Context, prefix string) ([]Item, Revision, error)
+	// Poll returns the changes after a revision as soon as there is one, or
+	// none after the wait. ErrCompacted means that Range is needed.
+	Poll(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
+}
+
+// Records is the part of a store that keeps single records.
+type Records interface {
+	// Get returns the key's item or ErrNotFound.
+	Get(ctx context.Context, key string) (Item, error)
+	// CompareAndSwap writes one key if it has the expected revision.
+	CompareAndSwap(ctx context.Context, w Write) (Item, error)
+	// Delete removes a key if it has the expected revision.
+	Delete(ctx context.Context, key string, expected Revision) error
+}
--- /dev/null
+++ b/internal/platform/memstore/changelog.go
@@ -0,0 +1,72 @@
+package memstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+var _ platform.ChangeLog = (*Store)(nil)
+
+// Range implements platform.ChangeLog.
+func (s *Store) Range(ctx context.Context, prefix string) ([]platform.Item, platform.Revision, error) {
+	if err := s.enter(ctx, &s.calls.Reads); err != nil {
+		return nil, 0, err
+	}
+	defer s.mu.Unlock()
+	var items []platform.Item
+	for key, e := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, copyItem(e.item))
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	return items, s.rev, nil
+}
+
+// Poll implements platform.ChangeLog.
+func (s *Store) Poll(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) (platform.Changes, error) {
+	if err := s.enter(ctx, &s.calls.Watches); err != nil {
+		return platform.Changes{}, err
+	}
+	if len(s.history) > 0 && s.history[0].Item.Revision > after+1 {
+		s.mu.Unlock()
+		return platform.Changes{}, platform.ErrCompacted
+	}
+	c := s.changes(prefix, after)
+	if len(c.Events) > 0 || wait <= 0 {
+		s.mu.Unlock()
+		return c, nil
+	}
+	w := &watcher{prefix: prefix, ch: make(chan platform.Event, watchBuffer)}
+	s.watchers[w] = struct{}{}
+	s.mu.Unlock()
+	defer s.stop(w, nil)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case ev := <-w.ch:
+		if ev.Err != nil {
+			return platform.Changes{}, ev.Err
+		}
+	case <-timer.C:
+	case <-ctx.Done():
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes(prefix, after), nil
+}
+
+func (s *Store) changes(prefix string, after platform.Revision) platform.Changes {
+	c := platform.Changes{At: s.rev}
+	for _, ev := range s.history {
+		if ev.Item.Revision > after && strings.HasPrefix(ev.Item.Key, prefix) {
+			c.Events = append(c.Events, ev)
+		}
+	}
+	return c
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -93,4 +93,7 @@
 	Window time.Duration
 	// MaxDigests bounds the number of digests with crashes. Default 4096.
 	MaxDigests int
+	// Crashes is the number of crashes that isolate a digest if no other digest
+	// was present at the same ones. Default 2.
+	Crashes int
 }
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// clearCrashes is the number of crashes that isolate a digest if no other
-	// digest was present at the same ones.
+	// clearCrashes is the default number of crashes that isolate a digest if no
+	// other digest was present at the same ones.
 	clearCrashes = 2
 	// maxCrashes is the number of crashes that isolate a digest in any case;
 	// the bound for a failure domain is three endpoints.
@@ -63,6 +63,7 @@
 	opts.LongIsolation = cmp.Or(opts.LongIsolation, time.Hour)
 	opts.Window = cmp.Or(opts.Window, time.Hour)
 	opts.MaxDigests = cmp.Or(opts.MaxDigests, 4096)
+	opts.Crashes = cmp.Or(opts.Crashes, clearCrashes)
 	return &Registry{opts: opts, records: make(map[Digest]*record), present: make(map[string][]Digest)}
 }
 
@@ -77,11 +78,11 @@
 		return Decision{Verdict: Isolated, RetryAfter: rec.until.Sub(now)}
 	}
 	n := len(rec.crashes)
-	if n >= clearCrashes && rec.trial > 0 {
+	if n >= r.opts.Crashes && rec.trial > 0 {
 		return Decision{Verdict: Isolated, RetryAfter: busyRetry}
 	}
 	rec.trial++
-	if n < clearCrashes {
+	if n < r.opts.Crashes {
 		return Decision{Verdict: Watched}
 	}
 	return Decision{Verdict: Suspect}
@@ -96,7 +97,7 @@
 		return Allow
 	case now.Before(rec.until):
 		return Isolated
-	case len(rec.crashes) < clearCrashes:
+	case len(rec.crashes) < r.opts.Crashes:
 		return Watched
 	}
 	return Suspect
@@ -222,7 +223,7 @@
 	switch {
 	case n >= maxCrashes:
 		rec.until = rec.last().Add(r.opts.LongIsolation)
-	case n >= clearCrashes && !r.ambiguous(d, rec):
+	case n >= r.opts.Crashes && !r.ambiguous(d, rec):
 		rec.until = rec.last().Add(r.opts.Isolation)
 	}
 }
@@ -251,7 +252,7 @@
 		}
 	}
 	for _, n := range shared {
-		if n >= clearCrashes {
+		if n >= r.opts.Crashes {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,294 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/poison"
+	"github.com/azurehatch/azurehatch/internal/problem"
+	"github.com/azurehatch/azurehatch/internal/routing"
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// Limits of a request without limits in the configuration.
+const (
+	defaultBodyBytes = 4 << 20
+	defaultTimeout   = 30 * time.Second
+)
+
+// Delays after which a refused caller may come again.
+const (
+	retryUnconfigured = 500 * time.Millisecond
+	retryNoEndpoint   = 400 * time.Millisecond
+	retryOverloaded   = 300 * time.Millisecond
+)
+
+// errTimeout is the cause with which a request's context ends at its deadline.
+var errTimeout = errors.New("the request's time limit has passed")
+
+// exchange is one request with its answer.
+type exchange struct {
+	e     *Entry
+	w     http.ResponseWriter
+	r     *http.Request
+	start time.Time
+
+	table    *routing.Table
+	tableAge time.Duration
+	meta     Meta
+	route    *routing.Route
+	account  *routing.Account
+	service  string
+	engine   *routing.Engine
+	body     []byte
+	deadline time.Time
+	digest   uint64
+
+	hold     Hold
+	reserved int64
+	// ran is what is known over all attempts.
+	ran upstream.Ran
+	// used is the number of tokens to bill once the request may have run.
+	used int64
+	// events is the number of events that went to the caller.
+	events int64
+	// sent lists the endpoints that the request was sent to.
+	sent  []string
+	tried map[string]bool
+	// committed is true once the answer's head went to the caller.
+	committed bool
+	status    int
+	firstByte time.Duration
+}
+
+// serve takes the request through its steps and writes its log line.
+func (x *exchange) serve() {
+	x.ran = upstream.RanNo
+	err := x.steps()
+	aborted := x.finish(err)
+	x.record(err)
+	if aborted {
+		panic(http.ErrAbortHandler) // closes the connection without an end
+	}
+}
+
+// finish answers a failed request; it returns true if the answer has begun, so
+// that only breaking the connection tells the caller.
+func (x *exchange) finish(err error) (abort bool) {
+	if err == nil {
+		return false
+	}
+	if x.committed {
+		return true
+	}
+	if x.r.Context().Err() != nil {
+		x.status = statusCallerLeft
+		return true
+	}
+	x.refuse(err)
+	return false
+}
+
+// statusCallerLeft stands in the log for a request whose caller has left.
+const statusCallerLeft = 499
+
+func (x *exchange) steps() error {
+	if err := x.identify(); err != nil {
+		return err
+	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimeout)
+	defer cancel()
+	after, ok := x.e.Crashes.Begin(x.digest)
+	if !ok {
+		return problem.New(problem.Overloaded, "the request has crashed endpoints and is isolated").After(after)
+	}
+	err := x.reserve(ctx)
+	if err == nil {
+		err = x.attempts(ctx)
+		x.settle()
+	}
+	x.e.Crashes.End(x.digest, err == nil)
+	return err
+}
+
+// identify finds the route and the account.
+func (x *exchange) identify() error {
+	var err error
+	if x.meta, err = x.e.Codec.Request(x.r.Header); err != nil {
+		return problem.New(problem.InvalidRequest, "%v", err)
+	}
+	if x.table, x.tableAge = x.e.Table(); x.table == nil {
+		return problem.New(problem.NoEndpoint, "no configuration is known yet").After(retryUnconfigured)
+	}
+	var ok bool
+	if x.route, ok = x.table.Match(x.r.Host, x.r.URL.Path); !ok {
+		return problem.New(problem.UnknownService, "no route matches %s%s", x.r.Host, x.r.URL.Path)
+	}
+	if x.meta.Key != "" {
+		x.account, ok = x.table.Authenticate(x.meta.Key)
+	} else {
+		ok = false
+	}
+	if !ok && !x.route.Anonymous && len(x.table.Accounts) > 0 {
+		return problem.New(problem.Unauthorized, "the API key is missing or unknown")
+	}
+	x.service = x.route.Pick(rand.Float64())
+	if s, ok := x.table.Service(x.service); ok {
+		x.engine = s.Engine
+	}
+	wait := x.route.Timeout
+	if wait <= 0 {
+		wait = defaultTimeout
+	}
+	if x.meta.Patience > 0 {
+		wait = min(wait, x.meta.Patience)
+	}
+	x.deadline = x.start.Add(wait)
+	return nil
+}
+
+func (x *exchange) readBody() error {
+	limit := x.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		return problem.New(problem.TooLarge, "the body is larger than %d bytes", limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return problem.New(problem.TooLarge, "the body is larger than %d bytes", limit)
+	case err != nil:
+		return problem.New(problem.InvalidRequest, "the body could not be read").Because(err)
+	}
+	x.body = body
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+	}
+	key := append([]byte(x.r.Method+" "+x.r.RequestURI+"\x00"+account+"\x00"), body...)
+	x.digest = uint64(poison.DigestOf(x.service, key))
+	return nil
+}
+
+// reserve takes the most that the request can use.
+func (x *exchange) reserve(ctx context.Context) error {
+	if x.account == nil || x.account.Unlimited || !x.meta.Sized {
+		return nil
+	}
+	tokens := x.meta.PromptTokens + x.meta.MaxOutput
+	hold, err := x.e.Bank.Reserve(ctx, x.account, tokens)
+	if err != nil {
+		if ctx.Err() != nil {
+			return problem.New(problem.BudgetUnavailable, "no tokens could be drawn in time").Because(err)
+		}
+		return err
+	}
+	x.hold, x.reserved = hold, tokens
+	return nil
+}
+
+// settle bills what the request used: nothing if it did not run, else the
+// prompt and the output that was delivered.
+func (x *exchange) settle() {
+	if x.hold == nil {
+		return
+	}
+	if x.ran != upstream.RanNo {
+		output := x.meta.MaxOutput
+		if x.engine != nil && x.engine.TokensPerEvent > 0 {
+			output = min(output, x.events*x.engine.TokensPerEvent)
+		}
+		x.used = x.meta.PromptTokens + output
+	}
+	x.hold.Settle(x.used)
+}
+
+// work describes the request to the pool.
+func (x *exchange) work() balance.Work {
+	return balance.Work{Prompt: x.meta.Prompt, PromptTokens: x.meta.PromptTokens, Repeatable: x.route.Idempotent(), Tried: x.tried}
+}
+
+// rank is the urgency sent to engines: the account's, else the route's.
+func (x *exchange) rank() int {
+	if x.engine == nil {
+		return -1
+	}
+	if x.account != nil && x.account.Priority != nil {
+		return *x.account.Priority
+	}
+	return x.route.Priority
+}
+
+// refuse answers the caller with the daemon's own refusal.
+func (x *exchange) refuse(err error) {
+	p := problem.From(err)
+	x.status = p.Status()
+	body, err := json.Marshal(p.Document(x.meta.ID))
+	if err != nil {
+		x.e.Log.Error().Err(err).Str("request", x.meta.ID).Msg("refusal not encoded")
+	}
+	h := x.w.Header()
+	h.Set("Content-Type", problem.ContentType)
+	x.e.Codec.Identify(h, x.meta.ID)
+	if p.RetryAfter > 0 {
+		name, value := x.e.Codec.RetryAfter(p.RetryAfter)
+		h.Set(name, value)
+	}
+	x.committed = true
+	x.w.WriteHeader(x.status)
+	if _, err := x.w.Write(append(body, '\n')); err != nil {
+		x.e.Log.Debug().Err(err).Str("request", x.meta.ID).Msg("refusal not delivered")
+	}
+}
+
+// record writes the request's log line and counts it.
+func (x *exchange) record(err error) {
+	elapsed := time.Since(x.start)
+	var level *zerolog.Event
+	if err != nil {
+		level = x.e.Log.Warn().Err(err)
+	} else {
+		level = x.e.Log.Info()
+	}
+	route, account := "", ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	if x.account != nil {
+		account = x.account.Name
+	}
+	if x.table != nil {
+		level.Int64("config_version", x.table.Version).Dur("config_age_ms", x.tableAge)
+	}
+	level.Str("request", x.meta.ID).Str("route", route).Str("service", x.service).Str("account", account).
+		Strs("endpoints", x.sent).Int("status", x.status).Str("ran", string(x.ran)).
+		Int64("reserved", x.reserved).Int64("billed", x.used).Int64("events", x.events).
+		Dur("first_byte_ms", x.firstByte).Dur("elapsed_ms", elapsed).Dur("limit_ms", x.deadline.Sub(x.start)).
+		Msg("request ended")
+	tags := map[string]string{"service": x.service, "ran": string(x.ran), "status": statusClass(x.status)}
+	scope := x.e.Scope.Tagged(tags)
+	scope.Counter("requests").Inc(1)
+	scope.Histogram("request_seconds", latencyBuckets).RecordDuration(elapsed)
+}
+
+func statusClass(status int) string {
+	const classes = "012345"
+	if status < 100 || status > 599 {
+		return "none"
+	}
+	return classes[status/100:status/100+1] + "xx"
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,170 @@
+// Package relay takes callers' requests in the operators' own HTTP interface to
+// endpoints and brings the answers back unchanged: it matches the route,
+// authenticates, reserves tokens, chooses an endpoint, forwards, and settles.
+// What headers are called on the wire is the business of a Codec.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/routing"
+)
+
+// Meta is what a caller's request says of itself in its headers.
+type Meta struct {
+	// ID identifies this attempt of the caller.
+	ID string
+	// Patience is how long the caller waits; 0 if it does not say.
+	Patience time.Duration
+	// Key is the API key; empty if there is none.
+	Key string
+	// PromptTokens and MaxOutput are the sizes that the caller declares;
+	// Sized is false if it declares none.
+	PromptTokens, MaxOutput int64
+	Sized                   bool
+	// Prompt lists the parts of the prompt in order.
+	Prompt []balance.Part
+	// LastEventID is the event after which a stream goes on; empty if the
+	// request does not resume a stream.
+	LastEventID string
+}
+
+// Dispatch is what the daemon adds to a request that it forwards.
+type Dispatch struct {
+	// Endpoint is the id of the endpoint that the request is meant for.
+	Endpoint string
+	// Account is the caller's account; empty for an anonymous request.
+	Account string
+	// Left is the time in which the answer is of use.
+	Left time.Duration
+	// Rank is the urgency, 0 is first; negative if the endpoint has no ranks.
+	Rank int
+	// LastEventID is the last event that the caller has; empty at the start.
+	LastEventID string
+}
+
+// Answer is what an endpoint's answer says of itself in its headers.
+type Answer struct {
+	// RequestID is the id of the request that it answers.
+	RequestID string
+	// NotRun is true if the endpoint says that it did not run the request.
+	NotRun bool
+	// Endpoint is the id of the endpoint that answered, if it says so.
+	Endpoint string
+	// Signed is true if the answer bears an endpoint's signature.
+	Signed bool
+	// Report is the endpoint's load, if Reported.
+	Report   balance.Report
+	Reported bool
+}
+
+// Codec translates headers between the wire and the types above.
+type Codec interface {
+	// Request decodes a caller's headers.
+	Request(h http.Header) (Meta, error)
+	// Forward returns the headers of the request to an endpoint.
+	Forward(h http.Header, d Dispatch) http.Header
+	// Answer decodes an endpoint's headers.
+	Answer(h http.Header) Answer
+	// Return copies an endpoint's headers to the caller's answer.
+	Return(to, from http.Header)
+	// RetryAfter formats a delay.
+	RetryAfter(d time.Duration) (name, value string)
+	// Identify marks the daemon's own answers with the request's id.
+	Identify(h http.Header, id string)
+}
+
+// Hold is a reservation of tokens; Settle ends it.
+type Hold interface {
+	Settle(used int64)
+}
+
+// Bank reserves tokens of an account's budget. A refusal is a *problem.Error.
+type Bank interface {
+	Reserve(ctx context.Context, a *routing.Account, tokens int64) (Hold, error)
+}
+
+// Pools knows the endpoints of all services.
+type Pools interface {
+	// Choose picks and records an endpoint; Done ends the record.
+	Choose(service string, w balance.Work) (balance.Choice, bool)
+	Started(service string, c balance.Choice, elapsed time.Duration)
+	Done(service string, c balance.Choice, started bool)
+	Observe(service, endpoint string, o balance.Outcome)
+	Reported(service, endpoint string, r balance.Report)
+	// Gone records that another endpoint has the endpoint's address.
+	Gone(service, endpoint string)
+}
+
+// Retries bounds what the fleet sends more than once.
+type Retries interface {
+	// Offered records the first arrival of a request for a service.
+	Offered(service string)
+	// Take asks for one more arrival.
+	Take(service string) bool
+}
+
+// Crashes isolates requests that crash the endpoints that run them.
+type Crashes interface {
+	// Begin tells whether a request with the digest may be sent.
+	Begin(digest uint64) (retryAfter time.Duration, ok bool)
+	Crashed(digest uint64, endpoint string)
+	End(digest uint64, completed bool)
+}
+
+// Options configure an Entry.
+type Options struct {
+	Codec   Codec
+	Bank    Bank
+	Pools   Pools
+	Retries Retries
+	Crashes Crashes
+	// Table returns the configuration in force and the time since it was
+	// installed; nil before the first one.
+	Table func() (*routing.Table, time.Duration)
+	Log   zerolog.Logger
+	Scope tally.Scope
+}
+
+// Entry serves callers.
+type Entry struct {
+	Options
+	sender  *sender
+	closing atomic.Bool
+	open    atomic.Int64
+}
+
+// New returns an entry.
+func New(o Options) *Entry {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	return &Entry{Options: o, sender: newSender(o.Scope)}
+}
+
+// Close marks all answers from now on as the last of their connection.
+func (e *Entry) Close() { e.closing.Store(true) }
+
+// Open returns the number of requests in progress.
+func (e *Entry) Open() int64 { return e.open.Load() }
+
+// Shutdown closes the connections to endpoints.
+func (e *Entry) Shutdown() { e.sender.close() }
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	if e.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{e: e, w: w, r: r, start: time.Now()}
+	x.serve()
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
+
+// Buffers of a stream.
+const (
+	readBytes = 4 << 10
+	// maxEventBytes bounds one event of a resumable stream.
+	maxEventBytes = 1 << 20
+)
+
+// eventEnd separates events.
+var eventEnd = []byte("\n\n")
+
+// relayStream relays a stream of events as they arrive, in whole events: an
+// event that an endpoint broke off in the middle never reaches the caller.
+func (a *attempt) relayStream() *verdict {
+	var pending []byte
+	chunk := make([]byte, readBytes)
+	flush := http.NewResponseController(a.x.w)
+	for {
+		n, err := a.resp.Body.Read(chunk)
+		if n > 0 {
+			a.begun()
+			a.x.note(upstream.RanYes)
+			pending = append(pending, chunk[:n]...)
+			var failed *verdict
+			if pending, failed = a.pass(pending, flush); failed != nil {
+				return failed
+			}
+		}
+		switch {
+		case err == io.EOF && len(bytes.TrimSpace(pending)) == 0:
+			return a.endStream(pending)
+		case err == io.EOF:
+			return a.broken(io.ErrUnexpectedEOF)
+		case err != nil:
+			return a.broken(err)
+		case len(pending) > maxEventBytes:
+			return a.broken(errors.Errorf("an event is longer than %d bytes", maxEventBytes))
+		}
+	}
+}
+
+// pass sends the whole events of pending and returns the rest.
+func (a *attempt) pass(pending []byte, flush *http.ResponseController) ([]byte, *verdict) {
+	end := bytes.LastIndex(pending, eventEnd)
+	if end < 0 {
+		return pending, nil
+	}
+	whole := pending[:end+len(eventEnd)]
+	x := a.x
+	x.commit(a.resp)
+	if _, err := x.w.Write(whole); err != nil {
+		return nil, a.broken(errors.Wrap(err, "the caller left"))
+	}
+	if err := flush.Flush(); err != nil {
+		return nil, a.broken(errors.Wrap(err, "the caller left"))
+	}
+	x.events += int64(bytes.Count(whole, eventEnd))
+	if id, ok := lastID(whole); ok {
+		x.meta.LastEventID = id
+	}
+	return append(pending[:0], pending[end+len(eventEnd):]...), nil
+}
+
+// endStream ends a stream whose last event is whole.
+func (a *attempt) endStream(rest []byte) *verdict {
+	a.x.note(upstream.RanYes)
+	a.x.commit(a.resp)
+	if _, err := a.x.w.Write(rest); err != nil {
+		return a.broken(errors.Wrap(err, "the caller left"))
+	}
+	return nil
+}
+
+// lastID returns the id of the last event that has one.
+func lastID(events []byte) (string, bool) {
+	field := []byte("id:")
+	at := bytes.LastIndex(events, append([]byte("\n"), field...))
+	switch {
+	case at >= 0:
+		at++
+	case bytes.HasPrefix(events, field):
+		at = 0
+	default:
+		return "", false
+	}
+	line := events[at+len(field):]
+	if end := bytes.IndexByte(line, '\n'); end >= 0 {
+		line = line[:end]
+	}
+	return string(bytes.TrimSpace(line)), true
+}
--- /dev/null
+++ b/internal/settings/front.go
@@ -0,0 +1,119 @@
+package settings
+
+import (
+	"bytes"
+	"net/netip"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/unit"
+)
+
+// Front are the settings of an entry daemon on the users' platform.
+type Front struct {
+	Instance FrontInstance `toml:"instance" comment:"Who this daemon is."`
+	Listen   FrontListen   `toml:"listen" comment:"Addresses to listen on, IP:port."`
+	Store    FrontStore    `toml:"store" comment:"The platform's metadata store."`
+	Machine  Machine       `toml:"machine" comment:"What the daemon may use."`
+	Bounds   Bounds        `toml:"bounds" comment:"Bounds that the deployment sets."`
+	Log      Log           `toml:"log" comment:"Logs are JSON lines on standard output."`
+}
+
+// FrontInstance names the daemon.
+type FrontInstance struct {
+	Name          string `toml:"name" comment:"Name of the instance; each start of the daemon gets an id of its own."`
+	FailureDomain string `toml:"failure_domain" comment:"Failure domain of this instance."`
+	Region        string `toml:"region" comment:"Region that holds the failure domain."`
+	FirstStart    bool   `toml:"first_start" comment:"True if the whole fleet starts for the first time."`
+}
+
+// FrontListen are the daemon's addresses.
+type FrontListen struct {
+	Callers string   `toml:"callers" comment:"For callers."`
+	Ready   string   `toml:"ready" comment:"For the readiness probe."`
+	Mesh    string   `toml:"mesh" comment:"For the other daemons (gRPC)."`
+	Metrics string   `toml:"metrics" comment:"For metrics; empty: none."`
+	Seeds   []string `toml:"seeds" comment:"Mesh addresses of some other daemons; may be stale."`
+}
+
+// FrontStore names the metadata store.
+type FrontStore struct {
+	Address string `toml:"address" comment:"IP:port of the store."`
+}
+
+// Machine limits the process.
+type Machine struct {
+	Memory unit.Size `toml:"memory" comment:"Memory of the process."`
+}
+
+// Bounds are figures of the deployment.
+type Bounds struct {
+	RetryRatio  float64       `toml:"retry_ratio" comment:"Repeats to a service over its requests, in each retry window."`
+	RetrySlack  float64       `toml:"retry_slack" comment:"Repeats beyond the ratio, for the whole fleet."`
+	RetryWindow unit.Duration `toml:"retry_window" comment:"Length of a retry window."`
+	Grace       unit.Duration `toml:"grace" comment:"Time from SIGTERM to SIGKILL."`
+}
+
+// DefaultFront returns the settings that hold for absent keys.
+func DefaultFront() Front {
+	return Front{
+		Instance: FrontInstance{FailureDomain: "default", Region: "default"},
+		Listen:   FrontListen{Callers: "127.0.0.1:8080", Ready: "127.0.0.1:8082", Mesh: "127.0.0.1:8081"},
+		Store:    FrontStore{Address: "127.0.0.1:2380"},
+		Machine:  Machine{Memory: unit.Size{Bytes: 256 << 20}},
+		Bounds:   Bounds{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: unit.Seconds(10), Grace: unit.Seconds(8)},
+		Log:      Log{Level: "info"},
+	}
+}
+
+// ParseFront decodes text over the defaults and validates the result. The name
+// is used in errors only.
+func ParseFront(name string, text []byte) (Front, error) {
+	s := DefaultFront()
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Front{}, describe(name, err)
+	}
+	return s, errors.Wrap(s.validate(), name)
+}
+
+// Format returns the settings as commented TOML.
+func (s Front) Format() ([]byte, error) {
+	var buf bytes.Buffer
+	err := toml.NewEncoder(&buf).Encode(s)
+	return buf.Bytes(), errors.Wrap(err, "encode settings")
+}
+
+func (s Front) validate() error {
+	if s.Instance.Name == "" {
+		return errors.New("instance.name is not set")
+	}
+	if s.Instance.FailureDomain == "" {
+		return errors.New("instance.failure_domain is not set")
+	}
+	addresses := []struct{ name, value string }{
+		{"listen.callers", s.Listen.Callers}, {"listen.ready", s.Listen.Ready}, {"listen.mesh", s.Listen.Mesh},
+		{"store.address", s.Store.Address},
+	}
+	if s.Listen.Metrics != "" {
+		addresses = append(addresses, struct{ name, value string }{"listen.metrics", s.Listen.Metrics})
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return errors.Errorf("%s: %q is not IP:port", a.name, a.value)
+		}
+	}
+	for _, p := range []struct {
+		name  string
+		value float64
+	}{
+		{"machine.memory", float64(s.Machine.Memory.Bytes)}, {"bounds.retry_window", s.Bounds.RetryWindow.Seconds()},
+		{"bounds.grace", s.Bounds.Grace.Seconds()},
+	} {
+		if p.value <= 0 {
+			return errors.Errorf("%s must be positive", p.name)
+		}
+	}
+	return nil
+}
