Poll the store more often, hold fewer tokens, keep prompts at home

Change: the wait of a poll grows with the fleet; holdings follow the rate of spend alone and go back above twice the target; reading a shared prompt again weighs 7 times its time.

--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -32,8 +32,9 @@
 	// endpoint that all daemons prefer for it.
 	homeCredit = 0.8
 	// sharedWeight counts the reading of a shared prompt more than its time:
-	// it takes memory that the prompts at home there need.
-	sharedWeight = 1.5
+	// the same tokens were read elsewhere, and take memory that other prompts
+	// need. It leaves a prompt's home only when the wait there is longer.
+	sharedWeight = 7.0
 	// delayWeight counts the delay that a long prompt causes to the requests
 	// that run beside it.
 	delayWeight = 0.04
--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -466,6 +466,34 @@
 	return balances
 }
 
+// Tick gives back what is held far beyond the recent need.
+func (b *Bank) Tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed || now.Before(b.storeDown) {
+		return
+	}
+	for _, a := range b.accounts {
+		if a.filling || now.Sub(a.toppedUp) < topUpPause {
+			continue
+		}
+		if w, ok := a.holding.Surplus(now); ok {
+			a.toppedUp, a.filling = now, true
+			b.wg.Go(func() { b.giveBack(a, w) })
+		}
+	}
+}
+
+func (b *Bank) giveBack(a *account, w escrow.Write) {
+	b.write(a, w, "give back")
+	b.mu.Lock()
+	a.filling = false
+	if len(a.waiting) > 0 {
+		b.fill(a)
+	}
+	b.mu.Unlock()
+}
+
 // Close returns what was not spent to the store.
 func (b *Bank) Close(ctx context.Context) {
 	b.mu.Lock()
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -8,16 +8,22 @@
 // Parameters of the size of a holding.
 const (
 	// horizon is the time for which a holding should last at the recent rate
-	// of spend. It covers a loss of the store of about eight seconds.
-	horizon = 9 * time.Second
+	// of spend. The daemons' holdings together cover a loss of the store of
+	// about eight seconds; what a daemon holds is lost if it dies.
+	horizon = 7 * time.Second
 	// lowWater is the part of the target below which tokens are drawn before a
 	// request needs them.
-	lowWater = 0.55
+	lowWater = 0.6
+	// highWater is the multiple of the target above which tokens go back.
+	highWater = 2.0
 	// rateWindow is the time constant of the rate of spend.
 	rateWindow = 6 * time.Second
 	// reserveShare bounds a draw beyond the need of a request: the part of the
 	// undrawn tokens, divided by the number of daemons.
 	reserveShare = 0.5
+	// leastSurplus is the least part of the budget, as a divisor, that is worth
+	// a write to give back.
+	leastSurplus = 100
 	// retryDraw is the pause after a draw that found the budget used up.
 	retryDraw = 300 * time.Millisecond
 )
@@ -49,9 +55,9 @@
 	// exhaustedUntil is the end of the pause after a draw found nothing.
 	exhaustedUntil time.Time
 
-	// rate is the recent spend a second, largest the recent largest request.
-	rate, largest float64
-	rateAt        time.Time
+	// rate is the recent spend a second as of rateAt.
+	rate   float64
+	rateAt time.Time
 }
 
 // NewHolding returns the holding of holder, whose id no other start uses.
@@ -92,27 +98,20 @@
 func (h *Holding) Settle(now time.Time, reserved, used int64) {
 	h.reserved -= reserved
 	h.spent += min(used, reserved)
-	h.observe(now, float64(used), reserved)
+	h.rate = h.recentRate(now) + float64(used)/rateWindow.Seconds()
+	h.rateAt = now
 }
 
-func (h *Holding) observe(now time.Time, used float64, reserved int64) {
-	if !h.rateAt.IsZero() {
-		decay := math.Exp(-now.Sub(h.rateAt).Seconds() / rateWindow.Seconds())
-		h.rate *= decay
-		h.largest *= decay
+func (h *Holding) recentRate(now time.Time) float64 {
+	if h.rateAt.IsZero() {
+		return 0
 	}
-	h.rateAt = now
-	h.rate += used / rateWindow.Seconds()
-	h.largest = max(h.largest, float64(reserved))
+	return h.rate * math.Exp(-now.Sub(h.rateAt).Seconds()/rateWindow.Seconds())
 }
 
 // Target is the amount that the holding should keep.
 func (h *Holding) Target(now time.Time) int64 {
-	if h.rateAt.IsZero() {
-		return 0
-	}
-	decay := math.Exp(-now.Sub(h.rateAt).Seconds() / rateWindow.Seconds())
-	return int64(decay * (h.rate*horizon.Seconds() + h.largest))
+	return int64(h.recentRate(now) * horizon.Seconds())
 }
 
 // Low tells whether tokens should be drawn although no request waits.
@@ -162,6 +161,19 @@
 	return Write{Record: h.record.with(h.holder, h.drawn+amount), Expected: h.revision}, true
 }
 
+// Surplus returns the write that gives back what is held far beyond the
+// target, and false if there is little.
+func (h *Holding) Surplus(now time.Time) (Write, bool) {
+	target := h.Target(now)
+	surplus := h.Available() - target
+	if h.busy || float64(h.Available()) < highWater*float64(target) || surplus < h.prepaid/leastSurplus {
+		return Write{}, false
+	}
+	h.busy = true
+	h.returning += surplus
+	return Write{Record: h.record.with(h.holder, h.drawn-surplus), Expected: h.revision}, true
+}
+
 // Busy tells whether a write is in flight.
 func (h *Holding) Busy() bool { return h.busy }
 
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,8 +14,12 @@
 
 // Times of a feed.
 const (
-	// pollWait is the longest wait of one poll: each costs a call.
-	pollWait = 12 * time.Second
+	// A watch may hear nothing of changes until it is asked anew, so the wait of
+	// one poll is short where few daemons poll: some daemon polls at least
+	// each waitPerDaemon, and the others hear of a change from it.
+	waitPerDaemon = 200 * time.Millisecond
+	leastWait     = time.Second
+	longestWait   = 12 * time.Second
 	// firstPause doubles after each failure up to lastPause.
 	firstPause = 100 * time.Millisecond
 	lastPause  = time.Second
@@ -42,6 +47,8 @@
 	log    zerolog.Logger
 	source platform.ChangeLog
 	reader reader
+	// daemons returns the number of daemons that follow the store.
+	daemons func() int
 
 	mu    sync.Mutex
 	items map[string]platform.Item
@@ -54,8 +61,8 @@
 	fetched     time.Time
 }
 
-func newFeed(prefix string, source platform.ChangeLog, r reader, log zerolog.Logger) *feed {
-	return &feed{prefix: prefix, source: source, reader: r, log: log, items: make(map[string]platform.Item)}
+func newFeed(prefix string, source platform.ChangeLog, r reader, daemons func() int, log zerolog.Logger) *feed {
+	return &feed{prefix: prefix, source: source, reader: r, daemons: daemons, log: log, items: make(map[string]platform.Item)}
 }
 
 // run follows the store until ctx ends.
@@ -101,17 +108,25 @@
 			return err
 		}
 		*listed = true
+		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Int64("revision", int64(at)).Msg("list read")
 		f.replace(items, at)
 		return nil
 	}
-	c, err := f.source.Poll(ctx, f.prefix, f.revision(), pollWait)
+	c, err := f.source.Poll(ctx, f.prefix, f.revision(), f.wait())
 	if err != nil {
 		return err
 	}
+	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Int64("revision", int64(c.At)).Msg("changes read")
 	f.apply(c)
 	return nil
 }
 
+// wait is the wait of one poll, spread so that the daemons' polls don't align.
+func (f *feed) wait() time.Duration {
+	wait := min(max(time.Duration(f.daemons())*waitPerDaemon, leastWait), longestWait)
+	return time.Duration((0.8 + 0.4*rand.Float64()) * float64(wait)).Round(time.Millisecond)
+}
+
 func (f *feed) revision() platform.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
