Hold tokens by demand, ask peers beside a slow store

Cause: an account's callers reach one or two daemons, so an equal share for each daemon left the busy one empty 2 s into a loss of the store, and each draw waited 400 ms for the store before it asked the peers. Change: a holder keeps 7 s of its spend or its part of a standing quarter of the rest among the holders; peers are asked after 50 ms without an answer; a failed store is tried again once a feed hears of it.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -23,9 +23,11 @@
 const (
 	// storeTimeout bounds a write of a record; the store answers in 4 ms.
 	storeTimeout = 400 * time.Millisecond
-	// storePause is the time after a failed call during which reservations ask
-	// the other daemons first.
-	storePause = 700 * time.Millisecond
+	// storePause is the time after a failed call before the next one, unless
+	// the store is heard of in between.
+	storePause = 2 * time.Second
+	// storePatience is the wait for the store before the peers are asked too.
+	storePatience = 50 * time.Millisecond
 	// peerTimeout bounds an ask of a peer, a few ms away.
 	peerTimeout = 150 * time.Millisecond
 	// maxWait bounds the wait of one reservation.
@@ -50,8 +52,6 @@
 	Richest(account string) []string
 	// Ask asks a peer for tokens.
 	Ask(ctx context.Context, peer, account string, tokens int64) (int64, error)
-	// Count returns the number of live daemons, this one included.
-	Count() int
 }
 
 // Options configure a Bank.
@@ -146,7 +146,7 @@
 	}
 	b.mu.Lock()
 	a := b.account(ra.Name)
-	if len(a.waiting) == 0 && a.holding.Reserve(tokens) {
+	if len(a.waiting) == 0 && a.holding.Reserve(time.Now(), tokens) {
 		b.topUp(a)
 		b.mu.Unlock()
 		return &hold{b: b, a: a, tokens: tokens}, nil
@@ -193,7 +193,7 @@
 func (b *Bank) serveWaiting(a *account) {
 	kept := a.waiting[:0]
 	for _, w := range a.waiting {
-		if a.holding.Reserve(w.tokens) {
+		if a.holding.Reserve(time.Now(), w.tokens) {
 			w.done <- nil
 		} else {
 			kept = append(kept, w)
@@ -246,11 +246,7 @@
 // fillLoop draws until no reservation waits or no more tokens can be had.
 func (b *Bank) fillLoop(a *account) {
 	for {
-		fromStore := b.drawFromStore(a)
-		fromPeers := peersSilent
-		if b.waits(a) {
-			fromPeers = b.drawFromPeers(a)
-		}
+		fromStore, fromPeers := b.drawOnce(a)
 		b.mu.Lock()
 		if len(a.waiting) == 0 {
 			a.filling = false
@@ -267,6 +263,28 @@
 	}
 }
 
+// drawOnce draws from the store, and from the peers if the store gives nothing
+// or takes long.
+func (b *Bank) drawOnce(a *account) (drawResult, peersResult) {
+	drawn := make(chan drawResult, 1)
+	b.wg.Go(func() { drawn <- b.drawFromStore(a) })
+	patience := time.NewTimer(storePatience)
+	defer patience.Stop()
+	fromPeers := peersSilent
+	select {
+	case r := <-drawn:
+		if b.waits(a) {
+			fromPeers = b.drawFromPeers(a)
+		}
+		return r, fromPeers
+	case <-patience.C:
+	}
+	if b.waits(a) {
+		fromPeers = b.drawFromPeers(a)
+	}
+	return <-drawn, fromPeers
+}
+
 func (b *Bank) waits(a *account) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -308,7 +326,7 @@
 		if len(a.waiting) > 0 && a.holding.Undrawn() < need {
 			need = min(need, max(a.least(), a.holding.Undrawn()))
 		}
-		w, ok := a.holding.Draw(time.Now(), need, b.Peers.Count())
+		w, ok := a.holding.Draw(time.Now(), need)
 		b.mu.Unlock()
 		if !ok && !b.refresh(a, need) {
 			return storeEmpty
@@ -466,6 +484,13 @@
 	return balances
 }
 
+// StoreHeard records that the store answers, so that draws are tried again.
+func (b *Bank) StoreHeard() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.storeDown = time.Time{}
+}
+
 // Tick gives back what is held far beyond the recent need.
 func (b *Bank) Tick(now time.Time) {
 	b.mu.Lock()
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -18,9 +18,11 @@
 	highWater = 2.0
 	// rateWindow is the time constant of the rate of spend.
 	rateWindow = 6 * time.Second
-	// reserveShare bounds a draw beyond the need of a request: the part of the
-	// undrawn tokens, divided by the number of daemons.
-	reserveShare = 0.5
+	// standingShare is the part of the rest of a budget that its holders keep
+	// together however little they spend: it bridges a loss of the store, and
+	// spares draws. largestShare bounds what one of them keeps.
+	standingShare = 0.25
+	largestShare  = 0.3
 	// leastSurplus is the least part of the budget, as a divisor, that is worth
 	// a write to give back.
 	leastSurplus = 100
@@ -86,7 +88,10 @@
 func (h *Holding) Spent() int64 { return h.spent }
 
 // Reserve takes tokens for a request if the holding covers them.
-func (h *Holding) Reserve(tokens int64) bool {
+func (h *Holding) Reserve(now time.Time, tokens int64) bool {
+	if h.rateAt.IsZero() {
+		h.rateAt = now // the account is used here, so a standing holding is kept
+	}
 	if tokens > h.Available() {
 		return false
 	}
@@ -109,9 +114,18 @@
 	return h.rate * math.Exp(-now.Sub(h.rateAt).Seconds()/rateWindow.Seconds())
 }
 
-// Target is the amount that the holding should keep.
+// Target is the amount that the holding should keep: what the recent rate of
+// spend needs, or its part of the holders' standing share if that is more.
 func (h *Holding) Target(now time.Time) int64 {
-	return int64(h.recentRate(now) * horizon.Seconds())
+	if h.rateAt.IsZero() {
+		return 0
+	}
+	holders := len(h.record.Drawn)
+	if _, ok := h.record.Drawn[h.holder]; !ok {
+		holders++
+	}
+	rest := float64(h.Undrawn() + max(0, h.Available()))
+	return int64(max(min(h.recentRate(now)*horizon.Seconds(), largestShare*rest), standingShare*rest/float64(holders)))
 }
 
 // Low tells whether tokens should be drawn although no request waits.
@@ -144,7 +158,7 @@
 // the record leaves too few, another write is in flight or the last draw found
 // nothing. The caller reports the outcome by Written, Conflict, Failed or
 // Unknown.
-func (h *Holding) Draw(now time.Time, need int64, daemons int) (Write, bool) {
+func (h *Holding) Draw(now time.Time, need int64) (Write, bool) {
 	if h.busy || now.Before(h.exhaustedUntil) {
 		return Write{}, false
 	}
@@ -152,8 +166,7 @@
 	if left < need || left <= 0 {
 		return Write{}, false
 	}
-	share := int64(reserveShare * float64(left) / float64(max(daemons, 1)))
-	amount := max(need, min(h.Target(now)-h.Available(), share))
+	amount := max(need, min(need+h.Target(now)-max(0, h.Available()), left))
 	if amount <= 0 {
 		return Write{}, false
 	}
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -47,6 +47,8 @@
 	log    zerolog.Logger
 	source platform.ChangeLog
 	reader reader
+	// heard is called after each answer of the store.
+	heard func()
 	// daemons returns the number of daemons that follow the store.
 	daemons func() int
 
@@ -61,8 +63,8 @@
 	fetched     time.Time
 }
 
-func newFeed(prefix string, source platform.ChangeLog, r reader, daemons func() int, log zerolog.Logger) *feed {
-	return &feed{prefix: prefix, source: source, reader: r, daemons: daemons, log: log, items: make(map[string]platform.Item)}
+func newFeed(prefix string, source platform.ChangeLog, r reader, daemons func() int, heard func(), log zerolog.Logger) *feed {
+	return &feed{prefix: prefix, source: source, reader: r, daemons: daemons, heard: heard, log: log, items: make(map[string]platform.Item)}
 }
 
 // run follows the store until ctx ends.
@@ -79,6 +81,7 @@
 				f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(failing)).Msg("store regained")
 			}
 			failing, pause = time.Time{}, firstPause
+			f.heard()
 			f.mu.Lock()
 			f.reader.back(now)
 			f.mu.Unlock()
