Notice the store's return sooner

Change: while the store fails, calls are bounded by 400 ms; a draw that found nothing pauses for 2 s.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,7 +12,7 @@
 
 // returnGrace is the time after the store's return within which entries that
 // lapsed meanwhile come back if their endpoint lives.
-const returnGrace = 2200 * time.Millisecond
+const returnGrace = 2100 * time.Millisecond
 
 // Entry is an endpoint as it describes itself.
 type Entry struct {
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -26,8 +26,10 @@
 	// leastSurplus is the least part of the budget, as a divisor, that is worth
 	// a write to give back.
 	leastSurplus = 100
-	// retryDraw is the pause after a draw that found the budget used up.
-	retryDraw = 300 * time.Millisecond
+	// retryDraw is the pause after a draw that found the budget used up. Only
+	// tokens that another daemon gives back end that sooner than a top-up,
+	// which ends the pause.
+	retryDraw = 2 * time.Second
 )
 
 // Holding is this daemon's part of one account's budget. The zero value holds
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -20,9 +20,12 @@
 	waitPerDaemon = 200 * time.Millisecond
 	leastWait     = time.Second
 	longestWait   = 12 * time.Second
-	// firstPause doubles after each failure up to lastPause.
-	firstPause = 100 * time.Millisecond
-	lastPause  = time.Second
+	// firstPause doubles after each failure up to lastPause. While the store
+	// fails, calls are bounded by probeTimeout, so that its return is noticed
+	// within a second: entries that lapsed with it count from then.
+	firstPause   = 100 * time.Millisecond
+	lastPause    = 250 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
 	// awayAfter is the time of failures after which the store counts as away.
 	awayAfter = time.Second
 	// fetchPause is the least time between two copies from peers.
@@ -73,7 +76,7 @@
 	pause := firstPause
 	var failing time.Time
 	for ctx.Err() == nil {
-		err := f.step(ctx, &listed)
+		err := f.step(ctx, &listed, !failing.IsZero())
 		now := time.Now()
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
 			listed = listed && err == nil
@@ -103,8 +106,15 @@
 	}
 }
 
-// step reads the list once, then waits for changes.
-func (f *feed) step(ctx context.Context, listed *bool) error {
+// step reads the list once, then waits for changes; a probe does not wait.
+func (f *feed) step(ctx context.Context, listed *bool, probe bool) error {
+	wait := f.wait()
+	if probe {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		wait = time.Millisecond
+	}
 	if !*listed {
 		items, at, err := f.source.Range(ctx, f.prefix)
 		if err != nil {
@@ -115,7 +125,7 @@
 		f.replace(items, at)
 		return nil
 	}
-	c, err := f.source.Poll(ctx, f.prefix, f.revision(), f.wait())
+	c, err := f.source.Poll(ctx, f.prefix, f.revision(), wait)
 	if err != nil {
 		return err
 	}
