Level all holdings of a daemon in one write a second

Change: a holder keeps 8 s of its spend within its part of a fifth of the budget's rest, by rates kept in the record; one conditional write a second levels all accounts.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,8 +39,12 @@
 	retryUnavailable = 300 * time.Millisecond
 	// conflictTries bounds the repeats of a write that met other daemons'.
 	conflictTries = 6
-	// topUpPause is the least time between two draws ahead of need.
-	topUpPause = 400 * time.Millisecond
+	// levelPause is the time between two writes that bring holdings near their
+	// targets, and levelTries bounds the repeats of one after conflicts.
+	levelPause = time.Second
+	levelTries = 3
+	// maxKeys bounds the accounts in one write; the platform takes 32 entries.
+	maxKeys = 30
 )
 
 // keyPrefix is the prefix of the accounts' records.
@@ -75,6 +80,9 @@
 	accounts  map[string]*account
 	storeDown time.Time
 	closed    bool
+	// leveling is true while Tick's write is in flight; leveled is when it began.
+	leveling bool
+	leveled  time.Time
 }
 
 // account is one holding with the reservations that wait for it.
@@ -83,8 +91,7 @@
 	holding *escrow.Holding
 	waiting []*waiter
 	// filling is true while a goroutine draws tokens.
-	filling  bool
-	toppedUp time.Time
+	filling bool
 }
 
 // waiter is a reservation that the holding does not cover yet.
@@ -108,8 +115,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, a := range accounts {
-		if !a.Unlimited {
-			b.account(a.Name).holding.SetPrepaid(a.Prepaid)
+		if a.Unlimited {
+			continue
+		}
+		if former, changed := b.account(a.Name).holding.SetPrepaid(a.Prepaid); changed {
+			b.Log.Info().Str("account", a.Name).Int64("prepaid", a.Prepaid).Int64("former", former).Msg("budget changed")
 		}
 	}
 }
@@ -136,7 +146,6 @@
 	defer h.b.mu.Unlock()
 	h.a.holding.Settle(time.Now(), h.tokens, used)
 	h.b.serveWaiting(h.a)
-	h.b.topUp(h.a)
 }
 
 // Reserve implements relay.Bank.
@@ -147,7 +156,6 @@
 	b.mu.Lock()
 	a := b.account(ra.Name)
 	if len(a.waiting) == 0 && a.holding.Reserve(time.Now(), tokens) {
-		b.topUp(a)
 		b.mu.Unlock()
 		return &hold{b: b, a: a, tokens: tokens}, nil
 	}
@@ -220,16 +228,6 @@
 	return max(0, least-a.holding.Available())
 }
 
-// topUp draws ahead of need if the holding is low.
-func (b *Bank) topUp(a *account) {
-	now := time.Now()
-	if a.filling || !a.holding.Low(now) || now.Sub(a.toppedUp) < topUpPause || now.Before(b.storeDown) {
-		return
-	}
-	a.toppedUp = now
-	b.fill(a)
-}
-
 // fill starts the goroutine that draws tokens for an account, if none runs.
 func (b *Bank) fill(a *account) {
 	if a.filling || b.closed {
@@ -381,26 +379,11 @@
 	item, err := b.Store.CompareAndSwap(ctx, platform.Write{Key: keyPrefix + a.name, Value: value, Expected: platform.Revision(w.Expected)})
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	conflict, isConflict := platform.AsConflict(err)
-	switch {
-	case err == nil:
-		a.holding.Written(w, int64(item.Revision))
-		b.Scope.Counter("budget_draws").Inc(1)
-		b.Log.Info().Str("account", a.name).Str("write", what).Int64("revision", int64(item.Revision)).
-			Int64("available", a.holding.Available()).Int64("undrawn", a.holding.Undrawn()).Msg("budget record written")
-		b.serveWaiting(a)
-		return true, storeDrawn
-	case isConflict:
+	if conflict, ok := platform.AsConflict(err); ok {
 		b.adopt(a, conflict.Actual)
 		return false, storeAway
-	case errors.Is(err, platform.ErrOutcomeUnknown):
-		a.holding.Unknown()
-	default:
-		a.holding.Failed()
 	}
-	b.storeDown = time.Now().Add(storePause)
-	b.Log.Warn().Err(err).Str("account", a.name).Str("write", what).Msg("budget record not written")
-	return true, storeAway
+	return true, b.written(a, w, item.Revision, err, what)
 }
 
 func (b *Bank) adopt(a *account, actual platform.Item) {
@@ -491,32 +474,111 @@
 	b.storeDown = time.Time{}
 }
 
-// Tick gives back what is held far beyond the recent need.
+// Tick brings the holdings near their targets, in one write for all of them.
 func (b *Bank) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || now.Before(b.storeDown) {
+	if b.closed || b.leveling || now.Before(b.storeDown) || now.Sub(b.leveled) < levelPause {
 		return
 	}
+	b.leveled, b.leveling = now, true
+	b.wg.Go(b.level)
+}
+
+// levelWrite is the write of one account within a common one.
+type levelWrite struct {
+	account *account
+	write   escrow.Write
+}
+
+// level makes the writes that holdings want, again after a conflict.
+func (b *Bank) level() {
+	defer func() {
+		b.mu.Lock()
+		b.leveling = false
+		b.mu.Unlock()
+	}()
+	for range levelTries {
+		wanted := b.wantedWrites()
+		if len(wanted) == 0 || b.writeAll(wanted) {
+			return
+		}
+	}
+}
+
+func (b *Bank) wantedWrites() []levelWrite {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var wanted []levelWrite
 	for _, a := range b.accounts {
-		if a.filling || now.Sub(a.toppedUp) < topUpPause {
-			continue
+		if len(wanted) == maxKeys {
+			break
 		}
-		if w, ok := a.holding.Surplus(now); ok {
-			a.toppedUp, a.filling = now, true
-			b.wg.Go(func() { b.giveBack(a, w) })
+		if w, ok := a.holding.Level(now); ok {
+			wanted = append(wanted, levelWrite{account: a, write: w})
 		}
 	}
+	return wanted
 }
 
-func (b *Bank) giveBack(a *account, w escrow.Write) {
-	b.write(a, w, "give back")
+// writeAll makes the writes of several accounts as one; it returns false after
+// a conflict.
+func (b *Bank) writeAll(wanted []levelWrite) bool {
+	writes := make([]platform.Write, 0, len(wanted))
+	for _, w := range wanted {
+		value, err := w.write.Record.Encode()
+		if err != nil {
+			b.Log.Error().Err(err).Str("account", w.account.name).Msg("budget record not encoded")
+		}
+		writes = append(writes, platform.Write{Key: keyPrefix + w.account.name, Value: value, Expected: platform.Revision(w.write.Expected)})
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, storeTimeout)
+	defer cancel()
+	revision, err := b.Store.CompareAndSwapAll(ctx, writes)
 	b.mu.Lock()
-	a.filling = false
-	if len(a.waiting) > 0 {
-		b.fill(a)
+	defer b.mu.Unlock()
+	conflicts, isConflict := platform.AsConflicts(err)
+	if isConflict {
+		for _, w := range wanted {
+			w.account.holding.Failed()
+		}
+		b.adoptAll(conflicts.Actual)
+		return false
 	}
-	b.mu.Unlock()
+	for _, w := range wanted {
+		b.written(w.account, w.write, revision, err, "level")
+	}
+	return true
+}
+
+// adoptAll takes over the records that a conflict showed.
+func (b *Bank) adoptAll(actual []platform.Item) {
+	for _, item := range actual {
+		if a, ok := b.accounts[strings.TrimPrefix(item.Key, keyPrefix)]; ok {
+			b.adopt(a, item)
+		}
+	}
+}
+
+// written records the outcome of a write that met no conflict.
+func (b *Bank) written(a *account, w escrow.Write, revision platform.Revision, err error, what string) drawResult {
+	switch {
+	case err == nil:
+		a.holding.Written(w, int64(revision))
+		b.Scope.Counter("budget_writes").Inc(1)
+		b.Log.Info().Str("account", a.name).Str("write", what).Int64("revision", int64(revision)).
+			Int64("available", a.holding.Available()).Int64("undrawn", a.holding.Undrawn()).Msg("budget record written")
+		b.serveWaiting(a)
+		return storeDrawn
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		a.holding.Unknown()
+	default:
+		a.holding.Failed()
+	}
+	b.storeDown = time.Now().Add(storePause)
+	b.Log.Warn().Err(err).Str("account", a.name).Str("write", what).Msg("budget record not written")
+	return storeAway
 }
 
 // Close returns what was not spent to the store.
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -10,19 +10,21 @@
 	// horizon is the time for which a holding should last at the recent rate
 	// of spend. The daemons' holdings together cover a loss of the store of
 	// about eight seconds; what a daemon holds is lost if it dies.
-	horizon = 7 * time.Second
+	horizon = 8 * time.Second
 	// lowWater is the part of the target below which tokens are drawn before a
 	// request needs them.
-	lowWater = 0.6
+	lowWater = 0.85
 	// highWater is the multiple of the target above which tokens go back.
-	highWater = 2.0
+	highWater = 1.6
 	// rateWindow is the time constant of the rate of spend.
 	rateWindow = 6 * time.Second
-	// standingShare is the part of the rest of a budget that its holders keep
-	// together however little they spend: it bridges a loss of the store, and
-	// spares draws. largestShare bounds what one of them keeps.
-	standingShare = 0.25
-	largestShare  = 0.3
+	// leastSeen bounds the scaling of a rate that was seen for a short time.
+	leastSeen = 2 * time.Second
+	// riskShare bounds what the holders keep together of the rest of a budget:
+	// it is lost if they all lose power at once. standingShare is what each
+	// keeps of it however little it spends, which spares draws.
+	riskShare     = 0.2
+	standingShare = 0.01
 	// leastSurplus is the least part of the budget, as a divisor, that is worth
 	// a write to give back.
 	leastSurplus = 100
@@ -59,20 +61,22 @@
 	// exhaustedUntil is the end of the pause after a draw found nothing.
 	exhaustedUntil time.Time
 
-	// rate is the recent spend a second as of rateAt.
-	rate   float64
-	rateAt time.Time
+	// rate is the recent spend a second as of rateAt, weighted from the first
+	// use on.
+	rate            float64
+	rateAt, firstAt time.Time
 }
 
 // NewHolding returns the holding of holder, whose id no other start uses.
 func NewHolding(holder string) *Holding { return &Holding{holder: holder} }
 
-// SetPrepaid sets the account's budget.
-func (h *Holding) SetPrepaid(tokens int64) {
+// SetPrepaid sets the account's budget and returns the former one.
+func (h *Holding) SetPrepaid(tokens int64) (former int64, changed bool) {
 	if tokens > h.prepaid {
 		h.exhaustedUntil = time.Time{}
 	}
-	h.prepaid = tokens
+	former, h.prepaid = h.prepaid, tokens
+	return former, former != tokens
 }
 
 // Available is what can be reserved now.
@@ -92,7 +96,7 @@
 // Reserve takes tokens for a request if the holding covers them.
 func (h *Holding) Reserve(now time.Time, tokens int64) bool {
 	if h.rateAt.IsZero() {
-		h.rateAt = now // the account is used here, so a standing holding is kept
+		h.rateAt, h.firstAt = now, now // the account is used here from now on
 	}
 	if tokens > h.Available() {
 		return false
@@ -105,29 +109,34 @@
 func (h *Holding) Settle(now time.Time, reserved, used int64) {
 	h.reserved -= reserved
 	h.spent += min(used, reserved)
-	h.rate = h.recentRate(now) + float64(used)/rateWindow.Seconds()
+	h.rate = h.decayed(now) + float64(used)/rateWindow.Seconds()
 	h.rateAt = now
 }
 
+func (h *Holding) decayed(now time.Time) float64 {
+	return h.rate * math.Exp(-now.Sub(h.rateAt).Seconds()/rateWindow.Seconds())
+}
+
+// recentRate is the spend a second. Early on it is scaled up, since the window
+// reaches back beyond the first use.
 func (h *Holding) recentRate(now time.Time) float64 {
 	if h.rateAt.IsZero() {
 		return 0
 	}
-	return h.rate * math.Exp(-now.Sub(h.rateAt).Seconds()/rateWindow.Seconds())
+	seen := max(now.Sub(h.firstAt), leastSeen)
+	return h.decayed(now) / (1 - math.Exp(-seen.Seconds()/rateWindow.Seconds()))
 }
 
 // Target is the amount that the holding should keep: what the recent rate of
-// spend needs, or its part of the holders' standing share if that is more.
+// spend needs, within the holder's part of what may be at risk.
 func (h *Holding) Target(now time.Time) int64 {
 	if h.rateAt.IsZero() {
 		return 0
 	}
-	holders := len(h.record.Drawn)
-	if _, ok := h.record.Drawn[h.holder]; !ok {
-		holders++
-	}
 	rest := float64(h.Undrawn() + max(0, h.Available()))
-	return int64(max(min(h.recentRate(now)*horizon.Seconds(), largestShare*rest), standingShare*rest/float64(holders)))
+	rate := h.recentRate(now)
+	atRisk := riskShare * rest * h.record.share(h.holder, rate)
+	return int64(max(min(rate*horizon.Seconds(), atRisk), standingShare*rest))
 }
 
 // Low tells whether tokens should be drawn although no request waits.
@@ -173,20 +182,24 @@
 		return Write{}, false
 	}
 	h.busy = true
-	return Write{Record: h.record.with(h.holder, h.drawn+amount), Expected: h.revision}, true
+	return Write{Record: h.record.with(h.holder, h.drawn+amount, int64(h.recentRate(now))), Expected: h.revision}, true
 }
 
-// Surplus returns the write that gives back what is held far beyond the
-// target, and false if there is little.
-func (h *Holding) Surplus(now time.Time) (Write, bool) {
-	target := h.Target(now)
-	surplus := h.Available() - target
-	if h.busy || float64(h.Available()) < highWater*float64(target) || surplus < h.prepaid/leastSurplus {
+// Level returns the write that brings the holding to its target, and false if
+// it is near: tokens are drawn, or given back if far more are held.
+func (h *Holding) Level(now time.Time) (Write, bool) {
+	surplus := h.Available() - h.Target(now)
+	switch {
+	case h.busy || now.Before(h.exhaustedUntil):
+		return Write{}, false
+	case h.Low(now):
+		return h.Draw(now, 0)
+	case float64(surplus) < (highWater-1)*float64(h.Target(now)) || surplus < h.prepaid/leastSurplus:
 		return Write{}, false
 	}
 	h.busy = true
 	h.returning += surplus
-	return Write{Record: h.record.with(h.holder, h.drawn-surplus), Expected: h.revision}, true
+	return Write{Record: h.record.with(h.holder, h.drawn-surplus, int64(h.recentRate(now))), Expected: h.revision}, true
 }
 
 // Busy tells whether a write is in flight.
--- a/internal/escrow/record.go
+++ b/internal/escrow/record.go
@@ -25,6 +25,8 @@
 	// Drawn is the net amount that each holder has taken, by holder. It may be
 	// negative: a holder can return tokens that it received from a peer.
 	Drawn map[string]int64 `json:"drawn,omitempty"`
+	// Rate is the recent spend a second of each holder, as of its last write.
+	Rate map[string]int64 `json:"rate,omitempty"`
 }
 
 // ParseRecord decodes a record; an empty value is the record of a new account.
@@ -66,25 +68,44 @@
 	return holder
 }
 
-// with returns a copy in which holder has drawn an amount. Earlier starts of
+// with returns a copy in which holder has drawn an amount and spends at a rate. Earlier starts of
 // the same instance have ended, so what they drew is retired.
-func (r Record) with(holder string, drawn int64) Record {
-	next := Record{Retired: r.Retired, Drawn: make(map[string]int64, len(r.Drawn)+1)}
+func (r Record) with(holder string, drawn, rate int64) Record {
+	next := Record{
+		Retired: r.Retired, Drawn: make(map[string]int64, len(r.Drawn)+1), Rate: make(map[string]int64, len(r.Drawn)+1),
+	}
 	for name, n := range r.Drawn {
 		if name != holder && instanceOf(name) == instanceOf(holder) {
 			next.Retired += n
 			continue
 		}
 		next.Drawn[name] = n
+		next.Rate[name] = r.Rate[name]
 	}
 	next.Drawn[holder] = drawn
+	next.Rate[holder] = rate
 	return next
 }
 
+// share is the part of the holders' spend that is the holder's, at its rate.
+func (r Record) share(holder string, rate float64) float64 {
+	sum := rate
+	for name, n := range r.Rate {
+		if instanceOf(name) != instanceOf(holder) {
+			sum += float64(n)
+		}
+	}
+	if sum <= 0 {
+		return 1 / float64(len(r.Drawn)+1)
+	}
+	return rate / sum
+}
+
 // without returns a copy in which holder has ended after spending an amount.
 func (r Record) without(holder string, spent int64) Record {
-	next := r.with(holder, 0)
+	next := r.with(holder, 0, 0)
 	delete(next.Drawn, holder)
+	delete(next.Rate, holder)
 	next.Retired += spent
 	return next
 }
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -35,6 +35,9 @@
 	Get(ctx context.Context, key string) (Item, error)
 	// CompareAndSwap writes one key if it has the expected revision.
 	CompareAndSwap(ctx context.Context, w Write) (Item, error)
+	// CompareAndSwapAll writes all keys or, if one has not its expected
+	// revision, none. A conflict is a *ConflictsError.
+	CompareAndSwapAll(ctx context.Context, writes []Write) (Revision, error)
 	// Delete removes a key if it has the expected revision.
 	Delete(ctx context.Context, key string, expected Revision) error
 }
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -43,3 +43,22 @@
 	ok := errors.As(err, &c)
 	return c, ok
 }
+
+// ConflictsError is returned by a compare-and-swap of several keys of which
+// one did not have its expected revision.
+type ConflictsError struct {
+	// Actual holds the present items of those keys that exist.
+	Actual []Item
+}
+
+// Error implements error.
+func (e *ConflictsError) Error() string {
+	return fmt.Sprintf("one of %d keys does not have its expected revision", len(e.Actual))
+}
+
+// AsConflicts returns the ConflictsError in err's chain, if any.
+func AsConflicts(err error) (*ConflictsError, bool) {
+	var c *ConflictsError
+	ok := errors.As(err, &c)
+	return c, ok
+}
--- a/internal/platform/memstore/changelog.go
+++ b/internal/platform/memstore/changelog.go
@@ -11,6 +11,37 @@
 
 var _ platform.ChangeLog = (*Store)(nil)
 
+// CompareAndSwapAll implements platform.Records.
+func (s *Store) CompareAndSwapAll(ctx context.Context, writes []platform.Write) (platform.Revision, error) {
+	if err := s.enter(ctx, &s.calls.Writes); err != nil {
+		return 0, err
+	}
+	defer s.mu.Unlock()
+	conflict := &platform.ConflictsError{}
+	failed := false
+	for _, w := range writes {
+		current := s.items[w.Key].item
+		failed = failed || current.Revision != w.Expected
+		if current.Revision > 0 {
+			conflict.Actual = append(conflict.Actual, copyItem(current))
+		}
+	}
+	if failed {
+		s.calls.Conflicts++
+		return 0, conflict
+	}
+	s.rev++
+	for _, w := range writes {
+		item := platform.Item{Key: w.Key, Value: append([]byte(nil), w.Value...), Revision: s.rev, OpID: w.OpID}
+		s.items[w.Key] = entry{item: item, lease: w.Lease}
+		s.publish(platform.Event{Item: item})
+	}
+	if s.loseAnswer() {
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return s.rev, nil
+}
+
 // Range implements platform.ChangeLog.
 func (s *Store) Range(ctx context.Context, prefix string) ([]platform.Item, platform.Revision, error) {
 	if err := s.enter(ctx, &s.calls.Reads); err != nil {
