--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -23,7 +23,7 @@
 	// riskShare bounds what the holders keep together of the rest of a budget:
 	// it is lost if they all lose power at once. standingShare is what each
 	// keeps of it however little it spends, which spares draws.
-	riskShare     = 0.2
+	riskShare     = 0.25
 	standingShare = 0.01
 	// leastSurplus is the least part of the budget, as a divisor, that is worth
 	// a write to give back.
