--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,83 @@
+package discovery
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+// decode reads "service addr [leaving]"; anything else names no endpoint.
+func decode(i platform.Item) (Entry, bool) {
+	f := strings.Fields(string(i.Value))
+	if len(f) < 2 {
+		return Entry{}, false
+	}
+	e := Entry{ID: i.Key, Service: f[0], Addr: f[1], Leaving: len(f) > 2 && f[2] == "leaving"}
+	if len(f) > 2 && f[2] == "again" {
+		e.Born = 2
+	}
+	return e, true
+}
+
+func item(key, value string, rev platform.Revision) platform.Item {
+	return platform.Item{Key: key, Value: []byte(value), Revision: rev}
+}
+
+func deletion(key string, rev platform.Revision) platform.Event {
+	return platform.Event{Item: platform.Item{Key: key, Revision: rev}, Deleted: true}
+}
+
+// kinds names the changes in short.
+func kinds(changes []Change) []string {
+	var out []string
+	for _, c := range changes {
+		out = append(out, []string{"put", "restarted", "removed"}[c.Kind]+" "+c.Entry.ID)
+	}
+	return out
+}
+
+func want(t *testing.T, changes []Change, expected ...string) {
+	t.Helper()
+	if diff := cmp.Diff(expected, kinds(changes)); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a list that goes back, misses a removal, or lets a foreign
+// entry stand for an endpoint.
+func TestTableFollowsTheStore(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := NewTable(decode)
+	want(t, table.Replace(now, []platform.Item{item("a", "s 1", 3), item("b", "s 2", 4), item("c", "garbage", 5)}, 5), "put a", "put b")
+	want(t, table.Apply(now, []platform.Event{{Item: item("a", "s 1", 3)}}, 5))
+	want(t, table.Apply(now, []platform.Event{{Item: item("a", "s 1 again", 6)}, deletion("b", 7)}, 7), "restarted a", "removed b")
+	want(t, table.Replace(now, []platform.Item{item("b", "s 2", 4)}, 4))
+	want(t, table.Apply(now, []platform.Event{{Item: item("a", "other 1", 8)}}, 8), "removed a", "put a")
+	want(t, table.Apply(now, []platform.Event{{Item: item("a", "garbage", 9)}}, 9), "removed a")
+	want(t, table.Replace(now, nil, 10))
+	if table.Revision() != 10 {
+		t.Errorf("revision %d, want 10", table.Revision())
+	}
+}
+
+// Guards against endpoints that are dropped because their entries lapsed with
+// the store, and against ones that stay although they did not come back.
+func TestEntriesThatLapse(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := NewTable(decode)
+	table.Replace(now, []platform.Item{item("a", "s 1", 1), item("b", "s 2", 2), item("l", "s 3 leaving", 3)}, 3)
+	table.StoreAway()
+	now = now.Add(5 * time.Second)
+	table.StoreBack(now)
+	want(t, table.Apply(now, []platform.Event{deletion("a", 4), deletion("b", 5), deletion("l", 6)}, 6), "removed l")
+	now = now.Add(time.Second)
+	want(t, table.Tick(now))
+	want(t, table.Apply(now, []platform.Event{{Item: item("a", "s 1", 7)}}, 7), "put a")
+	now = now.Add(1200 * time.Millisecond)
+	want(t, table.Tick(now), "removed b")
+	want(t, table.Apply(now, []platform.Event{deletion("a", 8)}, 8), "removed a")
+}
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,57 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against repeats above the fleet's bound in any sliding window, also
+// when the daemons' traffic is uneven and their clocks' slots do not align.
+func TestWindowKeepsTheFleetsBound(t *testing.T) {
+	o := WindowOptions{Ratio: 0.2, Slack: 30, Span: 10 * time.Second, Margin: 0.75}
+	const daemons = 3
+	start := time.Unix(500, 0)
+	var windows []*Window
+	for i := range daemons {
+		windows = append(windows, NewWindow(start.Add(time.Duration(i)*370*time.Millisecond), o, true))
+	}
+	type event struct{ offered, repeated int }
+	steps := make([]event, 400) // of 100 ms
+	for s := range steps {
+		now := start.Add(2*time.Second + time.Duration(s)*100*time.Millisecond)
+		for i, w := range windows {
+			for range i * (s / 100 % 2) {
+				w.Offered(now)
+				steps[s].offered++
+			}
+			if w.Take(now, daemons) {
+				steps[s].repeated++
+			}
+		}
+	}
+	const span = 100
+	for from := 0; from+span <= len(steps); from++ {
+		var sum event
+		for _, e := range steps[from : from+span] {
+			sum.offered += e.offered
+			sum.repeated += e.repeated
+		}
+		if bound := o.Ratio*float64(sum.offered) + o.Slack; float64(sum.repeated) > bound {
+			t.Fatalf("%d repeats of %d requests from step %d, bound %.1f", sum.repeated, sum.offered, from, bound)
+		}
+	}
+}
+
+// Guards against a daemon that starts again and uses the slack that its former
+// start has used within the same window.
+func TestWindowAfterRestart(t *testing.T) {
+	o := WindowOptions{Ratio: 0.2, Slack: 100, Span: 10 * time.Second, Margin: 1}
+	now := time.Unix(500, 0)
+	w := NewWindow(now, o, false)
+	if w.Take(now.Add(9*time.Second), 1) {
+		t.Error("slack was used within the first window after a restart")
+	}
+	if !w.Take(now.Add(10*time.Second), 1) {
+		t.Error("slack was refused after the first window")
+	}
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,74 @@
+package routing
+
+import (
+	"strings"
+	"testing"
+)
+
+func target(names ...string) []Target {
+	var out []Target
+	for _, n := range names {
+		out = append(out, Target{Service: n, Weight: 50})
+	}
+	return out
+}
+
+// Guards against a request that is served by another route than the longest
+// prefix of its host, or by an account that does not hold its key.
+func TestTable(t *testing.T) {
+	table, err := NewTable(Config{
+		Routes: []Route{
+			{Name: "short", Host: "H.example", Prefix: "/a/", Targets: target("s")},
+			{Name: "long", Host: "h.example", Prefix: "/a/b/", Targets: target("s")},
+			{Name: "other", Host: "i.example", Prefix: "/", Targets: target("s")},
+		},
+		Services: []Service{{Name: "s"}},
+		Accounts: []Account{{Name: "x", Keys: []string{"1", "2"}}, {Name: "y", Keys: []string{"3"}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/a/x", "short"}, {"h.example:80", "/a/b/x", "long"}, {"h.example", "/a/b", "short"},
+		{"i.example", "/a/b/x", "other"}, {"h.example", "/c/", ""}, {"none", "/a/", ""},
+	} {
+		r, ok := table.Match(c.host, c.path)
+		if ok != (c.want != "") || ok && r.Name != c.want {
+			t.Errorf("%s%s matched %v, want %q", c.host, c.path, r, c.want)
+		}
+	}
+	if a, ok := table.Authenticate("2"); !ok || a.Name != "x" {
+		t.Errorf("key 2 is of %v", a)
+	}
+	if _, ok := table.Authenticate("4"); ok {
+		t.Error("an unknown key was accepted")
+	}
+}
+
+// Guards against a configuration that would send requests nowhere.
+func TestTableRefuses(t *testing.T) {
+	for _, c := range []struct {
+		route Route
+		want  string
+	}{
+		{Route{Name: "r", Prefix: "a/", Targets: target("s")}, "slash"},
+		{Route{Name: "r", Prefix: "/a/"}, "names no service"},
+		{Route{Name: "r", Prefix: "/a/", Targets: target("t")}, "does not exist"},
+	} {
+		if _, err := NewTable(Config{Routes: []Route{c.route}, Services: []Service{{Name: "s"}}}); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("route %+v: %v, want an error with %q", c.route, err, c.want)
+		}
+	}
+}
+
+// Guards against a split that does not follow the weights.
+func TestPick(t *testing.T) {
+	r := Route{Targets: []Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[r.Pick(float64(i)/1000)]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 {
+		t.Errorf("counts %v", counts)
+	}
+}
