Spend fewer calls, let peers draw for a daemon without the store

Change: peers draw for the asker; holdings are levelled each 2 s below 70%; changes are gathered for 150 ms; a refusal for lack of tokens names 5 s.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -33,15 +33,17 @@
 	peerTimeout = 150 * time.Millisecond
 	// maxWait bounds the wait of one reservation.
 	maxWait = 500 * time.Millisecond
-	// retryExhausted is when a caller whose budget is used up may come again.
-	retryExhausted = time.Second
-	// retryUnavailable is the same where tokens could not be drawn.
+	// retryLater is when a caller may come again whose budget is used up or
+	// can't be drawn on while the store is away: a loss of the store lasts
+	// about ten seconds. Callers wait a third of their time at most.
+	retryLater = 5 * time.Second
+	// retryUnavailable is the same where a draw took too long.
 	retryUnavailable = 300 * time.Millisecond
 	// conflictTries bounds the repeats of a write that met other daemons'.
 	conflictTries = 6
 	// levelPause is the time between two writes that bring holdings near their
 	// targets, and levelTries bounds the repeats of one after conflicts.
-	levelPause = time.Second
+	levelPause = 2 * time.Second
 	levelTries = 3
 	// maxKeys bounds the accounts in one write; the platform takes 32 entries.
 	maxKeys = 30
@@ -294,9 +296,9 @@
 	for _, w := range a.waiting {
 		b.Log.Warn().Str("account", a.name).Int64("tokens", w.tokens).Int64("available", a.holding.Available()).
 			Int64("undrawn", a.holding.Undrawn()).Bool("certain", certain).Msg("reservation refused")
-		p := problem.New(problem.BudgetUnavailable, "no tokens of account %q can be drawn now", a.name).After(retryUnavailable)
+		p := problem.New(problem.BudgetUnavailable, "no tokens of account %q can be drawn now", a.name).After(retryLater)
 		if certain {
-			p = problem.New(problem.BudgetUnavailable, "the rest of account %q's budget does not cover %d tokens", a.name, w.tokens).After(retryExhausted)
+			p = problem.New(problem.BudgetUnavailable, "the rest of account %q's budget does not cover %d tokens", a.name, w.tokens).After(retryLater)
 		}
 		w.done <- p
 	}
@@ -312,21 +314,31 @@
 	storeAway
 )
 
-// drawFromStore takes tokens from the account's record.
+// drawFromStore takes what the waiters lack from the account's record, or as
+// much of it as helps one of them.
 func (b *Bank) drawFromStore(a *account) drawResult {
+	return b.drawAtLeast(a, func() int64 {
+		need := a.need()
+		if len(a.waiting) > 0 && a.holding.Undrawn() < need {
+			need = min(need, max(a.least(), a.holding.Undrawn()))
+		}
+		return need
+	})
+}
+
+// drawAtLeast takes tokens from the account's record; need is asked for under
+// the lock before each write.
+func (b *Bank) drawAtLeast(a *account, need func() int64) drawResult {
 	for range conflictTries {
 		b.mu.Lock()
 		if time.Now().Before(b.storeDown) {
 			b.mu.Unlock()
 			return storeAway
 		}
-		need := a.need()
-		if len(a.waiting) > 0 && a.holding.Undrawn() < need {
-			need = min(need, max(a.least(), a.holding.Undrawn()))
-		}
-		w, ok := a.holding.Draw(time.Now(), need)
+		tokens := need()
+		w, ok := a.holding.Draw(time.Now(), tokens)
 		b.mu.Unlock()
-		if !ok && !b.refresh(a, need) {
+		if !ok && !b.refresh(a, tokens) {
 			return storeEmpty
 		}
 		if !ok {
@@ -439,21 +451,43 @@
 	return result
 }
 
-// Give answers a peer's ask.
-func (b *Bank) Give(account string, tokens int64) int64 {
+// Give answers a peer's ask. A peer that asks may be cut off from the store, so
+// what this daemon does not hold is drawn for it.
+func (b *Bank) Give(ctx context.Context, account string, tokens int64) int64 {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	a, ok := b.accounts[account]
 	if !ok || b.closed {
+		b.mu.Unlock()
 		return 0
 	}
 	given := a.holding.Give(tokens)
-	if given > 0 {
-		b.Log.Info().Str("account", account).Int64("asked", tokens).Int64("given", given).Msg("tokens given")
+	away := time.Now().Before(b.storeDown)
+	b.mu.Unlock()
+	if given < tokens && !away {
+		b.drawWithin(ctx, a, tokens-given)
+		b.mu.Lock()
+		given += a.holding.Give(tokens - given)
+		b.mu.Unlock()
 	}
+	b.Log.Info().Str("account", account).Int64("asked", tokens).Int64("given", given).Bool("store_away", away).Msg("tokens given")
 	return given
 }
 
+// drawWithin draws for a peer, which does not wait for a slow store.
+func (b *Bank) drawWithin(ctx context.Context, a *account, tokens int64) {
+	ctx, cancel := context.WithTimeout(ctx, storePatience)
+	defer cancel()
+	drawn := make(chan struct{})
+	b.wg.Go(func() {
+		defer close(drawn)
+		b.drawAtLeast(a, func() int64 { return max(0, tokens-a.holding.Available()) })
+	})
+	select {
+	case <-drawn:
+	case <-ctx.Done():
+	}
+}
+
 // Balances returns the tokens held, by account.
 func (b *Bank) Balances() map[string]int64 {
 	b.mu.Lock()
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -8,12 +8,12 @@
 // Parameters of the size of a holding.
 const (
 	// horizon is the time for which a holding should last at the recent rate
-	// of spend. The daemons' holdings together cover a loss of the store of
-	// about eight seconds; what a daemon holds is lost if it dies.
-	horizon = 8 * time.Second
+	// of spend. A loss of the store lasts about ten seconds; late in the life
+	// of a budget riskShare allows less.
+	horizon = 14 * time.Second
 	// lowWater is the part of the target below which tokens are drawn before a
 	// request needs them.
-	lowWater = 0.85
+	lowWater = 0.7
 	// highWater is the multiple of the target above which tokens go back.
 	highWater = 1.6
 	// rateWindow is the time constant of the rate of spend.
@@ -31,7 +31,7 @@
 	// retryDraw is the pause after a draw that found the budget used up. Only
 	// tokens that another daemon gives back end that sooner than a top-up,
 	// which ends the pause.
-	retryDraw = 2 * time.Second
+	retryDraw = 6 * time.Second
 )
 
 // Holding is this daemon's part of one account's budget. The zero value holds
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -17,7 +17,7 @@
 	// A watch may hear nothing of changes until it is asked anew, so the wait of
 	// one poll is short where few daemons poll: some daemon polls at least
 	// each waitPerDaemon, and the others hear of a change from it.
-	waitPerDaemon = 200 * time.Millisecond
+	waitPerDaemon = 400 * time.Millisecond
 	leastWait     = time.Second
 	longestWait   = 12 * time.Second
 	// firstPause doubles after each failure up to lastPause. While the store
@@ -28,8 +28,12 @@
 	probeTimeout = 400 * time.Millisecond
 	// awayAfter is the time of failures after which the store counts as away.
 	awayAfter = time.Second
-	// fetchPause is the least time between two copies from peers.
-	fetchPause = 400 * time.Millisecond
+	// gather is the pause after changes, so that those that follow closely come
+	// in one call.
+	gather = 150 * time.Millisecond
+	// fetchPause is the time for which a peer must be ahead before its copy is
+	// read, and the least time between two copies.
+	fetchPause = 300 * time.Millisecond
 )
 
 // reader takes what a feed reads. Its methods are called one at a time.
@@ -131,6 +135,9 @@
 	}
 	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Int64("revision", int64(c.At)).Msg("changes read")
 	f.apply(c)
+	if len(c.Events) > 0 {
+		sleep(ctx, gather)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,365 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/azurehatch/azurehatch/internal/settings"
+	"github.com/azurehatch/azurehatch/internal/unit"
+	wire "github.com/azurehatch/azurehatch/platform"
+)
+
+// cutStore is a daemon's path to the store, which can be cut.
+type cutStore struct {
+	*memstore.Store
+	cut atomic.Bool
+}
+
+func (c *cutStore) CompareAndSwapAll(ctx context.Context, w []platform.Write) (platform.Revision, error) {
+	if c.cut.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return c.Store.CompareAndSwapAll(ctx, w)
+}
+
+func (c *cutStore) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Item, error) {
+	if c.cut.Load() {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	return c.Store.CompareAndSwap(ctx, w)
+}
+
+func (c *cutStore) Get(ctx context.Context, key string) (platform.Item, error) {
+	if c.cut.Load() {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	return c.Store.Get(ctx, key)
+}
+
+func (c *cutStore) Range(ctx context.Context, prefix string) ([]platform.Item, platform.Revision, error) {
+	if c.cut.Load() {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return c.Store.Range(ctx, prefix)
+}
+
+func (c *cutStore) Poll(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) (platform.Changes, error) {
+	if c.cut.Load() {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	changes, err := c.Store.Poll(ctx, prefix, after, wait)
+	if c.cut.Load() { // what comes through a cut is lost
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return changes, err
+}
+
+// fleet is three daemons over one store, with one engine and one service.
+type fleet struct {
+	t       *testing.T
+	store   *memstore.Store
+	daemons []*Daemon
+	paths   []*cutStore
+	// mu guards the counts of what endpoints ran.
+	mu   sync.Mutex
+	runs map[string]int
+	used int64
+	next atomic.Int64
+}
+
+const (
+	promptTokens = 100
+	outputTokens = 12
+)
+
+func newFleet(t *testing.T, prepaid int64) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: memstore.New(nil), runs: make(map[string]int)}
+	f.put("servers/i-1", map[string]any{"service": "llm", "address": f.endpoint(), "zone": "z0", "slots": 64, "state": "ready"})
+	f.put("servers/i-2", map[string]any{"service": "desk", "address": f.endpoint(), "zone": "z0", "slots": 6, "state": "ready"})
+	f.put("servers/bad", "not an endpoint")
+	f.configure(1, prepaid, "/plan/")
+	for i := range 3 {
+		f.paths = append(f.paths, &cutStore{Store: f.store})
+		f.daemons = append(f.daemons, nil)
+		f.start(i, true)
+	}
+	t.Cleanup(func() {
+		for _, d := range f.daemons {
+			d.Close()
+		}
+	})
+	f.eventually("all daemons are ready", func() bool {
+		for _, d := range f.daemons {
+			if !d.Ready() || d.mesh.Count() != len(f.daemons) {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// endpoint starts an endpoint that streams two events of six tokens.
+func (f *fleet) endpoint() string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-Id")
+		f.mu.Lock()
+		f.runs[id]++
+		if r.Header.Get("X-Token-Count") != "" {
+			f.used += promptTokens + outputTokens
+		}
+		f.mu.Unlock()
+		w.Header().Set("X-Request-Id", id)
+		w.Header().Set("X-Response-Signature", "sig")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	}))
+	f.t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (f *fleet) put(key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var at platform.Revision
+	if old, err := f.store.Get(f.t.Context(), key); err == nil {
+		at = old.Revision
+	}
+	if _, err := f.store.CompareAndSwap(f.t.Context(), platform.Write{Key: key, Value: text, Expected: at}); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) configure(version int, prepaid int64, prefix string) {
+	f.put("op/config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{"name": "plan", "host": "h", "prefix": prefix, "route_type": "streaming", "timeout_ms": 3000, "target_latency_ms": 500, "max_attempts": 1, "service": "llm"},
+			{"name": "order", "host": "h", "prefix": "/order/", "route_type": "unsafe", "timeout_ms": 3000, "target_latency_ms": 100, "max_attempts": 1, "service": "desk"},
+		},
+		"services": []map[string]any{{"name": "llm", "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 100000, "stride": 6}}, {"name": "desk"}},
+		"tenants":  []map[string]any{{"name": "t", "api_keys": []string{"k"}, "prepaid": prepaid}},
+	})
+}
+
+func (f *fleet) start(i int, first bool) {
+	f.t.Helper()
+	s := settings.DefaultFront()
+	s.Instance = settings.FrontInstance{Name: fmt.Sprintf("d%d", i), FailureDomain: fmt.Sprintf("z%d", i), FirstStart: first}
+	mesh := "127.0.0.1:0"
+	if f.daemons[i] != nil {
+		mesh = f.daemons[i].meshing.Addr().String()
+	}
+	s.Listen = settings.FrontListen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Mesh: mesh}
+	for _, d := range f.daemons {
+		if d != nil {
+			s.Listen.Seeds = append(s.Listen.Seeds, d.meshing.Addr().String())
+		}
+	}
+	s.Bounds.Grace = unit.Seconds(4)
+	d, err := New(Options{
+		Settings: s, Log: zerolog.Nop(), Store: func(tally.Scope) Store { return f.paths[i] },
+		Wire: Wire{
+			Codec: wire.Codec{}, DecodeConfig: wire.DecodeConfig, DecodeEndpoint: wire.DecodeEndpoint, ConfigPrefix: wire.ConfigPrefix,
+			ConfigKey: wire.ConfigKey, EndpointPrefix: wire.EndpointPrefix, ReadyPath: wire.ReadyPath,
+		},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.daemons[i] = d
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("not within 5 s: %s", what)
+}
+
+// send sends one request and returns its status; 0 if there was no answer.
+func (f *fleet) send(i int, path string, sized bool) int {
+	req, err := http.NewRequest("POST", "http://"+f.daemons[i].CallersAddr()+path, strings.NewReader("x"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Authorization", "Bearer k")
+	req.Header.Set("X-Request-Id", fmt.Sprintf("r%d", f.next.Add(1)))
+	if sized {
+		req.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// Guards against a daemon that can't serve a calm day whole: streams, orders,
+// refusals without tokens, and the readiness probe.
+func TestCalmDay(t *testing.T) {
+	f := newFleet(t, 10*(promptTokens+outputTokens))
+	served := 0
+	for n := range 15 {
+		switch status := f.send(n%3, "/plan/x", true); status {
+		case 200:
+			served++
+		case 503:
+		default:
+			t.Errorf("status %d", status)
+		}
+	}
+	if served != 10 {
+		t.Errorf("%d requests served of a budget for 10", served)
+	}
+	if status := f.send(1, "/order/x", false); status != 200 {
+		t.Errorf("an order got status %d", status)
+	}
+	resp, err := http.Get("http://" + f.daemons[0].ReadyAddr() + wire.ReadyPath)
+	if err != nil || resp.StatusCode != 200 {
+		t.Errorf("readiness %v %v", resp, err)
+	}
+}
+
+// Guards against a daemon that is cut off from the store and stays with an old
+// configuration, or refuses although peers hold tokens.
+func TestCutOffFromTheStore(t *testing.T) {
+	f := newFleet(t, 1000*(promptTokens+outputTokens))
+	for n := range 6 {
+		f.send(n%3, "/plan/x", true)
+	}
+	f.paths[0].cut.Store(true)
+	time.Sleep(200 * time.Millisecond)
+	f.configure(2, 1000*(promptTokens+outputTokens), "/new/")
+	f.eventually("the daemon that is cut off serves the new route", func() bool { return f.send(0, "/new/x", true) == 200 })
+	if status := f.send(0, "/plan/x", true); status != 404 {
+		t.Errorf("the removed route got status %d, want 404", status)
+	}
+	for n := range 100 {
+		if status := f.send(0, "/new/x", true); status != 200 {
+			t.Fatalf("request %d of a daemon without the store got status %d; its peers hold tokens", n, status)
+		}
+	}
+}
+
+// Guards against a stop that cuts requests off, keeps a daemon in rotation, or
+// loses the tokens that it held.
+func TestStop(t *testing.T) {
+	f := newFleet(t, 100*(promptTokens+outputTokens))
+	var failed atomic.Int64
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				if f.send(0, "/order/x", false) != 200 {
+					failed.Add(1)
+				}
+			}
+		}
+	})
+	f.send(0, "/plan/x", true)
+	done := make(chan error, 1)
+	go func() { done <- f.daemons[0].Stop(t.Context()) }()
+	time.Sleep(time.Second)
+	close(stop)
+	wg.Wait()
+	if failed.Load() != 0 || f.daemons[0].Ready() {
+		t.Errorf("%d requests failed in the first second of a stop; ready %v", failed.Load(), f.daemons[0].Ready())
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	f.start(0, false)
+	served := 1
+	for n := 0; n < 110; n++ {
+		if f.send(1+n%2, "/plan/x", true) == 200 {
+			served++
+		}
+	}
+	if served != 100 {
+		t.Errorf("%d requests served of a budget for 100; the stopped daemon's tokens must come back", served)
+	}
+}
+
+// Guards against overspend, double runs and untrue refusals while daemons are
+// cut off, killed and started again in a seeded order.
+func TestFaultsInSeries(t *testing.T) {
+	const budget = 150
+	rng := rand.New(rand.NewPCG(7, 11))
+	f := newFleet(t, budget*(promptTokens+outputTokens))
+	served := 0
+	for step := range 40 {
+		i := rng.IntN(3)
+		switch rng.IntN(8) {
+		case 0:
+			f.paths[i].cut.Store(!f.paths[i].cut.Load())
+		case 1:
+			f.daemons[i].Close()
+			f.start(i, false)
+		case 2:
+			f.store.SetFaults(memstore.Faults{LoseAnswers: rng.IntN(3), Outage: rng.IntN(3) == 0})
+		}
+		for range 8 {
+			if f.send(rng.IntN(3), "/plan/x", true) == 200 {
+				served++
+			}
+		}
+		f.mu.Lock()
+		if f.used > budget*(promptTokens+outputTokens) {
+			t.Fatalf("step %d: endpoints ran %d tokens of a budget of %d", step, f.used, budget*(promptTokens+outputTokens))
+		}
+		for id, n := range f.runs {
+			if n > 1 {
+				t.Fatalf("step %d: request %s ran %d times", step, id, n)
+			}
+		}
+		f.mu.Unlock()
+	}
+	if served == 0 {
+		t.Error("nothing was served")
+	}
+}
+
+// Guards against listeners that stay open after a start that failed.
+func TestStartFails(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	s := settings.DefaultFront()
+	s.Listen = settings.FrontListen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Mesh: taken.Addr().String()}
+	if _, err := New(Options{Settings: s, Log: zerolog.Nop()}); err == nil || !strings.Contains(err.Error(), "listener mesh") {
+		t.Errorf("got %v, want an error that names the mesh listener", err)
+	}
+}
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -173,7 +174,9 @@
 }
 
 // Give implements mesh.State.
-func (s meshState) Give(account string, tokens int64) int64 { return s.d.bank.Give(account, tokens) }
+func (s meshState) Give(ctx context.Context, account string, tokens int64) int64 {
+	return s.d.bank.Give(ctx, account, tokens)
+}
 
 // Items implements mesh.State.
 func (s meshState) Items(prefix string) ([]platform.Item, platform.Revision) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
@@ -55,7 +56,7 @@
 	// Learn takes what a peer told.
 	Learn(d *meshpb.Digest)
 	// Give takes tokens out for a peer.
-	Give(account string, tokens int64) int64
+	Give(ctx context.Context, account string, tokens int64) int64
 	// Items returns the daemon's copy of items with a prefix.
 	Items(prefix string) ([]platform.Item, platform.Revision)
 }
@@ -95,13 +96,13 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	// taken remembers the asks answered lately, for repeats.
-	taken map[string]int64
+	taken map[string]*answered
 	order []string
 }
 
 // New returns a mesh that is not connected yet.
 func New(o Options) *Mesh {
-	m := &Mesh{Options: o, peers: make(map[string]*peer), taken: make(map[string]int64)}
+	m := &Mesh{Options: o, peers: make(map[string]*peer), taken: make(map[string]*answered)}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.server = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
@@ -271,21 +272,42 @@
 // maxTaken bounds the answered asks that are remembered.
 const maxTaken = 1024
 
+// answered is an ask with its answer, which is complete once done is closed.
+type answered struct {
+	done   chan struct{}
+	tokens int64
+}
+
 // TakeTokens implements meshpb.MeshServer.
-func (m *Mesh) TakeTokens(_ context.Context, r *meshpb.TakeRequest) (*meshpb.TakeReply, error) {
+func (m *Mesh) TakeTokens(ctx context.Context, r *meshpb.TakeRequest) (*meshpb.TakeReply, error) {
+	a, first := m.ask(r.Id)
+	if first {
+		a.tokens = m.State.Give(ctx, r.Account, r.Tokens)
+		close(a.done)
+	}
+	select {
+	case <-a.done:
+		return &meshpb.TakeReply{Tokens: a.tokens}, nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+}
+
+// ask returns the ask with an id; first is true for its first arrival.
+func (m *Mesh) ask(id string) (a *answered, first bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if n, ok := m.taken[r.Id]; ok {
-		return &meshpb.TakeReply{Tokens: n}, nil
+	if a, ok := m.taken[id]; ok {
+		return a, false
 	}
-	n := m.State.Give(r.Account, r.Tokens)
-	m.taken[r.Id] = n
-	m.order = append(m.order, r.Id)
+	a = &answered{done: make(chan struct{})}
+	m.taken[id] = a
+	m.order = append(m.order, id)
 	if len(m.order) > maxTaken {
 		delete(m.taken, m.order[0])
 		m.order = m.order[1:]
 	}
-	return &meshpb.TakeReply{Tokens: n}, nil
+	return a, true
 }
 
 // Items implements meshpb.MeshServer.
@@ -347,14 +369,15 @@
 	return reply.Tokens, nil
 }
 
-// Richest returns the live peers, the one with the most tokens first.
+// Richest returns the live peers, the one with the most tokens first. One that
+// holds none may be able to draw some.
 func (m *Mesh) Richest(account string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
 	var live []*peer
 	for _, p := range m.peers {
-		if now.Sub(p.heard) < liveFor && p.balances[account] > 0 {
+		if now.Sub(p.heard) < liveFor {
 			live = append(live, p)
 		}
 	}
