--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -57,6 +57,8 @@
 	// Richest returns the peers that may hold tokens of an account, the one
 	// with the most first.
 	Richest(account string) []string
+	// Count returns the number of live daemons, this one included.
+	Count() int
 	// Ask asks a peer for tokens.
 	Ask(ctx context.Context, peer, account string, tokens int64) (int64, error)
 }
@@ -129,7 +131,7 @@
 func (b *Bank) account(name string) *account {
 	a, ok := b.accounts[name]
 	if !ok {
-		a = &account{name: name, holding: escrow.NewHolding(b.Holder)}
+		a = &account{name: name, holding: escrow.NewHolding(time.Now(), b.Holder)}
 		b.accounts[name] = a
 	}
 	return a
@@ -543,9 +545,10 @@
 func (b *Bank) wantedWrites() []levelWrite {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	now, daemons := time.Now(), b.Peers.Count()
 	var wanted []levelWrite
 	for _, a := range b.accounts {
+		a.holding.SetDaemons(daemons)
 		if len(wanted) == maxKeys {
 			break
 		}
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -57,7 +57,7 @@
 // held is gone.
 func (w *world) restart(d *daemon) {
 	w.starts++
-	d.h = NewHolding(HolderID(d.instance, fmt.Sprint(w.starts)))
+	d.h = NewHolding(w.now, HolderID(d.instance, fmt.Sprint(w.starts)))
 	d.h.SetPrepaid(w.prepaid)
 	d.open, d.ended = nil, false
 }
@@ -261,7 +261,7 @@
 // rest of the budget to the others.
 func TestTargetFollowsRate(t *testing.T) {
 	now := time.Unix(1000, 0)
-	h := NewHolding("a/1")
+	h := NewHolding(now, "a/1")
 	h.SetPrepaid(10_000_000)
 	w, _ := h.Draw(now, 2_000_000)
 	h.Written(w, 1)
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -23,7 +23,12 @@
 	// riskShare bounds what the holders keep together of the rest of a budget:
 	// it is lost if they all lose power at once. standingShare is what each
 	// keeps of it however little it spends, which spares draws.
-	riskShare     = 0.2
+	riskShare = 0.2
+	// firstShare is what all daemons keep together of a budget that they have
+	// not used yet, against a loss of the store in the first seconds.
+	firstShare = 0.1
+	// firstFor is the time for which a daemon keeps its part of that unused.
+	firstFor      = 20 * time.Second
 	standingShare = 0.01
 	// leastSurplus is the least part of the budget, as a divisor, that is worth
 	// a write to give back.
@@ -41,6 +46,10 @@
 type Holding struct {
 	holder  string
 	prepaid int64
+	// daemons is the number of daemons that may use the budget, since the time
+	// at which this one began to hold it.
+	daemons int
+	since   time.Time
 
 	// record is the newest known state of the store's record, at revision.
 	record   Record
@@ -68,7 +77,12 @@
 }
 
 // NewHolding returns the holding of holder, whose id no other start uses.
-func NewHolding(holder string) *Holding { return &Holding{holder: holder} }
+func NewHolding(now time.Time, holder string) *Holding {
+	return &Holding{holder: holder, daemons: 1, since: now}
+}
+
+// SetDaemons sets the number of daemons that may use the budget.
+func (h *Holding) SetDaemons(n int) { h.daemons = max(n, 1) }
 
 // SetPrepaid sets the account's budget and returns the former one.
 func (h *Holding) SetPrepaid(tokens int64) (former int64, changed bool) {
@@ -130,10 +144,13 @@
 // Target is the amount that the holding should keep: what the recent rate of
 // spend needs, within the holder's part of what may be at risk.
 func (h *Holding) Target(now time.Time) int64 {
+	rest := float64(h.Undrawn() + max(0, h.Available()))
 	if h.rateAt.IsZero() {
-		return 0
+		if now.Sub(h.since) > firstFor {
+			return 0
+		}
+		return int64(firstShare * rest / float64(h.daemons))
 	}
-	rest := float64(h.Undrawn() + max(0, h.Available()))
 	rate := h.recentRate(now)
 	atRisk := riskShare * rest * h.record.share(h.holder, rate)
 	return int64(max(min(rate*horizon.Seconds(), atRisk), standingShare*rest))
