--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -60,6 +60,10 @@
 	used int64
 	// events is the number of events that went to the caller.
 	events int64
+	// lastEvent is when the last event came, longestGap the longest pause
+	// between two.
+	lastEvent  time.Time
+	longestGap time.Duration
 	// sent lists the endpoints that the request was sent to.
 	sent  []string
 	tried map[string]bool
@@ -277,7 +281,7 @@
 	level.Str("request", x.meta.ID).Str("route", route).Str("service", x.service).Str("account", account).
 		Strs("endpoints", x.sent).Int("status", x.status).Str("ran", string(x.ran)).
 		Int64("reserved", x.reserved).Int64("billed", x.used).Int64("events", x.events).
-		Dur("first_byte_ms", x.firstByte).Dur("elapsed_ms", elapsed).Dur("limit_ms", x.deadline.Sub(x.start)).
+		Dur("first_byte_ms", x.firstByte).Dur("longest_gap_ms", x.longestGap).Dur("elapsed_ms", elapsed).Dur("limit_ms", x.deadline.Sub(x.start)).
 		Msg("request ended")
 	tags := map[string]string{"service": x.service, "ran": string(x.ran), "status": statusClass(x.status)}
 	scope := x.e.Scope.Tagged(tags)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -56,6 +57,7 @@
 	if end < 0 {
 		return pending, nil
 	}
+	a.x.noteGap(time.Now())
 	whole := pending[:end+len(eventEnd)]
 	x := a.x
 	x.commit(a.resp)
@@ -72,6 +74,14 @@
 	return append(pending[:0], pending[end+len(eventEnd):]...), nil
 }
 
+// noteGap records the time between two deliveries of events.
+func (x *exchange) noteGap(now time.Time) {
+	if !x.lastEvent.IsZero() {
+		x.longestGap = max(x.longestGap, now.Sub(x.lastEvent))
+	}
+	x.lastEvent = now
+}
+
 // endStream ends a stream whose last event is whole.
 func (a *attempt) endStream(rest []byte) *verdict {
 	a.x.note(upstream.RanYes)
