Stop when no request is open

Change: the daemon waits for its own count of open requests; the listener stays open and refuses as not run after 3 s.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -36,9 +36,11 @@
 	tickInterval = 200 * time.Millisecond
 	// metricsInterval is how often counters reach the reporter.
 	metricsInterval = time.Second
-	// announceFor is the time between the end of readiness and the end of
-	// keep-alive: the balancer probes each second and needs two misses.
-	announceFor = 2500 * time.Millisecond
+	// announceFor is the time between the end of readiness and the refusal of
+	// new requests: the balancer probes each second and needs two misses.
+	announceFor = 3 * time.Second
+	// stopPoll is the period in which a stop looks for open requests.
+	stopPoll = 50 * time.Millisecond
 	// returnTimeout bounds the return of tokens to the store at a stop.
 	returnTimeout = 500 * time.Millisecond
 	// exitMargin is the part of the grace time left for the end itself.
@@ -298,11 +300,9 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	sleep(ctx, announceFor)
-	err := d.callersHTTP.Shutdown(ctx)
-	if err != nil {
-		d.log.Warn().Int64("open", d.entry.Open()).Msg("requests still open at the end of the grace time")
-		d.callersHTTP.Close()
-	}
+	d.entry.Refuse()
+	err := d.awaitOpen(ctx)
+	d.callersHTTP.Close()
 	returning, cancelReturn := context.WithTimeout(context.Background(), returnTimeout)
 	defer cancelReturn()
 	d.bank.Close(returning)
@@ -311,6 +311,19 @@
 	return errors.Wrap(err, "graceful stop")
 }
 
+// awaitOpen waits until no request is in progress. The listener stays open
+// meanwhile: a refused request is answered, a refused connection is not.
+func (d *Daemon) awaitOpen(ctx context.Context) error {
+	for d.entry.Open() > 0 {
+		if ctx.Err() != nil {
+			d.log.Warn().Int64("open", d.entry.Open()).Msg("requests still open at the end of the grace time")
+			return ctx.Err()
+		}
+		sleep(ctx, stopPoll)
+	}
+	return nil
+}
+
 // Close ends the daemon at once.
 func (d *Daemon) Close() {
 	d.stopping.Store(true)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -28,7 +28,7 @@
 const (
 	retryUnconfigured = 500 * time.Millisecond
 	retryNoEndpoint   = 400 * time.Millisecond
-	retryOverloaded   = 300 * time.Millisecond
+	retryElsewhere    = 50 * time.Millisecond
 )
 
 // errTimeout is the cause with which a request's context ends at its deadline.
@@ -132,6 +132,9 @@
 	if x.meta, err = x.e.Codec.Request(x.r.Header); err != nil {
 		return problem.New(problem.InvalidRequest, "%v", err)
 	}
+	if x.e.refusing.Load() {
+		return problem.New(problem.ShuttingDown, "the daemon is stopping; another one serves").After(retryElsewhere)
+	}
 	if x.table, x.tableAge = x.e.Table(); x.table == nil {
 		return problem.New(problem.NoEndpoint, "no configuration is known yet").After(retryUnconfigured)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,9 +136,11 @@
 // Entry serves callers.
 type Entry struct {
 	Options
-	sender  *sender
-	closing atomic.Bool
-	open    atomic.Int64
+	sender *sender
+	// closing marks answers as the last of their connection; refusing refuses
+	// new requests.
+	closing, refusing atomic.Bool
+	open              atomic.Int64
 }
 
 // New returns an entry.
@@ -152,6 +154,9 @@
 // Close marks all answers from now on as the last of their connection.
 func (e *Entry) Close() { e.closing.Store(true) }
 
+// Refuse refuses new requests as not run.
+func (e *Entry) Refuse() { e.refusing.Store(true) }
+
 // Open returns the number of requests in progress.
 func (e *Entry) Open() int64 { return e.open.Load() }
 
