Never skip what a watch missed, spread the polls

A poll without events also moved the feed to the store's revision, past a change that it had not heard of.

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -17,7 +17,7 @@
 	// A watch may hear nothing of changes until it is asked anew, so the wait of
 	// one poll is short where few daemons poll: some daemon polls at least
 	// each waitPerDaemon, and the others hear of a change from it.
-	waitPerDaemon = 400 * time.Millisecond
+	waitPerDaemon = 200 * time.Millisecond
 	leastWait     = time.Second
 	longestWait   = 12 * time.Second
 	// firstPause doubles after each failure up to lastPause. While the store
@@ -141,10 +141,11 @@
 	return nil
 }
 
-// wait is the wait of one poll, spread so that the daemons' polls don't align.
+// wait is the wait of one poll. It is spread widely, since a change lets all
+// daemons poll anew at the same moment.
 func (f *feed) wait() time.Duration {
 	wait := min(max(time.Duration(f.daemons())*waitPerDaemon, leastWait), longestWait)
-	return time.Duration((0.8 + 0.4*rand.Float64()) * float64(wait)).Round(time.Millisecond)
+	return time.Duration((0.5 + rand.Float64()) * float64(wait)).Round(time.Millisecond)
 }
 
 func (f *feed) revision() platform.Revision {
@@ -175,9 +176,12 @@
 	f.reader.replace(time.Now(), items, at)
 }
 
+// apply takes changes over. The revision follows the changes seen, not the one
+// that the store names: a watch that hears nothing must not skip what it missed.
 func (f *feed) apply(c platform.Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	at := f.at
 	for _, ev := range c.Events {
 		if ev.Item.Revision <= f.at {
 			continue
@@ -188,9 +192,10 @@
 			f.items[ev.Item.Key] = ev.Item
 		}
 		f.changed = max(f.changed, ev.Item.Revision)
+		at = max(at, ev.Item.Revision)
 	}
-	f.reader.apply(time.Now(), c.Events, c.At)
-	f.at = max(f.at, c.At)
+	f.reader.apply(time.Now(), c.Events, at)
+	f.at = at
 }
 
 // copied returns the items for a peer.
