--- /dev/null
+++ b/internal/escrow/bank/bank_test.go
@@ -0,0 +1,138 @@
+package bank
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/escrow"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/azurehatch/azurehatch/internal/problem"
+	"github.com/azurehatch/azurehatch/internal/routing"
+)
+
+// neighbours are the other banks of a test, by name.
+type neighbours struct{ banks map[string]*Bank }
+
+func (n neighbours) Richest(string) []string {
+	var names []string
+	for name := range n.banks {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (n neighbours) Ask(ctx context.Context, peer, account string, tokens int64) (int64, error) {
+	return n.banks[peer].Give(ctx, account, tokens), nil
+}
+
+func (n neighbours) Count() int { return 1 + len(n.banks) }
+
+const prepaid = 1000
+
+func newBank(t *testing.T, store *memstore.Store, name string, peers map[string]*Bank) *Bank {
+	t.Helper()
+	b := New(Options{Holder: escrow.HolderID(name, "1"), Store: store, Peers: neighbours{peers}, Log: zerolog.Nop()})
+	b.Configure([]routing.Account{{Name: "t", Prepaid: prepaid}})
+	t.Cleanup(func() { b.Close(t.Context()) })
+	return b
+}
+
+var tenant = &routing.Account{Name: "t", Prepaid: prepaid}
+
+func reserve(t *testing.T, b *Bank, tokens int64) error {
+	t.Helper()
+	_, err := b.Reserve(t.Context(), tenant, tokens)
+	return err
+}
+
+// Guards against two daemons that together reserve more than the budget, and
+// against a refusal while tokens are left.
+func TestReserveUpToTheBudget(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	b := newBank(t, store, "b", map[string]*Bank{"a": a})
+	for range 5 {
+		if err := reserve(t, a, 100); err != nil {
+			t.Fatal(err)
+		}
+		if err := reserve(t, b, 100); err != nil {
+			t.Fatal(err)
+		}
+	}
+	err := reserve(t, b, 1)
+	var p *problem.Error
+	if !errors.As(err, &p) || p.Kind != problem.BudgetUnavailable || p.RetryAfter != retryLater {
+		t.Errorf("got %v, want a refusal that names %v", err, retryLater)
+	}
+}
+
+// Guards against a daemon that refuses in a loss of the store although another
+// one holds tokens, and against tokens that appear from nowhere.
+func TestReserveFromPeersWithoutTheStore(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	b := newBank(t, store, "b", map[string]*Bank{"a": a})
+	h, err := a.Reserve(t.Context(), tenant, 600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Settle(0)
+	store.SetFaults(memstore.Faults{Outage: true})
+	if err := reserve(t, b, 500); err != nil {
+		t.Errorf("refused with 600 tokens at the other daemon: %v", err)
+	}
+	if err := reserve(t, a, 200); err == nil {
+		t.Error("tokens were used twice")
+	}
+}
+
+// Guards against a write with a lost answer that is counted, or that blocks the
+// account for good.
+func TestLostAnswer(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	store.SetFaults(memstore.Faults{LoseAnswers: 1})
+	if err := reserve(t, a, 400); err == nil {
+		t.Error("a draw without an answer was counted")
+	}
+	a.StoreHeard()
+	if err := reserve(t, a, 400); err != nil {
+		t.Errorf("refused after the store came back: %v", err)
+	}
+	if err := reserve(t, a, 700); err == nil {
+		t.Error("1,100 tokens of 1,000 were reserved")
+	}
+}
+
+// Guards against tokens that stay with a daemon that has stopped.
+func TestCloseReturnsTokens(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	h, err := a.Reserve(t.Context(), tenant, 900)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Settle(100)
+	a.Close(t.Context())
+	if err := reserve(t, newBank(t, store, "b", nil), 900); err != nil {
+		t.Errorf("900 unspent tokens did not come back: %v", err)
+	}
+}
+
+// Guards against a wait without end for tokens that do not come.
+func TestReserveEnds(t *testing.T) {
+	store := memstore.New(nil)
+	store.SetFaults(memstore.Faults{LatencyMillis: 5000})
+	a := newBank(t, store, "a", nil)
+	begun := time.Now()
+	if err := reserve(t, a, 10); err == nil {
+		t.Error("reserved without the store")
+	}
+	if took := time.Since(begun); took > 2*maxWait {
+		t.Errorf("took %v, want about %v at most", took, maxWait)
+	}
+}
--- a/internal/settings/errors.go
+++ b/internal/settings/errors.go
@@ -2,19 +2,21 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
 )
 
-// describe turns a decoder's error into one that names file, line and column.
-func describe(name string, err error) error {
+// describe turns a decoder's error into one that names file, line and column,
+// and the nearest key of the settings that were decoded.
+func describe(name string, into any, err error) error {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
 		first := strict.Errors[0]
 		row, col := first.Position()
-		return errors.Errorf("%s:%d:%d: unknown key %q%s", name, row, col, strings.Join(first.Key(), "."), suggestion(first.Key()))
+		return errors.Errorf("%s:%d:%d: unknown key %q%s", name, row, col, strings.Join(first.Key(), "."), suggestion(reflect.TypeOf(into), first.Key()))
 	}
 	var dec *toml.DecodeError
 	if errors.As(err, &dec) {
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -59,7 +59,7 @@
 func DefaultFront() Front {
 	return Front{
 		Instance: FrontInstance{FailureDomain: "default", Region: "default"},
-		Listen:   FrontListen{Callers: "127.0.0.1:8080", Ready: "127.0.0.1:8082", Mesh: "127.0.0.1:8081"},
+		Listen:   FrontListen{Callers: "127.0.0.1:8080", Ready: "127.0.0.1:8082", Mesh: "127.0.0.1:8081", Seeds: []string{}},
 		Store:    FrontStore{Address: "127.0.0.1:2380"},
 		Machine:  Machine{Memory: unit.Size{Bytes: 256 << 20}},
 		Bounds:   Bounds{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: unit.Seconds(10), Grace: unit.Seconds(8)},
@@ -73,7 +73,7 @@
 	s := DefaultFront()
 	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
-		return Front{}, describe(name, err)
+		return Front{}, describe(name, Front{}, err)
 	}
 	return s, errors.Wrap(s.validate(), name)
 }
--- /dev/null
+++ b/internal/settings/front_test.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const front = "[instance]\nname = \"f1\"\n"
+
+// Guards against settings of an entry daemon that are ignored or misread.
+func TestParseFrontRefuses(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"unknown key", front + "[listen]\ncalers = \"\"", `did you mean "callers"?`},
+		{"no name", "", "instance.name is not set"},
+		{"no failure domain", front + "failure_domain = \"\"", "instance.failure_domain is not set"},
+		{"bad address", front + "[store]\naddress = \"store\"", `store.address: "store" is not IP:port`},
+		{"bad metrics address", front + "[listen]\nmetrics = \"9100\"", "listen.metrics"},
+		{"bad memory", front + "[machine]\nmemory = \"284\"", "is not a size"},
+		{"bad window", front + "[bounds]\nretry_window = \"0s\"", "not above zero"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := ParseFront("f.toml", []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want an error with %q", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a printed default that can't be read back.
+func TestFrontRoundTrip(t *testing.T) {
+	want := DefaultFront()
+	want.Instance.Name = "f1"
+	text, err := want.Format()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := ParseFront("f.toml", text)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("settings (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a template of the deployment that names a key which the
+// settings do not have.
+func TestTemplateIsReadable(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := strings.NewReplacer(
+		"{{node_name|json}}", `"f1"`, "{{zone|json}}", `"z"`, "{{region|json}}", `"r"`, "{{bootstrap}}", "true",
+		"{{listen.front|json}}", `"10.0.0.1:80"`, "{{listen.ready|json}}", `"10.0.0.1:81"`, "{{listen.control|json}}", `"10.0.0.1:82"`,
+		"{{seeds|json}}", `["10.0.0.2:82"]`, "{{ip}}", "10.0.0.1", "{{internal_ports.0}}", "83", "{{platform.address|json}}", `"10.0.0.9:83"`, "{{limits.memory_mb}}", "284",
+		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10", "{{bounds.grace_s}}", "8",
+	)
+	s, err := ParseFront("settings.toml", []byte(values.Replace(string(text))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Instance.Name != "f1" || s.Listen.Mesh != "10.0.0.1:82" || s.Machine.Memory.Bytes != 284<<20 || s.Bounds.RetrySlack != 54 {
+		t.Errorf("settings %+v", s)
+	}
+}
--- a/internal/settings/suggest.go
+++ b/internal/settings/suggest.go
@@ -8,8 +8,7 @@
 
 // suggestion returns `; did you mean "x"?` for an unknown key with a near
 // known one, else an empty string.
-func suggestion(key []string) string {
-	t := reflect.TypeOf(Settings{})
+func suggestion(t reflect.Type, key []string) string {
 	for _, part := range key[:max(len(key)-1, 0)] {
 		field, ok := fieldByKey(t, part)
 		if !ok || field.Kind() != reflect.Struct {
