Share one dialer and one metrics scope

The entry path and the store's client made silent connections end each in its own way, and two daemons built the same metrics scope; each stands once now.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -42,7 +42,7 @@
 	c.every(loadTick, c.shareLoad)
 	c.every(poisonInterval, c.sharePoison)
 	c.every(reportInterval, c.readReports)
-	c.every(metricsInterval, c.updateGauges)
+	c.every(gaugeInterval, c.updateGauges)
 	return c
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/azurehatch/azurehatch/internal/gateway"
 	"github.com/azurehatch/azurehatch/internal/ledger"
 	"github.com/azurehatch/azurehatch/internal/membership"
+	"github.com/azurehatch/azurehatch/internal/metrics"
 	"github.com/azurehatch/azurehatch/internal/orders"
 	"github.com/azurehatch/azurehatch/internal/peer"
 	"github.com/azurehatch/azurehatch/internal/platform"
@@ -136,7 +137,7 @@
 func (d *Daemon) AdminAddr() string { return d.admin.Addr().String() }
 
 func (d *Daemon) assemble() error {
-	d.scope, d.closeScope, d.metricsHTTP = newScope(d.s.Instance)
+	d.scope, d.closeScope, d.metricsHTTP = metrics.NewScope(d.s.Instance.ID, d.s.Instance.FailureDomain)
 	d.store = newCountedStore(d.store, d.scope)
 	creds, err := peerCredentials(d.s.Peers)
 	if err != nil {
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -7,29 +7,14 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	prom "github.com/prometheus/client_golang/prometheus"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"google.golang.org/grpc/credentials"
 
 	"github.com/azurehatch/azurehatch/internal/certs"
 	"github.com/azurehatch/azurehatch/internal/settings"
 )
 
-// metricsInterval is how often counters reach the Prometheus reporter.
-const metricsInterval = time.Second
-
-func newScope(in settings.Instance) (tally.Scope, func(), http.Handler) {
-	// A registry of its own, since several daemons may share a process.
-	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "azurehatch", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
-		Tags:            map[string]string{"instance": in.ID, "domain": in.FailureDomain},
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, metricsInterval)
-	return scope, func() { _ = closer.Close() }, reporter.HTTPHandler()
-}
+// gaugeInterval is how often gauges are set.
+const gaugeInterval = time.Second
 
 // peerCreds are nil for plain text.
 type peerCreds struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,15 +14,14 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
-	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/azurehatch/azurehatch/internal/discovery"
 	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/escrow/bank"
 	"github.com/azurehatch/azurehatch/internal/mesh"
+	"github.com/azurehatch/azurehatch/internal/metrics"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/relay"
 	"github.com/azurehatch/azurehatch/internal/retry"
@@ -34,8 +33,6 @@
 const (
 	// tickInterval is the period of housekeeping.
 	tickInterval = 200 * time.Millisecond
-	// metricsInterval is how often counters reach the reporter.
-	metricsInterval = time.Second
 	// announceFor is the time between the end of readiness and the refusal of
 	// new requests: the balancer probes each second and needs two misses.
 	announceFor = 3 * time.Second
@@ -155,7 +152,7 @@
 }
 
 func (d *Daemon) assemble() {
-	d.openScope()
+	d.scope, d.closeScope, d.metricsHTTP = metrics.NewScope(d.s.Instance.Name, d.s.Instance.FailureDomain)
 	d.store = d.o.Store(d.scope)
 	d.pools = newPools(d.s.Instance.FailureDomain, d.log)
 	d.crashes = newCrashes(d.log)
@@ -181,18 +178,6 @@
 	d.pools.configure(t.Services)
 }
 
-func (d *Daemon) openScope() {
-	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "azurehatch", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
-		Tags:            map[string]string{"instance": d.s.Instance.Name, "domain": d.s.Instance.FailureDomain},
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, metricsInterval)
-	d.scope, d.metricsHTTP = scope, reporter.HTTPHandler()
-	d.closeScope = func() { _ = closer.Close() }
-}
-
 func (d *Daemon) start() {
 	for _, seed := range d.s.Listen.Seeds {
 		d.mesh.Add(seed)
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -9,13 +9,11 @@
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sys/unix"
 
+	"github.com/azurehatch/azurehatch/internal/dialer"
 	"github.com/azurehatch/azurehatch/internal/failure"
 )
 
@@ -29,15 +27,10 @@
 	reuseWithin = 800 * time.Millisecond
 	// idlePerEndpoint bounds the kept connections to one endpoint.
 	idlePerEndpoint = 16
-	// userTimeout ends a connection whose data is not acknowledged.
-	userTimeout = 3 * time.Second
 	// maxHeadBytes bounds an answer's head.
 	maxHeadBytes = 64 << 10
 )
 
-// keepAlive finds connections that went silent within about three seconds.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 18)
 
 // sender sends requests to endpoints.
@@ -57,11 +50,11 @@
 }
 
 func (u *sender) transport() *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	d := dialer.New(connectTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			u.dials.Inc(1)
-			return dialer.DialContext(ctx, network, addr)
+			return d.DialContext(ctx, network, addr)
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idlePerEndpoint,
@@ -71,18 +64,6 @@
 	}
 }
 
-// setUserTimeout makes the kernel break a connection that stays silent.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var opt error
-	err := c.Control(func(fd uintptr) {
-		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return errors.Wrap(err, "socket control")
-	}
-	return errors.Wrap(opt, "set TCP_USER_TIMEOUT")
-}
-
 func (u *sender) close() {
 	u.kept.CloseIdleConnections()
 	u.fresh.CloseIdleConnections()
