--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -136,24 +136,6 @@
 	return n
 }
 
-// IDs returns the ids of all endpoints.
-func (p *Pool) IDs() []string {
-	ids := make([]string, 0, len(p.members))
-	for id := range p.members {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
-// Endpoint returns an endpoint by id.
-func (p *Pool) Endpoint(id string) (Endpoint, bool) {
-	m, ok := p.members[id]
-	if !ok {
-		return Endpoint{}, false
-	}
-	return m.Endpoint, true
-}
-
 // Choice is the endpoint chosen for a request, with what decided it.
 type Choice struct {
 	Endpoint
@@ -280,25 +262,6 @@
 	return loads
 }
 
-// Busy returns the share of the pool's places in use, as far as it is known,
-// and the number of requests that wait.
-func (p *Pool) Busy(now time.Time) (share float64, waiting int) {
-	var slots, used int
-	for _, m := range p.members {
-		if m.Leaving || m.ejected(now) {
-			continue
-		}
-		n := m.known(now)
-		slots += m.Slots
-		used += min(n, m.Slots)
-		waiting += max(0, n-m.Slots)
-	}
-	if slots == 0 {
-		return 1, waiting
-	}
-	return float64(used) / float64(slots), waiting
-}
-
 // ForgetPeer drops the load that a peer told of before.
 func (p *Pool) ForgetPeer(peer string) {
 	for _, m := range p.members {
--- a/internal/escrow/bank/draw.go
+++ b/internal/escrow/bank/draw.go
@@ -139,14 +139,14 @@
 // write makes one conditional write of a record; done is false after a
 // conflict.
 func (b *Bank) write(a *account, w escrow.Write, what string) (done bool, r drawResult) {
-	value, err := w.Record.Encode()
+	write, err := a.storeWrite(w)
 	if err != nil {
 		b.Log.Error().Err(err).Str("account", a.name).Msg("budget record not encoded")
 		return true, storeAway
 	}
 	ctx, cancel := context.WithTimeout(b.ctx, storeTimeout)
 	defer cancel()
-	item, err := b.Store.CompareAndSwap(ctx, platform.Write{Key: keyPrefix + a.name, Value: value, Expected: platform.Revision(w.Expected)})
+	item, err := b.Store.CompareAndSwap(ctx, write)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if conflict, ok := platform.AsConflict(err); ok {
@@ -156,6 +156,12 @@
 	return true, b.written(a, w, item.Revision, err, what)
 }
 
+// storeWrite is a write of the account's record as the store takes it.
+func (a *account) storeWrite(w escrow.Write) (platform.Write, error) {
+	value, err := w.Record.Encode()
+	return platform.Write{Key: keyPrefix + a.name, Value: value, Expected: platform.Revision(w.Expected)}, err
+}
+
 func (b *Bank) adopt(a *account, actual platform.Item) {
 	record, err := escrow.ParseRecord(actual.Value)
 	if err != nil {
--- a/internal/escrow/bank/level.go
+++ b/internal/escrow/bank/level.go
@@ -94,11 +94,11 @@
 func encodeAll(wanted []levelWrite) ([]platform.Write, error) {
 	writes := make([]platform.Write, 0, len(wanted))
 	for _, w := range wanted {
-		value, err := w.write.Record.Encode()
+		write, err := w.account.storeWrite(w.write)
 		if err != nil {
 			return nil, err
 		}
-		writes = append(writes, platform.Write{Key: keyPrefix + w.account.name, Value: value, Expected: platform.Revision(w.write.Expected)})
+		writes = append(writes, write)
 	}
 	return writes, nil
 }
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -21,15 +21,16 @@
 	// leastSeen bounds the scaling of a rate that was seen for a short time.
 	leastSeen = 2 * time.Second
 	// riskShare bounds what the holders keep together of the rest of a budget:
-	// it is lost if they all lose power at once. standingShare is what each
-	// keeps of it however little it spends, which spares draws.
+	// it is lost if they all lose power at once.
 	riskShare = 0.2
+	// standingShare is what each holder keeps of the rest however little it
+	// spends, which spares draws.
+	standingShare = 0.01
 	// firstShare is what all daemons keep together of a budget that they have
 	// not used yet, against a loss of the store in the first seconds.
 	firstShare = 0.1
 	// firstFor is the time for which a daemon keeps its part of that unused.
-	firstFor      = 20 * time.Second
-	standingShare = 0.01
+	firstFor = 20 * time.Second
 	// leastSurplus is the least part of the budget, as a divisor, that is worth
 	// a write to give back.
 	leastSurplus = 100
@@ -101,12 +102,6 @@
 // Undrawn is what the newest known record leaves in the store.
 func (h *Holding) Undrawn() int64 { return max(0, h.prepaid-h.record.Granted()) }
 
-// Reserved is the amount held for open requests.
-func (h *Holding) Reserved() int64 { return h.reserved }
-
-// Spent is the amount settled.
-func (h *Holding) Spent() int64 { return h.spent }
-
 // Reserve takes tokens for a request if the holding covers them.
 func (h *Holding) Reserve(now time.Time, tokens int64) bool {
 	if h.rateAt.IsZero() {
@@ -161,8 +156,8 @@
 	return float64(h.Available()) < lowWater*float64(h.Target(now)) && h.Undrawn() > 0
 }
 
-// Give takes tokens out for a peer: what it needs and half of the rest, but
-// nothing if the need can't be met, and keeps at least its own open demand.
+// Give takes tokens out for a peer: what it needs as far as the holding covers
+// it, and up to as much again while half of the holding stays.
 func (h *Holding) Give(need int64) int64 {
 	have := h.Available()
 	if have <= 0 {
@@ -219,9 +214,6 @@
 	return Write{Record: h.record.with(h.holder, h.drawn-surplus, int64(h.recentRate(now))), Expected: h.revision}, true
 }
 
-// Busy tells whether a write is in flight.
-func (h *Holding) Busy() bool { return h.busy }
-
 // Return returns the write that ends the holder and frees what it did not
 // spend. Open reservations count as spent. The holding is empty from then on.
 // The holder's entry shows that it has not ended before, so that a repeat after
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -407,18 +406,3 @@
 	}
 	return n
 }
-
-// Live returns the addresses of the live peers, sorted.
-func (m *Mesh) Live() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	var addrs []string
-	for addr, p := range m.peers {
-		if now.Sub(p.heard) < liveFor {
-			addrs = append(addrs, addr)
-		}
-	}
-	slices.Sort(addrs)
-	return addrs
-}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -18,11 +18,10 @@
 	// maxSendings bounds the endpoints that are asked, those that refused or
 	// could not be reached included.
 	maxSendings = 4
-	// safePatience and streamPatience are the multiples of the latency
-	// objective after which a request that may run again is given up at an
-	// endpoint that has not begun to answer.
-	safePatience   = 2.5
-	streamPatience = 2.5
+	// silentPatience is the multiple of the latency objective after which a
+	// request that may run again is given up at an endpoint that has not begun
+	// to answer.
+	silentPatience = 2.5
 	// stallPatience is the multiple of the longest pause on time after which a
 	// stream that may go on elsewhere is given up at an endpoint that stalls;
 	// leastStall bounds it from below.
@@ -172,7 +171,7 @@
 // silentFor is the time without a sign of an answer that counts against an
 // endpoint.
 func silentFor(r *routing.Route) time.Duration {
-	return time.Duration(safePatience * float64(r.Objective))
+	return time.Duration(silentPatience * float64(r.Objective))
 }
 
 // watchSilence gives the attempt up if it may be repeated and stays silent.
@@ -181,12 +180,7 @@
 	if !r.Idempotent() || r.Objective <= 0 {
 		return
 	}
-	factor := safePatience
-	if r.Kind == routing.Stream {
-		factor = streamPatience
-	}
-	wait := time.Duration(factor * float64(r.Objective))
-	a.patience = time.AfterFunc(wait, func() { a.cancel(errSilent) })
+	a.patience = time.AfterFunc(silentFor(r), func() { a.cancel(errSilent) })
 }
 
 // watchStall gives a stream up that may go on elsewhere and has stalled; it is
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -107,7 +107,6 @@
 	byHost   map[string][]*Route
 	byKey    map[string]*Account
 	services map[string]*Service
-	accounts map[string]*Account
 }
 
 // NewTable indexes a configuration. It refuses one that no request could be
@@ -115,14 +114,13 @@
 func NewTable(c Config) (*Table, error) {
 	t := &Table{
 		Config: c, byHost: make(map[string][]*Route), byKey: make(map[string]*Account),
-		services: make(map[string]*Service), accounts: make(map[string]*Account),
+		services: make(map[string]*Service),
 	}
 	for i := range t.Services {
 		t.services[t.Services[i].Name] = &t.Services[i]
 	}
 	for i := range t.Accounts {
 		a := &t.Accounts[i]
-		t.accounts[a.Name] = a
 		for _, key := range a.Keys {
 			t.byKey[key] = a
 		}
@@ -182,12 +180,6 @@
 	return s, ok
 }
 
-// Account returns an account by name.
-func (t *Table) Account(name string) (*Account, bool) {
-	a, ok := t.accounts[name]
-	return a, ok
-}
-
 // Pick returns the service of a request by the targets' weights; point is
 // uniform in [0, 1).
 func (r *Route) Pick(point float64) string {
