Do not take a slow write for an empty budget

Cause: TestAccountsMatchEngines, traced in a failing run: four failure domains conflicted on one record for 650 ms, the wait of 600 ms ended first, and the allocator then refused all requests at once for 2 s (dryPause), also after its write had succeeded. In a second trace the record was empty, since the first domain with traffic had drawn 90 % of the budget, and the return of another domain's tokens took longer than one wait.

Change: a wait ends in a pause only if the record has nothing to draw and no write is under way; while other domains hold enough tokens the pause is 100 ms. The test leaves KNOWN-RED.txt and is part of the ordinary run.

--- a/Makefile
+++ b/Makefile
@@ -30,11 +30,8 @@
 unit:
 	$(GO) test ./...
 
-# KNOWN-RED.txt lists the tests that are run and printed without a verdict.
-KNOWN_RED_TEST := ^TestAccountsMatchEngines$$
 race:
-	$(GO) test -race -timeout 30m -skip '$(KNOWN_RED_TEST)' ./...
-	@echo "KNOWN RED (KNOWN-RED.txt), without a verdict:"; $(GO) test -race -run '$(KNOWN_RED_TEST)' ./internal/dev || true
+	$(GO) test -race -timeout 30m ./...
 
 # Builds and runs a whole fleet on loopback, sends requests and checks them.
 demo: build
--- a/internal/budget/allocator.go
+++ b/internal/budget/allocator.go
@@ -19,10 +19,14 @@
 	retryMax = 10 * time.Second
 	// conflictSpread is the window over which repeated conflicts are spread.
 	conflictSpread = 40 * time.Millisecond
-	// dryPause is how long requests are refused at once after one waited for
-	// tokens in vain. Without it an exhausted budget needed 10 reads/s in each
+	// dryPause is how long requests are refused at once after one waited in
+	// vain for tokens of an empty record. Without it an exhausted budget needed 10 reads/s in each
 	// failure domain.
 	dryPause = 2 * time.Second
+	// returnPause is the same while other failure domains hold enough tokens:
+	// their returns took up to a second at a cold start, where the first domain
+	// with traffic draws most of a budget.
+	returnPause = 100 * time.Millisecond
 	// readGap is the time between reads for waiting requests.
 	readGap = 100 * time.Millisecond
 	// maxWaiters bounds the requests that wait for tokens in one allocator.
--- a/internal/budget/record_test.go
+++ b/internal/budget/record_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -149,6 +150,31 @@
 	}
 }
 
+// Guards against refusals of a budget with tokens left: a reservation that
+// timed out behind a slow write must not make the next ones fail at once.
+func TestSlowWriteIsNoDryBudget(t *testing.T) {
+	r := NewRecord()
+	r.SetBudgets([]Spec{{ID: testBudget, Initial: 100_000}})
+	a := inOffice(t, r, "owner")
+	a.Register(a.now, RegisterRequest{Epoch: a.Epoch(), Holder: "h", Gen: 1})
+	reserve := func(n uint64, now time.Time) {
+		a.Reserve(now, ReserveRequest{Epoch: a.Epoch(), Reservation: Reservation{
+			Key: Key{"h", 1, n}, ID: fmt.Sprint(n), Budget: testBudget, Tokens: 50_000,
+		}})
+	}
+	a.Take()
+	reserve(1, a.now)
+	late := a.now.Add(waitLimit)
+	a.Tick(late)
+	if replies := a.Take().Replies; len(replies) != 1 || replies[0].Status != StatusUnavailable {
+		t.Fatalf("replies %+v, want one refusal after the wait", replies)
+	}
+	reserve(2, late)
+	if replies := a.Take().Replies; len(replies) != 0 {
+		t.Errorf("replies %+v, want none while the draw is under way", replies)
+	}
+}
+
 // Guards against a flush interval that breaks the write allowance of 72/s at
 // the target size.
 func TestFlushInterval(t *testing.T) {
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -146,7 +146,7 @@
 	}
 	late, need := !now.Before(e.deadline), e.want-e.res.Tokens
 	if late && !e.taken {
-		p.dryUntil = now.Add(dryPause)
+		p.dryUntil = now.Add(a.pause(e.res.Budget, need))
 	}
 	if late || (!e.taken && (a.knownShort(now, e.res.Budget, need) || now.Before(p.dryUntil))) {
 		a.refuse(e, a.refusal(e.res.Budget, need))
@@ -158,6 +158,20 @@
 	return false
 }
 
+// pause is how long later requests are refused at once after one waited in
+// vain. A wait behind a write that is slow or met conflicts says nothing about
+// the budget.
+func (a *Allocator) pause(budget string, need int64) time.Duration {
+	b := a.rec.Budgets[budget]
+	switch {
+	case a.flight != nil || (b != nil && b.Available() > 0):
+		return 0
+	case a.refusal(budget, need) == StatusUnavailable:
+		return returnPause
+	}
+	return dryPause
+}
+
 // knownShort reports whether a fresh record shows that fewer unspent tokens
 // exist than the request needs, so that waiting cannot help.
 func (a *Allocator) knownShort(now time.Time, budget string, need int64) bool {
