Keep common budget writes within the platform's transaction

No holding was levelled on a site with more than 16 accounts, and each refusal counted as a loss of the store for 2 s.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -43,8 +43,6 @@
 	// targets, and levelTries bounds the repeats of one after conflicts.
 	levelPause = 2 * time.Second
 	levelTries = 3
-	// maxKeys bounds the accounts in one write; the platform takes 32 entries.
-	maxKeys = 30
 )
 
 // keyPrefix is the prefix of the accounts' records.
--- a/internal/escrow/bank/bank_test.go
+++ b/internal/escrow/bank/bank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/azurehatch/azurehatch/internal/escrow"
+	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/platform/memstore"
 	"github.com/azurehatch/azurehatch/internal/problem"
 	"github.com/azurehatch/azurehatch/internal/routing"
@@ -136,3 +138,22 @@
 		t.Errorf("took %v, want about %v at most", took, maxWait)
 	}
 }
+
+// Guards against a fleet with many accounts whose common writes are all refused
+// since they name more keys than the platform takes.
+func TestLevelManyAccounts(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	var accounts []routing.Account
+	for i := range 2*platform.MaxSwapKeys + 1 {
+		accounts = append(accounts, routing.Account{Name: fmt.Sprint("account-", i), Prepaid: prepaid})
+	}
+	a.Configure(accounts)
+	for now := time.Now(); len(a.Balances()) < len(accounts); now = now.Add(levelPause) {
+		if now.After(time.Now().Add(5 * levelPause)) {
+			t.Fatalf("%d of %d accounts hold tokens", len(a.Balances()), len(accounts))
+		}
+		a.Tick(now)
+		a.wg.Wait()
+	}
+}
--- a/internal/escrow/bank/level.go
+++ b/internal/escrow/bank/level.go
@@ -49,7 +49,7 @@
 	var wanted []levelWrite
 	for _, a := range b.accounts {
 		a.holding.SetDaemons(daemons)
-		if len(wanted) == maxKeys {
+		if len(wanted) == platform.MaxSwapKeys {
 			break
 		}
 		if w, ok := a.holding.Level(now); ok {
@@ -124,8 +124,12 @@
 		return storeDrawn
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		a.holding.Unknown()
+	case errors.Is(err, platform.ErrUnavailable):
+		a.holding.Failed()
 	default:
 		a.holding.Failed()
+		b.Log.Error().Err(err).Str("account", a.name).Str("write", what).Msg("budget record refused")
+		return storeAway
 	}
 	b.storeDown = time.Now().Add(storePause)
 	b.Log.Warn().Err(err).Str("account", a.name).Str("write", what).Msg("budget record not written")
--- a/internal/platform/changelog.go
+++ b/internal/platform/changelog.go
@@ -29,6 +29,13 @@
 	Poll(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
 }
 
+// MaxSwapKeys bounds the keys of one CompareAndSwapAll: the users' platform takes
+// 32 entries in a transaction, a condition and a write for each key.
+const MaxSwapKeys = 16
+
+// ErrTooManyKeys means that a write names more keys than MaxSwapKeys.
+var ErrTooManyKeys = errors.New("too many keys in one write")
+
 // Records is the part of a store that keeps single records.
 type Records interface {
 	// Get returns the key's item or ErrNotFound.
--- a/internal/platform/memstore/changelog.go
+++ b/internal/platform/memstore/changelog.go
@@ -13,6 +13,9 @@
 
 // CompareAndSwapAll implements platform.Records.
 func (s *Store) CompareAndSwapAll(ctx context.Context, writes []platform.Write) (platform.Revision, error) {
+	if len(writes) > platform.MaxSwapKeys {
+		return 0, platform.ErrTooManyKeys
+	}
 	if err := s.enter(ctx, &s.calls.Writes); err != nil {
 		return 0, err
 	}
