Let two daemons of each failure domain follow the store in a wide fleet

Change: above 16 daemons those with the two first addresses of each failure domain that the store answers follow it and push changes to their domain, in the message up to 16 KB, else as a notice upon which the store is read once. Digests tell who follows, how fresh its store is and when the store came back, so that entries that lapsed keep their time. Exchanges prefer the own domain; far ones carry no loads. Fleets up to 16 daemons work as before.

--- a/Makefile
+++ b/Makefile
@@ -71,4 +71,4 @@
 generate:
 	protoc --go_out=. --go_opt=module=github.com/azurehatch/azurehatch \
 		--go-grpc_out=. --go-grpc_opt=module=github.com/azurehatch/azurehatch \
-		internal/peer/peerpb/peer.proto
+		internal/peer/peerpb/peer.proto internal/mesh/meshpb/mesh.proto
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -78,10 +78,17 @@
 // StoreAway records that the store can't be read.
 func (t *Table) StoreAway() { t.away = true }
 
-// StoreBack records that the store could be read.
-func (t *Table) StoreBack(now time.Time) {
+// StoreBack records that the store could be read at a time.
+func (t *Table) StoreBack(at time.Time) {
 	if t.away {
-		t.away, t.back = false, now
+		t.away, t.back = false, at
+	}
+}
+
+// StoreReturned records a time at which another daemon regained the store.
+func (t *Table) StoreReturned(at time.Time) {
+	if !t.away && at.After(t.back) {
+		t.back = at
 	}
 }
 
--- a/internal/front/configuration.go
+++ b/internal/front/configuration.go
@@ -51,11 +51,13 @@
 	}
 }
 
-// away and back change nothing: the last configuration stays in force.
+// away, back and returned change nothing: the last configuration stays in force.
 func (c *configuration) away() {}
 
 func (c *configuration) back(time.Time) {}
 
+func (c *configuration) returned(time.Time) {}
+
 func (c *configuration) put(now time.Time, i platform.Item) {
 	if i.Key != c.wire.ConfigKey {
 		return
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -48,6 +48,12 @@
 	e.list.StoreBack(now)
 }
 
+func (e *endpoints) returned(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list.StoreReturned(at)
+}
+
 func (e *endpoints) tick(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
@@ -26,6 +27,9 @@
 	firstPause   = 100 * time.Millisecond
 	lastPause    = 250 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
+	// fewDaemons is the number of daemons up to which each probes a lost store
+	// at these pauses; more daemons probe as often together.
+	fewDaemons = 8
 	// awayAfter is the time of failures after which the store counts as away.
 	awayAfter = time.Second
 	// gather is the pause after changes, so that those that follow closely come
@@ -34,8 +38,20 @@
 	// fetchPause is the time for which a peer must be ahead before its copy is
 	// read, and the least time between two copies.
 	fetchPause = 300 * time.Millisecond
+	// followCheck is the period in which a daemon that does not follow the store
+	// looks whether it should.
+	followCheck = 250 * time.Millisecond
+	// returnSlack is the error of a time of return that a peer told.
+	returnSlack = 500 * time.Millisecond
+	// longestIdle is the time after which such a daemon asks the store anyway.
+	longestIdle = 30 * time.Second
 )
 
+// spreadLimit bounds the size of the changes passed on in one message; larger
+// ones are read from the store, since a weak daemon's link takes a second for a
+// megabyte and a configuration may have some hundred KB.
+const spreadLimit = 16 << 10
+
 // reader takes what a feed reads. Its methods are called one at a time.
 type reader interface {
 	// replace takes a whole list as of a revision.
@@ -45,6 +61,18 @@
 	// away and back tell whether the store can be read.
 	away()
 	back(now time.Time)
+	// returned tells when another daemon regained the store.
+	returned(at time.Time)
+}
+
+// fleetView is what a feed needs to know of the other daemons.
+type fleetView interface {
+	// Count is the number of daemons, this one included.
+	Count() int
+	// Follows tells whether this daemon follows the store itself.
+	Follows() bool
+	// Spread passes changes on to daemons that don't.
+	Spread(c *meshpb.Changes)
 }
 
 // feed follows the items with a prefix, from the store while it can be read
@@ -56,8 +84,9 @@
 	reader reader
 	// heard is called after each answer of the store.
 	heard func()
-	// daemons returns the number of daemons that follow the store.
-	daemons func() int
+	fleet fleetView
+	// wake tells that the store has newer changes.
+	wake chan struct{}
 
 	mu    sync.Mutex
 	items map[string]platform.Item
@@ -68,10 +97,15 @@
 	behindSince time.Time
 	fetching    bool
 	fetched     time.Time
+	// answered is when the store last answered, returned when it was regained.
+	answered, returned time.Time
 }
 
-func newFeed(prefix string, source platform.ChangeLog, r reader, daemons func() int, heard func(), log zerolog.Logger) *feed {
-	return &feed{prefix: prefix, source: source, reader: r, daemons: daemons, heard: heard, log: log, items: make(map[string]platform.Item)}
+func newFeed(prefix string, source platform.ChangeLog, r reader, fleet fleetView, heard func(), log zerolog.Logger) *feed {
+	return &feed{
+		prefix: prefix, source: source, reader: r, fleet: fleet, heard: heard, log: log,
+		wake: make(chan struct{}, 1), items: make(map[string]platform.Item),
+	}
 }
 
 // run follows the store until ctx ends.
@@ -80,6 +114,9 @@
 	pause := firstPause
 	var failing time.Time
 	for ctx.Err() == nil {
+		if listed && failing.IsZero() && !f.due(ctx) {
+			continue
+		}
 		err := f.step(ctx, &listed, !failing.IsZero())
 		now := time.Now()
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
@@ -87,11 +124,8 @@
 			if !failing.IsZero() {
 				f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(failing)).Msg("store regained")
 			}
+			f.noteAnswer(now, !failing.IsZero() && now.Sub(failing) > awayAfter)
 			failing, pause = time.Time{}, firstPause
-			f.heard()
-			f.mu.Lock()
-			f.reader.back(now)
-			f.mu.Unlock()
 			continue
 		}
 		if ctx.Err() != nil {
@@ -105,14 +139,49 @@
 			f.reader.away()
 			f.mu.Unlock()
 		}
-		sleep(ctx, pause)
+		sleep(ctx, pause*time.Duration(max(1, f.fleet.Count()/fewDaemons)))
 		pause = min(2*pause, lastPause)
 	}
 }
 
+// noteAnswer records that the store answered, and whether it had been lost.
+func (f *feed) noteAnswer(now time.Time, regained bool) {
+	f.heard()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered = now
+	if regained {
+		f.returned = now
+	}
+	f.reader.back(now)
+}
+
+// due waits until the store should be asked, at most for followCheck: at once
+// if the daemon follows the store, else once there are changes.
+func (f *feed) due(ctx context.Context) bool {
+	if f.fleet.Follows() {
+		return true
+	}
+	timer := time.NewTimer(followCheck)
+	defer timer.Stop()
+	select {
+	case <-f.wake:
+		return true
+	case <-timer.C:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return time.Since(f.answered) > longestIdle
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // step reads the list once, then waits for changes; a probe does not wait.
 func (f *feed) step(ctx context.Context, listed *bool, probe bool) error {
 	wait := f.wait()
+	if !f.fleet.Follows() {
+		wait = time.Millisecond
+	}
 	if probe {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
@@ -133,9 +202,10 @@
 	if err != nil {
 		return err
 	}
+	f.spread(c)
 	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Int64("revision", int64(c.At)).Msg("changes read")
 	f.apply(c)
-	if len(c.Events) > 0 {
+	if len(c.Events) > 0 && f.fleet.Follows() {
 		sleep(ctx, gather)
 	}
 	return nil
@@ -144,7 +214,7 @@
 // wait is the wait of one poll. It is spread widely, since a change lets all
 // daemons poll anew at the same moment.
 func (f *feed) wait() time.Duration {
-	wait := min(max(time.Duration(f.daemons())*waitPerDaemon, leastWait), longestWait)
+	wait := min(max(time.Duration(f.fleet.Count())*waitPerDaemon, leastWait), longestWait)
 	return time.Duration((0.5 + rand.Float64()) * float64(wait)).Round(time.Millisecond)
 }
 
@@ -198,6 +268,89 @@
 	f.at = at
 }
 
+// spread passes changes that the store told on to the other daemons.
+func (f *feed) spread(c platform.Changes) {
+	if len(c.Events) == 0 || !f.fleet.Follows() {
+		return
+	}
+	out := &meshpb.Changes{Prefix: f.prefix, Since: int64(f.revision()), BackAgeMs: f.backAge(time.Now())}
+	size := 0
+	for _, ev := range c.Events {
+		out.Revision = max(out.Revision, int64(ev.Item.Revision))
+		size += len(ev.Item.Key) + len(ev.Item.Value)
+		out.Changes = append(out.Changes, &meshpb.Change{
+			Item: &meshpb.Item{Key: ev.Item.Key, Value: ev.Item.Value, Revision: int64(ev.Item.Revision)}, Deleted: ev.Deleted,
+		})
+	}
+	if size > spreadLimit {
+		out.Changes = nil
+	}
+	f.fleet.Spread(out)
+}
+
+// backAge is the time since the store was regained in ms, -1 if it never was.
+func (f *feed) backAge(now time.Time) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.returned.IsZero() {
+		return -1
+	}
+	return now.Sub(f.returned).Milliseconds()
+}
+
+// storeAge is the time since the store's last answer in ms, -1 before the first.
+func (f *feed) storeAge(now time.Time) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.answered.IsZero() {
+		return -1
+	}
+	return now.Sub(f.answered).Milliseconds()
+}
+
+// pushed takes changes that a follower of the store passed on. If they don't
+// follow on what is known here, the store is asked.
+func (f *feed) pushed(now time.Time, c *meshpb.Changes) {
+	f.learnReturn(now, c.BackAgeMs)
+	at := int64(f.revision())
+	switch {
+	case c.Revision <= at:
+	case len(c.Changes) > 0 && c.Since <= at:
+		changes := platform.Changes{}
+		for _, ch := range c.Changes {
+			item := platform.Item{Key: ch.Item.Key, Value: ch.Item.Value, Revision: platform.Revision(ch.Item.Revision)}
+			changes.Events = append(changes.Events, platform.Event{Item: item, Deleted: ch.Deleted})
+		}
+		f.log.Debug().Str("prefix", f.prefix).Int("events", len(changes.Events)).Int64("revision", c.Revision).Msg("changes passed on by a peer")
+		f.apply(changes)
+	default:
+		f.ask()
+	}
+}
+
+// learnReturn takes over from a peer when the store came back: entries that
+// lapsed meanwhile have until shortly after it to appear again.
+func (f *feed) learnReturn(now time.Time, ageMs int64) {
+	if ageMs < 0 {
+		return
+	}
+	at := now.Add(-time.Duration(ageMs) * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.returned.Add(returnSlack)) {
+		f.returned = at
+		f.reader.returned(at)
+	}
+}
+
+// ask lets a daemon that does not follow the store read its changes.
+func (f *feed) ask() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // copied returns the items for a peer.
 func (f *feed) copied() ([]platform.Item, platform.Revision) {
 	f.mu.Lock()
@@ -218,6 +371,7 @@
 		f.behindSince = time.Time{}
 		return false
 	}
+	f.ask()
 	if f.behindSince.IsZero() {
 		f.behindSince = now
 	}
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/azurehatch/azurehatch/internal/discovery"
+	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
 )
 
 // deafLog is a store whose watches hear nothing of a change, name a revision
@@ -45,15 +49,34 @@
 		r.value <- string(i.Value)
 	}
 }
-func (recorder) apply(time.Time, []platform.Event, platform.Revision) {}
-func (recorder) away()                                                {}
-func (recorder) back(time.Time)                                       {}
+func (r recorder) apply(_ time.Time, events []platform.Event, _ platform.Revision) {
+	for _, ev := range events {
+		r.value <- string(ev.Item.Value)
+	}
+}
+func (recorder) away()              {}
+func (recorder) back(time.Time)     {}
+func (recorder) returned(time.Time) {}
+
+// fixedFleet is a fleet of which this daemon follows the store or not.
+type fixedFleet struct {
+	follows bool
+	pushed  chan *meshpb.Changes
+}
+
+func (f fixedFleet) Count() int    { return 1 }
+func (f fixedFleet) Follows() bool { return f.follows }
+func (f fixedFleet) Spread(c *meshpb.Changes) {
+	if f.pushed != nil {
+		f.pushed <- c
+	}
+}
 
 // Guards against a change that is skipped for good since a watch heard nothing
 // of it and the store named a later revision.
 func TestFeedDoesNotSkipWhatItMissed(t *testing.T) {
 	r := recorder{value: make(chan string, 8)}
-	f := newFeed("p/", &deafLog{}, r, func() int { return 1 }, func() {}, zerolog.Nop())
+	f := newFeed("p/", &deafLog{}, r, fixedFleet{follows: true}, func() {}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go f.run(ctx)
@@ -72,7 +95,7 @@
 // Guards against a feed that copies from a peer at once, although its own watch
 // would bring the change, or not at all.
 func TestFeedCopiesWhenBehind(t *testing.T) {
-	f := newFeed("p/", &deafLog{}, recorder{value: make(chan string, 8)}, func() int { return 1 }, func() {}, zerolog.Nop())
+	f := newFeed("p/", &deafLog{}, recorder{value: make(chan string, 8)}, fixedFleet{follows: true}, func() {}, zerolog.Nop())
 	f.replace([]platform.Item{{Key: "p/a", Revision: 3}}, 4)
 	now := time.Unix(100, 0)
 	for _, c := range []struct {
@@ -85,3 +108,78 @@
 		}
 	}
 }
+
+// Guards against a daemon that asks the store although others follow it, and
+// against one that misses what they push: changes in the message, changes that
+// are too large for it, and changes that do not follow on its own.
+func TestFeedOfADaemonThatDoesNotFollow(t *testing.T) {
+	store := memstore.New(nil)
+	put := func(value string, expected platform.Revision) platform.Revision {
+		t.Helper()
+		item, err := store.CompareAndSwap(t.Context(), platform.Write{Key: "p/a", Value: []byte(value), Expected: expected})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return item.Revision
+	}
+	first := put("1", 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	pushed := make(chan *meshpb.Changes, 8)
+	follower := newFeed("p/", store, recorder{value: make(chan string, 8)}, fixedFleet{follows: true, pushed: pushed}, func() {}, zerolog.Nop())
+	got := recorder{value: make(chan string, 8)}
+	f := newFeed("p/", store, got, fixedFleet{}, func() {}, zerolog.Nop())
+	go follower.run(ctx)
+	go f.run(ctx)
+	want := func(value string) {
+		t.Helper()
+		select {
+		case v := <-got.value:
+			if v != value {
+				t.Fatalf("got %q, want %q", v, value)
+			}
+		case <-time.After(2 * time.Second):
+			t.Fatalf("%q did not come", value)
+		}
+	}
+	want("1")
+	second := put("2", first)
+	c := <-pushed
+	select {
+	case v := <-got.value:
+		t.Fatalf("%q was read from the store without a message", v)
+	case <-time.After(2 * followCheck):
+	}
+	f.pushed(time.Now(), c)
+	want("2")
+	third := put(strings.Repeat("3", spreadLimit), second)
+	large := <-pushed
+	if len(large.Changes) > 0 {
+		t.Error("changes above the limit are in the message")
+	}
+	f.pushed(time.Now(), large)
+	want(strings.Repeat("3", spreadLimit))
+	put("4", third)
+	f.pushed(time.Now(), &meshpb.Changes{Prefix: "p/", Since: 1 << 40, Revision: 1<<40 + 1, Changes: c.Changes})
+	want("4")
+}
+
+// Guards against entries that lapsed with the store and are removed at once by a
+// daemon that does not follow it.
+func TestReturnOfTheStoreIsPassedOn(t *testing.T) {
+	e := newEndpoints(func(i platform.Item) (discovery.Entry, bool) { return discovery.Entry{ID: i.Key, Service: "s"}, true },
+		newPools("z", zerolog.Nop()), zerolog.Nop())
+	f := newFeed("p/", &deafLog{}, e, fixedFleet{}, func() {}, zerolog.Nop())
+	f.replace([]platform.Item{{Key: "p/a", Revision: 3}}, 3)
+	gone := &meshpb.Changes{Prefix: "p/", Since: 3, Revision: 5, BackAgeMs: 200, Changes: []*meshpb.Change{
+		{Item: &meshpb.Item{Key: "p/a", Revision: 5}, Deleted: true},
+	}}
+	f.pushed(time.Now(), gone)
+	if !e.pools.known() {
+		t.Error("an entry that lapsed with the store was removed at once")
+	}
+	e.tick(time.Now().Add(3 * time.Second))
+	if e.pools.known() {
+		t.Error("an entry that did not come back stayed")
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -164,8 +164,8 @@
 	d.retries = newRetries(retryOptions(d.s.Bounds), d.s.Instance.FirstStart, d.mesh.Count, d.log)
 	d.config = &configuration{wire: d.o.Wire, log: d.log, installed: d.install}
 	d.endpoints = newEndpoints(d.o.Wire.DecodeEndpoint, d.pools, d.log)
-	d.configFeed = newFeed(d.o.Wire.ConfigPrefix, d.store, d.config, d.mesh.Count, d.bank.StoreHeard, d.log)
-	d.endpointFeed = newFeed(d.o.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh.Count, d.bank.StoreHeard, d.log)
+	d.configFeed = newFeed(d.o.Wire.ConfigPrefix, d.store, d.config, d.mesh, d.bank.StoreHeard, d.log)
+	d.endpointFeed = newFeed(d.o.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.bank.StoreHeard, d.log)
 	d.entry = relay.New(relay.Options{
 		Codec: d.o.Wire.Codec, Bank: d.bank, Pools: d.pools, Retries: d.retries, Crashes: d.crashes,
 		Table: d.config.table, Log: d.log, Scope: d.scope,
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -149,15 +149,20 @@
 type meshState struct{ d *Daemon }
 
 // Digest implements mesh.State.
-func (s meshState) Digest() *meshpb.Digest {
+func (s meshState) Digest(loads bool) *meshpb.Digest {
 	d, now := s.d, time.Now()
-	return &meshpb.Digest{
+	digest := &meshpb.Digest{
 		Revisions: map[string]int64{
 			d.configFeed.prefix:   int64(d.configFeed.newest()),
 			d.endpointFeed.prefix: int64(d.endpointFeed.newest()),
 		},
-		Loads: d.pools.loads(now), Balances: d.bank.Balances(), Crashes: d.crashes.entries(now), Stopping: d.stopping.Load(),
+		Balances: d.bank.Balances(), Crashes: d.crashes.entries(now), Stopping: d.stopping.Load(),
+		Follows: d.mesh.Follows(), StoreAgeMs: d.endpointFeed.storeAge(now), BackAgeMs: d.endpointFeed.backAge(now),
 	}
+	if loads {
+		digest.Loads = d.pools.loads(now)
+	}
+	return digest
 }
 
 // Learn implements mesh.State.
@@ -165,6 +170,7 @@
 	d, now := s.d, time.Now()
 	d.pools.merge(now, m.Address, m.Loads)
 	d.crashes.merge(now, m.Crashes)
+	d.endpointFeed.learnReturn(now, m.BackAgeMs)
 	for _, f := range []*feed{d.configFeed, d.endpointFeed} {
 		if f.behind(now, platform.Revision(m.Revisions[f.prefix])) {
 			d.wg.Go(func() { f.fetch(m.Address, d.mesh.FetchItems) })
@@ -172,6 +178,15 @@
 	}
 }
 
+// Pushed implements mesh.State.
+func (s meshState) Pushed(c *meshpb.Changes) {
+	for _, f := range []*feed{s.d.configFeed, s.d.endpointFeed} {
+		if f.prefix == c.Prefix {
+			f.pushed(time.Now(), c)
+		}
+	}
+}
+
 // Give implements mesh.State.
 func (s meshState) Give(ctx context.Context, account string, tokens int64) int64 {
 	return s.d.bank.Give(ctx, account, tokens)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -30,8 +30,11 @@
 	exchangeInterval = 250 * time.Millisecond
 	// exchangeTimeout bounds one exchange; a peer answers in a few ms.
 	exchangeTimeout = 600 * time.Millisecond
-	// liveFor is the silence after which a peer is not counted as live.
-	liveFor = 2500 * time.Millisecond
+	// liveFor is the least silence after which a peer is not counted as live;
+	// farLiveFor is that of a peer in another failure domain of a wide fleet,
+	// which is called every 6 s among 48.
+	liveFor    = 2500 * time.Millisecond
+	farLiveFor = 12 * time.Second
 	// forgetAfter is the silence after which a peer is not called any more.
 	forgetAfter = 2 * time.Minute
 	// itemsTimeout bounds the copy of items, up to some hundred KB.
@@ -46,18 +49,37 @@
 
 // fanout is the number of peers that a daemon calls in one interval; in a
 // larger fleet it calls them in turn, so that its work does not grow with it.
-const fanout = 8
+// A wide fleet has more than wideFleet daemons: there a daemon calls nearFanout
+// peers of its own failure domain and farFanout others. 8 calls of any domain
+// took a third of a 10 Mbit/s link with 64 daemons.
+const (
+	fanout     = 8
+	wideFleet  = 16
+	nearFanout = 3
+	farFanout  = 2
+	// toldPeers bounds the addresses in the digest of a wide fleet.
+	toldPeers = 8
+	// followers is the number of daemons in each failure domain of a wide fleet
+	// that follow the store and push its changes to the others.
+	followers = 2
+	// followFresh is the age of a follower's last answer of the store beyond
+	// which another one takes its place: its polls wait up to 3 s.
+	followFresh = 5 * time.Second
+)
 
 // State is what the daemon tells and learns.
 type State interface {
-	// Digest returns what to tell; the mesh fills in the identity.
-	Digest() *meshpb.Digest
+	// Digest returns what to tell, with the loads at endpoints if they are
+	// wanted; the mesh fills in the identity.
+	Digest(loads bool) *meshpb.Digest
 	// Learn takes what a peer told.
 	Learn(d *meshpb.Digest)
 	// Give takes tokens out for a peer.
 	Give(ctx context.Context, account string, tokens int64) int64
 	// Items returns the daemon's copy of items with a prefix.
 	Items(prefix string) ([]platform.Item, platform.Revision)
+	// Pushed takes changes that a follower of the store passed on.
+	Pushed(c *meshpb.Changes)
 }
 
 // Options configure a Mesh.
@@ -72,11 +94,14 @@
 type peer struct {
 	addr string
 	conn *grpc.ClientConn
-	// id and balances are from its last digest.
-	id       string
-	balances map[string]int64
-	stopping bool
-	heard    time.Time
+	// id, domain, balances, stopping and follows are from its last digest.
+	id, domain string
+	balances   map[string]int64
+	stopping   bool
+	follows    bool
+	// storeHeard is when the store last answered it.
+	storeHeard time.Time
+	heard      time.Time
 	// called is when an exchange was last started; known when it was added.
 	called, known time.Time
 	busy          bool
@@ -123,7 +148,9 @@
 
 // Close ends all exchanges.
 func (m *Mesh) Close() {
+	m.mu.Lock()
 	m.cancel()
+	m.mu.Unlock()
 	m.server.Stop()
 	m.wg.Wait()
 	m.mu.Lock()
@@ -183,47 +210,74 @@
 // round starts the exchanges that are due.
 func (m *Mesh) round(now time.Time) {
 	m.mu.Lock()
-	due := make([]*peer, 0, len(m.peers))
 	for addr, p := range m.peers {
 		m.noteLoss(now, p)
 		if now.Sub(p.heard) > forgetAfter && now.Sub(p.known) > forgetAfter {
 			p.conn.Close()
 			delete(m.peers, addr)
-			continue
-		}
-		if !p.busy {
-			due = append(due, p)
 		}
 	}
-	sort.Slice(due, func(i, j int) bool { return due[i].called.Before(due[j].called) })
-	due = due[:min(len(due), fanout)]
+	due := m.due()
 	for _, p := range due {
 		p.busy, p.called = true, now
 	}
-	m.mu.Unlock()
-	if len(due) == 0 {
-		return
+	near := make(map[*peer]bool, len(due))
+	for _, p := range due {
+		near[p] = m.near(p)
 	}
-	digest := m.digest()
+	m.mu.Unlock()
+	digests := make(map[bool]*meshpb.Digest, 2)
 	for _, p := range due {
-		m.wg.Go(func() { m.exchange(p, digest) })
+		if digests[near[p]] == nil {
+			digests[near[p]] = m.digest(near[p])
+		}
+		m.wg.Go(func() { m.exchange(p, digests[near[p]]) })
+	}
+}
+
+// due returns the peers to call in this interval, those first that were not
+// called for longest.
+func (m *Mesh) due() []*peer {
+	free := make([]*peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		if !p.busy {
+			free = append(free, p)
+		}
+	}
+	sort.Slice(free, func(i, j int) bool { return free[i].called.Before(free[j].called) })
+	if !m.wide() {
+		return free[:min(len(free), fanout)]
+	}
+	var due []*peer
+	left := map[bool]int{true: nearFanout, false: farFanout}
+	for _, p := range free {
+		if near := m.near(p); left[near] > 0 {
+			left[near]--
+			due = append(due, p)
+		}
 	}
+	return due
 }
 
 // noteLoss logs a peer that fell silent.
 func (m *Mesh) noteLoss(now time.Time, p *peer) {
-	if !p.lost && !p.heard.IsZero() && now.Sub(p.heard) > liveFor {
+	if !p.lost && !p.heard.IsZero() && !m.live(now, p) {
 		p.lost = true
 		m.Log.Warn().Str("peer", p.addr).Dur("silent_ms", now.Sub(p.heard)).Msg("peer lost")
 	}
 }
 
-func (m *Mesh) digest() *meshpb.Digest {
-	d := m.State.Digest()
+// digest is what to tell a peer that is near or far.
+func (m *Mesh) digest(near bool) *meshpb.Digest {
+	d := m.State.Digest(near)
 	d.Id, d.Address, d.Domain = m.ID, m.Addr, m.Domain
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	wide := m.wide()
 	for addr, p := range m.peers {
+		if wide && len(d.Peers) == toldPeers {
+			break
+		}
 		if !p.lost && !p.heard.IsZero() {
 			d.Peers = append(d.Peers, addr)
 		}
@@ -256,7 +310,11 @@
 		if p.lost || p.id != d.Id {
 			m.Log.Info().Str("peer", p.addr).Str("peer_id", d.Id).Msg("peer heard")
 		}
-		p.id, p.balances, p.stopping, p.heard, p.lost = d.Id, d.Balances, d.Stopping, time.Now(), false
+		p.id, p.domain, p.balances, p.stopping, p.lost = d.Id, d.Domain, d.Balances, d.Stopping, false
+		p.heard, p.follows, p.storeHeard = time.Now(), d.Follows, time.Time{}
+		if d.StoreAgeMs >= 0 {
+			p.storeHeard = p.heard.Add(-time.Duration(d.StoreAgeMs) * time.Millisecond)
+		}
 	}
 	m.mu.Unlock()
 	m.State.Learn(d)
@@ -265,7 +323,13 @@
 // Exchange implements meshpb.MeshServer.
 func (m *Mesh) Exchange(_ context.Context, d *meshpb.Digest) (*meshpb.Digest, error) {
 	m.learn(d)
-	return m.digest(), nil
+	return m.digest(!m.Wide() || d.Domain == m.Domain), nil
+}
+
+// Push implements meshpb.MeshServer.
+func (m *Mesh) Push(_ context.Context, c *meshpb.Changes) (*meshpb.PushReply, error) {
+	m.State.Pushed(c)
+	return &meshpb.PushReply{}, nil
 }
 
 // maxTaken bounds the answered asks that are remembered.
@@ -367,42 +431,3 @@
 	}
 	return reply.Tokens, nil
 }
-
-// Richest returns the live peers, the one with the most tokens first. One that
-// holds none may be able to draw some.
-func (m *Mesh) Richest(account string) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	var live []*peer
-	for _, p := range m.peers {
-		if now.Sub(p.heard) < liveFor {
-			live = append(live, p)
-		}
-	}
-	sort.Slice(live, func(i, j int) bool {
-		if live[i].balances[account] != live[j].balances[account] {
-			return live[i].balances[account] > live[j].balances[account]
-		}
-		return live[i].addr < live[j].addr
-	})
-	addrs := make([]string, 0, len(live))
-	for _, p := range live {
-		addrs = append(addrs, p.addr)
-	}
-	return addrs
-}
-
-// Count returns the number of daemons that take work, this one included.
-func (m *Mesh) Count() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := time.Now()
-	n := 1
-	for _, p := range m.peers {
-		if !p.stopping && now.Sub(p.heard) < liveFor {
-			n++
-		}
-	}
-	return n
-}
