Pace and borrow budget tokens in a wide fleet

Change: the pause between levelling writes grows with the fleet and is spread; a daemon of a wide fleet asks at most two near peers that hold twice what it needs before the store; the standing shares of all daemons together are bounded; a first share too small for a request is not drawn; the sum of the peers' loads at an endpoint is kept for 100 ms. Fleets up to 13 daemons level as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -247,6 +247,7 @@
 func (p *Pool) Merge(now time.Time, peer, id string, l Load) {
 	if m, ok := p.members[id]; ok {
 		m.peers[peer] = peerLoad{Load: l, at: now}
+		m.summedAt = time.Time{}
 	}
 }
 
@@ -266,5 +267,6 @@
 func (p *Pool) ForgetPeer(peer string) {
 	for _, m := range p.members {
 		delete(m.peers, peer)
+		m.summedAt = time.Time{}
 	}
 }
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -46,6 +46,9 @@
 	reportLife = 600 * time.Millisecond
 	// peerLife is the age at which a peer's load is dropped.
 	peerLife = 1500 * time.Millisecond
+	// sumLife is the age at which the sum of the peers' loads is made anew
+	// though none came; with 64 daemons a sum for each choice is dear.
+	sumLife = 100 * time.Millisecond
 	// promptLife is the time for which an unused prompt is taken as kept.
 	promptLife = 30 * time.Second
 	// outcomeLife is the time constant of the record of outcomes.
@@ -64,6 +67,10 @@
 	report   Report
 	reportAt time.Time
 	peers    map[string]peerLoad
+	// summed is the sum of peers as of summedAt; the zero time means that it has
+	// to be made anew.
+	summed   Load
+	summedAt time.Time
 
 	// prompts are the parts of prompts that were sent there, with the time of
 	// their last use.
@@ -99,6 +106,9 @@
 
 // others is the load of the peers that told of it lately.
 func (m *member) others(now time.Time) Load {
+	if now.Sub(m.summedAt) < sumLife {
+		return m.summed
+	}
 	var sum Load
 	for peer, l := range m.peers {
 		if now.Sub(l.at) > peerLife {
@@ -110,6 +120,7 @@
 		sum.OK += l.OK
 		sum.Failed += l.Failed
 	}
+	m.summed, m.summedAt = sum, now
 	return sum
 }
 
--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -39,10 +39,15 @@
 	retryUnavailable = 300 * time.Millisecond
 	// conflictTries bounds the repeats of a write that met other daemons'.
 	conflictTries = 6
-	// levelPause is the time between two writes that bring holdings near their
-	// targets, and levelTries bounds the repeats of one after conflicts.
-	levelPause = 2 * time.Second
-	levelTries = 3
+	// levelPause is the least time between two writes that bring holdings near
+	// their targets, and levelTries bounds the repeats of one after conflicts.
+	// The time grows by levelPerDaemon, which keeps the fleet's writes at about
+	// seven a second and so far below the platform's limit.
+	levelPause     = 2 * time.Second
+	levelPerDaemon = 150 * time.Millisecond
+	levelTries     = 3
+	// lenders is the number of peers asked before the store in a wide fleet.
+	lenders = 2
 )
 
 // keyPrefix is the prefix of the accounts' records.
@@ -53,6 +58,9 @@
 	// Richest returns the peers that may hold tokens of an account, the one
 	// with the most first.
 	Richest(account string) []string
+	// Lenders returns at most n near peers that hold at least tokens, in a fleet
+	// in which daemons ask each other before the store.
+	Lenders(account string, tokens int64, n int) []string
 	// Count returns the number of live daemons, this one included.
 	Count() int
 	// Ask asks a peer for tokens.
@@ -83,6 +91,8 @@
 	// leveling is true while Tick's write is in flight; leveled is when it began.
 	leveling bool
 	leveled  time.Time
+	// pause is the time to the next one.
+	pause time.Duration
 }
 
 // account is one holding with the reservations that wait for it.
--- a/internal/escrow/bank/bank_test.go
+++ b/internal/escrow/bank/bank_test.go
@@ -17,7 +17,11 @@
 )
 
 // neighbours are the other banks of a test, by name.
-type neighbours struct{ banks map[string]*Bank }
+type neighbours struct {
+	banks map[string]*Bank
+	// lenders are those that are asked before the store.
+	lenders map[string]*Bank
+}
 
 func (n neighbours) Richest(string) []string {
 	var names []string
@@ -31,13 +35,23 @@
 	return n.banks[peer].Give(ctx, account, tokens), nil
 }
 
+func (n neighbours) Lenders(account string, tokens int64, most int) []string {
+	var names []string
+	for name, b := range n.lenders {
+		if b.Balances()[account] >= tokens && len(names) < most {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (n neighbours) Count() int { return 1 + len(n.banks) }
 
 const prepaid = 1000
 
 func newBank(t *testing.T, store *memstore.Store, name string, peers map[string]*Bank) *Bank {
 	t.Helper()
-	b := New(Options{Holder: escrow.HolderID(name, "1"), Store: store, Peers: neighbours{peers}, Log: zerolog.Nop()})
+	b := New(Options{Holder: escrow.HolderID(name, "1"), Store: store, Peers: neighbours{banks: peers}, Log: zerolog.Nop()})
 	b.Configure([]routing.Account{{Name: "t", Prepaid: prepaid}})
 	t.Cleanup(func() { b.Close(t.Context()) })
 	return b
@@ -157,3 +171,39 @@
 		a.wg.Wait()
 	}
 }
+
+// Guards against a call of the store for tokens that a near peer holds, and
+// against a refusal where the peer's holding is smaller than it told.
+func TestLendersComeBeforeTheStore(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	h, err := a.Reserve(t.Context(), tenant, 600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Settle(0)
+	b := newBank(t, store, "b", map[string]*Bank{"a": a})
+	b.Peers = neighbours{banks: map[string]*Bank{"a": a}, lenders: map[string]*Bank{"a": a}}
+	before := store.Calls()
+	if err := reserve(t, b, 100); err != nil {
+		t.Fatal(err)
+	}
+	if after := store.Calls(); after != before {
+		t.Errorf("calls %+v, want %+v: a peer held enough", after, before)
+	}
+	if err := reserve(t, b, 350); err != nil {
+		t.Errorf("refused although the store has 400 tokens: %v", err)
+	}
+}
+
+// Guards against levelling writes that grow with the fleet.
+func TestLevelPauseGrowsWithTheFleet(t *testing.T) {
+	for _, c := range []struct {
+		daemons     int
+		least, most time.Duration
+	}{{1, levelPause, levelPause}, {7, levelPause, levelPause}, {64, 7 * time.Second, 13 * time.Second}, {420, 47 * time.Second, 80 * time.Second}} {
+		if got := pauseOf(c.daemons); got < c.least || got > c.most {
+			t.Errorf("%d daemons: %v, want %v to %v", c.daemons, got, c.least, c.most)
+		}
+	}
+}
--- a/internal/escrow/bank/draw.go
+++ b/internal/escrow/bank/draw.go
@@ -44,6 +44,9 @@
 // drawOnce draws from the store, and from the peers if the store gives nothing
 // or takes long.
 func (b *Bank) drawOnce(a *account) (drawResult, peersResult) {
+	if b.borrow(a) {
+		return storeDrawn, peersGave
+	}
 	drawn := make(chan drawResult, 1)
 	b.wg.Go(func() { drawn <- b.drawFromStore(a) })
 	patience := time.NewTimer(storePatience)
@@ -63,6 +66,15 @@
 	return <-drawn, fromPeers
 }
 
+// borrow asks the lenders; it returns true if no reservation waits then.
+func (b *Bank) borrow(a *account) bool {
+	b.mu.Lock()
+	need := a.need()
+	b.mu.Unlock()
+	b.askPeers(a, b.Peers.Lenders(a.name, 2*need, lenders))
+	return !b.waits(a)
+}
+
 // drawResult is the outcome of a draw from the store.
 type drawResult uint8
 
@@ -184,8 +196,13 @@
 
 // drawFromPeers asks the peers for what the waiters lack.
 func (b *Bank) drawFromPeers(a *account) peersResult {
+	return b.askPeers(a, b.Peers.Richest(a.name))
+}
+
+// askPeers asks peers in turn until no reservation waits.
+func (b *Bank) askPeers(a *account, peers []string) peersResult {
 	result := peersEmpty
-	for _, peer := range b.Peers.Richest(a.name) {
+	for _, peer := range peers {
 		b.mu.Lock()
 		need := a.need()
 		b.mu.Unlock()
--- a/internal/escrow/bank/level.go
+++ b/internal/escrow/bank/level.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -14,13 +15,23 @@
 func (b *Bank) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || b.leveling || now.Before(b.storeDown) || now.Sub(b.leveled) < levelPause {
+	if b.closed || b.leveling || now.Before(b.storeDown) || now.Sub(b.leveled) < b.pause {
 		return
 	}
-	b.leveled, b.leveling = now, true
+	b.leveled, b.leveling, b.pause = now, true, pauseOf(b.Peers.Count())
 	b.wg.Go(b.level)
 }
 
+// pauseOf is the time between two levelling writes of one of so many daemons.
+// It is spread in larger fleets, whose daemons would meet again and again.
+func pauseOf(daemons int) time.Duration {
+	pause := time.Duration(daemons) * levelPerDaemon
+	if pause <= levelPause {
+		return levelPause
+	}
+	return time.Duration((0.75 + rand.Float64()/2) * float64(pause))
+}
+
 // levelWrite is the write of one account within a common one.
 type levelWrite struct {
 	account *account
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -24,11 +24,15 @@
 	// it is lost if they all lose power at once.
 	riskShare = 0.2
 	// standingShare is what each holder keeps of the rest however little it
-	// spends, which spares draws.
+	// spends, which spares draws; standingFleet bounds that of all together.
 	standingShare = 0.01
+	standingFleet = 0.15
 	// firstShare is what all daemons keep together of a budget that they have
 	// not used yet, against a loss of the store in the first seconds.
 	firstShare = 0.1
+	// leastFirst is the least part of the budget, as a divisor, that is worth a
+	// write before the first use; a smaller one covers no request.
+	leastFirst = 200
 	// firstFor is the time for which a daemon keeps its part of that unused.
 	firstFor = 20 * time.Second
 	// leastSurplus is the least part of the budget, as a divisor, that is worth
@@ -141,14 +145,16 @@
 func (h *Holding) Target(now time.Time) int64 {
 	rest := float64(h.Undrawn() + max(0, h.Available()))
 	if h.rateAt.IsZero() {
-		if now.Sub(h.since) > firstFor {
+		first := int64(firstShare * rest / float64(h.daemons))
+		if now.Sub(h.since) > firstFor || first < h.prepaid/leastFirst {
 			return 0
 		}
-		return int64(firstShare * rest / float64(h.daemons))
+		return first
 	}
 	rate := h.recentRate(now)
 	atRisk := riskShare * rest * h.record.share(h.holder, rate)
-	return int64(max(min(rate*horizon.Seconds(), atRisk), standingShare*rest))
+	standing := min(standingShare, standingFleet/float64(h.daemons)) * rest
+	return int64(max(min(rate*horizon.Seconds(), atRisk), standing))
 }
 
 // Low tells whether tokens should be drawn although no request waits.
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -40,10 +40,14 @@
 }
 
 // Lenders returns at most n live peers of the own failure domain that hold at
-// least tokens of an account, the one with the most first.
+// least tokens of an account, the one with the most first. It returns none
+// unless the fleet is wide.
 func (m *Mesh) Lenders(account string, tokens int64, n int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.wide() {
+		return nil
+	}
 	lenders := m.rank(account, func(p *peer) bool { return p.domain == m.Domain && p.balances[account] >= tokens })
 	return m.addrs(lenders[:min(len(lenders), n)])
 }
