Build each round's digests before the exchanges start; test the mesh on its own

Cause: found by the new test under the race detector: the goroutines of a round read the map of digests while the round still wrote it, which ends a process.

Change: the peers of a round are split into near and far ones, each with one digest. The mesh has tests of its own: a small fleet as before, a wide one with followers that lose the store or die, and changes pushed to one domain only.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -209,7 +209,25 @@
 
 // round starts the exchanges that are due.
 func (m *Mesh) round(now time.Time) {
+	near, far := m.begin(now)
+	if len(near) > 0 {
+		m.exchangeAll(near, m.digest(true))
+	}
+	if len(far) > 0 {
+		m.exchangeAll(far, m.digest(false))
+	}
+}
+
+func (m *Mesh) exchangeAll(peers []*peer, digest *meshpb.Digest) {
+	for _, p := range peers {
+		m.wg.Go(func() { m.exchange(p, digest) })
+	}
+}
+
+// begin returns the peers to call now.
+func (m *Mesh) begin(now time.Time) (near, far []*peer) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	for addr, p := range m.peers {
 		m.noteLoss(now, p)
 		if now.Sub(p.heard) > forgetAfter && now.Sub(p.known) > forgetAfter {
@@ -217,22 +235,15 @@
 			delete(m.peers, addr)
 		}
 	}
-	due := m.due()
-	for _, p := range due {
+	for _, p := range m.due() {
 		p.busy, p.called = true, now
-	}
-	near := make(map[*peer]bool, len(due))
-	for _, p := range due {
-		near[p] = m.near(p)
-	}
-	m.mu.Unlock()
-	digests := make(map[bool]*meshpb.Digest, 2)
-	for _, p := range due {
-		if digests[near[p]] == nil {
-			digests[near[p]] = m.digest(near[p])
+		if m.near(p) {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
 		}
-		m.wg.Go(func() { m.exchange(p, digests[near[p]]) })
 	}
+	return near, far
 }
 
 // due returns the peers to call in this interval, those first that were not
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,199 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// node is one daemon of a test.
+type node struct {
+	*Mesh
+	mu sync.Mutex
+	// cut means that the store does not answer this daemon.
+	cut    bool
+	pushed []*meshpb.Changes
+	// farLoads counts digests with loads from other failure domains.
+	farLoads int
+	given    int64
+}
+
+func (n *node) Digest(loads bool) *meshpb.Digest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d := &meshpb.Digest{Follows: n.Follows(), Balances: map[string]int64{"t": 100}, BackAgeMs: -1}
+	if n.cut {
+		d.StoreAgeMs = 2 * followFresh.Milliseconds()
+	}
+	if loads {
+		d.Loads = []*meshpb.EndpointLoad{{Service: "s", Endpoint: "e", Requests: 1}}
+	}
+	return d
+}
+
+func (n *node) Learn(d *meshpb.Digest) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if d.Domain != n.Domain && len(d.Loads) > 0 {
+		n.farLoads++
+	}
+}
+
+func (n *node) Give(_ context.Context, _ string, tokens int64) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.given += tokens
+	return tokens
+}
+
+func (n *node) Items(prefix string) ([]platform.Item, platform.Revision) {
+	return []platform.Item{{Key: prefix + "a", Value: []byte("1"), Revision: 3}}, 4
+}
+
+func (n *node) Pushed(c *meshpb.Changes) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pushed = append(n.pushed, c)
+}
+
+// newNodes starts daemons in failure domains by turns; each knows the first.
+func newNodes(t *testing.T, count, domains int) []*node {
+	t.Helper()
+	var nodes []*node
+	for i := range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := &node{}
+		n.Mesh = New(Options{ID: fmt.Sprint("d-", i), Addr: l.Addr().String(), Domain: fmt.Sprint("z", i%domains), State: n, Log: zerolog.Nop()})
+		if i > 0 {
+			n.Add(nodes[0].Addr)
+		}
+		n.Serve(l)
+		nodes = append(nodes, n)
+	}
+	t.Cleanup(func() {
+		for _, n := range nodes {
+			n.Close()
+		}
+	})
+	eventually(t, "all daemons know each other", func() bool {
+		for _, n := range nodes {
+			if n.Count() != count {
+				return false
+			}
+		}
+		return true
+	})
+	return nodes
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !check(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within 30 s: %s", what)
+		}
+	}
+}
+
+// following returns the daemons of a failure domain that follow the store.
+func following(nodes []*node, domain string) []*node {
+	var list []*node
+	for _, n := range nodes {
+		if n.Domain == domain && n.Follows() {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Guards against a small fleet in which a daemon waits for others to tell it of
+// changes, asks peers before the store, or repeats a taking of tokens.
+func TestSmallFleet(t *testing.T) {
+	nodes := newNodes(t, 3, 3)
+	for _, n := range nodes {
+		if !n.Follows() {
+			t.Errorf("%s does not follow the store", n.ID)
+		}
+	}
+	if l := nodes[0].Lenders("t", 10, 2); len(l) > 0 {
+		t.Errorf("lenders %v, want none in a small fleet", l)
+	}
+	if l := nodes[0].Richest("t"); len(l) != 2 {
+		t.Errorf("richest %v, want both peers", l)
+	}
+	got, err := nodes[0].Ask(t.Context(), nodes[1].Addr, "t", 7)
+	if err != nil || got != 7 {
+		t.Errorf("got %d, %v", got, err)
+	}
+	r := &meshpb.TakeRequest{Id: "once", Account: "t", Tokens: 5}
+	for range 2 {
+		if reply, err := nodes[1].TakeTokens(t.Context(), r); err != nil || reply.Tokens != 5 {
+			t.Errorf("reply %v, %v", reply, err)
+		}
+	}
+	if nodes[1].given != 12 {
+		t.Errorf("%d tokens given, want 12: an ask with the same id counts once", nodes[1].given)
+	}
+	items, at, err := nodes[0].FetchItems(nodes[2].Addr, "p/")
+	if err != nil || at != 4 || len(items) != 1 || items[0].Revision != 3 {
+		t.Errorf("items %v at %d, %v", items, at, err)
+	}
+}
+
+// Guards against a wide fleet in which all daemons follow the store or none
+// does, also once a follower loses the store or dies, and against changes that
+// do not reach the failure domain.
+func TestWideFleet(t *testing.T) {
+	nodes := newNodes(t, wideFleet+4, 2)
+	for _, domain := range []string{"z0", "z1"} {
+		eventually(t, "two daemons follow the store in "+domain, func() bool { return len(following(nodes, domain)) == followers })
+	}
+	lost := following(nodes, "z0")[0]
+	lost.mu.Lock()
+	lost.cut = true
+	lost.mu.Unlock()
+	eventually(t, "another daemon follows besides the one that lost the store", func() bool {
+		list := following(nodes, "z0")
+		return len(list) == followers+1
+	})
+	dead := following(nodes, "z1")[0]
+	dead.Close()
+	eventually(t, "another daemon follows in place of the dead one", func() bool {
+		n := 0
+		for _, f := range following(nodes, "z1") {
+			if f != dead {
+				n++
+			}
+		}
+		return n == followers
+	})
+	from := following(nodes, "z0")[1]
+	from.Spread(&meshpb.Changes{Prefix: "p/", Revision: 5})
+	for _, n := range nodes {
+		if n == from || n.Domain != from.Domain {
+			continue
+		}
+		eventually(t, n.ID+" hears of the change", func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return len(n.pushed) == 1
+		})
+	}
+	if l := from.Lenders("t", 50, 2); len(l) != 2 {
+		t.Errorf("lenders %v, want two near peers", l)
+	}
+}
