Add a fault soak with real daemons behind fault-injecting proxies

Daemons run as processes built with the race detector against stand-ins of the platform's store and endpoints (platform/platformtest, from the store's tests). Seeded faults overlap: proxies that delay, reset, silence or mute connections, a store that refuses or hangs, endpoints that crash or drain, daemons that are killed, paused, stopped, restarted and reloaded, and configurations in a row. Callers check budgets, single runs, streams, true refusals, configuration, draining, planned stops and recovery.

--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,183 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/settings"
+	"github.com/azurehatch/azurehatch/internal/unit"
+)
+
+// binary is the path of the daemon that TestMain builds, with the race detector.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "azurehatch-soak-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "azurehatch")
+	build := exec.Command("go", "build", "-race", "-o", binary, "github.com/azurehatch/azurehatch/cmd/azurehatch")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// grace is the time from SIGTERM to SIGKILL, as the users' platform has it.
+const grace = 8 * time.Second
+
+// daemon is one instance with the process that runs it now.
+type daemon struct {
+	name, domain, dir    string
+	callers, ready, mesh string
+	store                *proxy
+	seeds                []string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	stderr *bytes.Buffer
+	log    *os.File
+	starts int
+	alive  bool
+	// disturbed is the last time at which the daemon was killed, paused or cut
+	// off from the store, or such a fault ended.
+	disturbed time.Time
+	// stopped is when a planned stop began, zero outside one.
+	stopped time.Time
+	paused  bool
+	// cuts is the number of open faults of the path to the store.
+	cuts int
+}
+
+func (d *daemon) settings() settings.Front {
+	s := settings.DefaultFront()
+	s.Instance = settings.FrontInstance{Name: d.name, FailureDomain: d.domain, Region: "r", FirstStart: d.starts == 0}
+	s.Listen = settings.FrontListen{Callers: d.callers, Ready: d.ready, Mesh: d.mesh, Seeds: d.seeds}
+	s.Store.Address = d.store.addr()
+	s.Bounds.Grace = unit.Seconds(int(grace.Seconds()))
+	return s
+}
+
+func (d *daemon) writeSettings() (string, error) {
+	text, err := d.settings().Format()
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(d.dir, d.name+".toml")
+	return file, os.WriteFile(file, text, 0o600)
+}
+
+// start runs a new process of the daemon.
+func (d *daemon) start() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	file, err := d.writeSettings()
+	if err != nil {
+		return err
+	}
+	d.starts++
+	d.log, err = os.Create(filepath.Join(d.dir, fmt.Sprintf("%s.%d.log", d.name, d.starts)))
+	if err != nil {
+		return err
+	}
+	d.cmd, d.stderr, d.exited = exec.Command(binary, "front", "--settings", file), &bytes.Buffer{}, make(chan struct{})
+	d.cmd.Stdout, d.cmd.Stderr = d.log, d.stderr
+	if err := d.cmd.Start(); err != nil {
+		return err
+	}
+	d.alive, d.disturbed, d.stopped = true, time.Now(), time.Time{}
+	go func(cmd *exec.Cmd, exited chan struct{}, log *os.File) {
+		_ = cmd.Wait()
+		log.Close()
+		d.mu.Lock()
+		d.alive = false
+		d.mu.Unlock()
+		close(exited)
+	}(d.cmd, d.exited, d.log)
+	return nil
+}
+
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.alive {
+		_ = d.cmd.Process.Signal(s)
+	}
+	if s != syscall.SIGTERM && s != syscall.SIGHUP {
+		d.disturbed = time.Now()
+	}
+	if s == syscall.SIGTERM {
+		d.stopped = time.Now()
+	}
+	d.paused = s == syscall.SIGSTOP
+}
+
+// touch notes the beginning (1) or end (-1) of a fault of the daemon's path to
+// the store.
+func (d *daemon) touch(change int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.disturbed = time.Now()
+	d.cuts += change
+}
+
+// kill ends the process at once and waits for its end.
+func (d *daemon) kill() {
+	d.signal(syscall.SIGKILL)
+	<-d.end()
+}
+
+// stop ends the process as planned; it is killed after the grace time.
+func (d *daemon) stop() (inTime bool) {
+	d.signal(syscall.SIGTERM)
+	select {
+	case <-d.end():
+		return true
+	case <-time.After(grace):
+		d.kill()
+		return false
+	}
+}
+
+func (d *daemon) end() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.exited
+}
+
+// troubled tells whether a fault touched the daemon since a time.
+func (d *daemon) troubled(since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.paused || d.cuts > 0 || !d.alive && d.stopped.IsZero() || d.disturbed.After(since)
+}
+
+// stopping tells whether a planned stop has begun by a time.
+func (d *daemon) stopping(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.alive || !d.stopped.IsZero() && !d.stopped.After(at)
+}
+
+// checkOutput reports panics and data races of the daemon's processes.
+func (d *daemon) checkOutput(t *testing.T) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stderr.Len() > 0 {
+		t.Errorf("%s wrote to standard error: %s", d.name, d.stderr)
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// fault is what a proxy does to the connections through it.
+type fault uint8
+
+const (
+	healthy fault = iota
+	// delayed holds each piece of data back for a while, in both directions.
+	delayed
+	// refused resets open connections and refuses new ones.
+	refused
+	// silent passes nothing on in either direction; mute nothing from the server,
+	// so that calls arrive and their answers don't.
+	silent
+	mute
+)
+
+func (f fault) String() string {
+	return [...]string{"healthy", "delayed", "refused", "silent", "mute"}[f]
+}
+
+// delayOf is the time for which a delayed proxy holds data back.
+const delayOf = 120 * time.Millisecond
+
+// proxy passes connections on to a server and disturbs them.
+type proxy struct {
+	listener net.Listener
+	target   func() string
+	wg       sync.WaitGroup
+
+	mu     sync.Mutex
+	fault  fault
+	change chan struct{}
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+func newProxy(target func() string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, change: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	p.wg.Go(p.accept)
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.listener.Addr().String() }
+
+// set changes the fault. Data that waits in a silent proxy goes on later, as
+// after a loss of packets.
+func (p *proxy) set(f fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.change)
+	p.change = make(chan struct{})
+	if f == refused {
+		for c := range p.conns {
+			reset(c)
+		}
+	}
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
+	close(p.change)
+	p.change = make(chan struct{})
+	for c := range p.conns {
+		c.Close()
+	}
+	p.mu.Unlock()
+	p.listener.Close()
+	p.wg.Wait()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.wg.Go(func() { p.serve(c) })
+	}
+}
+
+func (p *proxy) serve(caller net.Conn) {
+	if !p.add(caller) {
+		reset(caller)
+		return
+	}
+	defer p.remove(caller)
+	server, err := net.Dial("tcp", p.target())
+	if err != nil || !p.add(server) {
+		reset(caller)
+		if err == nil {
+			server.Close()
+		}
+		return
+	}
+	defer p.remove(server)
+	done := make(chan struct{}, 2)
+	go func() { p.pass(caller, server, false); done <- struct{}{} }()
+	go func() { p.pass(server, caller, true); done <- struct{}{} }()
+	<-done
+	caller.Close()
+	server.Close()
+	<-done
+}
+
+func (p *proxy) add(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.fault == refused {
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
+func (p *proxy) remove(c net.Conn) {
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+	c.Close()
+}
+
+// pass copies one direction; answer is true for the server's.
+func (p *proxy) pass(from, to net.Conn, answer bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !p.hold(answer) {
+			return
+		}
+		if _, werr := to.Write(buf[:n]); werr != nil {
+			return
+		}
+		if err != nil {
+			if err == io.EOF {
+				return
+			}
+			reset(to)
+			return
+		}
+	}
+}
+
+// hold waits as the fault demands; it returns false once the proxy closes.
+func (p *proxy) hold(answer bool) bool {
+	for {
+		p.mu.Lock()
+		f, change, closed := p.fault, p.change, p.closed
+		p.mu.Unlock()
+		switch {
+		case closed:
+			return false
+		case f == delayed:
+			time.Sleep(delayOf)
+			return true
+		case f == silent, f == mute && answer:
+			<-change
+		default:
+			return true
+		}
+	}
+}
