--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 FUZZTIME ?= 60
 FUZZ := ./internal/budget ./internal/claim ./internal/lease ./internal/membership ./internal/order ./internal/rollout ./internal/admission ./internal/retry ./internal/poison ./internal/route
 
-.PHONY: build test fmt-check vet lint unit race demo bench bench-quick report fuzz mutants generate
+.PHONY: build test fmt-check vet lint unit race demo bench bench-quick report fuzz mutants soak generate
 
 build:
 	$(GO) build -o bin/azurehatch ./cmd/azurehatch
@@ -33,6 +33,16 @@
 race:
 	$(GO) test -race -timeout 30m ./...
 
+# Plays SEEDS seeds of faults from FIRST on with DAEMONS real daemons each; see
+# docs/soak.md. Logs of failed runs go to bench/out/soak.
+SEEDS ?= 50
+FIRST ?= 1
+DAEMONS ?= 4
+soak:
+	@mkdir -p bench/out/soak
+	AZUREHATCH_SOAK_SEEDS=$(SEEDS) AZUREHATCH_SOAK_FIRST=$(FIRST) AZUREHATCH_SOAK_DAEMONS=$(DAEMONS) \
+		AZUREHATCH_SOAK_LOGS=$(CURDIR)/bench/out/soak $(GO) test -count 1 -v -parallel 4 -timeout 60m -run '^TestSoak$$' ./internal/soak
+
 # Builds and runs a whole fleet on loopback, sends requests and checks them.
 demo: build
 	./bin/azurehatch dev --demo --port 0 --log-level error
