Draw tokens through one keeper a failure domain; probe a lost store with a small call

Change: in a wide fleet one daemon of each failure domain, by rendezvous hash, draws an account's tokens and lends them to its neighbours; what it lends counts in its rate. The others ask two such daemons before the store.

Afterwards each probe of the store read the configuration itself under the probe's 400 ms, which a link of 10 Mbit/s does not allow; the daemons stayed behind until a peer's copy came. Change: a probe reads an empty prefix; the answer to the real call has the usual time. Daemons that would follow the store probe at the usual pace, the others seldom or once a peer has newer changes. The new test failed before.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -46,8 +46,6 @@
 	levelPause     = 2 * time.Second
 	levelPerDaemon = 150 * time.Millisecond
 	levelTries     = 3
-	// lenders is the number of peers asked before the store in a wide fleet.
-	lenders = 2
 )
 
 // keyPrefix is the prefix of the accounts' records.
@@ -58,9 +56,12 @@
 	// Richest returns the peers that may hold tokens of an account, the one
 	// with the most first.
 	Richest(account string) []string
-	// Lenders returns at most n near peers that hold at least tokens, in a fleet
-	// in which daemons ask each other before the store.
-	Lenders(account string, tokens int64, n int) []string
+	// Keeps tells whether this daemon draws the account's tokens from the store,
+	// Lenders which peers to ask first if not.
+	Keeps(account string) bool
+	Lenders(account string) []string
+	// Holders is the number of daemons that draw each account's tokens.
+	Holders() int
 	// Count returns the number of live daemons, this one included.
 	Count() int
 	// Ask asks a peer for tokens.
@@ -276,6 +277,11 @@
 		given += a.holding.Give(tokens - given)
 		b.mu.Unlock()
 	}
+	if b.Peers.Keeps(account) && b.Peers.Holders() < b.Peers.Count() {
+		b.mu.Lock()
+		a.holding.Lent(time.Now(), given)
+		b.mu.Unlock()
+	}
 	b.Log.Info().Str("account", account).Int64("asked", tokens).Int64("given", given).Bool("store_away", away).Msg("tokens given")
 	return given
 }
--- a/internal/escrow/bank/bank_test.go
+++ b/internal/escrow/bank/bank_test.go
@@ -35,16 +35,18 @@
 	return n.banks[peer].Give(ctx, account, tokens), nil
 }
 
-func (n neighbours) Lenders(account string, tokens int64, most int) []string {
+func (n neighbours) Lenders(string) []string {
 	var names []string
-	for name, b := range n.lenders {
-		if b.Balances()[account] >= tokens && len(names) < most {
-			names = append(names, name)
-		}
+	for name := range n.lenders {
+		names = append(names, name)
 	}
 	return names
 }
 
+func (n neighbours) Keeps(string) bool { return len(n.lenders) == 0 }
+
+func (n neighbours) Holders() int { return n.Count() - len(n.lenders) }
+
 func (n neighbours) Count() int { return 1 + len(n.banks) }
 
 const prepaid = 1000
@@ -172,8 +174,8 @@
 	}
 }
 
-// Guards against a call of the store for tokens that a near peer holds, and
-// against a refusal where the peer's holding is smaller than it told.
+// Guards against a call of the store for tokens that the account's keeper holds
+// or draws, and against a refusal where the keeper is cut off from the store.
 func TestLendersComeBeforeTheStore(t *testing.T) {
 	store := memstore.New(nil)
 	a := newBank(t, store, "a", nil)
@@ -191,8 +193,18 @@
 	if after := store.Calls(); after != before {
 		t.Errorf("calls %+v, want %+v: a peer held enough", after, before)
 	}
-	if err := reserve(t, b, 350); err != nil {
-		t.Errorf("refused although the store has 400 tokens: %v", err)
+	a.mu.Lock()
+	a.storeDown = time.Now().Add(time.Minute)
+	a.mu.Unlock()
+	for range 2 {
+		if err := reserve(t, b, 200); err != nil {
+			t.Errorf("refused although 900 tokens are left: %v", err)
+		}
+	}
+	b.Tick(time.Now().Add(time.Minute))
+	b.wg.Wait()
+	if a.accounts["t"].holding.Low(time.Now()) && b.Balances()["t"] > 2*a.Balances()["t"] {
+		t.Errorf("holdings %d and %d: only the keeper draws ahead", a.Balances()["t"], b.Balances()["t"])
 	}
 }
 
--- a/internal/escrow/bank/draw.go
+++ b/internal/escrow/bank/draw.go
@@ -68,10 +68,11 @@
 
 // borrow asks the lenders; it returns true if no reservation waits then.
 func (b *Bank) borrow(a *account) bool {
-	b.mu.Lock()
-	need := a.need()
-	b.mu.Unlock()
-	b.askPeers(a, b.Peers.Lenders(a.name, 2*need, lenders))
+	lenders := b.Peers.Lenders(a.name)
+	if len(lenders) == 0 {
+		return false
+	}
+	b.askPeers(a, lenders)
 	return !b.waits(a)
 }
 
--- a/internal/escrow/bank/level.go
+++ b/internal/escrow/bank/level.go
@@ -56,13 +56,16 @@
 func (b *Bank) wantedWrites() []levelWrite {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now, daemons := time.Now(), b.Peers.Count()
+	now, holders := time.Now(), b.Peers.Holders()
 	var wanted []levelWrite
 	for _, a := range b.accounts {
-		a.holding.SetDaemons(daemons)
+		a.holding.SetHolders(holders)
 		if len(wanted) == platform.MaxSwapKeys {
 			break
 		}
+		if a.holding.Low(now) && !b.Peers.Keeps(a.name) {
+			continue
+		}
 		if w, ok := a.holding.Level(now); ok {
 			wanted = append(wanted, levelWrite{account: a, write: w})
 		}
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -51,9 +51,9 @@
 type Holding struct {
 	holder  string
 	prepaid int64
-	// daemons is the number of daemons that may use the budget, since the time
+	// holders is the number of daemons that draw on the budget, since the time
 	// at which this one began to hold it.
-	daemons int
+	holders int
 	since   time.Time
 
 	// record is the newest known state of the store's record, at revision.
@@ -83,11 +83,11 @@
 
 // NewHolding returns the holding of holder, whose id no other start uses.
 func NewHolding(now time.Time, holder string) *Holding {
-	return &Holding{holder: holder, daemons: 1, since: now}
+	return &Holding{holder: holder, holders: 1, since: now}
 }
 
-// SetDaemons sets the number of daemons that may use the budget.
-func (h *Holding) SetDaemons(n int) { h.daemons = max(n, 1) }
+// SetHolders sets the number of daemons that draw on the budget.
+func (h *Holding) SetHolders(n int) { h.holders = max(n, 1) }
 
 // SetPrepaid sets the account's budget and returns the former one.
 func (h *Holding) SetPrepaid(tokens int64) (former int64, changed bool) {
@@ -122,7 +122,15 @@
 func (h *Holding) Settle(now time.Time, reserved, used int64) {
 	h.reserved -= reserved
 	h.spent += min(used, reserved)
-	h.rate = h.decayed(now) + float64(used)/rateWindow.Seconds()
+	h.use(now, used)
+}
+
+// use counts tokens in the rate of spend.
+func (h *Holding) use(now time.Time, tokens int64) {
+	if h.rateAt.IsZero() {
+		h.rateAt, h.firstAt = now, now
+	}
+	h.rate = h.decayed(now) + float64(tokens)/rateWindow.Seconds()
 	h.rateAt = now
 }
 
@@ -145,7 +153,7 @@
 func (h *Holding) Target(now time.Time) int64 {
 	rest := float64(h.Undrawn() + max(0, h.Available()))
 	if h.rateAt.IsZero() {
-		first := int64(firstShare * rest / float64(h.daemons))
+		first := int64(firstShare * rest / float64(h.holders))
 		if now.Sub(h.since) > firstFor || first < h.prepaid/leastFirst {
 			return 0
 		}
@@ -153,7 +161,7 @@
 	}
 	rate := h.recentRate(now)
 	atRisk := riskShare * rest * h.record.share(h.holder, rate)
-	standing := min(standingShare, standingFleet/float64(h.daemons)) * rest
+	standing := min(standingShare, standingFleet/float64(h.holders)) * rest
 	return int64(max(min(rate*horizon.Seconds(), atRisk), standing))
 }
 
@@ -174,6 +182,10 @@
 	return amount
 }
 
+// Lent counts given tokens in the rate of spend: a daemon that draws for others
+// has to hold what they need.
+func (h *Holding) Lent(now time.Time, tokens int64) { h.use(now, tokens) }
+
 // Receive adds tokens that a peer gave.
 func (h *Holding) Receive(tokens int64) { h.received += tokens }
 
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -28,13 +28,17 @@
 	lastPause    = 250 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
 	// fewDaemons is the number of daemons up to which each probes a lost store
-	// at these pauses; more daemons probe as often together.
+	// at these pauses. Among more, those that do not follow the store probe as
+	// often together, or once a peer has newer changes, after wokenPause.
 	fewDaemons = 8
+	wokenPause = 500 * time.Millisecond
 	// awayAfter is the time of failures after which the store counts as away.
 	awayAfter = time.Second
 	// gather is the pause after changes, so that those that follow closely come
-	// in one call.
-	gather = 150 * time.Millisecond
+	// in one call; longGather is that of many daemons that all follow the store,
+	// while they start.
+	gather     = 150 * time.Millisecond
+	longGather = 450 * time.Millisecond
 	// fetchPause is the time for which a peer must be ahead before its copy is
 	// read, and the least time between two copies.
 	fetchPause = 300 * time.Millisecond
@@ -69,8 +73,10 @@
 type fleetView interface {
 	// Count is the number of daemons, this one included.
 	Count() int
-	// Follows tells whether this daemon follows the store itself.
+	// Follows tells whether this daemon follows the store itself, First whether
+	// it would if the store answered all.
 	Follows() bool
+	First() bool
 	// Spread passes changes on to daemons that don't.
 	Spread(c *meshpb.Changes)
 }
@@ -139,11 +145,28 @@
 			f.reader.away()
 			f.mu.Unlock()
 		}
-		sleep(ctx, pause*time.Duration(max(1, f.fleet.Count()/fewDaemons)))
+		f.rest(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 }
 
+// rest waits before the next probe of a lost store.
+func (f *feed) rest(ctx context.Context, pause time.Duration) {
+	if f.fleet.First() {
+		sleep(ctx, pause)
+		return
+	}
+	sleep(ctx, max(pause, wokenPause))
+	whole := pause * time.Duration(max(1, f.fleet.Count()/fewDaemons))
+	timer := time.NewTimer(max(0, whole-wokenPause))
+	defer timer.Stop()
+	select {
+	case <-f.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // noteAnswer records that the store answered, and whether it had been lost.
 func (f *feed) noteAnswer(now time.Time, regained bool) {
 	f.heard()
@@ -176,16 +199,17 @@
 	}
 }
 
-// step reads the list once, then waits for changes; a probe does not wait.
-func (f *feed) step(ctx context.Context, listed *bool, probe bool) error {
-	wait := f.wait()
-	if !f.fleet.Follows() {
-		wait = time.Millisecond
+// step reads the list once, then waits for changes. A store that was lost is
+// probed first, by a call with a small answer: a configuration of some hundred
+// KB takes a weak link longer than a probe may last.
+func (f *feed) step(ctx context.Context, listed *bool, lost bool) error {
+	if lost {
+		if err := f.probe(ctx); err != nil {
+			return err
+		}
 	}
-	if probe {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
+	wait := f.wait()
+	if lost || !f.fleet.Follows() {
 		wait = time.Millisecond
 	}
 	if !*listed {
@@ -206,11 +230,31 @@
 	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Int64("revision", int64(c.At)).Msg("changes read")
 	f.apply(c)
 	if len(c.Events) > 0 && f.fleet.Follows() {
-		sleep(ctx, gather)
+		sleep(ctx, f.gatherFor())
 	}
 	return nil
 }
 
+func (f *feed) gatherFor() time.Duration {
+	if f.fleet.First() {
+		return gather
+	}
+	return longGather
+}
+
+// probePrefix is a prefix that no key has.
+const probePrefix = "azurehatch/none/"
+
+func (f *feed) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := f.source.Poll(ctx, probePrefix, max(f.revision(), 1), time.Millisecond)
+	if errors.Is(err, platform.ErrCompacted) {
+		return nil
+	}
+	return err
+}
+
 // wait is the wait of one poll. It is spread widely, since a change lets all
 // daemons poll anew at the same moment.
 func (f *feed) wait() time.Duration {
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,6 +67,7 @@
 
 func (f fixedFleet) Count() int    { return 1 }
 func (f fixedFleet) Follows() bool { return f.follows }
+func (f fixedFleet) First() bool   { return f.follows }
 func (f fixedFleet) Spread(c *meshpb.Changes) {
 	if f.pushed != nil {
 		f.pushed <- c
@@ -183,3 +185,46 @@
 		t.Error("an entry that did not come back stayed")
 	}
 }
+
+// slowLog is a store behind a weak link: a large answer takes longer than a
+// probe may last. The first poll is lost.
+type slowLog struct{ polls atomic.Int64 }
+
+func (*slowLog) Range(context.Context, string) ([]platform.Item, platform.Revision, error) {
+	return []platform.Item{{Key: "p/a", Value: []byte("1"), Revision: 1}}, 1, nil
+}
+
+func (s *slowLog) Poll(ctx context.Context, prefix string, after platform.Revision, _ time.Duration) (platform.Changes, error) {
+	if s.polls.Add(1) == 1 {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	if prefix != "p/" || after > 1 {
+		sleep(ctx, 10*time.Millisecond)
+		return platform.Changes{}, nil
+	}
+	sleep(ctx, probeTimeout+100*time.Millisecond)
+	if ctx.Err() != nil {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return platform.Changes{Events: []platform.Event{{Item: platform.Item{Key: "p/a", Value: []byte("2"), Revision: 2}}}, At: 2}, nil
+}
+
+// Guards against a large configuration that no probe of a returned store can
+// read: a daemon stayed 3.8 s behind one with 1,520 more routes.
+func TestFeedReadsLargeChangesAfterALoss(t *testing.T) {
+	r := recorder{value: make(chan string, 8)}
+	f := newFeed("p/", &slowLog{}, r, fixedFleet{follows: true}, func() {}, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.run(ctx)
+	for _, want := range []string{"1", "2"} {
+		select {
+		case got := <-r.value:
+			if got != want {
+				t.Fatalf("got %q, want %q", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%q did not come", want)
+		}
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -62,6 +62,8 @@
 	// followers is the number of daemons in each failure domain of a wide fleet
 	// that follow the store and push its changes to the others.
 	followers = 2
+	// maxLenders is the number of peers asked for tokens before the store.
+	maxLenders = 2
 	// followFresh is the age of a follower's last answer of the store beyond
 	// which another one takes its place: its polls wait up to 3 s.
 	followFresh = 5 * time.Second
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -129,8 +129,8 @@
 			t.Errorf("%s does not follow the store", n.ID)
 		}
 	}
-	if l := nodes[0].Lenders("t", 10, 2); len(l) > 0 {
-		t.Errorf("lenders %v, want none in a small fleet", l)
+	if l := nodes[0].Lenders("t"); len(l) > 0 || !nodes[0].Keeps("t") || nodes[0].Holders() != 3 {
+		t.Errorf("lenders %v, keeps %v, %d holders; in a small fleet each daemon draws itself", l, nodes[0].Keeps("t"), nodes[0].Holders())
 	}
 	if l := nodes[0].Richest("t"); len(l) != 2 {
 		t.Errorf("richest %v, want both peers", l)
@@ -193,7 +193,13 @@
 			return len(n.pushed) == 1
 		})
 	}
-	if l := from.Lenders("t", 50, 2); len(l) != 2 {
-		t.Errorf("lenders %v, want two near peers", l)
-	}
+	eventually(t, "one daemon of each domain keeps an account", func() bool {
+		keepers := map[string]int{}
+		for _, n := range nodes {
+			if n != dead && n.Keeps("t") {
+				keepers[n.Domain]++
+			}
+		}
+		return keepers["z0"] == 1 && keepers["z1"] == 1 && from.Holders() == 2
+	})
 }
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 )
@@ -36,27 +38,69 @@
 func (m *Mesh) Richest(account string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.addrs(m.rank(account, func(*peer) bool { return true }))
+	return m.addrs(m.rank(account))
 }
 
-// Lenders returns at most n live peers of the own failure domain that hold at
-// least tokens of an account, the one with the most first. It returns none
-// unless the fleet is wide.
-func (m *Mesh) Lenders(account string, tokens int64, n int) []string {
+// Keeps tells whether this daemon draws tokens of an account from the store. In
+// a wide fleet one daemon of each failure domain does, for all of them: writes
+// of 64 daemons to one record mostly met conflicts.
+func (m *Mesh) Keeps(account string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.wide() || len(m.before(account)) == 0
+}
+
+// Lenders returns the near peers to ask for tokens of an account before the
+// store: none if this daemon keeps the account.
+func (m *Mesh) Lenders(account string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.wide() {
 		return nil
 	}
-	lenders := m.rank(account, func(p *peer) bool { return p.domain == m.Domain && p.balances[account] >= tokens })
-	return m.addrs(lenders[:min(len(lenders), n)])
+	lenders := m.before(account)
+	return m.addrs(lenders[:min(len(lenders), maxLenders)])
+}
+
+// before returns the live near peers that come before this daemon in the
+// rendezvous order of an account. The caller holds m.mu.
+func (m *Mesh) before(account string) []*peer {
+	now := time.Now()
+	own := keeperScore(account, m.Addr)
+	var list []*peer
+	for _, p := range m.peers {
+		if p.domain == m.Domain && !p.stopping && m.live(now, p) && keeperScore(account, p.addr) > own {
+			list = append(list, p)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return keeperScore(account, list[i].addr) > keeperScore(account, list[j].addr) })
+	return list
+}
+
+func keeperScore(account, addr string) uint64 { return xxhash.Sum64String(account + "\x00" + addr) }
+
+// Holders returns the number of daemons that draw each account's tokens.
+func (m *Mesh) Holders() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.wide() {
+		return m.count()
+	}
+	now := time.Now()
+	domains := map[string]bool{m.Domain: true}
+	for _, p := range m.peers {
+		if m.live(now, p) {
+			domains[p.domain] = true
+		}
+	}
+	return len(domains)
 }
 
-func (m *Mesh) rank(account string, keep func(*peer) bool) []*peer {
+func (m *Mesh) rank(account string) []*peer {
 	now := time.Now()
 	var live []*peer
 	for _, p := range m.peers {
-		if m.live(now, p) && keep(p) {
+		if m.live(now, p) {
 			live = append(live, p)
 		}
 	}
@@ -81,6 +125,10 @@
 func (m *Mesh) Count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.count()
+}
+
+func (m *Mesh) count() int {
 	now := time.Now()
 	n := 1
 	for _, p := range m.peers {
@@ -95,6 +143,14 @@
 // fleet those with the first addresses of each failure domain do, as long as
 // the store answers them.
 func (m *Mesh) Follows() bool {
+	now := time.Now()
+	return m.first(func(p *peer) bool { return p.follows && now.Sub(p.storeHeard) < followFresh })
+}
+
+// First tells whether this daemon would follow the store if it answered all.
+func (m *Mesh) First() bool { return m.first(func(*peer) bool { return true }) }
+
+func (m *Mesh) first(counts func(*peer) bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.wide() {
@@ -103,7 +159,7 @@
 	now := time.Now()
 	before := 0
 	for _, p := range m.peers {
-		if p.domain == m.Domain && p.addr < m.Addr && p.follows && !p.stopping && m.live(now, p) && now.Sub(p.storeHeard) < followFresh {
+		if p.domain == m.Domain && p.addr < m.Addr && !p.stopping && m.live(now, p) && counts(p) {
 			before++
 		}
 	}
