Draw for waiting asks together, and wait for a write in flight

Change: asks wait in a queue and are drawn for together; the answer says whether the store is empty or away, and a daemon whose keeper saw an empty record does not read it again; a draw waits while another write of the record is in flight; after a loss one draw at a time tries the store. A feed asks the store only once a peer was ahead for 150 ms, since pushes mostly come sooner.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -37,6 +37,14 @@
 	retryLater = 5 * time.Second
 	// retryUnavailable is the same where a draw took too long.
 	retryUnavailable = 300 * time.Millisecond
+	// lendPatience is the wait of a peer's ask for a draw, keeperPatience that in
+	// a wide fleet, where the asks of a failure domain are drawn for together.
+	lendPatience   = 50 * time.Millisecond
+	keeperPatience = 120 * time.Millisecond
+	// busyPause is the pause of a draw beside another write of the same record,
+	// busyTries bounds them by storeTimeout.
+	busyPause = 4 * time.Millisecond
+	busyTries = int(storeTimeout / busyPause)
 	// conflictTries bounds the repeats of a write that met other daemons'.
 	conflictTries = 6
 	// levelPause is the least time between two writes that bring holdings near
@@ -65,7 +73,7 @@
 	// Count returns the number of live daemons, this one included.
 	Count() int
 	// Ask asks a peer for tokens.
-	Ask(ctx context.Context, peer, account string, tokens int64) (int64, error)
+	Ask(ctx context.Context, peer, account string, tokens int64) (escrow.Gift, error)
 }
 
 // Options configure a Bank.
@@ -88,7 +96,10 @@
 	mu        sync.Mutex
 	accounts  map[string]*account
 	storeDown time.Time
-	closed    bool
+	// suspect is true from a failed call until one succeeds; probing is true
+	// while a draw tries whether the store is back, as only one does at a time.
+	suspect, probing bool
+	closed           bool
 	// leveling is true while Tick's write is in flight; leveled is when it began.
 	leveling bool
 	leveled  time.Time
@@ -103,6 +114,10 @@
 	waiting []*waiter
 	// filling is true while a goroutine draws tokens.
 	filling bool
+	// asks are those of peers that wait for a draw; lending is true while a
+	// goroutine makes it.
+	asks    []*ask
+	lending bool
 }
 
 // waiter is a reservation that the holding does not cover yet.
@@ -259,48 +274,6 @@
 	a.waiting = a.waiting[:0]
 }
 
-// Give answers a peer's ask. A peer that asks may be cut off from the store, so
-// what this daemon does not hold is drawn for it.
-func (b *Bank) Give(ctx context.Context, account string, tokens int64) int64 {
-	b.mu.Lock()
-	a, ok := b.accounts[account]
-	if !ok || b.closed {
-		b.mu.Unlock()
-		return 0
-	}
-	given := a.holding.Give(tokens)
-	away := time.Now().Before(b.storeDown)
-	b.mu.Unlock()
-	if given < tokens && !away {
-		b.drawWithin(ctx, a, tokens-given)
-		b.mu.Lock()
-		given += a.holding.Give(tokens - given)
-		b.mu.Unlock()
-	}
-	if b.Peers.Keeps(account) && b.Peers.Holders() < b.Peers.Count() {
-		b.mu.Lock()
-		a.holding.Lent(time.Now(), given)
-		b.mu.Unlock()
-	}
-	b.Log.Info().Str("account", account).Int64("asked", tokens).Int64("given", given).Bool("store_away", away).Msg("tokens given")
-	return given
-}
-
-// drawWithin draws for a peer, which does not wait for a slow store.
-func (b *Bank) drawWithin(ctx context.Context, a *account, tokens int64) {
-	ctx, cancel := context.WithTimeout(ctx, storePatience)
-	defer cancel()
-	drawn := make(chan struct{})
-	b.wg.Go(func() {
-		defer close(drawn)
-		b.drawAtLeast(a, func() int64 { return max(0, tokens-a.holding.Available()) })
-	})
-	select {
-	case <-drawn:
-	case <-ctx.Done():
-	}
-}
-
 // Balances returns the tokens held, by account.
 func (b *Bank) Balances() map[string]int64 {
 	b.mu.Lock()
@@ -318,9 +291,12 @@
 func (b *Bank) StoreHeard() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.storeDown = time.Time{}
+	b.storeDown, b.suspect = time.Time{}, false
 }
 
+// storeLost records a call that failed. The caller holds b.mu.
+func (b *Bank) storeLost() { b.storeDown, b.suspect = time.Now().Add(storePause), true }
+
 // Close returns what was not spent to the store.
 func (b *Bank) Close(ctx context.Context) {
 	b.mu.Lock()
--- a/internal/escrow/bank/bank_test.go
+++ b/internal/escrow/bank/bank_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,7 +33,7 @@
 	return names
 }
 
-func (n neighbours) Ask(ctx context.Context, peer, account string, tokens int64) (int64, error) {
+func (n neighbours) Ask(ctx context.Context, peer, account string, tokens int64) (escrow.Gift, error) {
 	return n.banks[peer].Give(ctx, account, tokens), nil
 }
 
@@ -219,3 +221,48 @@
 		}
 	}
 }
+
+// Guards against a refusal of a reservation that has to draw while a levelling
+// write of the same record is in flight.
+func TestReserveBesideALevellingWrite(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	if err := reserve(t, a, 1); err != nil {
+		t.Fatal(err)
+	}
+	store.SetFaults(memstore.Faults{LatencyMillis: 60})
+	now := time.Now()
+	a.mu.Lock()
+	w, ok := a.accounts["t"].holding.Draw(now, 50)
+	a.mu.Unlock()
+	if !ok {
+		t.Fatal("no draw possible")
+	}
+	a.wg.Go(func() { a.write(a.accounts["t"], w, "level") })
+	if err := reserve(t, a, 800); err != nil {
+		t.Errorf("refused while 999 tokens are left: %v", err)
+	}
+}
+
+// Guards against asks that come together and of which all but the first get
+// nothing, and against one that waits long for a store that does not answer.
+func TestAsksThatComeTogether(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	store.SetFaults(memstore.Faults{LatencyMillis: 10})
+	var wg sync.WaitGroup
+	var got atomic.Int64
+	for range 8 {
+		wg.Go(func() { got.Add(a.Give(t.Context(), "t", 100).Tokens) })
+	}
+	wg.Wait()
+	if got.Load() < 800 || got.Load() > prepaid {
+		t.Errorf("%d tokens given, want 800 to %d", got.Load(), prepaid)
+	}
+	store.SetFaults(memstore.Faults{LatencyMillis: 5000})
+	begun := time.Now()
+	a.Give(t.Context(), "t", 300)
+	if took := time.Since(begun); took > 4*lendPatience {
+		t.Errorf("an ask took %v, want about %v at most", took, lendPatience)
+	}
+}
--- a/internal/escrow/bank/draw.go
+++ b/internal/escrow/bank/draw.go
@@ -44,8 +44,8 @@
 // drawOnce draws from the store, and from the peers if the store gives nothing
 // or takes long.
 func (b *Bank) drawOnce(a *account) (drawResult, peersResult) {
-	if b.borrow(a) {
-		return storeDrawn, peersGave
+	if r, done := b.borrow(a); done {
+		return r, peersEmpty
 	}
 	drawn := make(chan drawResult, 1)
 	b.wg.Go(func() { drawn <- b.drawFromStore(a) })
@@ -66,14 +66,21 @@
 	return <-drawn, fromPeers
 }
 
-// borrow asks the lenders; it returns true if no reservation waits then.
-func (b *Bank) borrow(a *account) bool {
+// borrow asks the lenders; done is true if no reservation waits then, or the
+// store has nothing for them.
+func (b *Bank) borrow(a *account) (r drawResult, done bool) {
 	lenders := b.Peers.Lenders(a.name)
 	if len(lenders) == 0 {
-		return false
+		return storeDrawn, false
+	}
+	result, empty := b.askPeers(a, lenders)
+	switch {
+	case !b.waits(a):
+		return storeDrawn, true
+	case empty && result != peersGave:
+		return storeEmpty, true
 	}
-	b.askPeers(a, lenders)
-	return !b.waits(a)
+	return storeDrawn, false
 }
 
 // drawResult is the outcome of a draw from the store.
@@ -100,9 +107,15 @@
 // drawAtLeast takes tokens from the account's record; need is asked for under
 // the lock before each write.
 func (b *Bank) drawAtLeast(a *account, need func() int64) drawResult {
-	for range conflictTries {
+	for tries, waits := 0, 0; tries < conflictTries && waits < busyTries; {
 		b.mu.Lock()
-		if time.Now().Before(b.storeDown) {
+		if a.holding.Busy() {
+			b.mu.Unlock()
+			waits++
+			time.Sleep(busyPause)
+			continue
+		}
+		if !b.tryStore() {
 			b.mu.Unlock()
 			return storeAway
 		}
@@ -110,18 +123,39 @@
 		w, ok := a.holding.Draw(time.Now(), tokens)
 		b.mu.Unlock()
 		if !ok && !b.refresh(a, tokens) {
+			b.tried()
 			return storeEmpty
 		}
 		if !ok {
 			continue
 		}
+		tries++
 		if done, result := b.write(a, w, "draw"); done {
+			b.tried()
 			return result
 		}
 	}
+	b.tried()
 	return storeAway
 }
 
+// tryStore tells whether the store may be asked: it answers as far as is known,
+// or its pause is over and no other draw tries it. The caller holds b.mu.
+func (b *Bank) tryStore() bool {
+	if time.Now().Before(b.storeDown) || b.suspect && b.probing {
+		return false
+	}
+	b.probing = b.suspect
+	return true
+}
+
+// tried ends the draw that tried the store.
+func (b *Bank) tried() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.probing = false
+}
+
 // refresh reads an account's record again, since other daemons may have
 // returned tokens; it tells whether the record now leaves what is needed.
 func (b *Bank) refresh(a *account, need int64) bool {
@@ -137,7 +171,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err != nil {
-		b.storeDown = time.Now().Add(storePause)
+		b.storeLost()
 		b.Log.Warn().Err(err).Str("account", a.name).Msg("budget record not read")
 		return false
 	}
@@ -163,6 +197,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if conflict, ok := platform.AsConflict(err); ok {
+		b.suspect = false
 		b.adopt(a, conflict.Actual)
 		return false, storeAway
 	}
@@ -197,21 +232,23 @@
 
 // drawFromPeers asks the peers for what the waiters lack.
 func (b *Bank) drawFromPeers(a *account) peersResult {
-	return b.askPeers(a, b.Peers.Richest(a.name))
+	result, _ := b.askPeers(a, b.Peers.Richest(a.name))
+	return result
 }
 
-// askPeers asks peers in turn until no reservation waits.
-func (b *Bank) askPeers(a *account, peers []string) peersResult {
-	result := peersEmpty
+// askPeers asks peers in turn until no reservation waits; empty tells whether
+// one of them saw that the store has no more.
+func (b *Bank) askPeers(a *account, peers []string) (result peersResult, empty bool) {
+	result = peersEmpty
 	for _, peer := range peers {
 		b.mu.Lock()
 		need := a.need()
 		b.mu.Unlock()
 		if need == 0 {
-			return peersGave
+			return peersGave, empty
 		}
 		ctx, cancel := context.WithTimeout(b.ctx, peerTimeout)
-		got, err := b.Peers.Ask(ctx, peer, a.name, need)
+		gift, err := b.Peers.Ask(ctx, peer, a.name, need)
 		cancel()
 		if err != nil {
 			b.Log.Info().Err(err).Str("account", a.name).Str("peer", peer).Msg("peer not asked for tokens")
@@ -220,15 +257,20 @@
 			}
 			continue
 		}
-		if got <= 0 {
+		empty = empty || gift.Empty
+		if gift.Tokens <= 0 {
 			continue
 		}
 		result = peersGave
-		b.mu.Lock()
-		a.holding.Receive(got)
-		b.serveWaiting(a)
-		b.mu.Unlock()
-		b.Log.Info().Str("account", a.name).Str("peer", peer).Int64("asked", need).Int64("got", got).Msg("tokens received")
+		b.receive(a, peer, need, gift.Tokens)
 	}
-	return result
+	return result, empty
+}
+
+func (b *Bank) receive(a *account, peer string, need, got int64) {
+	b.mu.Lock()
+	a.holding.Receive(got)
+	b.serveWaiting(a)
+	b.mu.Unlock()
+	b.Log.Info().Str("account", a.name).Str("peer", peer).Int64("asked", need).Int64("got", got).Msg("tokens received")
 }
--- /dev/null
+++ b/internal/escrow/bank/lend.go
@@ -0,0 +1,130 @@
+package bank
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/escrow"
+)
+
+// ask is a peer's ask that the holding does not cover yet.
+type ask struct {
+	tokens int64
+	done   chan escrow.Gift
+}
+
+// Give answers a peer's ask. What this daemon does not hold is drawn from the
+// store, for all asks that wait together.
+func (b *Bank) Give(ctx context.Context, account string, tokens int64) escrow.Gift {
+	b.mu.Lock()
+	a, ok := b.accounts[account]
+	if !ok || b.closed {
+		b.mu.Unlock()
+		return escrow.Gift{}
+	}
+	gift := b.hand(a, tokens)
+	if gift.Tokens >= tokens || gift.Away {
+		b.mu.Unlock()
+		return b.given(account, tokens, gift)
+	}
+	w := &ask{tokens: tokens - gift.Tokens, done: make(chan escrow.Gift, 1)}
+	a.asks = append(a.asks, w)
+	b.lend(a)
+	b.mu.Unlock()
+	more := b.awaitLoan(ctx, a, w)
+	more.Tokens += gift.Tokens
+	return b.given(account, tokens, more)
+}
+
+// hand takes out what the holding covers. The caller holds b.mu.
+func (b *Bank) hand(a *account, tokens int64) escrow.Gift {
+	now := time.Now()
+	gift := escrow.Gift{Tokens: a.holding.Give(tokens), Away: now.Before(b.storeDown)}
+	if b.Peers.Holders() < b.Peers.Count() && b.Peers.Keeps(a.name) {
+		a.holding.Lent(now, gift.Tokens)
+	}
+	return gift
+}
+
+func (b *Bank) given(account string, tokens int64, g escrow.Gift) escrow.Gift {
+	b.Log.Info().Str("account", account).Int64("asked", tokens).Int64("given", g.Tokens).Bool("store_away", g.Away).
+		Bool("store_empty", g.Empty).Msg("tokens given")
+	return g
+}
+
+// awaitLoan waits for the draw, a short time only: the peer has other ways.
+func (b *Bank) awaitLoan(ctx context.Context, a *account, w *ask) escrow.Gift {
+	patience := lendPatience
+	if b.Peers.Holders() < b.Peers.Count() {
+		patience = keeperPatience
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case g := <-w.done:
+		return g
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, other := range a.asks {
+		if other == w {
+			a.asks = append(a.asks[:i], a.asks[i+1:]...)
+			return escrow.Gift{}
+		}
+	}
+	return <-w.done
+}
+
+// lend starts the goroutine that draws for peers, if none runs.
+func (b *Bank) lend(a *account) {
+	if a.lending || b.closed {
+		return
+	}
+	a.lending = true
+	b.wg.Go(func() { b.lendLoop(a) })
+}
+
+func (b *Bank) lendLoop(a *account) {
+	for {
+		result := b.drawAtLeast(a, a.asked)
+		b.mu.Lock()
+		b.serveAsks(a, result)
+		if len(a.asks) == 0 {
+			a.lending = false
+			b.mu.Unlock()
+			return
+		}
+		b.mu.Unlock()
+	}
+}
+
+// asked is what the asks lack, or as much of it as the record leaves.
+func (a *account) asked() int64 {
+	var sum int64
+	for _, w := range a.asks {
+		sum += w.tokens
+	}
+	lack := max(0, sum-max(0, a.holding.Available()))
+	if left := a.holding.Undrawn(); left > 0 {
+		lack = min(lack, left)
+	}
+	return lack
+}
+
+// serveAsks answers the asks after a draw. After one that brought nothing all
+// get what is left.
+func (b *Bank) serveAsks(a *account, result drawResult) {
+	kept := a.asks[:0]
+	for _, w := range a.asks {
+		if result == storeDrawn && a.holding.Available() < w.tokens {
+			kept = append(kept, w)
+			continue
+		}
+		gift := b.hand(a, w.tokens)
+		gift.Empty, gift.Away = result == storeEmpty, result == storeAway
+		w.done <- gift
+	}
+	a.asks = kept
+}
--- a/internal/escrow/bank/level.go
+++ b/internal/escrow/bank/level.go
@@ -130,6 +130,7 @@
 func (b *Bank) written(a *account, w escrow.Write, revision platform.Revision, err error, what string) drawResult {
 	switch {
 	case err == nil:
+		b.suspect = false
 		a.holding.Written(w, int64(revision))
 		b.Scope.Counter("budget_writes").Inc(1)
 		b.Log.Info().Str("account", a.name).Str("write", what).Int64("revision", int64(revision)).
@@ -145,7 +146,7 @@
 		b.Log.Error().Err(err).Str("account", a.name).Str("write", what).Msg("budget record refused")
 		return storeAway
 	}
-	b.storeDown = time.Now().Add(storePause)
+	b.storeLost()
 	b.Log.Warn().Err(err).Str("account", a.name).Str("write", what).Msg("budget record not written")
 	return storeAway
 }
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -170,6 +170,17 @@
 	return float64(h.Available()) < lowWater*float64(h.Target(now)) && h.Undrawn() > 0
 }
 
+// Gift is the answer to a peer that asks for tokens.
+type Gift struct {
+	Tokens int64
+	// Empty is true if the store told the giver that no more are left, Away if
+	// it does not answer the giver.
+	Empty, Away bool
+}
+
+// Busy tells whether a write to the record is in flight.
+func (h *Holding) Busy() bool { return h.busy }
+
 // Give takes tokens out for a peer: what it needs as far as the holding covers
 // it, and up to as much again while half of the holding stays.
 func (h *Holding) Give(need int64) int64 {
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -39,6 +39,9 @@
 	// while they start.
 	gather     = 150 * time.Millisecond
 	longGather = 450 * time.Millisecond
+	// askPause is the time for which a peer must be ahead before the store is
+	// asked: a follower's message mostly comes sooner.
+	askPause = 150 * time.Millisecond
 	// fetchPause is the time for which a peer must be ahead before its copy is
 	// read, and the least time between two copies.
 	fetchPause = 300 * time.Millisecond
@@ -99,8 +102,10 @@
 	// at is the store revision up to which items is complete, changed that of
 	// the last change.
 	at, changed platform.Revision
-	// behindSince is when a peer was first seen with newer changes.
+	// behindSince is when a peer was first seen with the change at behindAt,
+	// which is not known here.
 	behindSince time.Time
+	behindAt    platform.Revision
 	fetching    bool
 	fetched     time.Time
 	// answered is when the store last answered, returned when it was regained.
@@ -406,20 +411,23 @@
 	return items, f.at
 }
 
-// behind notes that a peer knows changes up to a revision; it returns true if
-// the peer's copy should be read now.
+// behind notes that a peer knows changes up to a revision. After askPause the
+// store is asked by a daemon that does not follow it; behind returns true if the
+// peer's copy should be read now.
 func (f *feed) behind(now time.Time, changed platform.Revision) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if changed <= f.at {
-		f.behindSince = time.Time{}
 		return false
 	}
-	f.ask()
-	if f.behindSince.IsZero() {
-		f.behindSince = now
+	if f.behindSince.IsZero() || f.at >= f.behindAt {
+		f.behindSince, f.behindAt = now, changed
 	}
-	if f.fetching || now.Sub(f.behindSince) < fetchPause && f.at > 0 || now.Sub(f.fetched) < fetchPause {
+	late := now.Sub(f.behindSince)
+	if late >= askPause {
+		f.ask()
+	}
+	if f.fetching || late < fetchPause && f.at > 0 || now.Sub(f.fetched) < fetchPause {
 		return false
 	}
 	f.fetching, f.fetched = true, now
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/poison"
@@ -188,7 +189,7 @@
 }
 
 // Give implements mesh.State.
-func (s meshState) Give(ctx context.Context, account string, tokens int64) int64 {
+func (s meshState) Give(ctx context.Context, account string, tokens int64) escrow.Gift {
 	return s.d.bank.Give(ctx, account, tokens)
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 	"github.com/azurehatch/azurehatch/internal/platform"
@@ -77,7 +78,7 @@
 	// Learn takes what a peer told.
 	Learn(d *meshpb.Digest)
 	// Give takes tokens out for a peer.
-	Give(ctx context.Context, account string, tokens int64) int64
+	Give(ctx context.Context, account string, tokens int64) escrow.Gift
 	// Items returns the daemon's copy of items with a prefix.
 	Items(prefix string) ([]platform.Item, platform.Revision)
 	// Pushed takes changes that a follower of the store passed on.
@@ -350,20 +351,20 @@
 
 // answered is an ask with its answer, which is complete once done is closed.
 type answered struct {
-	done   chan struct{}
-	tokens int64
+	done chan struct{}
+	gift escrow.Gift
 }
 
 // TakeTokens implements meshpb.MeshServer.
 func (m *Mesh) TakeTokens(ctx context.Context, r *meshpb.TakeRequest) (*meshpb.TakeReply, error) {
 	a, first := m.ask(r.Id)
 	if first {
-		a.tokens = m.State.Give(ctx, r.Account, r.Tokens)
+		a.gift = m.State.Give(ctx, r.Account, r.Tokens)
 		close(a.done)
 	}
 	select {
 	case <-a.done:
-		return &meshpb.TakeReply{Tokens: a.tokens}, nil
+		return &meshpb.TakeReply{Tokens: a.gift.Tokens, Empty: a.gift.Empty, Away: a.gift.Away}, nil
 	case <-ctx.Done():
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
@@ -426,10 +427,10 @@
 
 // Ask asks a peer for tokens. An ask whose answer is lost is repeated once
 // under the same id, so that the tokens are not lost with the answer.
-func (m *Mesh) Ask(ctx context.Context, addr, account string, tokens int64) (int64, error) {
+func (m *Mesh) Ask(ctx context.Context, addr, account string, tokens int64) (escrow.Gift, error) {
 	conn := m.connOf(addr)
 	if conn == nil {
-		return 0, failure.At(errors.New("unknown peer"), "mesh.take-tokens", addr)
+		return escrow.Gift{}, failure.At(errors.New("unknown peer"), "mesh.take-tokens", addr)
 	}
 	request := &meshpb.TakeRequest{Id: uuid.NewString(), Account: account, Tokens: tokens}
 	client := meshpb.NewMeshClient(conn)
@@ -440,7 +441,7 @@
 		reply, err = client.TakeTokens(again, request)
 	}
 	if err != nil {
-		return 0, failure.At(err, "mesh.take-tokens", addr)
+		return escrow.Gift{}, failure.At(err, "mesh.take-tokens", addr)
 	}
-	return reply.Tokens, nil
+	return escrow.Gift{Tokens: reply.Tokens, Empty: reply.Empty, Away: reply.Away}, nil
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
+	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
@@ -50,11 +51,11 @@
 	}
 }
 
-func (n *node) Give(_ context.Context, _ string, tokens int64) int64 {
+func (n *node) Give(_ context.Context, _ string, tokens int64) escrow.Gift {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.given += tokens
-	return tokens
+	return escrow.Gift{Tokens: tokens, Empty: true}
 }
 
 func (n *node) Items(prefix string) ([]platform.Item, platform.Revision) {
@@ -136,8 +137,8 @@
 		t.Errorf("richest %v, want both peers", l)
 	}
 	got, err := nodes[0].Ask(t.Context(), nodes[1].Addr, "t", 7)
-	if err != nil || got != 7 {
-		t.Errorf("got %d, %v", got, err)
+	if err != nil || got.Tokens != 7 || !got.Empty || got.Away {
+		t.Errorf("got %+v, %v", got, err)
 	}
 	r := &meshpb.TakeRequest{Id: "once", Account: "t", Tokens: 5}
 	for range 2 {
