--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -38,8 +38,9 @@
 	farLiveFor = 12 * time.Second
 	// forgetAfter is the silence after which a peer is not called any more.
 	forgetAfter = 2 * time.Minute
-	// itemsTimeout bounds the copy of items, up to some hundred KB.
-	itemsTimeout = time.Second
+	// itemsTimeout bounds the copy of items, some hundred KB, which take a weak
+	// link that also carries answers more than a second.
+	itemsTimeout = 3 * time.Second
 	connectDelay = 100 * time.Millisecond
 	maxDelay     = time.Second
 	pingTime     = 10 * time.Second
