Let a keeper gather idle tokens of its neighbours

Change: in a wide fleet a keeper gives what is needed only, and asks up to six near peers for their rest once the store has no more; daemons that do not keep an account hand out what they hold and do not draw for others. The new test fails without it.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -41,6 +41,9 @@
 	// a wide fleet, where the asks of a failure domain are drawn for together.
 	lendPatience   = 50 * time.Millisecond
 	keeperPatience = 120 * time.Millisecond
+	// gatherPeers bounds the peers asked for their rest once the store has no
+	// more: asks that wait allow a few exchanges within a failure domain.
+	gatherPeers = 6
 	// busyPause is the pause of a draw beside another write of the same record,
 	// busyTries bounds them by storeTimeout.
 	busyPause = 4 * time.Millisecond
@@ -68,6 +71,8 @@
 	// Lenders which peers to ask first if not.
 	Keeps(account string) bool
 	Lenders(account string) []string
+	// Rich returns at most n near peers that hold tokens, the richest first.
+	Rich(account string, n int) []string
 	// Holders is the number of daemons that draw each account's tokens.
 	Holders() int
 	// Count returns the number of live daemons, this one included.
--- a/internal/escrow/bank/bank_test.go
+++ b/internal/escrow/bank/bank_test.go
@@ -23,6 +23,8 @@
 	banks map[string]*Bank
 	// lenders are those that are asked before the store.
 	lenders map[string]*Bank
+	// wide means that one bank keeps the accounts for all.
+	wide bool
 }
 
 func (n neighbours) Richest(string) []string {
@@ -47,7 +49,22 @@
 
 func (n neighbours) Keeps(string) bool { return len(n.lenders) == 0 }
 
-func (n neighbours) Holders() int { return n.Count() - len(n.lenders) }
+func (n neighbours) Rich(account string, _ int) []string {
+	var names []string
+	for name, b := range n.banks {
+		if b.Balances()[account] > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (n neighbours) Holders() int {
+	if n.wide {
+		return 1
+	}
+	return n.Count()
+}
 
 func (n neighbours) Count() int { return 1 + len(n.banks) }
 
@@ -187,7 +204,7 @@
 	}
 	h.Settle(0)
 	b := newBank(t, store, "b", map[string]*Bank{"a": a})
-	b.Peers = neighbours{banks: map[string]*Bank{"a": a}, lenders: map[string]*Bank{"a": a}}
+	b.Peers = neighbours{banks: map[string]*Bank{"a": a}, lenders: map[string]*Bank{"a": a}, wide: true}
 	before := store.Calls()
 	if err := reserve(t, b, 100); err != nil {
 		t.Fatal(err)
@@ -266,3 +283,29 @@
 		t.Errorf("an ask took %v, want about %v at most", took, lendPatience)
 	}
 }
+
+// Guards against tokens that stay with daemons that need them no more while the
+// keeper of a wide fleet refuses others.
+func TestKeeperGathersWhatLiesIdle(t *testing.T) {
+	store := memstore.New(nil)
+	keeper := newBank(t, store, "keeper", nil)
+	daemons := make(map[string]*Bank)
+	for _, name := range []string{"b", "c", "d"} {
+		daemons[name] = newBank(t, store, name, nil)
+		daemons[name].Peers = neighbours{banks: map[string]*Bank{"keeper": keeper}, lenders: map[string]*Bank{"keeper": keeper}, wide: true}
+	}
+	keeper.Peers = neighbours{banks: daemons, wide: true}
+	for _, name := range []string{"b", "c"} {
+		h, err := daemons[name].Reserve(t.Context(), tenant, 450)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Settle(50)
+	}
+	if err := reserve(t, daemons["d"], 700); err != nil {
+		t.Errorf("refused while 900 of 1,000 tokens are unspent: %v", err)
+	}
+	if err := reserve(t, daemons["b"], 300); err == nil {
+		t.Error("1,100 tokens of 1,000 are spent or reserved")
+	}
+}
--- a/internal/escrow/bank/lend.go
+++ b/internal/escrow/bank/lend.go
@@ -23,7 +23,7 @@
 		return escrow.Gift{}
 	}
 	gift := b.hand(a, tokens)
-	if gift.Tokens >= tokens || gift.Away {
+	if gift.Tokens >= tokens || gift.Away || !b.Peers.Keeps(account) {
 		b.mu.Unlock()
 		return b.given(account, tokens, gift)
 	}
@@ -39,13 +39,21 @@
 // hand takes out what the holding covers. The caller holds b.mu.
 func (b *Bank) hand(a *account, tokens int64) escrow.Gift {
 	now := time.Now()
-	gift := escrow.Gift{Tokens: a.holding.Give(tokens), Away: now.Before(b.storeDown)}
-	if b.Peers.Holders() < b.Peers.Count() && b.Peers.Keeps(a.name) {
+	gift := escrow.Gift{Away: now.Before(b.storeDown)}
+	if !b.wide() {
+		gift.Tokens = a.holding.Give(tokens)
+		return gift
+	}
+	gift.Tokens = a.holding.GiveOnly(tokens)
+	if b.Peers.Keeps(a.name) {
 		a.holding.Lent(now, gift.Tokens)
 	}
 	return gift
 }
 
+// wide tells whether keepers draw for other daemons.
+func (b *Bank) wide() bool { return b.Peers.Holders() < b.Peers.Count() }
+
 func (b *Bank) given(account string, tokens int64, g escrow.Gift) escrow.Gift {
 	b.Log.Info().Str("account", account).Int64("asked", tokens).Int64("given", g.Tokens).Bool("store_away", g.Away).
 		Bool("store_empty", g.Empty).Msg("tokens given")
@@ -55,7 +63,7 @@
 // awaitLoan waits for the draw, a short time only: the peer has other ways.
 func (b *Bank) awaitLoan(ctx context.Context, a *account, w *ask) escrow.Gift {
 	patience := lendPatience
-	if b.Peers.Holders() < b.Peers.Count() {
+	if b.wide() {
 		patience = keeperPatience
 	}
 	timer := time.NewTimer(patience)
@@ -89,6 +97,9 @@
 func (b *Bank) lendLoop(a *account) {
 	for {
 		result := b.drawAtLeast(a, a.asked)
+		if result == storeEmpty && b.gather(a) {
+			result = storeDrawn
+		}
 		b.mu.Lock()
 		b.serveAsks(a, result)
 		if len(a.asks) == 0 {
@@ -100,6 +111,41 @@
 	}
 }
 
+// gather takes what near peers hold beyond their needs, once the store has no
+// more for the asks; it returns true if that covers one of them.
+func (b *Bank) gather(a *account) bool {
+	if !b.wide() {
+		return false
+	}
+	for _, peer := range b.Peers.Rich(a.name, gatherPeers) {
+		lack := b.lack(a)
+		if lack <= 0 {
+			break
+		}
+		ctx, cancel := context.WithTimeout(b.ctx, peerTimeout)
+		gift, err := b.Peers.Ask(ctx, peer, a.name, lack)
+		cancel()
+		if err != nil {
+			b.Log.Info().Err(err).Str("account", a.name).Str("peer", peer).Msg("peer not asked for tokens")
+			continue
+		}
+		if gift.Tokens > 0 {
+			b.receive(a, peer, lack, gift.Tokens)
+		}
+	}
+	return b.lack(a) <= 0
+}
+
+// lack is what the holding misses for the first ask.
+func (b *Bank) lack(a *account) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(a.asks) == 0 {
+		return 0
+	}
+	return a.asks[0].tokens - a.holding.Available()
+}
+
 // asked is what the asks lack, or as much of it as the record leaves.
 func (a *account) asked() int64 {
 	var sum int64
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -193,6 +193,13 @@
 	return amount
 }
 
+// GiveOnly takes out for a peer what it needs, as far as the holding covers it.
+func (h *Holding) GiveOnly(need int64) int64 {
+	amount := max(0, min(h.Available(), need))
+	h.given += amount
+	return amount
+}
+
 // Lent counts given tokens in the rate of spend: a daemon that draws for others
 // has to hold what they need.
 func (h *Holding) Lent(now time.Time, tokens int64) { h.use(now, tokens) }
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -96,6 +96,20 @@
 	return len(domains)
 }
 
+// Rich returns at most n live peers of the own failure domain that hold tokens
+// of an account, the one with the most first.
+func (m *Mesh) Rich(account string, n int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var rich []*peer
+	for _, p := range m.rank(account) {
+		if len(rich) < n && p.domain == m.Domain && p.balances[account] > 0 {
+			rich = append(rich, p)
+		}
+	}
+	return m.addrs(rich)
+}
+
 func (m *Mesh) rank(account string) []*peer {
 	now := time.Now()
 	var live []*peer
