Bound the asks of peers for one draw

Change: all asks for one draw take 400 ms at most; the repeat of an ask runs beside the caller and brings its tokens to the holding. Daemons that only start gather changes for 0.9 s.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -27,8 +27,11 @@
 	storePause = 2 * time.Second
 	// storePatience is the wait for the store before the peers are asked too.
 	storePatience = 50 * time.Millisecond
-	// peerTimeout bounds an ask of a peer, a few ms away.
-	peerTimeout = 150 * time.Millisecond
+	// peerTimeout bounds an ask of a peer, a few ms away; repeatTimeout that of
+	// its repeat, and peersTimeout all asks for one draw.
+	peerTimeout   = 150 * time.Millisecond
+	repeatTimeout = 600 * time.Millisecond
+	peersTimeout  = 400 * time.Millisecond
 	// maxWait bounds the wait of one reservation.
 	maxWait = 500 * time.Millisecond
 	// retryLater is when a caller may come again whose budget is used up or
@@ -77,8 +80,9 @@
 	Holders() int
 	// Count returns the number of live daemons, this one included.
 	Count() int
-	// Ask asks a peer for tokens.
-	Ask(ctx context.Context, peer, account string, tokens int64) (escrow.Gift, error)
+	// Ask asks a peer for tokens. A repeat under the same id returns what the
+	// first ask took.
+	Ask(ctx context.Context, peer, id, account string, tokens int64) (escrow.Gift, error)
 }
 
 // Options configure a Bank.
--- a/internal/escrow/bank/draw.go
+++ b/internal/escrow/bank/draw.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
@@ -236,37 +238,62 @@
 	return result
 }
 
-// askPeers asks peers in turn until no reservation waits; empty tells whether
-// one of them saw that the store has no more.
+// askPeers asks peers in turn until no reservation waits or peersTimeout has
+// passed; empty tells whether one of them saw that the store has no more.
 func (b *Bank) askPeers(a *account, peers []string) (result peersResult, empty bool) {
 	result = peersEmpty
+	end := time.Now().Add(peersTimeout)
 	for _, peer := range peers {
 		b.mu.Lock()
 		need := a.need()
 		b.mu.Unlock()
-		if need == 0 {
+		switch {
+		case need == 0:
 			return peersGave, empty
+		case time.Now().After(end):
+			return result, empty
 		}
-		ctx, cancel := context.WithTimeout(b.ctx, peerTimeout)
-		gift, err := b.Peers.Ask(ctx, peer, a.name, need)
-		cancel()
+		gift, err := b.ask(a, peer, need)
 		if err != nil {
-			b.Log.Info().Err(err).Str("account", a.name).Str("peer", peer).Msg("peer not asked for tokens")
 			if result == peersEmpty {
 				result = peersSilent
 			}
 			continue
 		}
 		empty = empty || gift.Empty
-		if gift.Tokens <= 0 {
-			continue
+		if gift.Tokens > 0 {
+			result = peersGave
 		}
-		result = peersGave
-		b.receive(a, peer, need, gift.Tokens)
 	}
 	return result, empty
 }
 
+// ask asks one peer for tokens and takes them over. An ask without an answer is
+// repeated once under the same id beside the caller, so that the tokens are not
+// lost with the answer.
+func (b *Bank) ask(a *account, peer string, tokens int64) (escrow.Gift, error) {
+	id := uuid.NewString()
+	gift, err := b.askOnce(a, peer, id, tokens, peerTimeout)
+	if err != nil {
+		b.wg.Go(func() { _, _ = b.askOnce(a, peer, id, tokens, repeatTimeout) })
+	}
+	return gift, err
+}
+
+func (b *Bank) askOnce(a *account, peer, id string, tokens int64, limit time.Duration) (escrow.Gift, error) {
+	ctx, cancel := context.WithTimeout(b.ctx, limit)
+	defer cancel()
+	gift, err := b.Peers.Ask(ctx, peer, id, a.name, tokens)
+	if err != nil {
+		b.Log.Info().Err(err).Str("account", a.name).Str("peer", peer).Msg("peer not asked for tokens")
+		return gift, err
+	}
+	if gift.Tokens > 0 {
+		b.receive(a, peer, tokens, gift.Tokens)
+	}
+	return gift, nil
+}
+
 func (b *Bank) receive(a *account, peer string, need, got int64) {
 	b.mu.Lock()
 	a.holding.Receive(got)
--- a/internal/escrow/bank/lend.go
+++ b/internal/escrow/bank/lend.go
@@ -122,16 +122,7 @@
 		if lack <= 0 {
 			break
 		}
-		ctx, cancel := context.WithTimeout(b.ctx, peerTimeout)
-		gift, err := b.Peers.Ask(ctx, peer, a.name, lack)
-		cancel()
-		if err != nil {
-			b.Log.Info().Err(err).Str("account", a.name).Str("peer", peer).Msg("peer not asked for tokens")
-			continue
-		}
-		if gift.Tokens > 0 {
-			b.receive(a, peer, lack, gift.Tokens)
-		}
+		_, _ = b.ask(a, peer, lack)
 	}
 	return b.lack(a) <= 0
 }
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -38,7 +38,7 @@
 	// in one call; longGather is that of many daemons that all follow the store,
 	// while they start.
 	gather     = 150 * time.Millisecond
-	longGather = 450 * time.Millisecond
+	longGather = 900 * time.Millisecond
 	// askPause is the time for which a peer must be ahead before the store is
 	// asked: a follower's message mostly comes sooner.
 	askPause = 150 * time.Millisecond
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
@@ -426,21 +425,15 @@
 	return nil
 }
 
-// Ask asks a peer for tokens. An ask whose answer is lost is repeated once
-// under the same id, so that the tokens are not lost with the answer.
-func (m *Mesh) Ask(ctx context.Context, addr, account string, tokens int64) (escrow.Gift, error) {
+// Ask asks a peer for tokens. A repeat under the same id returns what the first
+// ask took.
+func (m *Mesh) Ask(ctx context.Context, addr, id, account string, tokens int64) (escrow.Gift, error) {
 	conn := m.connOf(addr)
 	if conn == nil {
 		return escrow.Gift{}, failure.At(errors.New("unknown peer"), "mesh.take-tokens", addr)
 	}
-	request := &meshpb.TakeRequest{Id: uuid.NewString(), Account: account, Tokens: tokens}
-	client := meshpb.NewMeshClient(conn)
-	reply, err := client.TakeTokens(ctx, request)
-	if err != nil {
-		again, cancel := context.WithTimeout(context.WithoutCancel(ctx), exchangeTimeout)
-		defer cancel()
-		reply, err = client.TakeTokens(again, request)
-	}
+	request := &meshpb.TakeRequest{Id: id, Account: account, Tokens: tokens}
+	reply, err := meshpb.NewMeshClient(conn).TakeTokens(ctx, request)
 	if err != nil {
 		return escrow.Gift{}, failure.At(err, "mesh.take-tokens", addr)
 	}
