Count a long prompt's pauses by the cube of its reading time

The linear weight of the delay (0.04) moved a prompt of 600 ms by a few ms, against about 350 ms for a shared prompt read again.

Change: a prompt that is read for 500 ms costs each request beside it 350, a shorter one by the cube.

--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -35,9 +35,12 @@
 	// the same tokens were read elsewhere, and take memory that other prompts
 	// need. It leaves a prompt's home only when the wait there is longer.
 	sharedWeight = 7.0
-	// delayWeight counts the delay that a long prompt causes to the requests
-	// that run beside it.
-	delayWeight = 0.04
+	// pauseCost is the cost of making a request pause for longer than its
+	// callers bear, about that of reading a shared prompt of 5,000 tokens again;
+	// a prompt that is read for pauseMs surely does so, a shorter one by the
+	// cube of its part, as others may be read beside it.
+	pauseCost = 350.0
+	pauseMs   = 500.0
 )
 
 // Times of the state kept for an endpoint.
@@ -211,7 +214,8 @@
 	queue := float64(m.reading+others.Reading) + float64(reading) + again
 	cost := queue / readTokensPerMs
 	cost += float64(n) * stepPerRequest * stepsPerRead
-	return cost + delayWeight*float64(n)*float64(reading)/readTokensPerMs
+	part := math.Min(1, float64(reading)/readTokensPerMs/pauseMs)
+	return cost + pauseCost*float64(n)*part*part*part
 }
 
 // slowness is the factor by which the endpoint is slower than usual.
