Let keepers hold up to 0.35 of a budget's rest

A keeper may hold 5 % of a budget's rest, two or three large requests.

Change: the part of all keepers is 0.35 of the rest instead of 0.2.

--- a/internal/escrow/bank/level.go
+++ b/internal/escrow/bank/level.go
@@ -56,10 +56,11 @@
 func (b *Bank) wantedWrites() []levelWrite {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now, holders := time.Now(), b.Peers.Holders()
+	now, holders, wide := time.Now(), b.Peers.Holders(), b.wide()
 	var wanted []levelWrite
 	for _, a := range b.accounts {
 		a.holding.SetHolders(holders)
+		a.holding.SetKeeper(wide && b.Peers.Keeps(a.name))
 		if len(wanted) == platform.MaxSwapKeys {
 			break
 		}
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -278,3 +278,19 @@
 		t.Error("a holding of 1.8 million tokens gives nothing back")
 	}
 }
+
+// Guards against a keeper of a wide fleet that holds as little as a daemon that
+// draws for itself only, and so draws twice as often.
+func TestKeeperHoldsMore(t *testing.T) {
+	now := time.Unix(100, 0)
+	target := func(keeper bool) int64 {
+		h := NewHolding(now, HolderID("a", "1"))
+		h.SetPrepaid(1000)
+		h.SetKeeper(keeper)
+		h.Lent(now, 100_000)
+		return h.Target(now)
+	}
+	if own, keeper := target(false), target(true); own != int64(riskShare*1000) || keeper != int64(keepersRisk*1000) {
+		t.Errorf("targets %d and %d of 1,000 tokens, want %.0f and %.0f", own, keeper, riskShare*1000, keepersRisk*1000)
+	}
+}
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -23,6 +23,9 @@
 	// riskShare bounds what the holders keep together of the rest of a budget:
 	// it is lost if they all lose power at once.
 	riskShare = 0.2
+	// keepersRisk is the same where few keepers draw for a wide fleet, whose
+	// smaller draws cost 2,000 calls of the store in 40 s.
+	keepersRisk = 0.35
 	// standingShare is what each holder keeps of the rest however little it
 	// spends, which spares draws; standingFleet bounds that of all together.
 	standingShare = 0.01
@@ -55,6 +58,8 @@
 	// at which this one began to hold it.
 	holders int
 	since   time.Time
+	// keeper is true if the holder draws for other daemons too.
+	keeper bool
 
 	// record is the newest known state of the store's record, at revision.
 	record   Record
@@ -89,6 +94,9 @@
 // SetHolders sets the number of daemons that draw on the budget.
 func (h *Holding) SetHolders(n int) { h.holders = max(n, 1) }
 
+// SetKeeper tells whether the holder draws for other daemons too.
+func (h *Holding) SetKeeper(keeper bool) { h.keeper = keeper }
+
 // SetPrepaid sets the account's budget and returns the former one.
 func (h *Holding) SetPrepaid(tokens int64) (former int64, changed bool) {
 	if tokens > h.prepaid {
@@ -160,7 +168,11 @@
 		return first
 	}
 	rate := h.recentRate(now)
-	atRisk := riskShare * rest * h.record.share(h.holder, rate)
+	risk := riskShare
+	if h.keeper {
+		risk = keepersRisk
+	}
+	atRisk := risk * rest * h.record.share(h.holder, rate)
 	standing := min(standingShare, standingFleet/float64(h.holders)) * rest
 	return int64(max(min(rate*horizon.Seconds(), atRisk), standing))
 }
