Wait for a write in flight before a stop returns tokens

The new test failed: 990 of 999 unspent tokens were refused after the stop.

Change: the return waits for the write, within the stop's time.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -325,14 +325,23 @@
 	b.wg.Wait()
 }
 
+// retire returns an account's tokens, after a write of its record that is in
+// flight.
 func (b *Bank) retire(ctx context.Context, a *account) {
-	for range conflictTries {
+	for tries, waits := 0, 0; tries < conflictTries && waits < busyTries && ctx.Err() == nil; {
 		b.mu.Lock()
+		busy := a.holding.Busy()
 		w, ok := a.holding.Return()
 		b.mu.Unlock()
-		if !ok || ctx.Err() != nil {
+		switch {
+		case busy:
+			waits++
+			time.Sleep(busyPause)
+			continue
+		case !ok:
 			return
 		}
+		tries++
 		if done, _ := b.write(a, w, "return"); done {
 			return
 		}
--- a/internal/escrow/bank/bank_test.go
+++ b/internal/escrow/bank/bank_test.go
@@ -372,3 +372,26 @@
 		t.Errorf("%d tokens are held, want 300", got)
 	}
 }
+
+// Guards against a stop that loses the tokens of an account whose record is being
+// written.
+func TestCloseBesideAWrite(t *testing.T) {
+	store := memstore.New(nil)
+	a := newBank(t, store, "a", nil)
+	if err := reserve(t, a, 1); err != nil {
+		t.Fatal(err)
+	}
+	store.SetFaults(memstore.Faults{LatencyMillis: 60})
+	a.mu.Lock()
+	w, ok := a.accounts["t"].holding.Draw(time.Now(), 500)
+	a.mu.Unlock()
+	if !ok {
+		t.Fatal("no draw possible")
+	}
+	a.wg.Go(func() { a.write(a.accounts["t"], w, "level") })
+	a.Close(t.Context())
+	store.SetFaults(memstore.Faults{})
+	if err := reserve(t, newBank(t, store, "b", nil), 990); err != nil {
+		t.Errorf("refused 990 of 999 unspent tokens after the other daemon's stop: %v", err)
+	}
+}
