--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -152,10 +153,9 @@
 			return
 		}
 		if err != nil {
-			if err == io.EOF {
-				return
+			if !errors.Is(err, io.EOF) {
+				reset(to)
 			}
-			reset(to)
 			return
 		}
 	}
