Answer requests that are arriving when a daemon stops

Change: a stop also waits for connections younger than 2 s whose first request is not read, within the grace time.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -97,6 +97,7 @@
 	mesh                     *mesh.Mesh
 	entry                    *relay.Entry
 
+	arrivals                         arrivals
 	callers, ready, meshing, metrics net.Listener
 	callersHTTP, readyHTTP           *http.Server
 	metricsServer                    *http.Server
@@ -187,7 +188,7 @@
 	d.wg.Go(func() { d.endpointFeed.run(d.ctx) })
 	d.wg.Go(d.housekeeping)
 	d.wg.Go(d.register)
-	d.callersHTTP = &http.Server{Handler: d.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+	d.callersHTTP = &http.Server{Handler: d.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: d.arrivals.note}
 	d.serveHTTP("callers", d.callersHTTP, d.callers)
 	d.readyHTTP = &http.Server{Handler: d.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	d.serveHTTP("ready", d.readyHTTP, d.ready)
@@ -296,10 +297,13 @@
 	return errors.Wrap(err, "graceful stop")
 }
 
-// awaitOpen waits until no request is in progress. The listener stays open
-// meanwhile: a refused request is answered, a refused connection is not.
+// awaitOpen waits until no request is in progress or arriving. The listener stays
+// open meanwhile: a refused request is answered, a refused connection is not.
 func (d *Daemon) awaitOpen(ctx context.Context) error {
-	for d.entry.Open() > 0 {
+	for d.entry.Open() > 0 || d.arrivals.recent(time.Now()) > 0 {
+		if ctx.Err() != nil && d.entry.Open() == 0 {
+			break
+		}
 		if ctx.Err() != nil {
 			d.log.Warn().Int64("open", d.entry.Open()).Msg("requests still open at the end of the grace time")
 			return ctx.Err()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -311,6 +312,38 @@
 	}
 }
 
+// Guards against a stop that resets a connection on which a request is arriving.
+func TestStopAnswersARequestThatArrives(t *testing.T) {
+	f := newFleet(t, 100*(promptTokens+outputTokens))
+	done := make(chan error, 1)
+	go func() { done <- f.daemons[0].Stop(t.Context()) }()
+	time.Sleep(announceFor - 200*time.Millisecond)
+	conn, err := net.Dial("tcp", f.daemons[0].CallersAddr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST /order/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: late\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(350 * time.Millisecond) // within the grace time of 4 s
+	if _, err := io.WriteString(conn, "Authorization: Bearer k\r\nContent-Length: 1\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("the request was lost: %v", err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	f.start(0, false)
+}
+
 // Guards against overspend, double runs and untrue refusals while daemons are
 // cut off, killed and started again in a seeded order.
 func TestFaultsInSeries(t *testing.T) {
