Let followers poll as often as they are taken for fresh

Change: the wait follows the number of followers, 1.6 s with four failure domains. The new test failed before.

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -18,7 +18,8 @@
 const (
 	// A watch may hear nothing of changes until it is asked anew, so the wait of
 	// one poll is short where few daemons poll: some daemon polls at least
-	// each waitPerDaemon, and the others hear of a change from it.
+	// each waitPerDaemon, and the others hear of a change from it. It stays below
+	// the age at which a wide fleet takes a follower for cut off.
 	waitPerDaemon = 200 * time.Millisecond
 	leastWait     = time.Second
 	longestWait   = 12 * time.Second
@@ -76,8 +77,10 @@
 
 // fleetView is what a feed needs to know of the other daemons.
 type fleetView interface {
-	// Count is the number of daemons, this one included.
+	// Count is the number of daemons, this one included, Pollers that of those
+	// that follow the store.
 	Count() int
+	Pollers() int
 	// Follows tells whether this daemon follows the store itself, First whether
 	// it would if the store answered all.
 	Follows() bool
@@ -267,7 +270,7 @@
 // wait is the wait of one poll. It is spread widely, since a change lets all
 // daemons poll anew at the same moment.
 func (f *feed) wait() time.Duration {
-	wait := min(max(time.Duration(f.fleet.Count())*waitPerDaemon, leastWait), longestWait)
+	wait := min(max(time.Duration(f.fleet.Pollers())*waitPerDaemon, leastWait), longestWait)
 	return time.Duration((0.5 + rand.Float64()) * float64(wait)).Round(time.Millisecond)
 }
 
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -63,10 +63,12 @@
 // fixedFleet is a fleet of which this daemon follows the store or not.
 type fixedFleet struct {
 	follows bool
+	daemons int
 	pushed  chan *meshpb.Changes
 }
 
-func (f fixedFleet) Count() int    { return 1 }
+func (f fixedFleet) Count() int    { return f.daemons + 1 }
+func (f fixedFleet) Pollers() int  { return 8 }
 func (f fixedFleet) Follows() bool { return f.follows }
 func (f fixedFleet) First() bool   { return f.follows }
 func (fixedFleet) StoreSeen() bool { return false }
@@ -233,3 +235,14 @@
 		}
 	}
 }
+
+// Guards against polls of a wide fleet's followers that wait so long that others
+// take them for cut off from the store (5 s).
+func TestFollowersPollOften(t *testing.T) {
+	f := newFeed("p/", &deafLog{}, recorder{}, fixedFleet{follows: true, daemons: 63}, func() {}, zerolog.Nop())
+	for range 100 {
+		if wait := f.wait(); wait > 3*time.Second {
+			t.Fatalf("a poll among 64 daemons waits %v", wait)
+		}
+	}
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -130,7 +130,7 @@
 			t.Errorf("%s does not follow the store", n.ID)
 		}
 	}
-	if l := nodes[0].Lenders("t"); len(l) > 0 || !nodes[0].Keeps("t") || nodes[0].Holders() != 3 {
+	if l := nodes[0].Lenders("t"); len(l) > 0 || !nodes[0].Keeps("t") || nodes[0].Holders() != 3 || nodes[0].Pollers() != 3 {
 		t.Errorf("lenders %v, keeps %v, %d holders; in a small fleet each daemon draws itself", l, nodes[0].Keeps("t"), nodes[0].Holders())
 	}
 	if l := nodes[0].Richest("t"); len(l) != 2 {
@@ -201,7 +201,7 @@
 				keepers[n.Domain]++
 			}
 		}
-		return keepers["z0"] == 1 && keepers["z1"] == 1 && from.Holders() == 2
+		return keepers["z0"] == 1 && keepers["z1"] == 1 && from.Holders() == 2 && from.Pollers() == 2*followers
 	})
 }
 
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -86,6 +86,21 @@
 	if !m.wide() {
 		return m.count()
 	}
+	return m.domains()
+}
+
+// Pollers returns the number of daemons that follow the store.
+func (m *Mesh) Pollers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.wide() {
+		return m.count()
+	}
+	return followers * m.domains()
+}
+
+// domains is the number of live failure domains. The caller holds m.mu.
+func (m *Mesh) domains() int {
 	now := time.Now()
 	domains := map[string]bool{m.Domain: true}
 	for _, p := range m.peers {
