--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
@@ -49,7 +48,6 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	stderr *bytes.Buffer
 	log    *os.File
 	starts int
 	alive  bool
@@ -96,8 +94,13 @@
 	if err != nil {
 		return err
 	}
-	d.cmd, d.stderr, d.exited = exec.Command(binary, "front", "--settings", file), &bytes.Buffer{}, make(chan struct{})
-	d.cmd.Stdout, d.cmd.Stderr = d.log, d.stderr
+	errs, err := os.OpenFile(d.errorFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer errs.Close() // the process has its own copy
+	d.cmd, d.exited = exec.Command(binary, "front", "--settings", file), make(chan struct{})
+	d.cmd.Stdout, d.cmd.Stderr = d.log, errs
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
@@ -188,11 +191,18 @@
 	return !d.alive || !d.stopped.IsZero() && !d.stopped.After(at)
 }
 
-// checkOutput reports panics and data races of the daemon's processes.
+// errorFile holds the standard error of all processes of the daemon.
+func (d *daemon) errorFile() string { return filepath.Join(d.dir, d.name+".stderr") }
+
+// checkOutput ends the daemon and reports panics and data races of all its
+// processes.
 func (d *daemon) checkOutput(t *testing.T) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.stderr.Len() > 0 {
-		t.Errorf("%s wrote to standard error: %s", d.name, d.stderr)
+	d.kill()
+	text, err := os.ReadFile(d.errorFile())
+	if err != nil {
+		t.Error(err)
+	}
+	if len(text) > 0 {
+		t.Errorf("%s wrote to standard error: %s", d.name, text)
 	}
 }
