Pack changes only where other daemons are told, ask the mesh once whether it is wide

Each daemon of a small fleet packed every change of the store, whole configurations too, for a message that was then dropped. The bank worked out whether the fleet is wide from two counts at several places, and asked twice who keeps an account. Behaviour is unchanged, but for a wide fleet of which no more daemons than failure domains are left: the bank now takes it for wide, as the mesh does.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -70,8 +70,10 @@
 	// Richest returns the peers that may hold tokens of an account, the one
 	// with the most first.
 	Richest(account string) []string
-	// Keeps tells whether this daemon draws the account's tokens from the store,
-	// Lenders which peers to ask first if not.
+	// Wide tells whether keepers draw for other daemons. Keeps tells whether this
+	// daemon draws the account's tokens from the store, Lenders which peers to
+	// ask first if not.
+	Wide() bool
 	Keeps(account string) bool
 	Lenders(account string) []string
 	// Rich returns at most n near peers that hold tokens, the richest first.
--- a/internal/escrow/bank/bank_test.go
+++ b/internal/escrow/bank/bank_test.go
@@ -59,6 +59,8 @@
 	return names
 }
 
+func (n neighbours) Wide() bool { return n.wide }
+
 func (n neighbours) Holders() int {
 	if n.wide {
 		return 1
--- a/internal/escrow/bank/lend.go
+++ b/internal/escrow/bank/lend.go
@@ -40,7 +40,7 @@
 func (b *Bank) hand(a *account, tokens int64) escrow.Gift {
 	now := time.Now()
 	gift := escrow.Gift{Away: now.Before(b.storeDown)}
-	if !b.wide() {
+	if !b.Peers.Wide() {
 		gift.Tokens = a.holding.Give(tokens)
 		return gift
 	}
@@ -51,9 +51,6 @@
 	return gift
 }
 
-// wide tells whether keepers draw for other daemons.
-func (b *Bank) wide() bool { return b.Peers.Holders() < b.Peers.Count() }
-
 func (b *Bank) given(account string, tokens int64, g escrow.Gift) escrow.Gift {
 	b.Log.Info().Str("account", account).Int64("asked", tokens).Int64("given", g.Tokens).Bool("store_away", g.Away).
 		Bool("store_empty", g.Empty).Msg("tokens given")
@@ -63,7 +60,7 @@
 // awaitLoan waits for the draw, a short time only: the peer has other ways.
 func (b *Bank) awaitLoan(ctx context.Context, a *account, w *ask) escrow.Gift {
 	patience := lendPatience
-	if b.wide() {
+	if b.Peers.Wide() {
 		patience = keeperPatience
 	}
 	timer := time.NewTimer(patience)
@@ -114,7 +111,7 @@
 // gather takes what near peers hold beyond their needs, once the store has no
 // more for the asks; it returns true if that covers one of them.
 func (b *Bank) gather(a *account) bool {
-	if !b.wide() {
+	if !b.Peers.Wide() {
 		return false
 	}
 	for _, peer := range b.Peers.Rich(a.name, gatherPeers) {
--- a/internal/escrow/bank/level.go
+++ b/internal/escrow/bank/level.go
@@ -56,15 +56,16 @@
 func (b *Bank) wantedWrites() []levelWrite {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now, holders, wide := time.Now(), b.Peers.Holders(), b.wide()
+	now, holders, wide := time.Now(), b.Peers.Holders(), b.Peers.Wide()
 	var wanted []levelWrite
 	for _, a := range b.accounts {
+		keeps := b.Peers.Keeps(a.name)
 		a.holding.SetHolders(holders)
-		a.holding.SetKeeper(wide && b.Peers.Keeps(a.name))
+		a.holding.SetKeeper(wide && keeps)
 		if len(wanted) == platform.MaxSwapKeys {
 			break
 		}
-		if a.holding.Low(now) && !b.Peers.Keeps(a.name) {
+		if a.holding.Low(now) && !keeps {
 			continue
 		}
 		if w, ok := a.holding.Level(now); ok {
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -80,6 +80,8 @@
 	// that follow the store.
 	Count() int
 	Pollers() int
+	// Wide tells whether some daemons follow the store for others.
+	Wide() bool
 	// Follows tells whether this daemon follows the store itself, First whether
 	// it would if the store answered all.
 	Follows() bool
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -69,6 +69,7 @@
 
 func (f fixedFleet) Count() int    { return f.daemons + 1 }
 func (f fixedFleet) Pollers() int  { return 8 }
+func (fixedFleet) Wide() bool      { return true }
 func (f fixedFleet) Follows() bool { return f.follows }
 func (f fixedFleet) First() bool   { return f.follows }
 func (fixedFleet) StoreSeen() bool { return false }
--- a/internal/front/spread.go
+++ b/internal/front/spread.go
@@ -10,7 +10,7 @@
 
 // spread passes changes that the store told on to the other daemons.
 func (f *feed) spread(c platform.Changes) {
-	if len(c.Events) == 0 || !f.fleet.Follows() {
+	if len(c.Events) == 0 || !f.fleet.Wide() || !f.fleet.Follows() {
 		return
 	}
 	out := &meshpb.Changes{Prefix: f.prefix, Since: int64(f.revision()), BackAgeMs: f.backAge(time.Now())}
