--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -1,5 +1,6 @@
 // Package dialer makes TCP connections that end when their other side falls
-// silent: without a reset, only a timeout of one's own shows that.
+// silent: without a reset, only a timeout of one's own shows that. It also opens
+// the gRPC connections between daemons.
 package dialer
 
 import (
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -13,10 +13,9 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/azurehatch/azurehatch/internal/dialer"
 	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
@@ -173,27 +172,19 @@
 	if addr == "" || addr == m.Addr || m.peers[addr] != nil {
 		return
 	}
-	conn, err := dial(addr)
+	conn, err := link.Dial(addr)
 	if err != nil {
-		m.Log.Error().Err(err).Str("peer", addr).Msg("peer address refused")
+		m.Log.Error().Err(errors.Wrap(err, "connect to peer")).Str("peer", addr).Msg("peer address refused")
 		return
 	}
 	m.peers[addr] = &peer{addr: addr, conn: conn, known: time.Now()}
 	m.Log.Info().Str("peer", addr).Msg("peer known")
 }
 
-func dial(addr string) (*grpc.ClientConn, error) {
-	bo := backoff.DefaultConfig
-	bo.BaseDelay, bo.MaxDelay = connectDelay, maxDelay
-	conn, err := grpc.NewClient("passthrough:///"+addr,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: bo, MinConnectTimeout: exchangeTimeout}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingTime, Timeout: pingTimeout}),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDisableRetry(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-	)
-	return conn, errors.Wrap(err, "connect to peer")
+// link is how daemons reach each other.
+var link = dialer.Daemon{
+	FirstBackoff: connectDelay, MaxBackoff: maxDelay, ConnectTimeout: exchangeTimeout,
+	PingInterval: pingTime, PingTimeout: pingTimeout, MaxMessageBytes: maxMessageBytes,
 }
 
 func (m *Mesh) loop() {
@@ -239,7 +230,7 @@
 	}
 	for _, p := range m.due() {
 		p.busy, p.called = true, now
-		if m.near(p) {
+		if m.near(p.domain) {
 			near = append(near, p)
 		} else {
 			far = append(far, p)
@@ -264,7 +255,7 @@
 	var due []*peer
 	left := map[bool]int{true: nearFanout, false: farFanout}
 	for _, p := range free {
-		if near := m.near(p); left[near] > 0 {
+		if near := m.near(p.domain); left[near] > 0 {
 			left[near]--
 			due = append(due, p)
 		}
@@ -336,7 +327,10 @@
 // Exchange implements meshpb.MeshServer.
 func (m *Mesh) Exchange(_ context.Context, d *meshpb.Digest) (*meshpb.Digest, error) {
 	m.learn(d)
-	return m.digest(!m.Wide() || d.Domain == m.Domain), nil
+	m.mu.Lock()
+	near := m.near(d.Domain)
+	m.mu.Unlock()
+	return m.digest(near), nil
 }
 
 // Push implements meshpb.MeshServer.
@@ -350,7 +344,7 @@
 	items, revision := m.State.Items(r.Prefix)
 	reply := &meshpb.ItemsReply{Revision: int64(revision)}
 	for _, i := range items {
-		reply.Items = append(reply.Items, &meshpb.Item{Key: i.Key, Value: i.Value, Revision: int64(i.Revision)})
+		reply.Items = append(reply.Items, encodeItem(i))
 	}
 	return reply, nil
 }
@@ -369,7 +363,7 @@
 	}
 	items := make([]platform.Item, 0, len(reply.Items))
 	for _, i := range reply.Items {
-		items = append(items, platform.Item{Key: i.Key, Value: i.Value, Revision: platform.Revision(i.Revision)})
+		items = append(items, decodeItem(i))
 	}
 	return items, platform.Revision(reply.Revision), nil
 }
--- a/internal/mesh/pack.go
+++ b/internal/mesh/pack.go
@@ -12,13 +12,19 @@
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
+func encodeItem(i platform.Item) *meshpb.Item {
+	return &meshpb.Item{Key: i.Key, Value: i.Value, Revision: int64(i.Revision)}
+}
+
+func decodeItem(i *meshpb.Item) platform.Item {
+	return platform.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: platform.Revision(i.GetRevision())}
+}
+
 // Pack encodes events for Changes.Packed.
 func Pack(events []platform.Event) ([]byte, error) {
 	list := &meshpb.ChangeList{}
 	for _, ev := range events {
-		list.Changes = append(list.Changes, &meshpb.Change{
-			Item: &meshpb.Item{Key: ev.Item.Key, Value: ev.Item.Value, Revision: int64(ev.Item.Revision)}, Deleted: ev.Deleted,
-		})
+		list.Changes = append(list.Changes, &meshpb.Change{Item: encodeItem(ev.Item), Deleted: ev.Deleted})
 	}
 	text, err := proto.Marshal(list)
 	if err != nil {
@@ -51,8 +57,7 @@
 	}
 	events := make([]platform.Event, 0, len(list.Changes))
 	for _, c := range list.Changes {
-		item := platform.Item{Key: c.Item.GetKey(), Value: c.Item.GetValue(), Revision: platform.Revision(c.Item.GetRevision())}
-		events = append(events, platform.Event{Item: item, Deleted: c.Deleted})
+		events = append(events, platform.Event{Item: decodeItem(c.Item), Deleted: c.Deleted})
 	}
 	return events, nil
 }
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -21,18 +21,34 @@
 	return m.wide()
 }
 
-// near tells whether a peer is told all; in a wide fleet these are the peers of
-// the own failure domain. The caller holds m.mu.
-func (m *Mesh) near(p *peer) bool { return !m.wide() || p.domain == m.Domain }
+// near tells whether peers of a failure domain are told all; in a wide fleet
+// these are those of the own one. The caller holds m.mu.
+func (m *Mesh) near(domain string) bool { return !m.wide() || domain == m.Domain }
 
 // live tells whether a peer was heard lately. The caller holds m.mu.
 func (m *Mesh) live(now time.Time, p *peer) bool {
-	if m.near(p) {
+	if m.near(p.domain) {
 		return now.Sub(p.heard) < liveFor
 	}
 	return now.Sub(p.heard) < farLiveFor
 }
 
+// neighbours returns the live peers of the own failure domain that a condition
+// holds for. The caller holds m.mu.
+func (m *Mesh) neighbours(holds func(*peer) bool) []*peer {
+	now := time.Now()
+	var list []*peer
+	for _, p := range m.peers {
+		if p.domain == m.Domain && m.live(now, p) && holds(p) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// storeSeen tells whether the store lately answered a peer.
+func (p *peer) storeSeen(now time.Time) bool { return now.Sub(p.storeHeard) < followFresh }
+
 // Richest returns the live peers, the one with the most tokens first. One that
 // holds none may be able to draw some.
 func (m *Mesh) Richest(account string) []string {
@@ -65,14 +81,8 @@
 // before returns the live near peers that come before this daemon in the
 // rendezvous order of an account. The caller holds m.mu.
 func (m *Mesh) before(account string) []*peer {
-	now := time.Now()
 	own := keeperScore(account, m.Addr)
-	var list []*peer
-	for _, p := range m.peers {
-		if p.domain == m.Domain && !p.stopping && m.live(now, p) && keeperScore(account, p.addr) > own {
-			list = append(list, p)
-		}
-	}
+	list := m.neighbours(func(p *peer) bool { return !p.stopping && keeperScore(account, p.addr) > own })
 	sort.Slice(list, func(i, j int) bool { return keeperScore(account, list[i].addr) > keeperScore(account, list[j].addr) })
 	return list
 }
@@ -173,7 +183,7 @@
 // the store answers them.
 func (m *Mesh) Follows() bool {
 	now := time.Now()
-	return m.first(func(p *peer) bool { return p.follows && now.Sub(p.storeHeard) < followFresh })
+	return m.first(func(p *peer) bool { return p.follows && p.storeSeen(now) })
 }
 
 // First tells whether this daemon would follow the store if it answered all.
@@ -184,32 +194,15 @@
 func (m *Mesh) StoreSeen() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.wide() {
-		return false
-	}
 	now := time.Now()
-	for _, p := range m.peers {
-		if p.domain == m.Domain && m.live(now, p) && now.Sub(p.storeHeard) < followFresh {
-			return true
-		}
-	}
-	return false
+	return m.wide() && len(m.neighbours(func(p *peer) bool { return p.storeSeen(now) })) > 0
 }
 
 func (m *Mesh) first(counts func(*peer) bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.wide() {
-		return true
-	}
-	now := time.Now()
-	before := 0
-	for _, p := range m.peers {
-		if p.domain == m.Domain && p.addr < m.Addr && !p.stopping && m.live(now, p) && counts(p) {
-			before++
-		}
-	}
-	return before < followers
+	before := func(p *peer) bool { return p.addr < m.Addr && !p.stopping && counts(p) }
+	return !m.wide() || len(m.neighbours(before)) < followers
 }
 
 // Spread passes changes on to the live peers of the own failure domain.
@@ -219,11 +212,8 @@
 	if !m.wide() || m.ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
-	for _, p := range m.peers {
-		if p.domain == m.Domain && m.live(now, p) {
-			m.wg.Go(func() { m.push(p, c) })
-		}
+	for _, p := range m.neighbours(func(*peer) bool { return true }) {
+		m.wg.Go(func() { m.push(p, c) })
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,13 +6,11 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/dialer"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/membership"
 	"github.com/azurehatch/azurehatch/internal/peer/peerpb"
@@ -39,9 +37,6 @@
 
 // NewClient returns a client; creds nil means plain text.
 func NewClient(creds credentials.TransportCredentials) *Client {
-	if creds == nil {
-		creds = insecure.NewCredentials()
-	}
 	return &Client{creds: creds, conns: make(map[string]*grpc.ClientConn)}
 }
 
@@ -51,16 +46,10 @@
 	if conn, ok := c.conns[addr]; ok {
 		return peerpb.NewPeerClient(conn), nil
 	}
-	bo := backoff.DefaultConfig
-	bo.BaseDelay, bo.MaxDelay = connectBackoff, maxBackoff
-	conn, err := grpc.NewClient("passthrough:///"+addr,
-		grpc.WithTransportCredentials(c.creds),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: bo, MinConnectTimeout: time.Second}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDisableRetry(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-	)
+	conn, err := dialer.Daemon{
+		Creds: c.creds, FirstBackoff: connectBackoff, MaxBackoff: maxBackoff, ConnectTimeout: time.Second,
+		PingInterval: pingInterval, PingTimeout: pingTimeout, MaxMessageBytes: maxMessageBytes,
+	}.Dial(addr)
 	if err != nil {
 		return nil, failure.At(err, "peer.connect", addr)
 	}
