Share the sleep that ends with its context, and the removal from a queue

gateway, ledger, front and the soak each had the same sleep: pause.Sleep serves them. The bank's two queues share one removal. The end of a stop's wait is decided in one place. Tests: three loops that wait for a feed's values are recorder.want, and the front's tests write through the platform's stand-in; the assertions are as before.

--- a/internal/escrow/bank/bank.go
+++ b/internal/escrow/bank/bank.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -225,13 +226,17 @@
 func (b *Bank) leave(a *account, w *waiter) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i, other := range a.waiting {
-		if other == w {
-			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
-			return true
-		}
+	return remove(&a.waiting, w)
+}
+
+// remove takes an element out of a queue; it returns false if it is not there.
+func remove[T comparable](queue *[]T, x T) bool {
+	i := slices.Index(*queue, x)
+	if i < 0 {
+		return false
 	}
-	return false
+	*queue = slices.Delete(*queue, i, i+1)
+	return true
 }
 
 // serveWaiting gives tokens to the waiters that the holding covers.
--- a/internal/escrow/bank/lend.go
+++ b/internal/escrow/bank/lend.go
@@ -73,11 +73,8 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i, other := range a.asks {
-		if other == w {
-			a.asks = append(a.asks[:i], a.asks[i+1:]...)
-			return escrow.Gift{}
-		}
+	if remove(&a.asks, w) {
+		return escrow.Gift{}
 	}
 	return <-w.done
 }
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
@@ -130,7 +131,7 @@
 // run follows the store until ctx ends.
 func (f *feed) run(ctx context.Context) {
 	listed := false
-	pause := firstPause
+	gap := firstPause
 	var failing time.Time
 	for ctx.Err() == nil {
 		if listed && failing.IsZero() && !f.due(ctx) {
@@ -144,7 +145,7 @@
 				f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(failing)).Msg("store regained")
 			}
 			f.noteAnswer(now, !failing.IsZero() && now.Sub(failing) > awayAfter)
-			failing, pause = time.Time{}, firstPause
+			failing, gap = time.Time{}, firstPause
 			continue
 		}
 		if ctx.Err() != nil {
@@ -158,19 +159,19 @@
 			f.reader.away()
 			f.mu.Unlock()
 		}
-		f.rest(ctx, pause)
-		pause = min(2*pause, lastPause)
+		f.rest(ctx, gap)
+		gap = min(2*gap, lastPause)
 	}
 }
 
 // rest waits before the next probe of a lost store.
-func (f *feed) rest(ctx context.Context, pause time.Duration) {
+func (f *feed) rest(ctx context.Context, gap time.Duration) {
 	if f.fleet.First() && !f.fleet.StoreSeen() {
-		sleep(ctx, pause)
+		pause.Sleep(ctx, gap)
 		return
 	}
-	sleep(ctx, max(pause, wokenPause))
-	whole := pause * time.Duration(max(1, f.fleet.Count()/fewDaemons))
+	pause.Sleep(ctx, max(gap, wokenPause))
+	whole := gap * time.Duration(max(1, f.fleet.Count()/fewDaemons))
 	timer := time.NewTimer(max(0, whole-wokenPause))
 	defer timer.Stop()
 	select {
@@ -243,7 +244,7 @@
 	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Int64("revision", int64(c.At)).Msg("changes read")
 	f.apply(c)
 	if len(c.Events) > 0 && f.fleet.Follows() {
-		sleep(ctx, f.gatherFor())
+		pause.Sleep(ctx, f.gatherFor())
 	}
 	return nil
 }
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -12,6 +12,7 @@
 	"github.com/azurehatch/azurehatch/internal/discovery"
 	"github.com/azurehatch/azurehatch/internal/mesh"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/platform/memstore"
 )
@@ -60,6 +61,21 @@
 func (recorder) back(time.Time)     {}
 func (recorder) returned(time.Time) {}
 
+// want waits for values in order.
+func (r recorder) want(t *testing.T, limit time.Duration, values ...string) {
+	t.Helper()
+	for _, want := range values {
+		select {
+		case got := <-r.value:
+			if got != want {
+				t.Fatalf("got %q, want %q", got, want)
+			}
+		case <-time.After(limit):
+			t.Fatalf("%q did not come", want)
+		}
+	}
+}
+
 // fixedFleet is a fleet of which this daemon follows the store or not.
 type fixedFleet struct {
 	follows bool
@@ -87,16 +103,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go f.run(ctx)
-	for _, want := range []string{"1", "2"} {
-		select {
-		case got := <-r.value:
-			if got != want {
-				t.Fatalf("got %q, want %q", got, want)
-			}
-		case <-time.After(2 * time.Second):
-			t.Fatalf("%q did not come", want)
-		}
-	}
+	r.want(t, 2*time.Second, "1", "2")
 }
 
 // Guards against a feed that copies from a peer at once, although its own watch
@@ -138,18 +145,7 @@
 	f := newFeed("p/", store, got, fixedFleet{}, func() {}, zerolog.Nop())
 	go follower.run(ctx)
 	go f.run(ctx)
-	want := func(value string) {
-		t.Helper()
-		select {
-		case v := <-got.value:
-			if v != value {
-				t.Fatalf("got %q, want %q", v, value)
-			}
-		case <-time.After(2 * time.Second):
-			t.Fatalf("%q did not come", value)
-		}
-	}
-	want("1")
+	got.want(t, 2*time.Second, "1")
 	second := put("2", first)
 	c := <-pushed
 	select {
@@ -158,7 +154,7 @@
 	case <-time.After(2 * followCheck):
 	}
 	f.pushed(time.Now(), c)
-	want("2")
+	got.want(t, 2*time.Second, "2")
 	noise := make([]byte, 2*spreadLimit)
 	_, _ = rand.NewChaCha8([32]byte{1}).Read(noise)
 	third := put(string(noise), second)
@@ -167,10 +163,10 @@
 		t.Error("changes above the limit are in the message")
 	}
 	f.pushed(time.Now(), large)
-	want(string(noise))
+	got.want(t, 2*time.Second, string(noise))
 	put("4", third)
 	f.pushed(time.Now(), &meshpb.Changes{Prefix: "p/", Since: 1 << 40, Revision: 1<<40 + 1, Packed: c.Packed})
-	want("4")
+	got.want(t, 2*time.Second, "4")
 }
 
 // Guards against entries that lapsed with the store and are removed at once by a
@@ -207,10 +203,10 @@
 		return platform.Changes{}, platform.ErrUnavailable
 	}
 	if prefix != "p/" || after > 1 {
-		sleep(ctx, 10*time.Millisecond)
+		pause.Sleep(ctx, 10*time.Millisecond)
 		return platform.Changes{}, nil
 	}
-	sleep(ctx, probeTimeout+100*time.Millisecond)
+	pause.Sleep(ctx, probeTimeout+100*time.Millisecond)
 	if ctx.Err() != nil {
 		return platform.Changes{}, platform.ErrUnavailable
 	}
@@ -225,16 +221,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go f.run(ctx)
-	for _, want := range []string{"1", "2"} {
-		select {
-		case got := <-r.value:
-			if got != want {
-				t.Fatalf("got %q, want %q", got, want)
-			}
-		case <-time.After(5 * time.Second):
-			t.Fatalf("%q did not come", want)
-		}
-	}
+	r.want(t, 5*time.Second, "1", "2")
 }
 
 // Guards against polls of a wide fleet's followers that wait so long that others
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 	"github.com/azurehatch/azurehatch/internal/escrow/bank"
 	"github.com/azurehatch/azurehatch/internal/mesh"
 	"github.com/azurehatch/azurehatch/internal/metrics"
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/relay"
 	"github.com/azurehatch/azurehatch/internal/retry"
@@ -285,7 +286,7 @@
 	deadline := begun.Add(time.Duration(d.grace.Load()) - exitMargin)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	sleep(ctx, announceFor)
+	pause.Sleep(ctx, announceFor)
 	d.entry.Refuse()
 	err := d.awaitOpen(ctx)
 	d.callersHTTP.Close()
@@ -301,14 +302,14 @@
 // open meanwhile: a refused request is answered, a refused connection is not.
 func (d *Daemon) awaitOpen(ctx context.Context) error {
 	for d.entry.Open() > 0 || d.arrivals.recent(time.Now()) > 0 {
-		if ctx.Err() != nil && d.entry.Open() == 0 {
-			break
+		if pause.Sleep(ctx, stopPoll) {
+			continue
 		}
-		if ctx.Err() != nil {
-			d.log.Warn().Int64("open", d.entry.Open()).Msg("requests still open at the end of the grace time")
+		if open := d.entry.Open(); open > 0 {
+			d.log.Warn().Int64("open", open).Msg("requests still open at the end of the grace time")
 			return ctx.Err()
 		}
-		sleep(ctx, stopPoll)
+		return nil
 	}
 	return nil
 }
@@ -335,15 +336,6 @@
 	d.closeScope()
 }
 
-func sleep(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // registryPrefix is the prefix of the daemons' own entries.
 const registryPrefix = "azurehatch/daemons/"
 
@@ -360,7 +352,7 @@
 			return
 		}
 		d.log.Warn().Err(err).Msg("daemon not registered yet")
-		sleep(d.ctx, registerPause)
+		pause.Sleep(d.ctx, registerPause)
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -24,6 +23,7 @@
 	"github.com/azurehatch/azurehatch/internal/settings"
 	"github.com/azurehatch/azurehatch/internal/unit"
 	wire "github.com/azurehatch/azurehatch/platform"
+	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
 
 // cutStore is a daemon's path to the store, which can be cut.
@@ -136,15 +136,8 @@
 }
 
 func (f *fleet) put(key string, value any) {
-	text, err := json.Marshal(value)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	var at platform.Revision
-	if old, err := f.store.Get(f.t.Context(), key); err == nil {
-		at = old.Revision
-	}
-	if _, err := f.store.CompareAndSwap(f.t.Context(), platform.Write{Key: key, Value: text, Expected: at}); err != nil {
+	operator := platformtest.Store{Store: f.store}
+	if _, err := operator.Put(f.t.Context(), key, value); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/problem"
 	"github.com/azurehatch/azurehatch/internal/upstream"
 )
@@ -232,11 +233,11 @@
 		}
 		delay, ok := j.ticket.Retry(err)
 		if !ok {
-			sleep(ctx, delay)
+			pause.Sleep(ctx, delay)
 			return j.refusal(err)
 		}
 		j.x.log.Debug().Err(err).Dur("delay", delay).Msg("retrying at another endpoint")
-		if !sleep(ctx, delay) {
+		if !pause.Sleep(ctx, delay) {
 			return j.refusal(err)
 		}
 	}
@@ -331,17 +332,6 @@
 	return h
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // isJSON reports whether an answer says that it is JSON.
 func isJSON(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "application/json")
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurehatch/azurehatch/internal/budget"
 	"github.com/azurehatch/azurehatch/internal/failure"
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
@@ -80,7 +81,7 @@
 		if _, conflict := platform.AsConflict(err); !conflict && !errors.Is(err, platform.ErrOutcomeUnknown) {
 			return failure.At(err, "budget.edit", Key(shard))
 		}
-		if !sleep(ctx, retryInterval) {
+		if !pause.Sleep(ctx, retryInterval) {
 			return ctx.Err()
 		}
 	}
--- a/internal/ledger/adopt.go
+++ b/internal/ledger/adopt.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
@@ -38,7 +39,7 @@
 				if l.adoptShard(shard) {
 					break
 				}
-				if !sleep(l.ctx, adoptRetry) {
+				if !pause.Sleep(l.ctx, adoptRetry) {
 					return
 				}
 			}
@@ -69,7 +70,7 @@
 func (l *Ledger) adoptShard(shard int) bool {
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 	defer cancel()
-	sleep(ctx, adoptGap)
+	pause.Sleep(ctx, adoptGap)
 	item, err := l.o.Store.Get(ctx, Key(shard))
 	if errors.Is(err, platform.ErrNotFound) {
 		return true
--- a/internal/ledger/hold.go
+++ b/internal/ledger/hold.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurehatch/azurehatch/internal/budget"
 	"github.com/azurehatch/azurehatch/internal/gateway"
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/problem"
 	"github.com/azurehatch/azurehatch/internal/upstream"
 )
@@ -47,7 +48,7 @@
 			}
 			return h, nil
 		}
-		if !sleep(ctx, retryInterval) {
+		if !pause.Sleep(ctx, retryInterval) {
 			return nil, unavailable(ctx.Err())
 		}
 	}
@@ -130,7 +131,7 @@
 		if !errors.Is(err, errAgain) {
 			return err
 		}
-		if !sleep(ctx, retryInterval) {
+		if !pause.Sleep(ctx, retryInterval) {
 			return unavailable(ctx.Err())
 		}
 	}
--- a/internal/ledger/identity.go
+++ b/internal/ledger/identity.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
@@ -38,7 +39,7 @@
 			return
 		}
 		l.o.Log.Warn().Err(err).Msg("holder id can't be recorded")
-		if !sleep(l.ctx, claimRetry) {
+		if !pause.Sleep(l.ctx, claimRetry) {
 			return
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -185,15 +185,3 @@
 func (l *Ledger) owner(shard int) (membership.Member, bool) {
 	return l.o.Members.Owner(l.o.Domain, Key(shard))
 }
-
-// sleep waits for d; it reports false if ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/azurehatch/azurehatch/internal/budget"
+	"github.com/azurehatch/azurehatch/internal/pause"
 )
 
 // errNoOwner means that the failure domain has no live member to serve the
@@ -59,7 +60,7 @@
 		if l.isRegistered(shard) {
 			return nil
 		}
-		if !sleep(ctx, retryInterval) {
+		if !pause.Sleep(ctx, retryInterval) {
 			return ctx.Err()
 		}
 	}
@@ -139,7 +140,7 @@
 		if l.settled() {
 			return nil
 		}
-		if !sleep(ctx, settleInterval) {
+		if !pause.Sleep(ctx, settleInterval) {
 			return errors.Wrap(ctx.Err(), "settlements are not durable")
 		}
 	}
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/azurehatch/azurehatch/internal/pause"
 )
 
 // kinds of request, by path.
@@ -55,14 +57,7 @@
 			tr.ready[d] = ok
 			tr.mu.Unlock()
 		}
-		pause(ctx, 200*time.Millisecond)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		pause.Sleep(ctx, 200*time.Millisecond)
 	}
 }
 
@@ -96,7 +91,7 @@
 		if r.err != nil {
 			d = nil
 		}
-		pause(ctx, time.Duration(rand.IntN(60))*time.Millisecond)
+		pause.Sleep(ctx, time.Duration(rand.IntN(60))*time.Millisecond)
 	}
 }
 
@@ -257,6 +252,6 @@
 				tr.w.violate("%s does not serve version %d, %v after its publication", d.name, newest, begun.Sub(published))
 			}
 		}
-		pause(ctx, 150*time.Millisecond)
+		pause.Sleep(ctx, 150*time.Millisecond)
 	}
 }
