Log how a daemon learned of a configuration and count the messages to peers

Cause: the log lines told when a version was installed, not whether the daemon had known of it before nor by which way it came, so a daemon that could not read a newer version looked like one that had not heard of it. Failed exchanges and pushes were visible at level debug only. Change: "configuration installed" has origin and behind_ms; counters mesh_exchanges, mesh_pushes (by result) and mesh_digest_bytes.

--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -53,7 +53,10 @@
 // missing between them and the feed's revision, the store is read instead.
 func (f *feed) receive(now time.Time, c *meshpb.Changes) {
 	f.mergeRegained(now, c.BackAgeMs)
-	at := int64(f.currentRevision())
+	f.mu.Lock()
+	f.markBehind(now, platform.Revision(c.Revision))
+	at := int64(f.revision)
+	f.mu.Unlock()
 	if c.Revision <= at {
 		return
 	}
@@ -69,7 +72,7 @@
 	}
 	f.log.Debug().Str("prefix", f.prefix).Int("events", len(events)).Int64("revision", c.Revision).
 		Msg("changes passed on by a peer")
-	f.apply(platform.Changes{Events: events})
+	f.apply(fromPush, platform.Changes{Events: events})
 }
 
 // mergeRegained adopts from a peer the time at which the store became reachable
@@ -115,11 +118,9 @@
 	if changed <= f.revision {
 		return false
 	}
-	if f.behindSince.IsZero() || f.revision >= f.behindRevision {
-		f.behindSince, f.behindRevision = now, changed
-	}
+	f.markBehind(now, changed)
 	f.highestReported = max(f.highestReported, changed)
-	behindFor := now.Sub(f.behindSince)
+	behindFor := f.behindFor(now)
 	if behindFor >= storeReadDelay {
 		f.requestRead()
 	}
@@ -145,5 +146,5 @@
 	}
 	f.log.Info().Str("prefix", f.prefix).Str("peer", peer).Int64("revision", int64(at)).
 		Int64("former", int64(f.currentRevision())).Msg("copy of a peer read")
-	f.replace(items, at)
+	f.replace(fromPeerCopy, items, at)
 }
--- a/internal/front/configuration.go
+++ b/internal/front/configuration.go
@@ -36,20 +36,20 @@
 	return t.Table, time.Since(t.installedAt)
 }
 
-func (c *configuration) replace(now time.Time, items []platform.Item, _ platform.Revision) {
+func (c *configuration) replace(r reading, items []platform.Item, _ platform.Revision) {
 	for _, i := range items {
-		c.install(now, i)
+		c.install(r, i)
 	}
 }
 
-func (c *configuration) apply(now time.Time, events []platform.Event, _ platform.Revision) {
+func (c *configuration) apply(r reading, events []platform.Event, _ platform.Revision) {
 	for _, ev := range events {
 		if ev.Deleted {
 			c.log.Warn().Str("key", ev.Item.Key).Int64("revision", int64(ev.Item.Revision)).
 				Msg("configuration deleted; the last one stays")
 			continue
 		}
-		c.install(now, ev.Item)
+		c.install(r, ev.Item)
 	}
 }
 
@@ -60,7 +60,7 @@
 
 func (c *configuration) storeRegained(time.Time) {}
 
-func (c *configuration) install(now time.Time, i platform.Item) {
+func (c *configuration) install(r reading, i platform.Item) {
 	if i.Key != c.wire.ConfigKey {
 		return
 	}
@@ -78,11 +78,12 @@
 		return
 	}
 	c.onInstall(table)
-	c.current.Store(&installedTable{Table: table, installedAt: now, revision: i.Revision})
+	c.current.Store(&installedTable{Table: table, installedAt: r.at, revision: i.Revision})
 	var former int64
 	if old != nil {
 		former = old.Version
 	}
 	c.log.Info().Int64("version", table.Version).Int64("former", former).Int64("revision", int64(i.Revision)).
-		Int("routes", len(table.Routes)).Int("accounts", len(table.Accounts)).Msg("configuration installed")
+		Int("routes", len(table.Routes)).Int("accounts", len(table.Accounts)).
+		Str("origin", string(r.origin)).Dur("behind_ms", r.behind).Msg("configuration installed")
 }
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -24,16 +24,16 @@
 	return &endpoints{pools: p, log: log, list: discovery.NewTable(decode)}
 }
 
-func (e *endpoints) replace(now time.Time, items []platform.Item, at platform.Revision) {
+func (e *endpoints) replace(r reading, items []platform.Item, at platform.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.applyToPools(e.list.Replace(now, items, at))
+	e.applyToPools(e.list.Replace(r.at, items, at))
 }
 
-func (e *endpoints) apply(now time.Time, events []platform.Event, at platform.Revision) {
+func (e *endpoints) apply(r reading, events []platform.Event, at platform.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.applyToPools(e.list.Apply(now, events, at))
+	e.applyToPools(e.list.Apply(r.at, events, at))
 }
 
 func (e *endpoints) storeUnreachable() {
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -82,13 +82,31 @@
 // of 32 KiB take 0.4 s on a link of 10 Mbit/s.
 const maxBroadcastBytes = 32 << 10
 
+// origin is the way in which a feed learned of items.
+type origin string
+
+const (
+	fromList     origin = "list"
+	fromPoll     origin = "poll"
+	fromPush     origin = "push"
+	fromPeerCopy origin = "peer copy"
+)
+
+// reading is one reading of items: its time, its origin and how long the feed had known
+// before that it lacked changes.
+type reading struct {
+	at     time.Time
+	origin origin
+	behind time.Duration
+}
+
 // consumer receives the items and changes that a feed reads. Its methods are not
 // called concurrently.
 type consumer interface {
 	// replace replaces all items by those at a revision.
-	replace(now time.Time, items []platform.Item, at platform.Revision)
+	replace(r reading, items []platform.Item, at platform.Revision)
 	// apply applies the changes up to a revision.
-	apply(now time.Time, events []platform.Event, at platform.Revision)
+	apply(r reading, events []platform.Event, at platform.Revision)
 	// storeUnreachable and storeReachable report whether the store can be read.
 	storeUnreachable()
 	storeReachable(now time.Time)
@@ -279,7 +297,7 @@
 		}
 		*listed = true
 		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Int64("revision", int64(at)).Msg("list read")
-		f.replace(items, at)
+		f.replace(fromList, items, at)
 		f.awaitJoin(ctx)
 		return nil
 	}
@@ -289,7 +307,7 @@
 	}
 	f.broadcast(c)
 	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Int64("revision", int64(c.Revision)).Msg("changes read")
-	f.apply(c)
+	f.apply(fromPoll, c)
 	if len(c.Events) > 0 && f.fleet.FollowsStore() {
 		pause.Sleep(ctx, f.batchDelayFor())
 	}
@@ -343,27 +361,51 @@
 	return f.lastChange
 }
 
-func (f *feed) replace(items []platform.Item, at platform.Revision) {
+// behindFor returns how long the feed has known of a change that it lacks, 0 if there is
+// none. The caller holds f.mu.
+func (f *feed) behindFor(now time.Time) time.Duration {
+	if f.behindSince.IsZero() || f.revision >= f.behindRevision {
+		return 0
+	}
+	return now.Sub(f.behindSince)
+}
+
+// markBehind records that another daemon has changes up to a revision. The caller holds
+// f.mu.
+func (f *feed) markBehind(now time.Time, changed platform.Revision) {
+	if changed > f.revision && f.behindFor(now) == 0 {
+		f.behindSince, f.behindRevision = now, changed
+	}
+}
+
+func (f *feed) reading(from origin) reading {
+	now := time.Now()
+	return reading{at: now, origin: from, behind: f.behindFor(now)}
+}
+
+func (f *feed) replace(from origin, items []platform.Item, at platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at < f.revision {
 		return
 	}
+	r := f.reading(from)
 	f.items = make(map[string]platform.Item, len(items))
 	for _, i := range items {
 		f.items[i.Key] = i
 		f.lastChange = max(f.lastChange, i.Revision)
 	}
 	f.revision = at
-	f.consumer.replace(time.Now(), items, at)
+	f.consumer.replace(r, items, at)
 }
 
 // apply applies changes. The revision advances to that of the last change
 // received, not to the one that the store reports, so that changes which a watch
 // missed are not skipped.
-func (f *feed) apply(c platform.Changes) {
+func (f *feed) apply(from origin, c platform.Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	r := f.reading(from)
 	at := f.revision
 	for _, ev := range c.Events {
 		if ev.Item.Revision <= f.revision {
@@ -377,6 +419,6 @@
 		f.lastChange = max(f.lastChange, ev.Item.Revision)
 		at = max(at, ev.Item.Revision)
 	}
-	f.consumer.apply(time.Now(), c.Events, at)
+	f.consumer.apply(r, c.Events, at)
 	f.revision = at
 }
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -51,12 +51,12 @@
 // recorder is a consumer that sends each value it receives to a channel.
 type recorder struct{ value chan string }
 
-func (r recorder) replace(_ time.Time, items []platform.Item, _ platform.Revision) {
+func (r recorder) replace(_ reading, items []platform.Item, _ platform.Revision) {
 	for _, i := range items {
 		r.value <- string(i.Value)
 	}
 }
-func (r recorder) apply(_ time.Time, events []platform.Event, _ platform.Revision) {
+func (r recorder) apply(_ reading, events []platform.Event, _ platform.Revision) {
 	for _, ev := range events {
 		r.value <- string(ev.Item.Value)
 	}
@@ -115,7 +115,7 @@
 func TestFeedFetchesWhenBehind(t *testing.T) {
 	f := newFeed("p/", &gappedLog{}, recorder{value: make(chan string, 8)}, fixedFleet{follows: true},
 		func() {}, zerolog.Nop())
-	f.replace([]platform.Item{{Key: "p/a", Revision: 3}}, 4)
+	f.replace(fromList, []platform.Item{{Key: "p/a", Revision: 3}}, 4)
 	now := time.Unix(100, 0)
 	for _, c := range []struct {
 		after   time.Duration
@@ -187,7 +187,7 @@
 		return discovery.Entry{ID: i.Key, Service: "s"}, true
 	}, newPools("z", zerolog.Nop()), zerolog.Nop())
 	f := newFeed("p/", &gappedLog{}, e, fixedFleet{}, func() {}, zerolog.Nop())
-	f.replace([]platform.Item{{Key: "p/a", Revision: 3}}, 3)
+	f.replace(fromList, []platform.Item{{Key: "p/a", Revision: 3}}, 3)
 	packed, err := mesh.Pack([]platform.Event{{Item: platform.Item{Key: "p/a", Revision: 5}, Deleted: true}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -173,7 +173,7 @@
 	d.crashIsolator = newCrashIsolator(d.log)
 	d.mesh = mesh.New(mesh.Options{
 		ID: d.id, Addr: d.meshListener.Addr().String(), Domain: d.frontSettings.Instance.FailureDomain,
-		State: meshState{d}, Log: d.log,
+		State: meshState{d}, Log: d.log, Scope: d.scope,
 	})
 	d.budgets = budgets.New(budgets.Options{Holder: d.id, Store: d.store, Peers: d.mesh, Log: d.log, Scope: d.scope})
 	d.grace.Store(int64(d.frontSettings.Bounds.Grace.Duration))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,8 +12,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/azurehatch/azurehatch/internal/dialer"
 	"github.com/azurehatch/azurehatch/internal/escrow"
@@ -105,6 +107,8 @@
 	ID, Addr, Domain string
 	State            State
 	Log              zerolog.Logger
+	// Scope counts the messages to peers; nil: none.
+	Scope tally.Scope
 }
 
 // peer is another daemon.
@@ -140,6 +144,7 @@
 	// addrHash is the hash of Addr, for ownerScore.
 	addrHash uint64
 	server   *grpc.Server
+	counters counters
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -155,6 +160,7 @@
 // New returns a Mesh that is not connected yet.
 func New(o Options) *Mesh {
 	m := &Mesh{Options: o, addrHash: xxhash.Sum64String(o.Addr), peers: make(map[string]*peer), answered: make(map[string]*answeredRequest)}
+	m.counters = newCounters(o.Scope)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.server = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ReadBufferSize(readBufferBytes),
@@ -328,10 +334,13 @@
 	m.mu.Lock()
 	p.exchanging = false
 	m.mu.Unlock()
+	m.counters.digestBytes.Inc(int64(proto.Size(digest)))
 	if err != nil {
+		m.counters.exchangesFailed.Inc(1)
 		m.Log.Debug().Err(failure.At(err, "mesh.exchange", p.addr)).Msg("exchange failed")
 		return
 	}
+	m.counters.exchanges.Inc(1)
 	m.merge(reply)
 }
 
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -271,6 +271,9 @@
 	ctx, cancel := context.WithTimeout(m.ctx, exchangeTimeout)
 	defer cancel()
 	if _, err := meshpb.NewMeshClient(p.conn).Push(ctx, c); err != nil {
+		m.counters.pushesFailed.Inc(1)
 		m.Log.Debug().Err(failure.At(err, "mesh.push", p.addr)).Msg("changes not pushed to peer")
+		return
 	}
+	m.counters.pushes.Inc(1)
 }
