Pass on the changes that a follower of the store finds in a list

Cause: a follower of a wide fleet pushes the changes that a poll returns. After ErrCompacted it reads the list again, and what changed in it was not pushed: the others heard of it from digests, waited 0.3 s and fetched copies. A removed key has no revision in a list, so digests did not tell of it either, and an endpoint whose entry had gone stayed in use until the next change. Change: the difference between the items and the list is pushed, and a list without an item counts as a change at its revision. Test: TestChangesFoundInAListArePassedOn failed before ("the changes in the second list were not passed on").

--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -27,6 +27,28 @@
 	f.fleet.Broadcast(out)
 }
 
+// changesTo returns the changes from the feed's items to those of a list at a revision.
+// Items of the list that are newer than the revision are left out: other changes before
+// them may be missing.
+func (f *feed) changesTo(items []platform.Item, at platform.Revision) platform.Changes {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := platform.Changes{Revision: at}
+	listed := make(map[string]bool, len(items))
+	for _, i := range items {
+		listed[i.Key] = true
+		if i.Revision > f.items[i.Key].Revision && i.Revision <= at {
+			c.Events = append(c.Events, platform.Event{Item: i})
+		}
+	}
+	for key := range f.items {
+		if !listed[key] {
+			c.Events = append(c.Events, platform.Event{Item: platform.Item{Key: key, Revision: at}, Deleted: true})
+		}
+	}
+	return c
+}
+
 // regainedAge returns the time since the store last became reachable again in
 // milliseconds, -1 if it never did.
 func (f *feed) regainedAge(now time.Time) int64 {
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -297,6 +297,9 @@
 		}
 		*listed = true
 		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Int64("revision", int64(at)).Msg("list read")
+		if f.currentRevision() > 0 {
+			f.broadcast(f.changesTo(items, at))
+		}
 		f.replace(fromList, items, at)
 		f.awaitJoin(ctx)
 		return nil
@@ -390,11 +393,17 @@
 		return
 	}
 	r := f.reading(from)
+	former := f.items
 	f.items = make(map[string]platform.Item, len(items))
 	for _, i := range items {
 		f.items[i.Key] = i
 		f.lastChange = max(f.lastChange, i.Revision)
 	}
+	for key := range former {
+		if _, ok := f.items[key]; !ok {
+			f.lastChange = max(f.lastChange, at) // the revision of the removal is not known
+		}
+	}
 	f.revision = at
 	f.consumer.replace(r, items, at)
 }
