Refuse requests while a newer configuration is known and can't be read

Cause: a daemon used its configuration whatever its peers told. On a machine whose link callers' requests fill, copies from peers and reads of the store fail, and it stayed ready, so the load balancer went on to send it callers. A daemon that hears of no newer version serves on, as in a loss of the store.

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -162,6 +162,9 @@
 	// which is missing here.
 	behindSince    time.Time
 	behindRevision platform.Revision
+	// outdatedSince is behindSince while the change is missing, else nil. It is read
+	// with each request, also while f.mu is held to decode a configuration.
+	outdatedSince atomic.Pointer[time.Time]
 	// highestReported is the newest change that a peer reported.
 	highestReported platform.Revision
 	// fetching is true while a peer's copy is being fetched; fetchedAt is when
--- a/internal/front/feed_items.go
+++ b/internal/front/feed_items.go
@@ -33,6 +33,25 @@
 func (f *feed) markBehind(now time.Time, changed platform.Revision) {
 	if changed > f.revision && f.behindFor(now) == 0 {
 		f.behindSince, f.behindRevision = now, changed
+		f.outdatedSince.Store(&now)
+	}
+}
+
+// outdatedFor returns how long the feed has known of a change that it lacks, 0 if there is
+// none.
+func (f *feed) outdatedFor(now time.Time) time.Duration {
+	since := f.outdatedSince.Load()
+	if since == nil {
+		return 0
+	}
+	return now.Sub(*since)
+}
+
+// setRevision records that the items are complete up to a revision. The caller holds f.mu.
+func (f *feed) setRevision(at platform.Revision) {
+	f.revision = at
+	if at >= f.behindRevision {
+		f.outdatedSince.Store(nil)
 	}
 }
 
@@ -59,8 +78,8 @@
 			f.lastChange = max(f.lastChange, at) // the revision of the removal is not known
 		}
 	}
-	f.revision = at
 	f.consumer.replace(r, items, at)
+	f.setRevision(at)
 }
 
 // apply applies changes. The revision advances to that of the last change
@@ -84,5 +103,5 @@
 		at = max(at, ev.Item.Revision)
 	}
 	f.consumer.apply(r, c.Events, at)
-	f.revision = at
+	f.setRevision(at)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,6 +115,9 @@
 	stopping atomic.Bool
 	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
 	grace atomic.Int64
+	// maxOutdated is the time for which a configuration that is known to be out of date
+	// is used, in nanoseconds.
+	maxOutdated atomic.Int64
 }
 
 // New opens the listeners and starts the daemon.
@@ -176,7 +179,7 @@
 		State: meshState{d}, Log: d.log, Scope: d.scope,
 	})
 	d.budgets = budgets.New(budgets.Options{Holder: d.id, Store: d.store, Peers: d.mesh, Log: d.log, Scope: d.scope})
-	d.grace.Store(int64(d.frontSettings.Bounds.Grace.Duration))
+	d.setBounds(d.frontSettings.Bounds)
 	d.retryBudget = newRetryBudget(
 		retryOptions(d.frontSettings.Bounds), d.frontSettings.Instance.FirstStart, d.mesh.Count, d.log)
 	d.config = &configuration{wire: d.opts.Wire, log: d.log, onInstall: d.applyConfiguration}
@@ -189,7 +192,7 @@
 	d.handler = relay.New(relay.Options{
 		Codec: d.opts.Wire.Codec, Budgets: d.budgets, Pools: d.pools,
 		RetryBudget: d.retryBudget, CrashIsolator: d.crashIsolator,
-		Table: d.config.table, Log: d.log, Scope: d.scope,
+		Table: d.config.table, Outdated: d.outdated, Log: d.log, Scope: d.scope,
 	})
 }
 
@@ -248,11 +251,18 @@
 	return e
 }
 
-// Ready reports whether the daemon should receive new callers: it has a
-// configuration and endpoints, and is not shutting down.
+// Ready reports whether the daemon should receive new callers: it has endpoints and a
+// configuration that is not known to be out of date, and is not shutting down.
 func (d *Daemon) Ready() bool {
 	t, _ := d.config.table()
-	return t != nil && d.pools.hasEndpoints() && !d.stopping.Load()
+	return t != nil && !d.outdated() && d.pools.hasEndpoints() && !d.stopping.Load()
+}
+
+// outdated reports whether the daemon has known for too long that it lacks a newer
+// configuration: half of the time in which a change must be in force, since it may hear of a
+// change late.
+func (d *Daemon) outdated() bool {
+	return d.configFeed.outdatedFor(time.Now()) > time.Duration(d.maxOutdated.Load())
 }
 
 // CallersAddr returns the address of the callers' listener.
@@ -265,7 +275,7 @@
 func (d *Daemon) housekeeping() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	wasReady, followed := false, false
+	wasReady, followed, wasOutdated := false, false, false
 	for {
 		select {
 		case <-d.ctx.Done():
@@ -280,6 +290,12 @@
 				d.log.Info().Bool("follows", follows).Bool("wide", d.mesh.Wide()).Int("daemons", d.mesh.Count()).
 					Msg("following of the store changed")
 			}
+			if outdated := d.outdated(); outdated != wasOutdated {
+				wasOutdated = outdated
+				d.log.Warn().Bool("outdated", outdated).Dur("behind_ms", d.configFeed.outdatedFor(now)).
+					Int64("revision", int64(d.configFeed.currentRevision())).
+					Msg("use of the configuration changed: a peer has a newer one")
+			}
 			if ready := d.Ready(); ready != wasReady {
 				wasReady = ready
 				d.log.Info().Bool("ready", ready).Msg("readiness changed")
@@ -295,11 +311,17 @@
 		d.mesh.Add(seed, "")
 	}
 	d.retryBudget.setOptions(retryOptions(s.Bounds))
-	d.grace.Store(int64(s.Bounds.Grace.Duration))
+	d.setBounds(s.Bounds)
 	d.log.Info().Float64("retry_ratio", s.Bounds.RetryRatio).Float64("retry_slack", s.Bounds.RetrySlack).
 		Dur("grace_ms", s.Bounds.Grace.Duration).Msg("settings reloaded")
 }
 
+// setBounds applies the bounds that are not those of the retry budget.
+func (d *Daemon) setBounds(b settings.Bounds) {
+	d.grace.Store(int64(b.Grace.Duration))
+	d.maxOutdated.Store(int64(b.Configuration.Duration / 2))
+}
+
 func retryOptions(b settings.Bounds) retry.WindowOptions {
 	return retry.WindowOptions{Ratio: b.RetryRatio, Slack: b.RetrySlack, Span: b.RetryWindow.Duration, UsableShare: retryMargin}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -34,6 +34,7 @@
 	retryAfterUnconfigured = 500 * time.Millisecond
 	retryAfterNoEndpoint   = 400 * time.Millisecond
 	retryAfterStopping     = 50 * time.Millisecond
+	retryAfterOutdated     = 50 * time.Millisecond
 )
 
 // errTimeout is the cause of a request context that ends at its deadline.
@@ -167,6 +168,12 @@
 	if x.table, x.tableAge = x.handler.Table(); x.table == nil {
 		return problem.New(problem.NoEndpoint, "the daemon has no configuration yet").WithRetryAfter(retryAfterUnconfigured)
 	}
+	if x.handler.Outdated() {
+		// Another daemon has the newer configuration: the caller should connect again.
+		x.w.Header().Set("Connection", "close")
+		return problem.New(problem.DependencyDown, "the daemon's configuration is out of date; retry at another one").
+			WithRetryAfter(retryAfterOutdated)
+	}
 	var ok bool
 	if x.route, ok = x.table.Match(x.r.Host, x.r.URL.Path); !ok {
 		return problem.New(problem.UnknownService, "no route matches %s%s", x.r.Host, x.r.URL.Path)
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -215,7 +215,8 @@
 	h.handler = relay.New(relay.Options{
 		Codec: platform.Codec{}, Budgets: h.budgets, Pools: h.pools,
 		RetryBudget: retries, CrashIsolator: h.crashes,
-		Table: func() (*routing.Table, time.Duration) { return table, 0 }, Log: zerolog.Nop(),
+		Table:    func() (*routing.Table, time.Duration) { return table, 0 },
+		Outdated: func() bool { return false }, Log: zerolog.Nop(),
 	})
 	h.server = httptest.NewServer(h.handler)
 	t.Cleanup(func() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,8 +136,11 @@
 	// Table returns the current configuration and the time since it was
 	// installed; nil before the first one.
 	Table func() (*routing.Table, time.Duration)
-	Log   zerolog.Logger
-	Scope tally.Scope
+	// Outdated reports whether the configuration must not be used any more because a
+	// newer one is in force elsewhere.
+	Outdated func() bool
+	Log      zerolog.Logger
+	Scope    tally.Scope
 }
 
 // Handler serves callers' requests.
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -54,6 +54,8 @@
 	RetrySlack  float64       `toml:"retry_slack" comment:"Repeats beyond the ratio, for the whole fleet."`
 	RetryWindow unit.Duration `toml:"retry_window" comment:"Length of a retry window."`
 	Grace       unit.Duration `toml:"grace" comment:"Time from SIGTERM to SIGKILL."`
+	// Configuration is the time in which a change must be in force.
+	Configuration unit.Duration `toml:"configuration" comment:"Time in which a change of the configuration must be in force. A daemon that has known for half of it that it lacks a newer one refuses requests."`
 }
 
 // DefaultFront returns the default settings.
@@ -63,7 +65,7 @@
 		Listen:   FrontListen{Callers: "127.0.0.1:8080", Ready: "127.0.0.1:8082", Mesh: "127.0.0.1:8081", Seeds: []string{}},
 		Store:    FrontStore{Address: "127.0.0.1:2380"},
 		Machine:  Machine{Memory: unit.Size{Bytes: 256 << 20}},
-		Bounds:   Bounds{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: unit.Seconds(10), Grace: unit.Seconds(8)},
+		Bounds:   Bounds{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: unit.Seconds(10), Grace: unit.Seconds(8), Configuration: unit.Seconds(3)},
 		Log:      Log{Level: "info"},
 	}
 }
@@ -110,7 +112,7 @@
 		value float64
 	}{
 		{"machine.memory", float64(s.Machine.Memory.Bytes)}, {"bounds.retry_window", s.Bounds.RetryWindow.Seconds()},
-		{"bounds.grace", s.Bounds.Grace.Seconds()},
+		{"bounds.grace", s.Bounds.Grace.Seconds()}, {"bounds.configuration", s.Bounds.Configuration.Seconds()},
 	} {
 		if p.value <= 0 {
 			return errors.Errorf("%s must be positive", p.name)
