Block parts of prompts that crash endpoints before they answer

Cause: crash isolation knows a request by the digest of its whole content, and no two of these requests are alike. Evidence: the log has 10 to 20 lines "request crashed an endpoint" at each crash, each with another digest, and no digest twice. Change: poison.Parts counts crashes and answers by the parts of the prompt but the last. Three crashes at different moments without an answer in between block a part. A broken connection counts only if hardly anything of the answer had arrived and the host then refuses connections. Daemons exchange both in digests (new field part_crashes), and a request is checked again before it is sent on. Why it works: the deadly part is the only one that all crashed requests share and that is never in an answered one.

--- a/internal/front/crash_volume_test.go
+++ b/internal/front/crash_volume_test.go
@@ -6,23 +6,26 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/poison"
+	"github.com/azurehatch/azurehatch/internal/relay"
 )
 
 // Guards against digests that grow with each connection that ever broke: after 240 of them
 // the digests took a fifth of a link of 10 Mbit/s, and digests of 1,000 took all of it.
 func TestExchangedCrashesAreBounded(t *testing.T) {
 	c := newCrashIsolator(zerolog.Nop())
-	const poison = 1
+	const deadly = 1
 	for i := range crashesToIsolate {
-		c.Crashed(poison, fmt.Sprint("p", i))
+		c.Crashed(relay.Fingerprint{Content: deadly}, fmt.Sprint("p", i))
 	}
-	for i := range uint64(3000) {
-		c.Crashed(100+i, fmt.Sprint("e", i%4))
+	for i := range poison.Digest(3000) {
+		c.Crashed(relay.Fingerprint{Content: 100 + i}, fmt.Sprint("e", i%4))
 	}
 	sent := func(after time.Duration) (total, isolated int) {
 		entries := c.entries(time.Now().Add(after))
 		for _, e := range entries {
-			if e.Digest == poison {
+			if e.Digest == deadly {
 				isolated++
 			}
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -383,7 +383,7 @@
 		d.metricsServer.Close()
 	}
 	d.mesh.Close()
-	d.handler.CloseIdleConnections()
+	d.handler.Close()
 	d.wg.Wait()
 	d.closeScope()
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -157,6 +157,17 @@
 	}
 }
 
+// remove removes a key from the store.
+func (f *fleet) remove(key string) {
+	item, err := f.store.Get(f.t.Context(), key)
+	if err == nil {
+		err = f.store.Delete(f.t.Context(), key, item.Revision)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func (f *fleet) configure(version int, prepaid int64, prefix string) {
 	f.put("op/config", map[string]any{
 		"version": version,
@@ -216,19 +227,32 @@
 	f.t.Fatalf("condition not met within 5 s: %s", condition)
 }
 
+// sendPrompt sends a request with the given parts of its prompt and returns its status, as
+// send does.
+func (f *fleet) sendPrompt(i int, parts string) int {
+	return f.sendWith(i, "/plan/x", http.Header{
+		"X-Token-Count": {fmt.Sprintf("%d,%d", promptTokens, outputTokens)}, "X-Prompt-Prefix": {parts},
+	})
+}
+
 // send sends one request and returns its status; 0 if there was no complete
 // response.
 func (f *fleet) send(i int, path string, sized bool) int {
+	headers := http.Header{}
+	if sized {
+		headers.Set("X-Token-Count", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
+	}
+	return f.sendWith(i, path, headers)
+}
+
+func (f *fleet) sendWith(i int, path string, headers http.Header) int {
 	req, err := http.NewRequest("POST", "http://"+f.daemons[i].CallersAddr()+path, strings.NewReader("x"))
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	req.Host = "h"
+	req.Host, req.Header = "h", headers
 	req.Header.Set("Authorization", "Bearer k")
 	req.Header.Set("X-Request-Id", fmt.Sprintf("r%d", f.lastID.Add(1)))
-	if sized {
-		req.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
-	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -86,47 +86,93 @@
 	maxCrashEntries = 200
 )
 
-// crashIsolator guards a poison registry shared by requests and peers.
+// crashIsolator guards the crashes by request and by part of a prompt, which requests and
+// peers share.
 type crashIsolator struct {
 	log zerolog.Logger
 
 	mu       sync.Mutex
 	registry *poison.Registry
+	parts    *poison.Parts
 }
 
 var _ relay.CrashIsolator = (*crashIsolator)(nil)
 
 func newCrashIsolator(log zerolog.Logger) *crashIsolator {
-	return &crashIsolator{log: log, registry: poison.New(poison.Options{CrashesToIsolate: crashesToIsolate})}
+	return &crashIsolator{
+		log: log, registry: poison.New(poison.Options{CrashesToIsolate: crashesToIsolate}), parts: poison.NewParts(),
+	}
 }
 
 // Begin implements relay.CrashIsolator.
-func (c *crashIsolator) Begin(digest uint64) (time.Duration, bool) {
+func (c *crashIsolator) Begin(f relay.Fingerprint) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := c.registry.Begin(time.Now(), poison.Digest(digest))
+	now := time.Now()
+	if _, retryAfter, blocked := c.parts.Blocked(now, f.Parts); blocked {
+		return retryAfter, false
+	}
+	d := c.registry.Begin(now, f.Content)
 	return d.RetryAfter, d.Verdict != poison.Isolated
 }
 
+// MayRetry implements relay.CrashIsolator.
+func (c *crashIsolator) MayRetry(f relay.Fingerprint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	_, _, blocked := c.parts.Blocked(now, f.Parts)
+	return !blocked && c.registry.Verdict(now, f.Content) < poison.Suspect
+}
+
 // Crashed implements relay.CrashIsolator.
-func (c *crashIsolator) Crashed(digest uint64, endpoint string) {
+func (c *crashIsolator) Crashed(f relay.Fingerprint, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.RecordCrash(time.Now(), endpoint, []poison.Digest{f.Content})
+	c.log.Info().Uint64("digest", uint64(f.Content)).Str("endpoint", endpoint).Msg("request crashed an endpoint")
+}
+
+// PartsCrashed implements relay.CrashIsolator.
+func (c *crashIsolator) PartsCrashed(f relay.Fingerprint, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	blocked := c.parts.RecordCrash(time.Now(), endpoint, f.Parts)
+	c.log.Info().Interface("parts", f.Parts).Str("endpoint", endpoint).
+		Msg("endpoint went down before it answered a request with these prompt parts")
+	c.logBlocked(blocked, "")
+}
+
+// PartsAnswered implements relay.CrashIsolator.
+func (c *crashIsolator) PartsAnswered(f relay.Fingerprint) {
+	if len(f.Parts) == 0 {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.registry.RecordCrash(time.Now(), endpoint, []poison.Digest{poison.Digest(digest)})
-	c.log.Info().Uint64("digest", digest).Str("endpoint", endpoint).Msg("request crashed an endpoint")
+	c.parts.RecordAnswer(time.Now(), f.Parts)
+}
+
+// logBlocked logs the parts that crashes recorded here, or reported by a peer, block.
+func (c *crashIsolator) logBlocked(parts []poison.Digest, peer string) {
+	for _, part := range parts {
+		c.log.Warn().Uint64("part", uint64(part)).Str("peer", peer).
+			Msg("prompt part blocked: endpoints crash before they answer requests with it")
+	}
 }
 
 // End implements relay.CrashIsolator.
-func (c *crashIsolator) End(digest uint64, completed bool) {
+func (c *crashIsolator) End(f relay.Fingerprint, completed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.registry.End(time.Now(), poison.Digest(digest), completed)
+	c.registry.End(time.Now(), f.Content, completed)
 }
 
 func (c *crashIsolator) tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.registry.Tick(now)
+	c.parts.Tick(now)
 }
 
 // entries returns the recent crashes, and those of isolated requests, for peers. Merging is
@@ -135,26 +181,42 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.registry.TakePending()
-	var out []*meshpb.Crash
-	for _, e := range c.registry.RecentEntries(now, crashEntryAge, maxCrashEntries) {
-		out = append(out, &meshpb.Crash{
+	return encodeCrashes(now, c.registry.RecentEntries(now, crashEntryAge, maxCrashEntries))
+}
+
+// partEntries returns the recent crashes and answers by part of a prompt for peers.
+func (c *crashIsolator) partEntries(now time.Time) []*meshpb.Crash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return encodeCrashes(now, c.parts.Entries(now, crashEntryAge, maxCrashEntries))
+}
+
+func (c *crashIsolator) merge(now time.Time, peer string, crashes, parts []*meshpb.Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.Merge(now, decodeCrashes(now, crashes))
+	c.logBlocked(c.parts.Merge(now, decodeCrashes(now, parts)), peer)
+}
+
+func encodeCrashes(now time.Time, entries []poison.Entry) []*meshpb.Crash {
+	crashes := make([]*meshpb.Crash, 0, len(entries))
+	for _, e := range entries {
+		crashes = append(crashes, &meshpb.Crash{
 			Digest: uint64(e.Digest), Endpoint: e.Endpoint, Completed: e.Completed, AgeMs: now.Sub(e.At).Milliseconds(),
 		})
 	}
-	return out
+	return crashes
 }
 
-func (c *crashIsolator) merge(now time.Time, reported []*meshpb.Crash) {
-	entries := make([]poison.Entry, 0, len(reported))
-	for _, e := range reported {
+func decodeCrashes(now time.Time, crashes []*meshpb.Crash) []poison.Entry {
+	entries := make([]poison.Entry, 0, len(crashes))
+	for _, e := range crashes {
 		entries = append(entries, poison.Entry{
 			Digest: poison.Digest(e.Digest), Endpoint: e.Endpoint, Completed: e.Completed,
 			At: now.Add(-time.Duration(e.AgeMs) * time.Millisecond),
 		})
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.registry.Merge(now, entries)
+	return entries
 }
 
 // meshState implements mesh.State: the state sent to peers and received from them.
@@ -168,7 +230,7 @@
 			d.configFeed.prefix:   int64(d.configFeed.lastChangeRevision()),
 			d.endpointFeed.prefix: int64(d.endpointFeed.lastChangeRevision()),
 		},
-		Balances: d.budgets.Balances(), Crashes: d.crashIsolator.entries(now), Stopping: d.stopping.Load(),
+		Balances: d.budgets.Balances(), Crashes: d.crashIsolator.entries(now), PartCrashes: d.crashIsolator.partEntries(now), Stopping: d.stopping.Load(),
 		Follows: d.mesh.FollowsStore(), StoreAgeMs: d.endpointFeed.contactAge(now), BackAgeMs: d.endpointFeed.regainedAge(now),
 	}
 	if loads {
@@ -181,7 +243,7 @@
 func (s meshState) Merge(m *meshpb.Digest) {
 	d, now := s.d, time.Now()
 	d.pools.merge(now, m.Address, m.Loads)
-	d.crashIsolator.merge(now, m.Crashes)
+	d.crashIsolator.merge(now, m.Address, m.Crashes, m.PartCrashes)
 	d.endpointFeed.mergeRegained(now, m.BackAgeMs)
 	for _, f := range []*feed{d.configFeed, d.endpointFeed} {
 		if f.shouldFetch(now, platform.Revision(m.Revisions[f.prefix])) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,6 +31,12 @@
 	// minRemaining is the time to the deadline below which no further attempt
 	// is made.
 	minRemaining = 20 * time.Millisecond
+	// answerBegunTime is the time from the first byte of a response after which a
+	// crash of the endpoint is not put down to the request: an endpoint that can't
+	// run a request crashes as it begins to answer it.
+	answerBegunTime = 500 * time.Millisecond
+	// downTimeout bounds the check whether an endpoint is down.
+	downTimeout = 300 * time.Millisecond
 )
 
 // errEndpointStalled is the cause of an attempt canceled by its timer.
@@ -49,8 +55,9 @@
 	// request.
 	conn   net.Conn
 	reused bool
-	// started is true once the first byte of the body arrived.
-	started bool
+	// started is true once the first byte of the body arrived, at startedAt.
+	started   bool
+	startedAt time.Time
 	// timer cancels the attempt if no data arrives in time; nil if the request
 	// can't be repeated or the route has no latency objective.
 	timer *time.Timer
@@ -126,6 +133,8 @@
 		return false, "attempts used up"
 	case len(x.sentTo) >= maxSends:
 		return false, "endpoint limit reached"
+	case !x.handler.CrashIsolator.MayRetry(x.fingerprint):
+		return false, "has crashed endpoints"
 	case failed.notReceived:
 		return true, "nothing arrived"
 	case !x.handler.RetryBudget.Take(x.service):
@@ -185,12 +194,34 @@
 	if failed != nil && failed.replaced {
 		x.handler.Pools.EndpointRemoved(x.service, choice.ID)
 	}
-	if failed != nil && failed.crashed && ctx.Err() == nil {
-		x.handler.CrashIsolator.Crashed(x.digest, choice.ID)
-	}
+	a.recordCrash(ctx, failed)
 	return failed
 }
 
+// recordCrash records what the end of an attempt tells about requests that crash
+// endpoints.
+func (a *attempt) recordCrash(ctx context.Context, failed *attemptFailure) {
+	x, isolator := a.x, a.x.handler.CrashIsolator
+	answered := a.started && time.Since(a.startedAt) > answerBegunTime
+	if failed == nil && x.status/100 == 2 || answered {
+		isolator.PartsAnswered(x.fingerprint)
+	}
+	if failed == nil || !failed.crashed || ctx.Err() != nil {
+		return
+	}
+	isolator.Crashed(x.fingerprint, a.choice.ID)
+	if answered || len(x.fingerprint.Parts) == 0 {
+		return
+	}
+	// A lost answer breaks a connection as well, but leaves the endpoint up.
+	fingerprint, choice := x.fingerprint, a.choice
+	x.handler.checks.Go(func() {
+		if x.handler.sender.isDown(choice.Addr) {
+			isolator.PartsCrashed(fingerprint, choice.ID)
+		}
+	})
+}
+
 // firstByteTimeout returns the time without a response body after which an
 // endpoint counts as failed.
 func firstByteTimeout(r *routing.Route) time.Duration {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -56,7 +56,8 @@
 	engine   *routing.Engine
 	body     []byte
 	deadline time.Time
-	digest   uint64
+	// fingerprint identifies the request's content and the parts of its prompt.
+	fingerprint Fingerprint
 
 	reservation Reservation
 	reserved    int64
@@ -134,7 +135,7 @@
 	x.checkDeadline(conn.SetReadDeadline(time.Time{}))
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimeout)
 	defer cancel()
-	retryAfter, ok := x.handler.CrashIsolator.Begin(x.digest)
+	retryAfter, ok := x.handler.CrashIsolator.Begin(x.fingerprint)
 	if !ok {
 		return problem.New(problem.Overloaded, "the request has crashed endpoints and is isolated").WithRetryAfter(retryAfter)
 	}
@@ -143,7 +144,7 @@
 		err = x.attempts(ctx)
 		x.settle()
 	}
-	x.handler.CrashIsolator.End(x.digest, err == nil)
+	x.handler.CrashIsolator.End(x.fingerprint, err == nil)
 	return err
 }
 
@@ -227,7 +228,10 @@
 		account = x.account.Name
 	}
 	key := append([]byte(x.r.Method+" "+x.r.RequestURI+"\x00"+account+"\x00"), body...)
-	x.digest = uint64(poison.DigestOf(x.service, key))
+	x.fingerprint.Content = poison.DigestOf(x.service, key)
+	for _, part := range x.meta.Prompt[:max(len(x.meta.Prompt)-1, 0)] {
+		x.fingerprint.Parts = append(x.fingerprint.Parts, poison.PartDigest(x.service, part.ID))
+	}
 	return nil
 }
 
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -20,7 +20,8 @@
 
 // endpoint is an endpoint on a raw TCP socket that responds by script.
 type endpoint struct {
-	addr string
+	addr     string
+	listener net.Listener
 
 	mu       sync.Mutex
 	received []*http.Request
@@ -39,7 +40,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	e := &endpoint{addr: l.Addr().String(), ended: make(chan struct{}, 16)}
+	e := &endpoint{addr: l.Addr().String(), listener: l, ended: make(chan struct{}, 16)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -150,14 +151,35 @@
 	isolated bool
 	mu       sync.Mutex
 	crashed  []string
+	// isolateAfterCrash isolates each request that crashed an endpoint.
+	isolateAfterCrash bool
+	// partsCrashed and partsAnswered count the parts of the requests.
+	partsCrashed, partsAnswered int
 }
 
-func (c *crashIsolator) Begin(uint64) (time.Duration, bool) { return time.Second, !c.isolated }
-func (c *crashIsolator) End(uint64, bool)                   {}
-func (c *crashIsolator) Crashed(_ uint64, endpoint string) {
+func (c *crashIsolator) Begin(relay.Fingerprint) (time.Duration, bool) {
+	return time.Second, !c.isolated
+}
+func (c *crashIsolator) MayRetry(relay.Fingerprint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.isolated
+}
+func (c *crashIsolator) PartsCrashed(f relay.Fingerprint, _ string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partsCrashed += len(f.Parts)
+}
+func (c *crashIsolator) PartsAnswered(f relay.Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partsAnswered += len(f.Parts)
+}
+func (c *crashIsolator) End(relay.Fingerprint, bool) {}
+func (c *crashIsolator) Crashed(_ relay.Fingerprint, endpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashed = append(c.crashed, endpoint)
+	c.crashed, c.isolated = append(c.crashed, endpoint), c.isolateAfterCrash
 }
 
 // harness is a handler with its fakes.
@@ -221,7 +243,7 @@
 	h.server = httptest.NewServer(h.handler)
 	t.Cleanup(func() {
 		h.server.Close()
-		h.handler.CloseIdleConnections()
+		h.handler.Close()
 	})
 	return h
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/poison"
 	"github.com/azurehatch/azurehatch/internal/routing"
 )
 
@@ -117,13 +119,31 @@
 	Take(service string) bool
 }
 
-// CrashIsolator rejects requests that repeatedly crash the endpoints that run them.
+// CrashIsolator rejects requests that repeatedly crash the endpoints that run them, by
+// their whole content or by a part of their prompt that other requests share.
 type CrashIsolator interface {
-	// Begin reports whether a request with the digest may be sent, and if not, when
-	// the caller may retry.
-	Begin(digest uint64) (retryAfter time.Duration, ok bool)
-	Crashed(digest uint64, endpoint string)
-	End(digest uint64, completed bool)
+	// Begin reports whether a request may be sent, and if not, when the caller may
+	// retry.
+	Begin(f Fingerprint) (retryAfter time.Duration, ok bool)
+	// MayRetry reports whether a request that failed at an endpoint may be sent to
+	// another one.
+	MayRetry(f Fingerprint) bool
+	// Crashed records that a connection broke while the endpoint ran the request.
+	Crashed(f Fingerprint, endpoint string)
+	// PartsCrashed records that the endpoint went down before it began to answer a
+	// request with the parts, PartsAnswered that an endpoint answered one.
+	PartsCrashed(f Fingerprint, endpoint string)
+	PartsAnswered(f Fingerprint)
+	End(f Fingerprint, completed bool)
+}
+
+// Fingerprint identifies what of a request may crash endpoints.
+type Fingerprint struct {
+	// Content is the digest of the whole request.
+	Content poison.Digest
+	// Parts are the digests of the parts of the prompt without the last one, which
+	// belongs to the request itself.
+	Parts []poison.Digest
 }
 
 // Options configure a Handler.
@@ -150,6 +170,8 @@
 	// closing adds "Connection: close" to responses; refusing rejects new requests.
 	closing, refusing atomic.Bool
 	active            atomic.Int64
+	// checks are the running checks of endpoints that may have crashed.
+	checks sync.WaitGroup
 }
 
 // New returns a Handler.
@@ -169,8 +191,12 @@
 // ActiveRequests returns the number of requests in progress.
 func (h *Handler) ActiveRequests() int64 { return h.active.Load() }
 
-// CloseIdleConnections closes the idle connections to endpoints.
-func (h *Handler) CloseIdleConnections() { h.sender.close() }
+// Close closes the idle connections to endpoints and waits for the checks of endpoints
+// to end. There must be no active requests.
+func (h *Handler) Close() {
+	h.checks.Wait()
+	h.sender.close()
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -44,7 +44,7 @@
 	if a.started {
 		return
 	}
-	a.started = true
+	a.started, a.startedAt = true, time.Now()
 	if a.x.route.Kind == routing.Streaming {
 		a.resetStallTimer() // only a complete event shows that a stream progresses
 	} else {
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -9,8 +9,10 @@
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azurehatch/azurehatch/internal/dialer"
@@ -66,6 +68,18 @@
 	}
 }
 
+// isDown reports whether the host of the endpoint refuses connections to it, because no
+// process listens at addr. A host that does not answer may be cut off.
+func (s *sender) isDown(addr string) bool {
+	s.dials.Inc(1)
+	conn, err := dialer.New(downTimeout).Dial("tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
+
 func (s *sender) close() {
 	s.pooled.CloseIdleConnections()
 	s.unpooled.CloseIdleConnections()
