Keep the last attempt of a begun stream until the deadline

Cause: the timers for the first byte and for stalls ended each attempt, also the last one that the route allows or that the retry budget covers. Change: a timer moves a begun answer on only if another attempt is allowed, and takes the retry from the budget at that moment; otherwise the attempt goes on. Requests without a begun answer still end early, so that callers can repeat them. Test: TestSilentEndpointKeepsTheLastAttempt failed before in both cases (unexpected EOF after events 1 and 2, and after event 1).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,15 +20,6 @@
 	// maxSends is the largest number of endpoints that a request is sent to,
 	// including those that refused it or could not be reached.
 	maxSends = 4
-	// firstByteTimeoutFactor times the route's latency objective is the time
-	// after which an attempt is canceled if no byte of the response body has
-	// arrived and the request is idempotent.
-	firstByteTimeoutFactor = 2.5
-	// stallTimeoutFactor times the route's longest event gap is the time
-	// without events after which a stream is canceled that another endpoint
-	// can resume; it is at least minStallTimeout.
-	stallTimeoutFactor = 3.0
-	minStallTimeout    = time.Second
 	// minRemaining is the time to the deadline below which no further attempt
 	// is made.
 	minRemaining = 20 * time.Millisecond
@@ -39,9 +31,6 @@
 	downTimeout = 300 * time.Millisecond
 )
 
-// errEndpointStalled is the cause of an attempt canceled by its timer.
-var errEndpointStalled = errors.New("the endpoint sent no response data in time")
-
 // attempt is one attempt to have a request served by an endpoint.
 type attempt struct {
 	x        *exchange
@@ -58,9 +47,14 @@
 	// started is true once the first byte of the body arrived, at startedAt.
 	started   bool
 	startedAt time.Time
-	// timer cancels the attempt if no data arrives in time; nil if the request
-	// can't be repeated or the route has no latency objective.
+	// timer moves the request on if no data arrives in time; nil if the request can't be
+	// repeated or the route has no latency objective.
 	timer *time.Timer
+	// last is true if the attempts allowed end with this one.
+	last bool
+	// begun is true once the caller has a part of the answer, retryTaken once the timer
+	// has taken a retry from the budget.
+	begun, retryTaken atomic.Bool
 }
 
 // attemptFailure describes a failed attempt.
@@ -72,6 +66,8 @@
 	// notReceived is true if the request did not reach the endpoint; another
 	// attempt then does not count against the retry budget.
 	notReceived bool
+	// retryTaken is true if a retry was taken from the budget.
+	retryTaken bool
 	// crashed is true if the connection broke while the endpoint may have been
 	// running the request.
 	crashed bool
@@ -90,7 +86,6 @@
 func (x *exchange) attempts(ctx context.Context) error {
 	x.tried = make(map[string]bool)
 	x.handler.RetryBudget.Offered(x.service)
-	runs := 0
 	for {
 		choice, ok := x.handler.Pools.Choose(x.service, x.balanceRequest())
 		if !ok {
@@ -104,9 +99,9 @@
 		}
 		x.mergeRan(failed.ran)
 		if failed.ran != upstream.RanNo {
-			runs++
+			x.runs++
 		}
-		retry, reason := x.shouldRetry(ctx, failed, runs)
+		retry, reason := x.shouldRetry(ctx, failed)
 		x.handler.Log.Info().Str("request", x.meta.ID).Str("endpoint", choice.ID).Str("peer", choice.Addr).Err(failed.err).
 			Str("ran", string(failed.ran)).Bool("again", retry).Str("reason", reason).Int("candidates", choice.Candidates).
 			Float64("predicted_ms", choice.Cost).Msg("attempt failed")
@@ -117,7 +112,7 @@
 }
 
 // shouldRetry reports whether the request is sent to another endpoint, and why.
-func (x *exchange) shouldRetry(ctx context.Context, failed *attemptFailure, runs int) (retry bool, reason string) {
+func (x *exchange) shouldRetry(ctx context.Context, failed *attemptFailure) (retry bool, reason string) {
 	switch {
 	case ctx.Err() != nil || failed.callerFailed:
 		return false, "deadline passed or caller disconnected"
@@ -129,7 +124,7 @@
 		return false, "answer begun"
 	case x.ran != upstream.RanNo && !x.route.Idempotent():
 		return false, "may have run"
-	case runs >= max(x.route.MaxAttempts, 1):
+	case x.runs >= max(x.route.MaxAttempts, 1):
 		return false, "attempts used up"
 	case len(x.sentTo) >= maxSends:
 		return false, "endpoint limit reached"
@@ -137,7 +132,7 @@
 		return false, "has crashed endpoints"
 	case failed.notReceived:
 		return true, "nothing arrived"
-	case !x.handler.RetryBudget.Take(x.service):
+	case !failed.retryTaken && !x.handler.RetryBudget.Take(x.service):
 		return false, "retry budget used up"
 	}
 	return true, "within the retry budget"
@@ -176,9 +171,14 @@
 	a := &attempt{x: x, choice: choice, sentAt: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
+	a.begun.Store(x.committed)
+	a.last = x.runs+1 >= max(x.route.MaxAttempts, 1) || len(x.sentTo) >= maxSends || choice.Candidates == 1
 	a.startTimer()
 	failed := a.run()
 	a.stopTimer()
+	if failed != nil {
+		failed.retryTaken = a.retryTaken.Load()
+	}
 	x.handler.Pools.Done(x.service, choice, a.started)
 	outcome := balance.Succeeded
 	if failed != nil {
@@ -222,32 +222,6 @@
 	})
 }
 
-// firstByteTimeout returns the time without a response body after which an
-// endpoint counts as failed.
-func firstByteTimeout(r *routing.Route) time.Duration {
-	return time.Duration(firstByteTimeoutFactor * float64(r.LatencyObjective))
-}
-
-// startTimer starts the first-byte timeout if the request is idempotent and the
-// route has a latency objective.
-func (a *attempt) startTimer() {
-	r := a.x.route
-	if !r.Idempotent() || r.LatencyObjective <= 0 {
-		return
-	}
-	a.timer = time.AfterFunc(firstByteTimeout(r), func() { a.cancel(errEndpointStalled) })
-}
-
-// resetStallTimer restarts the stall timeout of a stream that another endpoint can
-// resume; it is called whenever events have arrived.
-func (a *attempt) resetStallTimer() {
-	r := a.x.route
-	if !r.Idempotent() || a.timer == nil {
-		return
-	}
-	a.timer.Reset(max(time.Duration(stallTimeoutFactor*float64(r.MaxEventGap)), minStallTimeout))
-}
-
 // closeConn closes the connection to the endpoint, so that it is not reused.
 func (a *attempt) closeConn() {
 	a.cancel(errors.New("response to another request"))
@@ -256,12 +230,6 @@
 	}
 }
 
-func (a *attempt) stopTimer() {
-	if a.timer != nil {
-		a.timer.Stop()
-	}
-}
-
 // run sends the request and relays the response.
 func (a *attempt) run() *attemptFailure {
 	x := a.x
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -75,6 +75,8 @@
 	// order; tried holds the same ids.
 	sentTo []string
 	tried  map[string]bool
+	// runs is the number of attempts in which the request may have run.
+	runs int
 	// committed is true once the response's header was sent to the caller.
 	committed bool
 	status    int
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -69,6 +69,7 @@
 		return pending, nil
 	}
 	a.x.recordGap(time.Now())
+	a.begun.Store(true)
 	a.resetStallTimer()
 	complete := pending[:end+len(eventEnd)]
 	x := a.x
