Heed endpoints that say they leave or want no requests for a time

Before: both headers were ignored; the list of endpoints decided alone, so a daemon behind the store's list sent requests to an endpoint that had told it so. Change: the pool keeps what an incarnation announced. It outlives the entry, which may be written again or lapse, and ends with a restart (another born). If all endpoints of a service want no requests, callers are refused at once with the shortest time as Retry-After.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,6 +28,8 @@
 	Slots int
 	// Leaving endpoints finish their requests in flight and get no new ones.
 	Leaving bool
+	// Incarnation differs between two starts of the endpoint's process.
+	Incarnation int64
 }
 
 // Request holds the properties of a request that affect the choice of an
@@ -95,11 +97,13 @@
 	endpoints map[string]*endpointState
 	// daemons is the number of daemons that share the pool.
 	daemons int
+	// notices holds what endpoints announced, by ID.
+	notices map[string]notice
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{opts: o, endpoints: make(map[string]*endpointState), daemons: 1}
+	return &Pool{opts: o, endpoints: make(map[string]*endpointState), daemons: 1, notices: make(map[string]notice)}
 }
 
 // SetDaemons sets the number of daemons that share the pool.
@@ -138,7 +142,7 @@
 func (p *Pool) Available() int {
 	n := 0
 	for _, e := range p.endpoints {
-		if !e.Leaving {
+		if !p.leaves(e) {
 			n++
 		}
 	}
@@ -157,6 +161,9 @@
 	Cost float64
 	// Candidates is the number of endpoints considered.
 	Candidates int
+	// RetryAfter is set if no endpoint is eligible: the time until one that wants no
+	// requests for now accepts them again, 0 if there is none.
+	RetryAfter time.Duration
 }
 
 // Choose returns the endpoint with the lowest cost and counts the request
@@ -165,7 +172,7 @@
 func (p *Pool) Choose(now time.Time, r Request) (Choice, bool) {
 	e, c := p.best(now, r)
 	if e == nil {
-		return Choice{}, false
+		return Choice{RetryAfter: p.shortestPause(now)}, false
 	}
 	e.openRequests++
 	e.pendingPrefill += c.PrefillTokens
@@ -179,7 +186,7 @@
 	choice := Choice{Cost: math.Inf(1)}
 	maxEjected := p.maxEjected()
 	for _, e := range p.endpoints {
-		if e.Leaving || r.Tried[e.ID] || p.atConnectionLimit(e) {
+		if p.leaves(e) || r.Tried[e.ID] || p.atConnectionLimit(e) || p.pause(now, e) > 0 {
 			continue
 		}
 		choice.Candidates++
@@ -215,7 +222,7 @@
 	var best *endpointState
 	var highest uint64
 	for _, e := range p.endpoints {
-		if e.Leaving {
+		if p.leaves(e) {
 			continue
 		}
 		if score := xxhash.Sum64String(key + "\x00" + e.ID); best == nil || score > highest {
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -70,6 +70,7 @@
 			Msg("endpoint changed")
 		e.pools.applyChange(c.Kind, c.Entry.Service, balance.Endpoint{
 			ID: c.Entry.ID, Addr: c.Entry.Addr, Domain: c.Entry.Domain, Slots: c.Entry.Slots, Leaving: c.Entry.Leaving,
+			Incarnation: c.Entry.Incarnation,
 		})
 	}
 }
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -132,6 +132,17 @@
 	p.pool(service).RecordReport(time.Now(), endpoint, r)
 }
 
+// Announced implements relay.Pools.
+func (p *pools) Announced(service string, c balance.Choice, a balance.Announcement) {
+	p.mu.Lock()
+	changed := p.pool(service).RecordAnnouncement(time.Now(), c.Endpoint, a)
+	p.mu.Unlock()
+	if changed {
+		p.log.Info().Str("service", service).Str("endpoint", c.ID).Int64("incarnation", c.Incarnation).Bool("leaving", a.Leaving).
+			Dur("retry_after_ms", a.RetryAfter).Msg("endpoint announced that it wants no requests")
+	}
+}
+
 // EndpointRemoved implements relay.Pools.
 func (p *pools) EndpointRemoved(service, endpoint string) {
 	p.mu.Lock()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -90,7 +90,7 @@
 		choice, ok := x.handler.Pools.Choose(x.service, x.balanceRequest())
 		if !ok {
 			return x.callerError(problem.New(problem.NoEndpoint, "no endpoint of service %q is available", x.service).
-				WithRetryAfter(retryAfterNoEndpoint))
+				WithRetryAfter(max(choice.RetryAfter, retryAfterNoEndpoint)))
 		}
 		x.sentTo, x.tried[choice.ID] = append(x.sentTo, choice.ID), true
 		failed := x.tryEndpoint(ctx, choice)
@@ -249,6 +249,7 @@
 	}
 	defer resp.Body.Close()
 	a.resp, a.conn, a.reused, a.respMeta = resp, conn.Conn, conn.Reused, x.handler.Codec.DecodeResponse(resp.Header)
+	a.recordAnnouncement()
 	if failed := a.checkHead(); failed != nil {
 		return failed
 	}
@@ -261,6 +262,21 @@
 	return a.relayResponse()
 }
 
+// recordAnnouncement records what the endpoint says about further requests. Only a refusal
+// asks for a pause.
+func (a *attempt) recordAnnouncement() {
+	if !a.ownResponse() || a.respMeta.Endpoint != "" && a.respMeta.Endpoint != a.choice.ID {
+		return
+	}
+	announced := balance.Announcement{Leaving: a.respMeta.Leaving}
+	if a.resp.StatusCode == http.StatusServiceUnavailable {
+		announced.RetryAfter = a.respMeta.RetryAfter
+	}
+	if announced != (balance.Announcement{}) {
+		a.x.handler.Pools.Announced(a.x.service, a.choice, announced)
+	}
+}
+
 // sendFailed classifies the failure of an attempt without a response header.
 func (a *attempt) sendFailed(err error) *attemptFailure {
 	var s *sendError
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -91,6 +91,10 @@
 	order    []*endpoint
 	outcomes []balance.Outcome
 	removed  []string
+	// announced holds the announcements in order.
+	announced []balance.Announcement
+	// pause is the RetryAfter of a choice without an endpoint.
+	pause time.Duration
 }
 
 func (p *pools) Choose(_ string, r balance.Request) (balance.Choice, bool) {
@@ -99,12 +103,17 @@
 			return balance.Choice{Endpoint: balance.Endpoint{ID: id, Addr: e.addr}}, true
 		}
 	}
-	return balance.Choice{}, false
+	return balance.Choice{RetryAfter: p.pause}, false
 }
 func (p *pools) Started(string, balance.Choice, time.Duration) {}
 func (p *pools) Done(string, balance.Choice, bool)             {}
 func (p *pools) Reported(string, string, balance.LoadReport)   {}
-func (p *pools) EndpointRemoved(_, endpoint string)            { p.removed = append(p.removed, endpoint) }
+func (p *pools) Announced(_ string, c balance.Choice, a balance.Announcement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announced = append(p.announced, a)
+}
+func (p *pools) EndpointRemoved(_, endpoint string) { p.removed = append(p.removed, endpoint) }
 func (p *pools) Observe(_ string, _ string, o balance.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,11 @@
 	Endpoint string
 	// Signed is true if the response carries an endpoint's signature.
 	Signed bool
+	// Leaving is true if the endpoint states that it is about to leave.
+	Leaving bool
+	// RetryAfter is the time for which the endpoint asks not to be sent requests; 0 if
+	// not stated.
+	RetryAfter time.Duration
 	// Report is the endpoint's load; valid if Reported.
 	Report   balance.LoadReport
 	Reported bool
@@ -101,12 +106,14 @@
 // Pools chooses among the endpoints of all services and records their outcomes.
 type Pools interface {
 	// Choose picks an endpoint and counts the request as in progress there; Done
-	// ends that. Started records the time to the first byte of a response.
+	// ends that. Without an eligible endpoint, the choice has a RetryAfter if known. Started records the time to the first byte of a response.
 	Choose(service string, r balance.Request) (balance.Choice, bool)
 	Started(service string, c balance.Choice, elapsed time.Duration)
 	Done(service string, c balance.Choice, started bool)
 	Observe(service, endpoint string, o balance.Outcome)
 	Reported(service, endpoint string, r balance.LoadReport)
+	// Announced records what an endpoint said about further requests.
+	Announced(service string, c balance.Choice, a balance.Announcement)
 	// EndpointRemoved records that another endpoint now uses the endpoint's address.
 	EndpointRemoved(service, endpoint string)
 }
