Let a request on a kept connection wait until the response before was checked

Seen: TestNextRequestAfterALateCopy (KNOWN-RED.txt) failed in 3 of 3,000 runs with the race detector: the caller of the request after a late copy without a body got 502, although the request had not run. Cause: net/http puts a connection back into its pool as soon as it has read the head of a response without a body. Another request can get it before the relay sees that the response belongs to an earlier one and closes the connection. That it was sent was taken from WroteHeaders, which fires before anything is flushed. Change: endpointConn lets a request begin only once the response before was checked, and counts the bytes written; a request of which none was written has not been received, so it goes to another endpoint.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -40,10 +39,8 @@
 	ctx      context.Context
 	resp     *http.Response
 	respMeta ResponseMeta
-	// conn is the connection to the endpoint; reused is true if it carried an earlier
-	// request.
-	conn   net.Conn
-	reused bool
+	// conn is the connection to the endpoint.
+	conn *connUse
 	// started is true once the first byte of the body arrived, at startedAt.
 	started   bool
 	startedAt time.Time
@@ -248,11 +245,13 @@
 		return a.sendFailed(err)
 	}
 	defer resp.Body.Close()
-	a.resp, a.conn, a.reused, a.respMeta = resp, conn.Conn, conn.Reused, x.handler.Codec.DecodeResponse(resp.Header)
+	a.resp, a.conn, a.respMeta = resp, conn, x.handler.Codec.DecodeResponse(resp.Header)
+	defer conn.checked()
 	a.recordAnnouncement()
 	if failed := a.checkHead(); failed != nil {
 		return failed
 	}
+	conn.checked()
 	if a.respMeta.Reported {
 		x.handler.Pools.Reported(x.service, a.choice.ID, a.respMeta.Report)
 	}
@@ -346,7 +345,7 @@
 // connection's first response.
 func (a *attempt) ownResponse() bool {
 	refused := a.respMeta.NotRun || a.resp.StatusCode == http.StatusMisdirectedRequest
-	return a.respMeta.RequestID == a.x.meta.ID || a.respMeta.RequestID == "" && refused && !a.reused
+	return a.respMeta.RequestID == a.x.meta.ID || a.respMeta.RequestID == "" && refused && !a.conn.reused
 }
 
 // mayRepeat reports whether a server error is retried instead of being returned to
--- a/internal/relay/faulty_endpoint_test.go
+++ b/internal/relay/faulty_endpoint_test.go
@@ -191,7 +191,7 @@
 }
 
 // Guards against a next request that is sent on the connection of a late copy, which is
-// being closed: its caller gets 502 although it has not run. Listed in KNOWN-RED.txt.
+// being closed: its caller gets 502 although it has not run.
 func TestNextRequestAfterALateCopy(t *testing.T) {
 	var answered atomic.Int64
 	e := startEndpoint(t, func(_ *http.Request, _ string, c net.Conn) bool {
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,7 +57,11 @@
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			s.dials.Inc(1)
-			return d.DialContext(ctx, network, addr)
+			c, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return newEndpointConn(c), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
@@ -96,8 +99,8 @@
 
 // sendError is a failure before a response's header arrived.
 type sendError struct {
-	// reached is true if the request's header was written, so that the endpoint
-	// may have received it.
+	// reached is true if a part of the request was written, so that the endpoint may
+	// have received it.
 	reached bool
 	// connected is true if a connection was established.
 	connected bool
@@ -127,14 +130,20 @@
 }
 
 // send sends a request and returns the response, whose body is not read yet, and its
-// connection. An error is a *sendError.
-func (s *sender) send(ctx context.Context, out outboundRequest) (*http.Response, httptrace.GotConnInfo, error) {
-	var conn atomic.Pointer[httptrace.GotConnInfo]
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn:      func(i httptrace.GotConnInfo) { conn.Store(&i) },
-		WroteHeaders: func() { wrote.Store(true) },
-	}
+// connection. The caller must call checked on the connection once it has found that the
+// response is the request's own, or has closed the connection. An error is a *sendError.
+func (s *sender) send(ctx context.Context, out outboundRequest) (*http.Response, *connUse, error) {
+	// The transport calls GotConn in the goroutine of RoundTrip, again if it replaces a
+	// connection that the endpoint had closed.
+	var use *connUse
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if use != nil {
+			use.checked()
+		}
+		conn := i.Conn.(*endpointConn)
+		begun := conn.begin(ctx)
+		use = &connUse{endpointConn: conn, reused: i.Reused, writtenBefore: conn.written.Load(), begun: begun}
+	}}
 	req := &http.Request{
 		Method: out.method, URL: &url.URL{Scheme: "http", Host: out.addr, Opaque: out.uri},
 		Host: out.host, Header: out.header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -150,9 +159,12 @@
 	}
 	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return nil, httptrace.GotConnInfo{}, &sendError{
-			reached: wrote.Load(), connected: conn.Load() != nil, err: failure.At(err, "relay.send", out.addr),
+		failed := &sendError{connected: use != nil, err: failure.At(err, "relay.send", out.addr)}
+		if use != nil {
+			failed.reached = use.wrote()
+			use.checked()
 		}
+		return nil, nil, failed
 	}
-	return resp, *conn.Load(), nil
+	return resp, use, nil
 }
