--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -108,7 +108,7 @@
 func (p *pools) Started(string, balance.Choice, time.Duration) {}
 func (p *pools) Done(string, balance.Choice, bool)             {}
 func (p *pools) Reported(string, string, balance.LoadReport)   {}
-func (p *pools) Announced(_ string, c balance.Choice, a balance.Announcement) {
+func (p *pools) Announced(_ string, _ balance.Choice, a balance.Announcement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.announced = append(p.announced, a)
