Time each missing configuration from its own first report

A daemon that always lags by two versions, as on a link that callers fill during a series of changes, was never out of date by its own reckoning and went on to serve versions older than the bound allows. Cause: a feed kept the time at which a peer reported the first change that it lacks. When that change arrived, the clock started anew although later ones had been reported meanwhile. Change: the feed keeps each reported change with its time until it arrives. Test: TestEachMissingVersionIsTimedFromItsFirstReport failed before (out of date for 0 s, want 1.3 s).

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -162,11 +162,9 @@
 	// revision is the store revision up to which items is complete, lastChange
 	// that of the last change.
 	revision, lastChange platform.Revision
-	// behindSince is when a peer first reported the change at behindRevision,
-	// which is missing here.
-	behindSince    time.Time
-	behindRevision platform.Revision
-	// outdatedSince is behindSince while the change is missing, else nil. It is read
+	// missing lists the changes that peers reported and that are missing here, in order.
+	missing []missingChange
+	// outdatedSince is the time of the first of missing, nil if there is none. It is read
 	// with each request, also while f.mu is held to decode a configuration.
 	outdatedSince atomic.Pointer[time.Time]
 	// highestReported is the newest change that a peer reported.
--- a/internal/front/feed_items.go
+++ b/internal/front/feed_items.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/platform"
@@ -19,22 +20,44 @@
 	return f.lastChange
 }
 
-// behindFor returns how long the feed has known of a change that it lacks, 0 if there is
-// none. The caller holds f.mu.
+// maxMissingChanges bounds the missing changes that a feed keeps. A change beyond is added
+// when it is reported again, after others have arrived.
+const maxMissingChanges = 64
+
+// missingChange is a change that a feed lacks, and when a peer first reported it.
+type missingChange struct {
+	revision platform.Revision
+	since    time.Time
+}
+
+// behindFor returns how long the feed has known of the first change that it lacks, 0 if
+// there is none. The caller holds f.mu.
 func (f *feed) behindFor(now time.Time) time.Duration {
-	if f.behindSince.IsZero() || f.revision >= f.behindRevision {
+	if len(f.missing) == 0 {
 		return 0
 	}
-	return now.Sub(f.behindSince)
+	return now.Sub(f.missing[0].since)
 }
 
 // markBehind records that another daemon has changes up to a revision. The caller holds
 // f.mu.
 func (f *feed) markBehind(now time.Time, changed platform.Revision) {
-	if changed > f.revision && f.behindFor(now) == 0 {
-		f.behindSince, f.behindRevision = now, changed
-		f.outdatedSince.Store(&now)
+	n := len(f.missing)
+	if changed <= f.revision || n == maxMissingChanges || n > 0 && changed <= f.missing[n-1].revision {
+		return
 	}
+	f.missing = append(f.missing, missingChange{revision: changed, since: now})
+	f.updateOutdatedSince()
+}
+
+// updateOutdatedSince adapts outdatedSince to missing. The caller holds f.mu.
+func (f *feed) updateOutdatedSince() {
+	if len(f.missing) == 0 {
+		f.outdatedSince.Store(nil)
+		return
+	}
+	since := f.missing[0].since
+	f.outdatedSince.Store(&since)
 }
 
 // outdatedFor returns how long the feed has known of a change that it lacks, 0 if there is
@@ -50,9 +73,8 @@
 // setRevision records that the items are complete up to a revision. The caller holds f.mu.
 func (f *feed) setRevision(at platform.Revision) {
 	f.revision = at
-	if at >= f.behindRevision {
-		f.outdatedSince.Store(nil)
-	}
+	f.missing = slices.DeleteFunc(f.missing, func(m missingChange) bool { return m.revision <= at })
+	f.updateOutdatedSince()
 }
 
 func (f *feed) reading(from origin) reading {
--- a/internal/front/outdated_test.go
+++ b/internal/front/outdated_test.go
@@ -4,6 +4,10 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
 // Guards against a daemon that goes on using a configuration although it knows from a peer
@@ -34,3 +38,32 @@
 		return d.Ready() && f.send(0, "/added/x", true) == http.StatusOK
 	})
 }
+
+// Guards against a clock that starts anew with each version of a series: a daemon that always
+// lagged by two versions was never out of date.
+func TestEachMissingVersionIsTimedFromItsFirstReport(t *testing.T) {
+	f := newFeed("p/", nil, recorder{value: make(chan string, 8)}, fixedFleet{}, func() {}, zerolog.Nop())
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	f.shouldFetch(at(0), 5)
+	f.shouldFetch(at(100), 7)
+	f.shouldFetch(at(200), 6) // a peer that lags
+	f.shouldFetch(at(300), 7)
+	for _, step := range []struct {
+		revision platform.Revision
+		want     time.Duration
+	}{{0, 1400 * time.Millisecond}, {5, 1300 * time.Millisecond}, {6, 1300 * time.Millisecond}, {7, 0}} {
+		if step.revision > 0 {
+			f.replace(fromPeerCopy, []platform.Item{{Key: "p/a", Revision: step.revision}}, step.revision)
+		}
+		if got := f.outdatedFor(at(1400)); got != step.want {
+			t.Errorf("with revision %d: out of date for %v, want %v", step.revision, got, step.want)
+		}
+	}
+	for i := range 3 * maxMissingChanges {
+		f.shouldFetch(at(2000+i), platform.Revision(8+i))
+	}
+	if len(f.missing) > maxMissingChanges {
+		t.Errorf("%d missing changes kept, want at most %d", len(f.missing), maxMissingChanges)
+	}
+}
