Keep announcements by incarnation, return after pauses gradually, name bad times

Before: a late response of an endpoint's former process, which told that it leaves, was dropped while the new process was listed; if its entry lapsed and an old copy of the list came back, the former process got requests again. Found by the new state machine ("refused with 0s, want 1s" after four draws). After a pause all daemons sent at once, callers refused meanwhile all returned at the same moment, a 503 with a time counted as a failure of the endpoint, and a time that is no positive number of seconds was ignored without a word. The assertion that a late response returns false is replaced by the machine's check of what is chosen: the response now counts for its own incarnation. Tests: TestAnnouncementMachine and four broken variants, TestDecodesTimesToWait, TestCallersReturnAfterAPauseOfAllEndpoints and TestPauseIsNoFailureOfTheEndpoint (both failed before), TestEndpointReturnsGraduallyAfterAPause.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -2,9 +2,15 @@
 
 import "time"
 
-// maxPause bounds the time for which an endpoint's announcement keeps requests away, in
-// case its number is wrong.
-const maxPause = time.Hour
+const (
+	// maxPause bounds the time for which an endpoint's announcement keeps requests away, in
+	// case its number is wrong.
+	maxPause = time.Hour
+	// returnTime is the time after a pause in which the requests that a daemon may have
+	// open at the endpoint grow from one to its share of the slots. All daemons that wait
+	// for an endpoint would otherwise fill it at once, and it would refuse again.
+	returnTime = 2 * time.Second
+)
 
 // Announcement is what an endpoint says in a response about further requests.
 type Announcement struct {
@@ -15,10 +21,17 @@
 	RetryAfter time.Duration
 }
 
+// incarnation is one life of an endpoint's process.
+type incarnation struct {
+	id     string
+	number int64
+}
+
+func (e Endpoint) incarnation() incarnation { return incarnation{id: e.ID, number: e.Incarnation} }
+
 // notice is the announcement of one incarnation of an endpoint. It outlives the endpoint's
 // entry, which may lapse and come back while the store is in trouble.
 type notice struct {
-	incarnation int64
 	leaving     bool
 	pausedUntil time.Time
 	receivedAt  time.Time
@@ -27,14 +40,8 @@
 // RecordAnnouncement records what the endpoint e, as it was chosen, announced. It returns
 // true if the announcement changes whether the endpoint gets requests.
 func (p *Pool) RecordAnnouncement(now time.Time, e Endpoint, a Announcement) bool {
-	n := p.notices[e.ID]
-	if n.incarnation != e.Incarnation {
-		if current, ok := p.endpoints[e.ID]; ok && current.Incarnation != e.Incarnation {
-			return false // a late response of an earlier incarnation
-		}
-		n = notice{incarnation: e.Incarnation}
-	}
-	former := n
+	former := p.notices[e.incarnation()]
+	n := former
 	n.leaving = n.leaving || a.Leaving
 	if until := now.Add(min(a.RetryAfter, maxPause)); a.RetryAfter > 0 && until.After(n.pausedUntil) {
 		n.pausedUntil = until
@@ -44,15 +51,16 @@
 	}
 	n.receivedAt = now
 	p.pruneNotices(now)
-	p.notices[e.ID] = n
+	p.notices[e.incarnation()] = n
 	return true
 }
 
-// pruneNotices removes the notices of endpoints that have been gone for maxPause.
+// pruneNotices removes the notices of incarnations that have been gone for maxPause.
 func (p *Pool) pruneNotices(now time.Time) {
-	for id, n := range p.notices {
-		if _, ok := p.endpoints[id]; !ok && now.Sub(n.receivedAt) > maxPause {
-			delete(p.notices, id)
+	for of, n := range p.notices {
+		current, ok := p.endpoints[of.id]
+		if (!ok || current.incarnation() != of) && now.Sub(n.receivedAt) > maxPause {
+			delete(p.notices, of)
 		}
 	}
 }
@@ -62,8 +70,7 @@
 	if e.Leaving || len(p.notices) == 0 {
 		return e.Leaving
 	}
-	n, ok := p.notices[e.ID]
-	return ok && n.incarnation == e.Incarnation && n.leaving
+	return p.notices[e.incarnation()].leaving
 }
 
 // pause returns the time for which the endpoint still wants no requests.
@@ -71,11 +78,41 @@
 	if len(p.notices) == 0 {
 		return 0
 	}
-	n, ok := p.notices[e.ID]
-	if !ok || n.incarnation != e.Incarnation {
-		return 0
+	return max(0, p.notices[e.incarnation()].pausedUntil.Sub(now))
+}
+
+// returningSlots returns the number of requests that this daemon may have open at an
+// endpoint whose pause ended less than returnTime ago, and whether there is such a limit.
+func (p *Pool) returningSlots(now time.Time, e *endpointState) (int, bool) {
+	since := now.Sub(p.notices[e.incarnation()].pausedUntil)
+	if since < 0 || since >= returnTime {
+		return 0, false
+	}
+	share := float64(e.Slots) / float64(p.daemons)
+	return 1 + int(share*float64(since)/float64(returnTime)), true
+}
+
+// withheld reports whether what the endpoint announced forbids to send it a request now.
+func (p *Pool) withheld(now time.Time, e *endpointState) bool {
+	if e.Leaving || len(p.notices) == 0 {
+		return e.Leaving
+	}
+	limit, limited := p.returningSlots(now, e)
+	return p.leaves(e) || p.pause(now, e) > 0 || limited && e.openRequests >= limit
+}
+
+// Announced returns the number of endpoints that leave, by their entries or by their own
+// announcements, and of those that want no requests for now.
+func (p *Pool) Announced(now time.Time) (leaving, paused int) {
+	for _, e := range p.endpoints {
+		switch {
+		case p.leaves(e):
+			leaving++
+		case p.pause(now, e) > 0:
+			paused++
+		}
 	}
-	return max(0, n.pausedUntil.Sub(now))
+	return leaving, paused
 }
 
 // shortestPause returns the time until the first of the paused endpoints wants requests
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -97,13 +97,13 @@
 	endpoints map[string]*endpointState
 	// daemons is the number of daemons that share the pool.
 	daemons int
-	// notices holds what endpoints announced, by ID.
-	notices map[string]notice
+	// notices holds what endpoints announced.
+	notices map[incarnation]notice
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{opts: o, endpoints: make(map[string]*endpointState), daemons: 1, notices: make(map[string]notice)}
+	return &Pool{opts: o, endpoints: make(map[string]*endpointState), daemons: 1, notices: make(map[incarnation]notice)}
 }
 
 // SetDaemons sets the number of daemons that share the pool.
@@ -186,7 +186,7 @@
 	choice := Choice{Cost: math.Inf(1)}
 	maxEjected := p.maxEjected()
 	for _, e := range p.endpoints {
-		if p.leaves(e) || r.Tried[e.ID] || p.atConnectionLimit(e) || p.pause(now, e) > 0 {
+		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) {
 			continue
 		}
 		choice.Candidates++
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -172,7 +172,7 @@
 	d.scope, d.closeScope, d.metricsExporter = metrics.NewScope(
 		d.frontSettings.Instance.Name, d.frontSettings.Instance.FailureDomain)
 	d.store = d.opts.Store(d.scope)
-	d.pools = newPools(d.frontSettings.Instance.FailureDomain, d.log)
+	d.pools = newPools(d.frontSettings.Instance.FailureDomain, d.log, d.scope)
 	d.crashIsolator = newCrashIsolator(d.log)
 	d.mesh = mesh.New(mesh.Options{
 		ID: d.id, Addr: d.meshListener.Addr().String(), Domain: d.frontSettings.Instance.FailureDomain,
@@ -285,6 +285,7 @@
 			d.crashIsolator.tick(now)
 			d.budgets.Tick(now)
 			d.pools.setDaemons(d.mesh.Count())
+			d.pools.updateGauges(now)
 			if follows := d.mesh.FollowsStore(); follows != followed {
 				followed = follows
 				d.log.Info().Bool("follows", follows).Bool("wide", d.mesh.Wide()).Int("daemons", d.mesh.Count()).
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/discovery"
@@ -17,6 +18,7 @@
 type pools struct {
 	domain string
 	log    zerolog.Logger
+	scope  tally.Scope
 
 	mu        sync.Mutex
 	byService map[string]*balance.Pool
@@ -26,9 +28,9 @@
 
 var _ relay.Pools = (*pools)(nil)
 
-func newPools(domain string, log zerolog.Logger) *pools {
+func newPools(domain string, log zerolog.Logger, scope tally.Scope) *pools {
 	return &pools{
-		domain: domain, log: log, byService: make(map[string]*balance.Pool),
+		domain: domain, log: log, scope: scope, byService: make(map[string]*balance.Pool),
 		limits: make(map[string]balance.Limits), daemons: 1,
 	}
 }
@@ -94,6 +96,19 @@
 	return false
 }
 
+// updateGauges updates the numbers of endpoints that leave and that want no requests for
+// now.
+func (p *pools) updateGauges(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, pool := range p.byService {
+		leaving, paused := pool.Announced(now)
+		scope := p.scope.Tagged(map[string]string{"service": service})
+		scope.Gauge("endpoints_leaving").Update(float64(leaving))
+		scope.Gauge("endpoints_paused").Update(float64(paused))
+	}
+}
+
 // Choose implements relay.Pools.
 func (p *pools) Choose(service string, r balance.Request) (balance.Choice, bool) {
 	p.mu.Lock()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,9 @@
 	// crash of the endpoint is not put down to the request: an endpoint that can't
 	// run a request crashes as it begins to answer it.
 	answerBegunTime = 500 * time.Millisecond
+	// retryAfterSpread is the ratio of a pause of all endpoints to the time over which
+	// their callers are spread after it.
+	retryAfterSpread = 4
 	// downTimeout bounds the check whether an endpoint is down.
 	downTimeout = 300 * time.Millisecond
 )
@@ -87,7 +91,7 @@
 		choice, ok := x.handler.Pools.Choose(x.service, x.balanceRequest())
 		if !ok {
 			return x.callerError(problem.New(problem.NoEndpoint, "no endpoint of service %q is available", x.service).
-				WithRetryAfter(max(choice.RetryAfter, retryAfterNoEndpoint)))
+				WithRetryAfter(spreadRetryAfter(choice.RetryAfter)))
 		}
 		x.sentTo, x.tried[choice.ID] = append(x.sentTo, choice.ID), true
 		failed := x.tryEndpoint(ctx, choice)
@@ -108,6 +112,16 @@
 	}
 }
 
+// spreadRetryAfter returns the time after which a caller that found no endpoint may return,
+// given the time until one accepts requests again, 0 if unknown. The callers refused during
+// a pause of all endpoints return over a quarter of it instead of in one wave.
+func spreadRetryAfter(pause time.Duration) time.Duration {
+	if pause < retryAfterNoEndpoint {
+		return retryAfterNoEndpoint
+	}
+	return pause + time.Duration(rand.Float64()*float64(pause)/retryAfterSpread)
+}
+
 // shouldRetry reports whether the request is sent to another endpoint, and why.
 func (x *exchange) shouldRetry(ctx context.Context, failed *attemptFailure) (retry bool, reason string) {
 	switch {
@@ -270,6 +284,10 @@
 	announced := balance.Announcement{Leaving: a.respMeta.Leaving}
 	if a.resp.StatusCode == http.StatusServiceUnavailable {
 		announced.RetryAfter = a.respMeta.RetryAfter
+		if len(a.respMeta.InvalidRetryAfter) > 0 {
+			a.x.handler.Log.Info().Str("request", a.x.meta.ID).Str("endpoint", a.choice.ID).
+				Strs("values", a.respMeta.InvalidRetryAfter).Msg("times to wait of an endpoint ignored: no positive number of seconds")
+		}
 	}
 	if announced != (balance.Announcement{}) {
 		a.x.handler.Pools.Announced(a.x.service, a.choice, announced)
@@ -334,12 +352,21 @@
 	case status >= http.StatusInternalServerError && a.x.route.Idempotent() && !a.x.committed && a.mayRepeat():
 		return &attemptFailure{
 			err: errors.Errorf("the endpoint responded with status %d", status),
-			ran: upstream.RanYes, outcome: balance.ErrorResponse,
+			ran: upstream.RanYes, outcome: a.errorOutcome(),
 		}
 	}
 	return nil
 }
 
+// errorOutcome returns the outcome of a response with a server error. An endpoint that asks
+// for a pause is overloaded and does not count as failing.
+func (a *attempt) errorOutcome() balance.Outcome {
+	if a.resp.StatusCode == http.StatusServiceUnavailable && a.respMeta.RetryAfter > 0 {
+		return balance.Refused
+	}
+	return balance.ErrorResponse
+}
+
 // ownResponse reports whether the response belongs to the request. Endpoints repeat a
 // request's id; a refusal without one can belong to no other request if it is the
 // connection's first response.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,8 @@
 	// RetryAfter is the time for which the endpoint asks not to be sent requests; 0 if
 	// not stated.
 	RetryAfter time.Duration
+	// InvalidRetryAfter lists times to wait that are none and are ignored.
+	InvalidRetryAfter []string
 	// Report is the endpoint's load; valid if Reported.
 	Report   balance.LoadReport
 	Reported bool
@@ -106,7 +108,8 @@
 // Pools chooses among the endpoints of all services and records their outcomes.
 type Pools interface {
 	// Choose picks an endpoint and counts the request as in progress there; Done
-	// ends that. Without an eligible endpoint, the choice has a RetryAfter if known. Started records the time to the first byte of a response.
+	// ends that. Without an eligible endpoint, the choice has a RetryAfter if known.
+	// Started records the time to the first byte of a response.
 	Choose(service string, r balance.Request) (balance.Choice, bool)
 	Started(service string, c balance.Choice, elapsed time.Duration)
 	Done(service string, c balance.Choice, started bool)
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -116,7 +116,7 @@
 // although the response went to the caller.
 func (a *attempt) reportServerError() *attemptFailure {
 	if a.resp.StatusCode >= http.StatusInternalServerError {
-		a.x.handler.Pools.Observe(a.x.service, a.choice.ID, balance.ErrorResponse)
+		a.x.handler.Pools.Observe(a.x.service, a.choice.ID, a.errorOutcome())
 	}
 	return nil
 }
