Let soak endpoints announce that they leave and ask for pauses, and check both

A draining endpoint says so in its responses, in a third of the cases only there, and is replaced by a new process, since leaving is final; endpoints refuse all requests and ask for pauses. Both overlap with all other faults. The soak checks from what endpoints saw and callers got that a daemon that passed on a leaving response sends that process nothing a caller sent 3 s later, and at most two requests in a pause. The former check by the entry holds where the entry says so. TestChecksFindIgnoredAnnouncements holds the checks against made-up arrivals.

--- /dev/null
+++ b/internal/soak/announce_test.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/azurehatch/azurehatch/platform/platformtest"
+)
+
+// Bounds of what an endpoint says in its responses.
+const (
+	// pauseGrace is the time after a refusal within which requests that were under way may
+	// arrive, maxInPause the number of requests that may arrive afterwards.
+	pauseGrace = 500 * time.Millisecond
+	maxInPause = 2
+)
+
+// heardKey is a daemon and an endpoint's process, as result.leaving identifies it.
+type heardKey struct{ daemon, process string }
+
+// recordLeaving records that a daemon passed on a response that says that its endpoint leaves.
+// The caller holds tr.mu.
+func (tr *traffic) recordLeaving(r result) {
+	key := heardKey{r.daemon.name, r.leaving}
+	if _, heard := tr.leavingHeard[key]; r.leaving != "" && !heard {
+		tr.leavingHeard[key] = time.Now()
+	}
+}
+
+// checkAnnouncements checks that daemons did what endpoints said in their responses.
+func (tr *traffic) checkAnnouncements() {
+	daemons := make(map[string]*daemon)
+	for _, d := range tr.bed.daemons {
+		daemons[d.name] = d
+	}
+	for _, e := range tr.bed.endpoints {
+		byDaemon := make(map[string][]platformtest.Arrival)
+		for _, a := range e.Arrivals() {
+			byDaemon[a.Sender] = append(byDaemon[a.Sender], a)
+		}
+		for name, arrivals := range byDaemon {
+			tr.checkLeaving(e, daemons[name], arrivals)
+			tr.checkPauses(e, daemons[name], arrivals)
+		}
+	}
+}
+
+// processOf identifies the endpoint's process that a request reached, as result.leaving does.
+func processOf(e *endpoint, a platformtest.Arrival) string {
+	return fmt.Sprintf("%s/%d", e.ID, a.StartedAt.UnixNano())
+}
+
+// checkLeaving checks that a daemon that passed on that a process of an endpoint leaves sent
+// it no request that came later than drainBound after it.
+func (tr *traffic) checkLeaving(e *endpoint, d *daemon, arrivals []platformtest.Arrival) {
+	for _, a := range arrivals {
+		heard, ok := tr.leavingHeard[heardKey{d.name, processOf(e, a)}]
+		if ok && a.SentAt.Sub(heard) > drainBound && !d.interruptedBetween(heard, a.At) {
+			tr.bed.addViolation("%s got %s from %s, sent %v after that daemon had passed on that it leaves",
+				e.ID, a.ID, d.name, a.SentAt.Sub(heard))
+		}
+	}
+}
+
+// checkPauses checks that a daemon whose request was refused for a time sent hardly any more
+// in it.
+func (tr *traffic) checkPauses(e *endpoint, d *daemon, arrivals []platformtest.Arrival) {
+	for i, refused := range arrivals {
+		if refused.Pause == 0 || d.interruptedBetween(refused.At, refused.At.Add(refused.Pause)) || tr.bed.stalledSince(refused.At) {
+			continue
+		}
+		n := 0
+		for _, a := range arrivals[i+1:] {
+			if since := a.At.Sub(refused.At); a.StartedAt.Equal(refused.StartedAt) && since > pauseGrace && since < refused.Pause {
+				n++
+			}
+		}
+		if n > maxInPause {
+			tr.bed.addViolation("%s got %d requests from %s in a pause of %v that it had asked for (%s)",
+				e.ID, n, d.name, refused.Pause, refused.ID)
+		}
+	}
+}
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/pause"
+	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
 
 // requestKinds are the kinds of requests, by path.
@@ -26,6 +28,9 @@
 	body              string
 	// err is the error of a connection that failed before or during the response.
 	err error
+	// leaving identifies the endpoint's process that said in the response that it leaves;
+	// empty if none did.
+	leaving string
 }
 
 // traffic is the callers of a run with their observations.
@@ -39,12 +44,16 @@
 	served                     map[string]int
 	total                      int
 	ready                      map[*daemon]bool
+	// leavingHeard is when callers of a daemon first got a response of an endpoint's
+	// process that said that it leaves.
+	leavingHeard map[heardKey]time.Time
 }
 
 func newTraffic(bed *testbed) *traffic {
 	return &traffic{
 		bed: bed, notExecuted: make(map[string]string), nonIdempotent: make(map[string]string),
 		tokensSpent: make(map[string]int64), served: make(map[string]int), ready: make(map[*daemon]bool),
+		leavingHeard: make(map[heardKey]time.Time),
 	}
 }
 
@@ -115,6 +124,8 @@
 	req.Host = "h"
 	req.Header.Set("Authorization", "Bearer key-"+account)
 	req.Header.Set("X-Request-Id", id)
+	req.Header.Set(platformtest.SenderHeader, d.name)
+	req.Header.Set(platformtest.SentHeader, strconv.FormatInt(r.startedAt.UnixNano(), 10))
 	if kind == "plan" {
 		req.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", prompt, maxOutput))
 	}
@@ -125,6 +136,9 @@
 	}
 	defer resp.Body.Close()
 	r.status = resp.StatusCode
+	if resp.Header.Get("Server-Leaving") == "1" {
+		r.leaving = resp.Header.Get("X-Instance-Id") + "/" + resp.Header.Get(platformtest.StartedHeader)
+	}
 	var text bytes.Buffer
 	_, r.err = io.Copy(&text, resp.Body)
 	r.body = text.String()
@@ -178,6 +192,7 @@
 	tr.bed.mu.Unlock()
 	tr.mu.Lock()
 	tr.total++
+	tr.recordLeaving(r)
 	if r.kind != "look" {
 		tr.nonIdempotent[r.id] = r.daemon.name
 	}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -88,3 +88,54 @@
 		})
 	}
 }
+
+// Guards against checks that pass although a daemon sends requests to an endpoint that leaves
+// or wants none.
+func TestChecksFindIgnoredAnnouncements(t *testing.T) {
+	for name, c := range map[string]struct {
+		// sent are the times after the announcement at which further requests arrive.
+		sent                          []time.Duration
+		leaving, restarted, interrupt bool
+		broken                        bool
+	}{
+		"request in time to a leaving endpoint":    {[]time.Duration{drainBound}, true, false, false, false},
+		"request to a leaving endpoint":            {[]time.Duration{drainBound + time.Second}, true, false, false, true},
+		"request of a restarted daemon to it":      {[]time.Duration{drainBound + time.Second}, true, false, true, false},
+		"request to its new process":               {[]time.Duration{drainBound + time.Second}, true, true, false, false},
+		"two requests in a pause":                  {[]time.Duration{time.Second, 2 * time.Second}, false, false, false, false},
+		"three requests in a pause":                {[]time.Duration{time.Second, 2 * time.Second, 2 * time.Second}, false, false, false, true},
+		"three requests of a restarted daemon":     {[]time.Duration{time.Second, 2 * time.Second, 2 * time.Second}, false, false, true, false},
+		"three requests at once after the refusal": {[]time.Duration{0, 0, 0}, false, false, false, false},
+		"three requests after a pause":             {[]time.Duration{4 * time.Second, 4 * time.Second, 4 * time.Second}, false, false, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr, d := newBareTraffic(t)
+			e := &endpoint{Endpoint: &platformtest.Endpoint{ID: "e", Slots: 8, Runs: tr.bed.runs}}
+			tr.bed.endpoints = []*endpoint{e}
+			at := time.Now()
+			arrivals := []platformtest.Arrival{{Sender: d.name, SentAt: at, At: at, StartedAt: at.Add(-time.Hour)}}
+			if !c.leaving {
+				arrivals[0].Pause = 3 * time.Second
+			}
+			tr.leavingHeard[heardKey{d.name, processOf(e, arrivals[0])}] = at
+			for _, after := range c.sent {
+				a := platformtest.Arrival{Sender: d.name, SentAt: at.Add(after), At: at.Add(after), StartedAt: arrivals[0].StartedAt}
+				if c.restarted {
+					a.StartedAt = at
+				}
+				arrivals = append(arrivals, a)
+			}
+			if c.interrupt {
+				d.interruptions = []time.Time{at.Add(time.Second / 2)}
+			}
+			if c.leaving {
+				tr.checkLeaving(e, d, arrivals)
+			} else {
+				tr.checkPauses(e, d, arrivals)
+			}
+			if broken := len(tr.bed.violations) > 0; broken != c.broken {
+				t.Errorf("broken %v, want %v: %v", broken, c.broken, tr.bed.violations)
+			}
+		})
+	}
+}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -57,6 +58,9 @@
 	// lastDisturbed is the last time at which the daemon was started, killed,
 	// paused or cut off from the store, or such a fault ended.
 	lastDisturbed time.Time
+	// interruptions are the times at which the process was started, killed, paused or
+	// resumed.
+	interruptions []time.Time
 	// stopRequested is when the current planned stop began, or zero.
 	stopRequested time.Time
 	paused        bool
@@ -108,6 +112,7 @@
 		return err
 	}
 	d.alive, d.wasReady, d.lastDisturbed, d.stopRequested = true, false, time.Now(), time.Time{}
+	d.interruptions = append(d.interruptions, d.lastDisturbed)
 	go func(cmd *exec.Cmd, exited chan struct{}, log *os.File) {
 		_ = cmd.Wait()
 		log.Close()
@@ -127,6 +132,7 @@
 	}
 	if s != syscall.SIGTERM && s != syscall.SIGHUP {
 		d.lastDisturbed = time.Now()
+		d.interruptions = append(d.interruptions, d.lastDisturbed)
 	}
 	if s == syscall.SIGTERM && d.stopRequested.IsZero() {
 		d.stopRequested = time.Now()
@@ -134,6 +140,14 @@
 	d.paused = s == syscall.SIGSTOP
 }
 
+// interruptedBetween reports whether the process was started, killed, paused or resumed in a
+// span of time.
+func (d *daemon) interruptedBetween(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.interruptions, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // recordStoreFault records the beginning (1) or end (-1) of a fault of the daemon's path
 // to the store.
 func (d *daemon) recordStoreFault(change int) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,7 +68,7 @@
 func (s *scenario) injectFaults(length time.Duration) {
 	faults := []func(time.Duration){
 		s.disturbStorePath, s.disturbStorePath, s.disturbAllStorePaths, s.refuseStoreCalls, s.hangStore,
-		s.disturbEndpointPath, s.crashEndpoint, s.drainEndpoint,
+		s.disturbEndpointPath, s.crashEndpoint, s.drainEndpoint, s.overloadEndpoint,
 		s.killDaemon, s.pauseDaemon, s.stopDaemon, s.reloadSettings, s.reconfigure, s.reconfigure, s.reconfigureRepeatedly,
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
@@ -162,30 +162,52 @@
 	})
 }
 
-// drainEndpoint lets an endpoint announce that it is draining. It keeps draining for
-// longer than drainBound, after which it must not get new requests.
+// drainEndpoint lets an endpoint say in its responses that it leaves, and mostly in its entry
+// as well. It stays for longer than drainBound, after which it must not get new requests, and
+// is replaced by a new process then.
 func (s *scenario) drainEndpoint(d time.Duration) {
-	e := s.randomEndpoint()
+	e, byEntry := s.randomEndpoint(), s.rng.IntN(3) > 0
 	if !s.claim(e) {
 		return
 	}
-	s.logFault("%s drains", e.ID)
-	e.SetDraining(true)
+	s.logFault("%s drains, by its entry: %v", e.ID, byEntry)
+	e.SetLeaving(true)
+	e.SetDraining(byEntry)
 	s.bed.announce(e)
 	announcedAt := time.Now()
 	s.wg.Go(func() {
 		time.Sleep(drainBound + d)
 		delay := e.LastArrival().Sub(announcedAt)
-		if delay > drainBound && !s.bed.stalledSince(announcedAt) && !s.bed.storeDisturbedSince(announcedAt) &&
+		if byEntry && delay > drainBound && !s.bed.stalledSince(announcedAt) && !s.bed.storeDisturbedSince(announcedAt) &&
 			!s.bed.anyDaemonDisturbedSince(announcedAt) {
 			s.bed.addViolation("%s got a request %v after it announced that it is draining", e.ID, delay)
 		}
-		e.SetDraining(false)
-		s.bed.announce(e)
+		s.restartEndpoint(e)
 		s.release(e)
 	})
 }
 
+// restartEndpoint replaces the process of an endpoint.
+func (s *scenario) restartEndpoint(e *endpoint) {
+	s.bed.recordFault(&s.bed.lastEndpointFault, &s.bed.openEndpointFaults, 1)
+	defer s.bed.recordFault(&s.bed.lastEndpointFault, &s.bed.openEndpointFaults, -1)
+	e.Crash()
+	if err := e.Start(e.backendAddr); err != nil {
+		s.bed.t.Errorf("start of %s: %v", e.ID, err)
+	}
+	s.bed.announce(e)
+}
+
+// overloadEndpoint lets an endpoint refuse all requests and ask for pauses.
+func (s *scenario) overloadEndpoint(d time.Duration) {
+	e, wait := s.randomEndpoint(), time.Duration(800+s.rng.IntN(2500))*time.Millisecond
+	if !s.claim(e) {
+		return
+	}
+	s.logFault("%s wants no requests for %v, over %v", e.ID, wait, d)
+	s.runFault(d, func() { e.SetPause(wait) }, func() { e.SetPause(0); s.release(e) })
+}
+
 func (s *scenario) restart(dm *daemon) {
 	if err := dm.start(); err != nil {
 		s.bed.t.Errorf("start of %s: %v", dm.name, err)
@@ -273,6 +295,7 @@
 	cancel()
 	callers.Wait()
 	tr.checkExecutions()
+	tr.checkAnnouncements()
 	for _, d := range bed.daemons {
 		d.checkOutput(t)
 	}
