Tell callers that a budget is exhausted instead of asking them to come back

The callers got 503 with Retry-After, came back and were refused again. Cause: a budget of which neither the store nor any daemon has tokens was refused as budget-unavailable, like one that can't be drawn now. Evidence: 758 lines "reservation refused" with certain: true, 700 of one account; no sound request was isolated. Change: if the store's record leaves nothing, the peers have less than the request needs by their digests and no peer that was heard is silent, the refusal is budget-exhausted, 402. Else it stays 503: a peer that is cut off may have tokens.

--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -29,6 +29,7 @@
 func (m *Manager) drawLoop(a *account) {
 	for {
 		fromStore, fromPeers := m.drawOnce(a)
+		elsewhere, complete := m.Peers.KnownBalance(a.name)
 		m.mu.Lock()
 		if len(a.waiters) == 0 {
 			a.drawing = false
@@ -36,7 +37,9 @@
 			return
 		}
 		if fromStore != storeDrawn && fromPeers != peersTransferred {
-			m.refuseWaiters(a, fromStore == storeExhausted && fromPeers == peersExhausted)
+			m.refuseWaiters(a, shortage{
+				drawnUp: fromStore == storeExhausted && fromPeers == peersExhausted, elsewhere: elsewhere, allHeard: complete,
+			})
 			a.drawing = false
 			m.mu.Unlock()
 			return
--- a/internal/escrow/budgets/fleet_test.go
+++ b/internal/escrow/budgets/fleet_test.go
@@ -40,6 +40,14 @@
 func (p fleetMember) Holders() int                  { return 1 }
 func (p fleetMember) Count() int                    { return len(p.fleet.managers) }
 func (p fleetMember) PeersByTokens(string) []string { return nil }
+func (p fleetMember) KnownBalance(account string) (sum int64, complete bool) {
+	for i, m := range p.fleet.managers {
+		if i != p.number {
+			sum += m.Balances()[account]
+		}
+	}
+	return sum, len(p.fleet.down) == 0
+}
 func (p fleetMember) Owns(account string) bool {
 	return p.number == 0 || p.fleet.ownerPerDomain && p.Distributes(account)
 }
--- a/internal/escrow/budgets/manager.go
+++ b/internal/escrow/budgets/manager.go
@@ -90,6 +90,9 @@
 	// LocalPeersByTokens returns at most n peers of this failure domain that hold
 	// tokens of an account, in descending order of their tokens.
 	LocalPeersByTokens(account string, n int) []string
+	// KnownBalance returns the tokens of an account that live peers have by their last
+	// digests. complete is false if a peer has fallen silent, which may have others.
+	KnownBalance(account string) (tokens int64, complete bool)
 	// Holders returns the number of daemons that draw each account's tokens.
 	Holders() int
 	// Count returns the number of live daemons, including this one.
--- a/internal/escrow/budgets/waiters.go
+++ b/internal/escrow/budgets/waiters.go
@@ -110,17 +110,42 @@
 	return len(a.waiters) > 0
 }
 
-// refuseWaiters refuses all waiters; certain means that the budget is known to be
-// exhausted. The caller holds m.mu.
-func (m *Manager) refuseWaiters(a *account, certain bool) {
+// shortage is what is known of an account's tokens when none could be obtained.
+type shortage struct {
+	// drawnUp is true if neither the store nor the peers that were asked have enough.
+	drawnUp bool
+	// elsewhere are the tokens that live peers have by their last digests, allHeard is false
+	// if a peer is silent, which may have others.
+	elsewhere int64
+	allHeard  bool
+}
+
+// exhausts reports whether the budget has no tokens for a request anywhere.
+func (s shortage) exhausts(tokens int64) bool {
+	return s.drawnUp && s.allHeard && s.elsewhere < tokens
+}
+
+// refuseWaiters refuses all waiters. The caller holds m.mu.
+func (m *Manager) refuseWaiters(a *account, s shortage) {
 	for _, w := range a.waiters {
 		m.Log.Warn().Str("account", a.name).Int64("tokens", w.tokens).Int64("available", a.holding.Available()).
-			Int64("undrawn", a.holding.Undrawn()).Bool("certain", certain).Msg("reservation refused")
-		p := problem.New(problem.BudgetUnavailable, "no tokens of account %q can be drawn now", a.name).WithRetryAfter(retryAfterNoTokens)
-		if certain {
-			p = problem.New(problem.BudgetUnavailable, "the rest of account %q's budget does not cover %d tokens", a.name, w.tokens).WithRetryAfter(retryAfterNoTokens)
-		}
-		w.done <- p
+			Int64("undrawn", a.holding.Undrawn()).Int64("elsewhere", s.elsewhere).Bool("all_heard", s.allHeard).
+			Bool("certain", s.drawnUp).Bool("exhausted", s.exhausts(w.tokens)).Msg("reservation refused")
+		w.done <- refusal(a.name, w.tokens, s)
 	}
 	a.waiters = a.waiters[:0]
 }
+
+// refusal returns the error for a waiter. Where no repeat can succeed without a top-up, the
+// caller is told so and does not come back in vain.
+func refusal(account string, tokens int64, s shortage) *problem.Error {
+	switch {
+	case s.exhausts(tokens):
+		return problem.New(problem.BudgetExhausted, "the rest of account %q's budget does not cover %d tokens", account, tokens)
+	case s.drawnUp:
+		return problem.New(problem.BudgetUnavailable, "no tokens of account %q are left here for a request of %d", account, tokens).
+			WithRetryAfter(retryAfterNoTokens)
+	default:
+		return problem.New(problem.BudgetUnavailable, "no tokens of account %q can be drawn now", account).WithRetryAfter(retryAfterNoTokens)
+	}
+}
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -186,6 +186,24 @@
 	return m.addrs(holders)
 }
 
+// KnownBalance returns the tokens of an account that live peers have by their last digests.
+// complete is false if a peer that was heard once is silent: it may be cut off and have others.
+func (m *Mesh) KnownBalance(account string) (tokens int64, complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	complete = true
+	for _, p := range m.peers {
+		switch {
+		case m.live(now, p):
+			tokens += p.balances[account]
+		case !p.lastReceived.IsZero():
+			complete = false
+		}
+	}
+	return tokens, complete
+}
+
 // livePeersByTokens returns the live peers in descending order of their tokens of an
 // account. The caller holds m.mu.
 func (m *Mesh) livePeersByTokens(account string) []*peer {
