Pass a service's priority to engines so that a higher one goes first

The configuration's page and type say that a service with a higher number goes first on shared engines. The number was passed on as it is, and engines serve lower numbers first, so such a service went last.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -78,7 +78,9 @@
 	v.services[name] = gateway.Service{
 		Name: name, Model: s.Kind == config.KindModel, MaxOutput: s.MaxOutputTokens, Price: s.PriceTokens,
 		MaxBody: s.MaxBody.Bytes, Timeout: s.Timeout.Duration, FirstTokenTimeout: s.FirstTokenTimeout.Duration,
-		RequireKey: s.RequireIdempotencyKey, Priority: s.Priority, NonIdempotent: s.IsNonIdempotent,
+		RequireKey: s.RequireIdempotencyKey, NonIdempotent: s.IsNonIdempotent,
+		// The configuration's higher number goes first, an engine's lower one.
+		Priority: -s.Priority,
 	}
 	for _, m := range s.Models {
 		v.serviceByModel[m] = name
