Remove the limit on ejected endpoints, which had no effect

It would do harm: in a partition two thirds of a service are ejected with reason, and requests would be sent to them again. Behaviour stays as it is; TestEndpointsThatAnswerServeInAPartition holds it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -184,7 +184,6 @@
 	preferred := p.preferredEndpoint(r.sharedPrefix())
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
-	maxEjected := p.maxEjected()
 	for _, e := range p.endpoints {
 		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) {
 			continue
@@ -193,11 +192,7 @@
 		prefill := e.uncachedTokens(now, r, e == preferred)
 		cost := p.cost(now, e, r, prefill)
 		if e.ejected(now) {
-			if maxEjected <= 0 {
-				cost += ejectedCostMs / 2
-			} else {
-				cost += ejectedCostMs
-			}
+			cost += ejectedCostMs
 		}
 		if cost < choice.Cost || cost == choice.Cost && e.ID < choice.ID {
 			best, choice.Endpoint, choice.PrefillTokens, choice.Cost = e, e.Endpoint, prefill, cost
@@ -206,12 +201,6 @@
 	return best, choice
 }
 
-// maxEjected returns the number of endpoints that may be avoided because of
-// their failures, half of the pool rounded up. If more of them fail, the whole
-// pool is in trouble, and avoiding endpoints only shifts the load to the
-// others.
-func (p *Pool) maxEjected() int { return (len(p.endpoints) + 1) / 2 }
-
 // preferredEndpoint returns the endpoint that all daemons prefer for a shared
 // prefix: the first one in the order of rendezvous hashing by its last part.
 func (p *Pool) preferredEndpoint(shared []PromptPart) *endpointState {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -94,6 +94,25 @@
 	}
 }
 
+// Guards against sending requests to endpoints that are ejected because most of the pool is:
+// in a partition the endpoints of the own failure domain are the only ones that answer.
+func TestEndpointsThatAnswerServeInAPartition(t *testing.T) {
+	p := newPool(12, 64)
+	for i := range 12 {
+		if i%3 == 0 {
+			continue // z0, the daemon's own
+		}
+		for range maxUnreachableInRow {
+			p.RecordOutcome(start, fmt.Sprintf("e%02d", i), Unreachable)
+		}
+	}
+	for range 200 {
+		if c, ok := p.Choose(start, Request{}); !ok || c.Domain != "z0" {
+			t.Fatalf("chose %q of %q, want an endpoint of z0", c.ID, c.Domain)
+		}
+	}
+}
+
 // Guards against sending non-idempotent requests to an endpoint that fails many
 // requests although its health checks succeed.
 func TestNonIdempotentRequestsAvoidFailingEndpoints(t *testing.T) {
