Log what libraries write to the standard logger, without content

Cause: net/http writes such messages with the standard logger, which nobody had redirected. Content of responses must not be logged, and the log is JSON lines. Change: front and serve send these messages to their log, sampled, without what follows "starting with".

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -71,6 +71,7 @@
 	debug.SetMemoryLimit(int64(heapMemoryFraction * float64(s.Machine.Memory.Bytes)))
 	log, flush := front.NewLog(out, level)
 	defer flush()
+	redirectLibraryLog(log)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	d, err := front.New(front.Options{
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -53,6 +53,7 @@
 	if err != nil {
 		return err
 	}
+	redirectLibraryLog(log)
 	store, err := etcdhttp.New(etcdhttp.Options{Addrs: s.Platform.Addresses, CallTimeout: s.Platform.Timeout.Duration})
 	if err != nil {
 		return err
