Let soak endpoints misbehave in nine ways

Every other response of such an endpoint is none, cut, doubled, too short, too long, wrongly chunked, without end, or comes byte by byte, beside all other faults; the soak's checks are as before.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
 
 // Durations of fault injection in one run.
@@ -68,7 +70,7 @@
 func (s *scenario) injectFaults(length time.Duration) {
 	faults := []func(time.Duration){
 		s.disturbStorePath, s.disturbStorePath, s.disturbAllStorePaths, s.refuseStoreCalls, s.hangStore,
-		s.disturbEndpointPath, s.crashEndpoint, s.drainEndpoint, s.overloadEndpoint,
+		s.disturbEndpointPath, s.crashEndpoint, s.drainEndpoint, s.overloadEndpoint, s.corruptEndpoint,
 		s.killDaemon, s.pauseDaemon, s.stopDaemon, s.reloadSettings, s.reconfigure, s.reconfigure, s.reconfigureRepeatedly,
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
@@ -198,6 +200,13 @@
 	s.bed.announce(e)
 }
 
+// corruptEndpoint lets an endpoint send responses that are none, or not only the request's.
+func (s *scenario) corruptEndpoint(d time.Duration) {
+	e, m := s.randomEndpoint(), platformtest.Misbehaviours[s.rng.IntN(len(platformtest.Misbehaviours))]
+	s.logFault("%s: %s for %v", e.ID, m, d)
+	s.runEndpointFault(e, d, func() { e.SetMisbehaviour(m) }, func() { e.SetMisbehaviour("") })
+}
+
 // overloadEndpoint lets an endpoint refuse all requests and ask for pauses.
 func (s *scenario) overloadEndpoint(d time.Duration) {
 	e, wait := s.randomEndpoint(), time.Duration(800+s.rng.IntN(2500))*time.Millisecond
@@ -353,6 +362,8 @@
 }{
 	{17, "a planned stop reset a connection whose request had not been read yet, on a machine with a load of 20"},
 	{13, "the test sent requests to a daemon that had started but was not ready yet"},
+	{401, "the HTTP library wrote bytes that followed a response to standard error"},
+	{406, "the same"},
 }
 
 // Guards against guarantees that are violated in a short series of overlapping faults.
