End the queues of members that get no messages

Fleet kept a queue and a goroutine for each address that ever was a member's, so they grew with each replaced instance. Change: a queue without messages for a minute ends, and a new message starts one.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,9 @@
 	// sendQueueSize limits the messages that wait for a slow member. Further
 	// messages are dropped; the state machine retransmits what is still needed.
 	sendQueueSize = 64
+	// queueIdleTime is the time without messages after which the queue of a member and its
+	// goroutine end. Members are sent messages every few seconds at least.
+	queueIdleTime = time.Minute
 )
 
 // Sender sends membership messages.
@@ -56,6 +59,8 @@
 	table *membership.Table
 	// queues holds the messages to send, keyed by the receiver's address.
 	queues map[string]chan membership.Message
+	// idleTime is queueIdleTime; tests set a shorter one.
+	idleTime time.Duration
 	// listReadRunning is true while a read of the platform's list is in progress,
 	// listWasRead once one has succeeded.
 	listReadRunning bool
@@ -71,7 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		options: o, ctx: ctx, cancel: cancel, table: membership.New(membership.Options{Self: o.Self}, time.Now()),
-		queues: make(map[string]chan membership.Message), eventsReady: make(chan struct{}, 1),
+		queues: make(map[string]chan membership.Message), idleTime: queueIdleTime, eventsReady: make(chan struct{}, 1),
 	}
 	return f
 }
@@ -168,16 +173,35 @@
 }
 
 func (f *Fleet) sendLoop(addr string, q chan membership.Message) {
+	idle := time.NewTimer(f.idleTime)
+	defer idle.Stop()
 	for {
 		select {
 		case m := <-q:
 			f.send(addr, m)
+			idle.Reset(f.idleTime)
+		case <-idle.C:
+			if f.dropQueue(addr, q) {
+				return
+			}
+			idle.Reset(f.idleTime)
 		case <-f.ctx.Done():
 			return
 		}
 	}
 }
 
+// dropQueue removes a queue unless a message has come in meanwhile.
+func (f *Fleet) dropQueue(addr string, q chan membership.Message) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(q) > 0 {
+		return false
+	}
+	delete(f.queues, addr)
+	return true
+}
+
 func (f *Fleet) send(addr string, m membership.Message) {
 	ctx, cancel := context.WithTimeout(f.ctx, sendTimeout)
 	defer cancel()
