--- /dev/null
+++ b/internal/soak/endpoint_faults_test.go
@@ -0,0 +1,88 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/azurehatch/azurehatch/platform/platformtest"
+)
+
+func (s *scenario) runEndpointFault(e *endpoint, d time.Duration, begin, end func()) {
+	if !s.claim(e) {
+		return
+	}
+	s.runFault(d, func() { s.bed.recordFault(&s.bed.lastEndpointFault, &s.bed.openEndpointFaults, 1); begin() }, func() {
+		end()
+		s.bed.recordFault(&s.bed.lastEndpointFault, &s.bed.openEndpointFaults, -1)
+		s.release(e)
+	})
+}
+
+func (s *scenario) disturbEndpointPath(d time.Duration) {
+	e, f := s.randomEndpoint(), s.randomFault()
+	s.logFault("path of %s %v for %v", e.ID, f, d)
+	s.runEndpointFault(e, d, func() { e.proxy.setFault(f) }, func() { e.proxy.setFault(healthy) })
+}
+
+func (s *scenario) crashEndpoint(d time.Duration) {
+	e := s.randomEndpoint()
+	s.logFault("%s crashes for %v", e.ID, d)
+	s.runEndpointFault(e, d, e.Crash, func() {
+		if err := e.Start(e.backendAddr); err != nil {
+			s.bed.t.Errorf("start of %s: %v", e.ID, err)
+		}
+		s.bed.announce(e)
+	})
+}
+
+// drainEndpoint lets an endpoint say in its responses that it leaves, and mostly in its entry
+// as well. It stays for longer than drainBound, after which it must not get new requests, and
+// is replaced by a new process then.
+func (s *scenario) drainEndpoint(d time.Duration) {
+	e, byEntry := s.randomEndpoint(), s.rng.IntN(3) > 0
+	if !s.claim(e) {
+		return
+	}
+	s.logFault("%s drains, by its entry: %v", e.ID, byEntry)
+	e.SetLeaving(true)
+	e.SetDraining(byEntry)
+	s.bed.announce(e)
+	announcedAt := time.Now()
+	s.wg.Go(func() {
+		time.Sleep(drainBound + d)
+		delay := e.LastArrival().Sub(announcedAt)
+		if byEntry && delay > drainBound && !s.bed.stalledSince(announcedAt) && !s.bed.storeDisturbedSince(announcedAt) &&
+			!s.bed.anyDaemonDisturbedSince(announcedAt) {
+			s.bed.addViolation("%s got a request %v after it announced that it is draining", e.ID, delay)
+		}
+		s.restartEndpoint(e)
+		s.release(e)
+	})
+}
+
+// restartEndpoint replaces the process of an endpoint.
+func (s *scenario) restartEndpoint(e *endpoint) {
+	s.bed.recordFault(&s.bed.lastEndpointFault, &s.bed.openEndpointFaults, 1)
+	defer s.bed.recordFault(&s.bed.lastEndpointFault, &s.bed.openEndpointFaults, -1)
+	e.Crash()
+	if err := e.Start(e.backendAddr); err != nil {
+		s.bed.t.Errorf("start of %s: %v", e.ID, err)
+	}
+	s.bed.announce(e)
+}
+
+// corruptEndpoint lets an endpoint send responses that are none, or not only the request's.
+func (s *scenario) corruptEndpoint(d time.Duration) {
+	e, m := s.randomEndpoint(), platformtest.Misbehaviours[s.rng.IntN(len(platformtest.Misbehaviours))]
+	s.logFault("%s: %s for %v", e.ID, m, d)
+	s.runEndpointFault(e, d, func() { e.SetMisbehaviour(m) }, func() { e.SetMisbehaviour("") })
+}
+
+// overloadEndpoint lets an endpoint refuse all requests and ask for pauses.
+func (s *scenario) overloadEndpoint(d time.Duration) {
+	e, wait := s.randomEndpoint(), time.Duration(800+s.rng.IntN(2500))*time.Millisecond
+	if !s.claim(e) {
+		return
+	}
+	s.logFault("%s wants no requests for %v, over %v", e.ID, wait, d)
+	s.runFault(d, func() { e.SetPause(wait) }, func() { e.SetPause(0); s.release(e) })
+}
