--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # minutes.
 QUICK := ^(ordinary|moving|daemon|allocator|seed=.*|slots=.*|callers=.*|service|prefix=.*)$$
 FUZZTIME ?= 60
-FUZZ := ./internal/budget ./internal/claim ./internal/lease ./internal/membership ./internal/order ./internal/rollout ./internal/admission ./internal/retry ./internal/poison ./internal/route
+FUZZ := ./internal/budget ./internal/claim ./internal/discovery ./internal/front ./internal/lease ./internal/membership ./internal/order ./internal/rollout ./internal/admission ./internal/retry ./internal/poison ./internal/route
 
 .PHONY: build test fmt-check vet lint unit race demo bench bench-quick report fuzz mutants soak generate
 
