Let only a success show that a request does not crash endpoints

A request that crashes endpoints could reach more of them than crash isolation allows: each response that was relayed cleared the request's crashes, also a 500 of an endpoint that fails some requests without running them. Only a 2xx response counts as a completion now, as it does for parts of prompts. TestErrorResponseDoesNotShowThatARequestIsSound failed before for 500 and 404.

--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -60,3 +60,18 @@
 		t.Errorf("got %v, %v and %d requests at the second endpoint; want 502 and none", resp, err, len(second.requests()))
 	}
 }
+
+// Guards against an error response that clears the crashes of a request: an endpoint that
+// fails some requests answers without running them, so that a deadly one seems sound.
+func TestErrorResponseDoesNotShowThatARequestIsSound(t *testing.T) {
+	for status, want := range map[int]bool{200: true, 500: false, 404: false} {
+		e := startEndpoint(t, respondWith(response(requestID, status, "ok"), true))
+		h := newHarness(t, e)
+		if resp, _, err := h.do(t, h.request(t, "POST", "/order/x", "x")); err != nil || resp.StatusCode != status {
+			t.Fatalf("got %v %v, want %d", resp, err, status)
+		}
+		if len(h.crashes.completed) != 1 || h.crashes.completed[0] != want {
+			t.Errorf("status %d: completed %v, want %v", status, h.crashes.completed, want)
+		}
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -146,7 +146,8 @@
 		err = x.attempts(ctx)
 		x.settle()
 	}
-	x.handler.CrashIsolator.End(x.fingerprint, err == nil)
+	// An error response does not show that an endpoint can run the request.
+	x.handler.CrashIsolator.End(x.fingerprint, err == nil && x.status/100 == 2)
 	return err
 }
 
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -164,6 +164,8 @@
 	isolateAfterCrash bool
 	// partsCrashed and partsAnswered count the parts of the requests.
 	partsCrashed, partsAnswered int
+	// completed holds for each ended request whether it completed.
+	completed []bool
 }
 
 func (c *crashIsolator) Begin(relay.Fingerprint) (time.Duration, bool) {
@@ -184,7 +186,11 @@
 	defer c.mu.Unlock()
 	c.partsAnswered += len(f.Parts)
 }
-func (c *crashIsolator) End(relay.Fingerprint, bool) {}
+func (c *crashIsolator) End(_ relay.Fingerprint, completed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.completed = append(c.completed, completed)
+}
 func (c *crashIsolator) Crashed(_ relay.Fingerprint, endpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
