Tell other daemons that an isolated request was served again

Callers of a sound request that had been running at three crashes were refused for up to an hour by daemons that had not served it themselves since: the exchange between entry daemons held crashes, but no completions. Recent completions that clear crashes are sent with the crashes now, are passed on by daemons at which they clear some, and are sent again when a daemon reports crashes from before.

--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -175,8 +175,8 @@
 	c.parts.Tick(now)
 }
 
-// entries returns the recent crashes, and those of isolated requests, for peers. Merging is
-// idempotent, so that they are sent each time.
+// entries returns the recent crashes and completions, and the crashes of isolated requests,
+// for peers. Merging is idempotent, so that they are sent each time.
 func (c *crashIsolator) entries(now time.Time) []*meshpb.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -60,7 +61,9 @@
 	// crashes.
 	digestsByEndpoint map[string][]Digest
 	completions       [completionSlots]completion // at digest modulo completionSlots
-	pending           []Entry                     // not yet sent to the other daemons
+	// clearings are completions of digests of which other daemons may know crashes.
+	clearings map[Digest]clearing
+	pending   []Entry // not yet sent to the other daemons
 	// broken selects a deliberately broken variant in tests.
 	broken string
 }
@@ -72,7 +75,7 @@
 	opts.CrashWindow = cmp.Or(opts.CrashWindow, time.Hour)
 	opts.MaxDigests = cmp.Or(opts.MaxDigests, 4096)
 	opts.CrashesToIsolate = cmp.Or(opts.CrashesToIsolate, defaultCrashesToIsolate)
-	return &Registry{opts: opts, records: make(map[Digest]*record), digestsByEndpoint: make(map[string][]Digest)}
+	return &Registry{opts: opts, records: make(map[Digest]*record), digestsByEndpoint: make(map[string][]Digest), clearings: make(map[Digest]clearing)}
 }
 
 // Begin decides whether a request may run. Unless the verdict is Isolated, the
@@ -124,18 +127,10 @@
 	if r.records[d] != nil {
 		r.clearCrashes(d, now)
 		r.pending = append(r.pending, Entry{Digest: d, Completed: true, At: now})
+		r.announceCompletion(now, d, now)
 	}
 }
 
-func (r *Registry) recordCompletion(now time.Time, d Digest) {
-	r.completions[uint64(d)%completionSlots] = completion{digest: d, at: now}
-}
-
-func (r *Registry) completedRecently(now time.Time, d Digest) bool {
-	c := r.completions[uint64(d)%completionSlots]
-	return c.digest == d && !c.at.IsZero() && now.Sub(c.at) < maxCompletionAge
-}
-
 // RecordCrash records that endpoint crashed while it ran requests with the given
 // digests, which must be those of all this daemon's requests on the endpoint.
 func (r *Registry) RecordCrash(now time.Time, endpoint string, digests []Digest) {
@@ -172,44 +167,15 @@
 	return out
 }
 
-// RecentEntries returns the crashes of isolated digests, and of those that this daemon
-// learned of within maxAge the most entries that it learned of last. It serves daemons that
-// exchange their state again and again, and whose messages must not grow with it.
-func (r *Registry) RecentEntries(now time.Time, maxAge time.Duration, most int) []Entry {
-	type recentEntry struct {
-		Entry
-		learnedAt time.Time
-	}
-	var isolated []Entry
-	var recent []recentEntry
-	for d, rec := range r.records {
-		for _, c := range rec.crashes {
-			e := Entry{Digest: d, Endpoint: c.endpoint, At: c.at}
-			switch {
-			case now.Before(rec.isolatedUntil):
-				isolated = append(isolated, e)
-			case now.Sub(c.learnedAt) <= maxAge:
-				recent = append(recent, recentEntry{e, c.learnedAt})
-			}
-		}
-	}
-	slices.SortFunc(recent, func(a, b recentEntry) int {
-		return cmp.Or(b.learnedAt.Compare(a.learnedAt), cmp.Compare(a.Digest, b.Digest))
-	})
-	for _, e := range recent[:min(len(recent), most)] {
-		isolated = append(isolated, e.Entry)
-	}
-	return isolated
-}
-
 // Merge records the entries of another daemon.
 func (r *Registry) Merge(now time.Time, entries []Entry) {
 	changed := make(map[string]bool)
 	for _, e := range entries {
 		switch {
 		case e.Completed:
-			r.recordCompletion(e.At, e.Digest)
-			r.clearCrashes(e.Digest, e.At)
+			r.mergeCompletion(now, e)
+		case r.completedAfter(e.At, e.Digest):
+			r.announceCompletion(now, e.Digest, r.completions[uint64(e.Digest)%completionSlots].at)
 		case now.Sub(e.At) < r.opts.CrashWindow && !r.completedRecently(e.At, e.Digest):
 			if r.addCrash(e.Digest, crash{endpoint: e.Endpoint, at: e.At, learnedAt: now}) {
 				changed[e.Endpoint] = true
@@ -379,6 +345,7 @@
 	for d, rec := range r.records {
 		r.removeCrashes(d, rec, func(c crash) bool { return now.Sub(c.at) >= r.opts.CrashWindow })
 	}
+	maps.DeleteFunc(r.clearings, func(_ Digest, c clearing) bool { return now.Sub(c.learnedAt) >= r.opts.CrashWindow })
 }
 
 // IsolatedDigests returns the digests that are currently isolated, sorted, for
