End everything that a daemon of serve has begun if its start fails

A start that failed at the last step, for example for a missing certificate of the administration API, closed the listeners only: the ledger took over shards, the pools and the fleet went on. The credentials between daemons are read before anything begins.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,6 +97,7 @@
 		return nil, err
 	}
 	if err := d.serve(); err != nil {
+		d.Close()
 		d.closeListeners()
 		return nil, err
 	}
@@ -142,12 +143,12 @@
 func (d *Daemon) AdminAddr() string { return d.adminListener.Addr().String() }
 
 func (d *Daemon) assemble() error {
-	d.scope, d.closeScope, d.metricsHTTP = metrics.NewScope(d.settings.Instance.ID, d.settings.Instance.FailureDomain)
-	d.store = newCountedStore(d.store, d.scope)
 	creds, err := peerCredentials(d.settings.Peers)
 	if err != nil {
 		return err
 	}
+	d.scope, d.closeScope, d.metricsHTTP = metrics.NewScope(d.settings.Instance.ID, d.settings.Instance.FailureDomain)
+	d.store = newCountedStore(d.store, d.scope)
 	d.peers = peer.NewClient(creds.client)
 	d.pools = pool.New(pool.Options{
 		Domain: d.settings.Instance.FailureDomain, MaxWait: d.settings.Limits.QueueWait.Duration,
