Count a chunk as content if one of its choices has some

A chunk of several choices was not counted if one of them was empty, so that its tokens were not reserved for.

--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -197,7 +197,7 @@
 	}
 	kind := chunkOther
 	if bytes.Contains(data, toolCallsPattern) ||
-		(bytes.Contains(data, contentPattern) && !bytes.Contains(data, emptyContentPattern)) {
+		bytes.Count(data, contentPattern) > bytes.Count(data, emptyContentPattern) {
 		kind = chunkContent
 	}
 	if !bytes.Contains(data, usagePattern) {
