Register again with an allocator before a planned stop counts bills as durable

Accounts were charged for whole reservations although the requests had used less: after a change of the allocator a daemon registers once. If that call got no answer, its bills were neither sent nor counted as open, so that a planned stop ended well with bills that nobody had. TestDrainRegistersAgain failed before: spent 0 after the drain, want 30. Settlements of a shard without a registration start one now, and the drain counts all bills; its error tells how many stay open.

--- a/internal/budget/holder_request.go
+++ b/internal/budget/holder_request.go
@@ -111,6 +111,9 @@
 	return nil
 }
 
+// UnsettledCount returns the number of settlements of a shard that are not durable.
+func (h *Holder) UnsettledCount(shard int) int { return len(h.shard(shard).bills) }
+
 // Unsettled returns the settlements of a shard that are not durable; ok is
 // false if there are none or the holder has to register.
 func (h *Holder) Unsettled(shard int) (r SettleRequest, ok bool) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -28,6 +28,16 @@
 
 	mu   sync.Mutex
 	live []string
+	// registrationsToFail is the number of calls of Register that get no answer.
+	registrationsToFail int
+}
+
+// failRegistration reports whether a call of Register gets no answer.
+func (d *fakeDomain) failRegistration() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registrationsToFail--
+	return d.registrationsToFail >= 0
 }
 
 func (d *fakeDomain) setLive(ids ...string) {
@@ -93,6 +103,9 @@
 
 func (d *fakeDomain) Register(ctx context.Context, addr string, r budget.RegisterRequest) (budget.Reply, error) {
 	l, err := d.ledgerAt(addr)
+	if err == nil && d.failRegistration() {
+		err = errUnreachable
+	}
 	if err != nil {
 		return budget.Reply{}, err
 	}
@@ -226,6 +239,43 @@
 	}
 }
 
+// Guards against a planned stop that ends with bills which are not durable, because the
+// daemon's registration with a new allocator got no answer: the account would be charged for
+// the whole reservation.
+func TestDrainRegistersAgain(t *testing.T) {
+	store := memstore.New(nil)
+	accounts := topUp(t, store, 1000)
+	d := newFakeDomain(t, store, "d1", "d2", "d3")
+	ctx := context.Background()
+	r, err := d.ledgers["d3"].Gateway().Reserve(ctx, gateway.ReservationRequest{ID: "r1", Account: "shop", Tokens: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.mu.Lock()
+	d.registrationsToFail = 3
+	d.mu.Unlock()
+	d.ledgers["d1"].Close()
+	d.setLive("d2", "d3")
+	d.ledgers["d2"].MembersChanged()
+	d.ledgers["d3"].MembersChanged()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		d.mu.Lock()
+		failed := d.registrationsToFail < 3
+		d.mu.Unlock()
+		if failed {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the daemon did not register with the new allocator")
+		}
+	}
+	r.Settle(30)
+	drainLedger(t, d.ledgers["d3"])
+	if s, err := accounts.Statement(ctx, "shop"); err != nil || s.Spent != 30 || s.Requests != 1 {
+		t.Errorf("statement %+v, error %v after the drain, want 30 tokens in 1 request", s, err)
+	}
+}
+
 // Guards against a reservation that is never billed because its daemon, which
 // was also the allocator, is gone before the succeeding allocator exists, so that
 // the successor receives no event of the loss.
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -98,7 +98,8 @@
 }
 
 // sendSettlements sends the settlements that are not durable to the allocators
-// of their shards.
+// of their shards. It registers with an allocator first if an earlier registration
+// failed.
 func (l *Ledger) sendSettlements() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,6 +108,9 @@
 			continue
 		}
 		r, ok := l.holder.Unsettled(shard)
+		if !ok && l.holder.UnsettledCount(shard) > 0 && l.idRecorded() {
+			l.startRegistration(shard)
+		}
 		if !ok || !l.accepted.Trim(&r, time.Now()) {
 			continue
 		}
@@ -136,23 +140,23 @@
 func (l *Ledger) Drain(ctx context.Context) error {
 	for {
 		l.sendSettlements()
-		if l.allDurable() {
+		open := l.unsettledCount()
+		if open == 0 {
 			return nil
 		}
 		if !pause.Sleep(ctx, settleInterval) {
-			return errors.Wrap(ctx.Err(), "settlements are not durable")
+			return errors.Wrapf(ctx.Err(), "%d settlements are not durable; their reservations will be charged in full", open)
 		}
 	}
 }
 
-// allDurable reports whether all settlements of this daemon are durable.
-func (l *Ledger) allDurable() bool {
+// unsettledCount returns the number of this daemon's settlements that are not durable.
+func (l *Ledger) unsettledCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	n := 0
 	for _, shard := range l.holder.Shards() {
-		if _, open := l.holder.Unsettled(shard); open {
-			return false
-		}
+		n += l.holder.UnsettledCount(shard)
 	}
-	return true
+	return n
 }
