--- a/internal/front/feed_machine_test.go
+++ b/internal/front/feed_machine_test.go
@@ -235,7 +235,7 @@
 			m.list(feedIndex.Draw(t, "feed"), slices.Collect(maps.Values(m.store.states[m.store.head()])), m.store.head())
 			m.deliverFrom(before)
 		},
-		"deaf poll": func(t *rapid.T) { // the response tells of a revision whose changes the watch missed
+		"poll without changes": func(t *rapid.T) { // the store reports a revision whose changes the watch missed
 			f := m.feeds[feedIndex.Draw(t, "feed")]
 			f.apply(fromPoll, nil)
 			if m.broken == "skip" {
