--- a/internal/poison/exchange.go
+++ b/internal/poison/exchange.go
@@ -14,16 +14,26 @@
 	r.completions[uint64(d)%completionSlots] = completion{digest: d, at: now}
 }
 
-func (r *Registry) completedRecently(now time.Time, d Digest) bool {
+// completedAt returns the time of the last known completion of a digest, zero if none is
+// known.
+func (r *Registry) completedAt(d Digest) time.Time {
 	c := r.completions[uint64(d)%completionSlots]
-	return c.digest == d && !c.at.IsZero() && now.Sub(c.at) < maxCompletionAge
+	if c.digest != d {
+		return time.Time{}
+	}
+	return c.at
+}
+
+func (r *Registry) completedRecently(now time.Time, d Digest) bool {
+	at := r.completedAt(d)
+	return !at.IsZero() && now.Sub(at) < maxCompletionAge
 }
 
 // completedAfter reports whether a request with the digest is known to have completed after
 // a crash, so that the daemon that reports the crash does not know of the completion.
 func (r *Registry) completedAfter(crash time.Time, d Digest) bool {
-	c := r.completions[uint64(d)%completionSlots]
-	return c.digest == d && c.at.After(crash) && c.at.Sub(crash) < maxCompletionAge
+	at := r.completedAt(d)
+	return at.After(crash) && at.Sub(crash) < maxCompletionAge
 }
 
 // announceCompletion tells the other daemons, by RecentEntries, of a completion.
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -175,7 +175,7 @@
 		case e.Completed:
 			r.mergeCompletion(now, e)
 		case r.completedAfter(e.At, e.Digest):
-			r.announceCompletion(now, e.Digest, r.completions[uint64(e.Digest)%completionSlots].at)
+			r.announceCompletion(now, e.Digest, r.completedAt(e.Digest))
 		case now.Sub(e.At) < r.opts.CrashWindow && !r.completedRecently(e.At, e.Digest):
 			if r.addCrash(e.Digest, crash{endpoint: e.Endpoint, at: e.At, learnedAt: now}) {
 				changed[e.Endpoint] = true
