Compare a list with the feed's items only where the changes are passed on

Each daemon of a small fleet, and each that does not follow the store, built the changes of a list and dropped them. Say also why a list's push has removals that its receiver derives itself. No behaviour changes.

--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -9,9 +9,12 @@
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
+// broadcasts reports whether this daemon passes changes of the store on to others.
+func (f *feed) broadcasts() bool { return f.fleet.Wide() && f.fleet.FollowsStore() }
+
 // broadcast sends changes read from the store, up to a revision, to the other daemons.
 func (f *feed) broadcast(c mesh.ChangeList, at platform.Revision) {
-	if len(c.Events) == 0 && !c.Listed || !f.fleet.Wide() || !f.fleet.FollowsStore() {
+	if len(c.Events) == 0 && !c.Listed || !f.broadcasts() {
 		return
 	}
 	out := &meshpb.Changes{
@@ -28,7 +31,8 @@
 }
 
 // changesTo returns the changes from the feed's items to those of a list at a revision.
-// Some may be newer than the revision, since the store reads a list in pages.
+// Some may be newer than the revision, since the store reads a list in pages. The removals
+// are for daemons of a former version, which don't derive them from the keys.
 func (f *feed) changesTo(items []platform.Item, at platform.Revision) mesh.ChangeList {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -303,7 +303,7 @@
 		}
 		*listed = true
 		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Int64("revision", int64(at)).Msg("list read")
-		if f.currentRevision() > 0 {
+		if f.currentRevision() > 0 && f.broadcasts() {
 			f.broadcast(f.changesTo(items, at), at)
 		}
 		f.replace(fromList, items, at)
