Tell revisions of a restored store from those before

Cause: a store that comes back from an older copy assigns revision numbers again. Numbers alone cannot tell a newer state from an older one, a poll may continue at a number that now belongs to another change, and a conditional write may match a number that was assigned again.

Change: a Revision consists of the store's era and its number, compared in this order. Comparisons of revisions elsewhere hold across eras unchanged.

--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -34,7 +34,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("key %q has revision %d, expected %d", e.Key, e.Actual.Revision, e.Expected)
+	return fmt.Sprintf("key %q has revision %s, expected %s", e.Key, e.Actual.Revision, e.Expected)
 }
 
 // AsConflict returns the ConflictError in err's chain, if any.
--- a/internal/platform/memstore/changelog.go
+++ b/internal/platform/memstore/changelog.go
@@ -68,7 +68,7 @@
 	if err := s.beginCall(ctx, &s.calls.Watches); err != nil {
 		return platform.Changes{}, err
 	}
-	if len(s.history) > 0 && s.history[0].Item.Revision > after+1 {
+	if !s.hasHistory(after) {
 		s.mu.Unlock()
 		return platform.Changes{}, platform.ErrCompacted
 	}
--- a/internal/platform/memstore/memstore.go
+++ b/internal/platform/memstore/memstore.go
@@ -19,8 +19,10 @@
 type Store struct {
 	now func() time.Time
 
-	mu              sync.Mutex
-	revision        platform.Revision
+	mu       sync.Mutex
+	revision platform.Revision
+	// historyFrom is the revision after which the history is complete.
+	historyFrom     platform.Revision
 	items           map[string]entry
 	history         []platform.Event
 	leases          map[platform.LeaseID]*lease
--- a/internal/platform/memstore/watch.go
+++ b/internal/platform/memstore/watch.go
@@ -28,7 +28,7 @@
 }
 
 func (s *Store) replay(w *watcher, after platform.Revision) bool {
-	if len(s.history) > 0 && s.history[0].Item.Revision > after+1 {
+	if !s.hasHistory(after) {
 		return false
 	}
 	for _, ev := range s.history {
@@ -43,6 +43,11 @@
 	return true
 }
 
+// hasHistory reports whether the store has all changes after a revision.
+func (s *Store) hasHistory(after platform.Revision) bool {
+	return after >= s.historyFrom && after <= s.revision
+}
+
 func (s *Store) stopWatch(w *watcher, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -63,7 +68,9 @@
 func (s *Store) publish(ev platform.Event) {
 	s.history = append(s.history, ev)
 	if len(s.history) > maxHistoryEvents {
-		s.history = append([]platform.Event(nil), s.history[maxHistoryEvents/4:]...)
+		dropped := maxHistoryEvents / 4
+		s.historyFrom = s.history[dropped-1].Item.Revision
+		s.history = append([]platform.Event(nil), s.history[dropped:]...)
 	}
 	for w := range s.watchers {
 		if !strings.HasPrefix(ev.Item.Key, w.prefix) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,10 +12,6 @@
 // MaxValueBytes is the largest value that the platform's store accepts.
 const MaxValueBytes = 1 << 20
 
-// Revision orders the writes of the whole store. It only increases; 0 is the
-// revision of a key that does not exist.
-type Revision int64
-
 // LeaseID identifies a lease; 0 means no lease.
 type LeaseID int64
 
