Log the era with revisions, and when the store was restored

After a restore the numbers of revisions repeat, so that log lines could not tell whether a daemon ignored a change as older, or never read it. Revisions are logged as ERA/NUMBER, a list with the feed's revision before it, and the first revision of a new era with the former one.

--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -107,7 +107,7 @@
 		return
 	}
 	f.log.Debug().Str("prefix", f.prefix).Int("events", len(changes.Events)).Bool("listed", changes.Listed).
-		Int64("revision", c.Revision).Msg("changes passed on by a peer")
+		Stringer("revision", platform.Revision(c.Revision)).Msg("changes passed on by a peer")
 	f.applyPushed(changes, platform.Revision(c.Revision))
 }
 
@@ -193,7 +193,7 @@
 		f.log.Warn().Err(err).Str("prefix", f.prefix).Msg("copy of a peer not read")
 		return
 	}
-	f.log.Info().Str("prefix", f.prefix).Str("peer", peer).Int64("revision", int64(at)).
-		Int64("former", int64(f.currentRevision())).Msg("copy of a peer read")
+	f.log.Info().Str("prefix", f.prefix).Str("peer", peer).Stringer("revision", at).
+		Stringer("former", f.currentRevision()).Msg("copy of a peer read")
 	f.replace(fromPeerCopy, items, at)
 }
--- a/internal/front/configuration.go
+++ b/internal/front/configuration.go
@@ -45,7 +45,7 @@
 func (c *configuration) apply(r reading, events []platform.Event, _ platform.Revision) {
 	for _, ev := range events {
 		if ev.Deleted {
-			c.log.Warn().Str("key", ev.Item.Key).Int64("revision", int64(ev.Item.Revision)).
+			c.log.Warn().Str("key", ev.Item.Key).Stringer("revision", ev.Item.Revision).
 				Msg("configuration deleted; the last one stays")
 			continue
 		}
@@ -74,7 +74,7 @@
 		table, err = routing.NewTable(decoded)
 	}
 	if err != nil {
-		c.log.Error().Err(err).Int64("revision", int64(i.Revision)).Msg("configuration refused; the last one stays")
+		c.log.Error().Err(err).Stringer("revision", i.Revision).Msg("configuration refused; the last one stays")
 		return
 	}
 	c.onInstall(table)
@@ -83,7 +83,7 @@
 	if old != nil {
 		former = old.Version
 	}
-	c.log.Info().Int64("version", table.Version).Int64("former", former).Int64("revision", int64(i.Revision)).
+	c.log.Info().Int64("version", table.Version).Int64("former", former).Stringer("revision", i.Revision).
 		Int("routes", len(table.Routes)).Int("accounts", len(table.Accounts)).
 		Str("origin", string(r.origin)).Dur("behind_ms", r.behind).Msg("configuration installed")
 }
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -66,7 +66,7 @@
 	}
 	for _, c := range changes {
 		e.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("peer", c.Entry.Addr).
-			Bool("leaving", c.Entry.Leaving).Int64("revision", int64(c.Revision)).Str("change", kinds[c.Kind]).
+			Bool("leaving", c.Entry.Leaving).Stringer("revision", c.Revision).Str("change", kinds[c.Kind]).
 			Msg("endpoint changed")
 		e.pools.applyChange(c.Kind, c.Entry.Service, balance.Endpoint{
 			ID: c.Entry.ID, Addr: c.Entry.Addr, Domain: c.Entry.Domain, Slots: c.Entry.Slots, Leaving: c.Entry.Leaving,
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -217,7 +217,7 @@
 		f.failing.Store(true)
 		if failingSince.IsZero() {
 			failingSince = now
-			f.log.Warn().Err(err).Str("prefix", f.prefix).Int64("revision", int64(f.currentRevision())).Msg("store lost")
+			f.log.Warn().Err(err).Str("prefix", f.prefix).Stringer("revision", f.currentRevision()).Msg("store lost")
 		} else if now.Sub(failingSince) > storeUnreachableAfter {
 			f.mu.Lock()
 			f.consumer.storeUnreachable()
@@ -302,7 +302,8 @@
 			return err
 		}
 		*listed = true
-		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Int64("revision", int64(at)).Msg("list read")
+		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Stringer("revision", at).
+			Stringer("former", f.currentRevision()).Msg("list read")
 		if f.currentRevision() > 0 && f.broadcasts() {
 			f.broadcast(f.changesTo(items, at), at)
 		}
@@ -315,7 +316,7 @@
 		return err
 	}
 	f.broadcast(mesh.ChangeList{Events: c.Events}, lastRevision(c.Events))
-	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Int64("revision", int64(c.Revision)).Msg("changes read")
+	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Stringer("revision", c.Revision).Msg("changes read")
 	f.apply(fromPoll, c.Events)
 	if len(c.Events) > 0 && f.fleet.FollowsStore() {
 		pause.Sleep(ctx, f.batchDelayFor())
--- a/internal/front/feed_items.go
+++ b/internal/front/feed_items.go
@@ -72,6 +72,11 @@
 
 // setRevision records that the items are complete up to a revision. The caller holds f.mu.
 func (f *feed) setRevision(at platform.Revision) {
+	if f.revision > 0 && at.Era() > f.revision.Era() {
+		f.log.Warn().Str("prefix", f.prefix).Int64("former_era", f.revision.Era()).Int64("era", at.Era()).
+			Stringer("former", f.revision).Stringer("revision", at).
+			Msg("store restored from an older copy")
+	}
 	f.revision = at
 	f.missing = slices.DeleteFunc(f.missing, func(m missingChange) bool { return m.revision <= at })
 	f.updateOutdatedSince()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -294,7 +294,7 @@
 			if outdated := d.outdated(); outdated != wasOutdated {
 				wasOutdated = outdated
 				d.log.Warn().Bool("outdated", outdated).Dur("behind_ms", d.configFeed.outdatedFor(now)).
-					Int64("revision", int64(d.configFeed.currentRevision())).
+					Stringer("revision", d.configFeed.currentRevision()).
 					Msg("use of the configuration changed: a peer has a newer one")
 			}
 			if ready := d.Ready(); ready != wasReady {
