Wait between lists while the history is gone, and between refused reads

Reads that the store refuses while it answers probes are made again every 250 ms.

Change: the first list is read at once; if the history is gone again before a poll succeeded, the wait doubles from 0.2 s to 2 s, randomized. The wait of refused reads grows to 1 s.

Evidence: TestRefusedPollsAreSlowedDown failed before: 3,322,227 lists in 3 s of a store whose polls all fail, and 13 polls of one above its rate (want at most 8).

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -40,6 +40,15 @@
 	minBackoff   = 100 * time.Millisecond
 	maxBackoff   = 250 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
+	// maxRefusedBackoff applies while the store answers probes and refuses other reads,
+	// as it does above its limit of reads.
+	maxRefusedBackoff = time.Second
+	// While the history is gone again after each list, the wait before the next list
+	// doubles from minRelistBackoff to maxRelistBackoff. It is randomized, since all
+	// daemons notice at the same time.
+	minRelistBackoff   = 200 * time.Millisecond
+	maxRelistBackoff   = 2 * time.Second
+	maxRelistDoublings = 4
 	// In a wide fleet the preferred followers probe at intervals of up to
 	// maxFollowerBackoff that grow with their number: each tells the others of the
 	// store's return.
@@ -177,6 +186,8 @@
 	// contactedAt is when the store last responded, regainedAt when it last
 	// became reachable again.
 	contactedAt, regainedAt time.Time
+	// probeAnswered is true if the store answered the last probe.
+	probeAnswered bool
 }
 
 func newFeed(
@@ -190,13 +201,14 @@
 
 // run follows the store until ctx ends.
 func (f *feed) run(ctx context.Context) {
-	listed := false
+	listed, relists := false, 0
 	backoff := minBackoff
 	var failingSince time.Time
 	for ctx.Err() == nil {
 		if listed && failingSince.IsZero() && !f.waitUntilDue(ctx) {
 			continue
 		}
+		polled := listed
 		err := f.readOnce(ctx, &listed, !failingSince.IsZero())
 		now := time.Now()
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
@@ -209,6 +221,12 @@
 			}
 			f.recordContact(now, !failingSince.IsZero() && now.Sub(failingSince) > storeUnreachableAfter)
 			failingSince, backoff = time.Time{}, minBackoff
+			if err != nil {
+				relists++
+				f.waitToList(ctx, relists)
+			} else if polled {
+				relists = 0
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -224,7 +242,19 @@
 			f.mu.Unlock()
 		}
 		f.waitToProbe(ctx, backoff)
-		backoff = min(2*backoff, maxBackoff)
+		limit := maxBackoff
+		if f.probeAnswered {
+			limit = maxRefusedBackoff
+		}
+		backoff = min(2*backoff, limit)
+	}
+}
+
+// waitToList waits before the list is read again, unless the history was gone for the first
+// time since the last poll that succeeded.
+func (f *feed) waitToList(ctx context.Context, relists int) {
+	if relists > 1 {
+		pause.Sleep(ctx, jitter(min(minRelistBackoff<<min(relists-2, maxRelistDoublings), maxRelistBackoff)))
 	}
 }
 
@@ -287,10 +317,12 @@
 // transfer of a configuration of some hundred KB over a slow link takes longer
 // than probeTimeout.
 func (f *feed) readOnce(ctx context.Context, listed *bool, failing bool) error {
+	f.probeAnswered = false
 	if failing {
 		if err := f.probe(ctx); err != nil {
 			return err
 		}
+		f.probeAnswered = true
 	}
 	wait := f.pollWait()
 	if failing || !f.fleet.FollowsStore() {
