Keep endpoints that a restored store has lost until they register again

What callers would see: endpoints that registered after the copy from which the store was restored are dropped although they work, and requests are refused for lack of endpoints, until they register again within two seconds.

Cause: entries that are missing after a loss of the store are kept for a grace time, but only if this daemon had seen the loss for a second.

Change: a revision of a new era counts as a return of the store; removals that were pending begin their grace time anew.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -103,6 +103,7 @@
 // Apply applies the store events up to a revision and returns the resulting
 // changes.
 func (t *Table) Apply(now time.Time, events []platform.Event, revision platform.Revision) []Change {
+	t.beginEra(now, revision)
 	var changes []Change
 	for _, event := range events {
 		if event.Item.Revision <= t.revision {
@@ -124,6 +125,7 @@
 	if revision < t.revision {
 		return nil
 	}
+	t.beginEra(now, revision)
 	var changes []Change
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -144,6 +146,18 @@
 	return changes
 }
 
+// beginEra records a return of the store if a revision is of a new era: entries that were
+// registered after the copy from which it was restored are missing.
+func (t *Table) beginEra(now time.Time, revision platform.Revision) {
+	if t.revision == 0 || revision.Era() <= t.revision.Era() {
+		return
+	}
+	t.storeRegainedAt = now
+	for key := range t.pendingRemovals {
+		t.pendingRemovals[key] = now.Add(reregisterGrace)
+	}
+}
+
 func (t *Table) put(now time.Time, item platform.Item) []Change {
 	old, exists := t.entries[item.Key]
 	if exists && old.revision >= item.Revision {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -82,3 +82,21 @@
 	checkChanges(t, table.Tick(now), "removed b")
 	checkChanges(t, table.Apply(now, []platform.Event{deletion("a", 8)}, 8), "removed a")
 }
+
+// Guards against dropping a live endpoint that registered after the copy from which the store
+// was restored, also where no outage was seen, and against keeping one that does not register
+// again.
+func TestEntriesMissingInARestoredStore(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := NewTable(decode)
+	table.Replace(now, []platform.Item{item("a", "s 1", 1), item("b", "s 2", 7), item("c", "s 3", 8)}, 8)
+	restored, err := platform.NewRevision(1, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(10 * time.Second)
+	checkChanges(t, table.Replace(now, []platform.Item{item("a", "s 1", restored-4)}, restored), "put a")
+	checkChanges(t, table.Tick(now.Add(2*time.Second)))
+	checkChanges(t, table.Apply(now, []platform.Event{{Item: item("b", "s 2", restored+1)}}, restored+1), "put b")
+	checkChanges(t, table.Tick(now.Add(reregisterGrace)), "removed c")
+}
