Register daemons again that a restored store has lost

What callers would see: a daemon that starts after a restore does not find peers whose registrations were lost until others name them, and may draw budgets and follow the store as if it were alone.

Cause: a daemon registers once, at its start.

Change: when the store's era changes, each daemon reads its registration once, at a random time that grows with the fleet (25 ms a daemon on average), and writes it if it is missing or differs. Peers known are kept.

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -186,6 +186,8 @@
 	// contactedAt is when the store last responded, regainedAt when it last
 	// became reachable again.
 	contactedAt, regainedAt time.Time
+	// onRestored is called when the store's era has changed. It must not block.
+	onRestored func()
 	// probeAnswered is true if the store answered the last probe.
 	probeAnswered bool
 }
@@ -194,7 +196,7 @@
 	prefix string, source platform.ChangeLog, c consumer, fleet fleetView, onStoreContact func(), log zerolog.Logger,
 ) *feed {
 	return &feed{
-		prefix: prefix, source: source, consumer: c, fleet: fleet, onStoreContact: onStoreContact, onRegained: func() {}, log: log,
+		prefix: prefix, source: source, consumer: c, fleet: fleet, onStoreContact: onStoreContact, onRegained: func() {}, onRestored: func() {}, log: log,
 		wake: make(chan struct{}, 1), items: make(map[string]platform.Item),
 	}
 }
--- a/internal/front/feed_items.go
+++ b/internal/front/feed_items.go
@@ -76,6 +76,7 @@
 		f.log.Warn().Str("prefix", f.prefix).Int64("former_era", f.revision.Era()).Int64("era", at.Era()).
 			Stringer("former", f.revision).Stringer("revision", at).
 			Msg("store restored from an older copy")
+		f.onRestored()
 	}
 	f.revision = at
 	f.missing = slices.DeleteFunc(f.missing, func(m missingChange) bool { return m.revision <= at })
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -94,7 +94,9 @@
 
 	configFeed, endpointFeed *feed
 	// joined is closed once the daemon knows the registered peers.
-	joined        chan struct{}
+	joined chan struct{}
+	// restored signals that the store was restored from an older copy.
+	restored      chan struct{}
 	config        *configuration
 	endpoints     *endpoints
 	pools         *pools
@@ -186,7 +188,8 @@
 	d.endpoints = newEndpoints(d.opts.Wire.DecodeEndpoint, d.pools, d.log)
 	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, d.config, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.budgets.StoreContacted, d.log)
-	d.joined = make(chan struct{})
+	d.joined, d.restored = make(chan struct{}), make(chan struct{}, 1)
+	d.endpointFeed.onRestored = d.signalRestored
 	d.configFeed.joined, d.endpointFeed.joined = d.joined, d.joined
 	d.configFeed.primary, d.endpointFeed.onRegained = d.endpointFeed, d.configFeed.requestRead
 	d.handler = relay.New(relay.Options{
@@ -210,7 +213,7 @@
 	d.wg.Go(func() { d.configFeed.run(d.ctx) })
 	d.wg.Go(func() { d.endpointFeed.run(d.ctx) })
 	d.wg.Go(d.housekeeping)
-	d.wg.Go(d.register)
+	d.wg.Go(d.stayRegistered)
 	d.callersServer = &http.Server{
 		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
 		ConnState: d.pendingConns.trackState,
--- a/internal/front/registration.go
+++ b/internal/front/registration.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -13,8 +14,17 @@
 // registryPrefix is the prefix of the keys under which daemons register.
 const registryPrefix = "azurehatch/daemons/"
 
-// registerRetryDelay is the delay after a failed registration.
-const registerRetryDelay = time.Second
+// Delays of registrations.
+const (
+	// registerRetryDelay is the delay after a failed registration.
+	registerRetryDelay = time.Second
+	// After the store was restored, a fleet checks its registrations at a mean interval of
+	// checkRegistrationInterval, in random order. A check that fails is repeated after
+	// minCheckBackoff, doubling to maxCheckBackoff.
+	checkRegistrationInterval = 25 * time.Millisecond
+	minCheckBackoff           = time.Second
+	maxCheckBackoff           = 16 * time.Second
+)
 
 // registration is the registered value of a daemon: the address of its mesh listener and
 // its failure domain. Daemons know from it at once who does what in their domain.
@@ -41,9 +51,62 @@
 	}
 }
 
+// signalRestored makes the daemon check its registration.
+func (d *Daemon) signalRestored() {
+	select {
+	case d.restored <- struct{}{}:
+	default:
+	}
+}
+
+// stayRegistered registers the daemon, again if a restored store has lost the registration.
+func (d *Daemon) stayRegistered() {
+	d.register()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.restored:
+		}
+		pause.Sleep(d.ctx, time.Duration(rand.Float64()*float64(d.mesh.Count())*float64(checkRegistrationInterval)))
+		for backoff := minCheckBackoff; d.ctx.Err() == nil; backoff = min(2*backoff, maxCheckBackoff) {
+			err := d.checkRegistration()
+			if err == nil {
+				break
+			}
+			d.log.Warn().Err(err).Msg("registration not checked yet")
+			pause.Sleep(d.ctx, jitter(backoff))
+		}
+	}
+}
+
+// checkRegistration writes the daemon's registration if the store does not have it.
+func (d *Daemon) checkRegistration() error {
+	write := d.registrationWrite()
+	current, err := d.store.Get(d.ctx, write.Key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return errors.Wrap(err, "read registration")
+	}
+	if string(current.Value) == string(write.Value) {
+		return nil
+	}
+	write.Expected = current.Revision
+	if _, err := d.store.CompareAndSwap(d.ctx, write); err != nil {
+		return errors.Wrap(err, "write registration")
+	}
+	d.log.Info().Msg("daemon registered again with the restored store")
+	return nil
+}
+
+func (d *Daemon) registrationWrite() platform.Write {
+	return platform.Write{
+		Key:   registryPrefix + d.frontSettings.Instance.Name,
+		Value: registration(d.meshListener.Addr().String(), d.frontSettings.Instance.FailureDomain),
+	}
+}
+
 func (d *Daemon) registerOnce() error {
-	key := registryPrefix + d.frontSettings.Instance.Name
-	write := platform.Write{Key: key, Value: registration(d.meshListener.Addr().String(), d.frontSettings.Instance.FailureDomain)}
+	write := d.registrationWrite()
 	_, err := d.store.CompareAndSwap(d.ctx, write)
 	if conflict, ok := platform.AsConflict(err); ok && string(conflict.Actual.Value) != string(write.Value) {
 		write.Expected = conflict.Actual.Revision
