Keep what is known where a restored store has older items

With eras in revisions a list of the restored store is accepted, and with it the older items of the copy.

Cause: state is compared by revisions only. In a new era each item of the copy has a higher revision than what daemons know of its key, whatever its content: a former version of the configuration, an endpoint that has said since that it leaves, or that is gone.

Change: across eras items are compared by content, which their writers order: the version of a configuration, start time and sequence of an endpoint's entry. A feed keeps what it knows of a key, and remembers removed items, in place of older items, in lists, pushes and peers' copies alike, until the writer has written again. A configuration with a lower version is never installed. Digests tell the version of the configuration, so that a daemon that started with the older one reads the copy of a peer that knows the newer one.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -27,6 +27,17 @@
 	// it, in Unix milliseconds. A different value means that the process was
 	// restarted and lost its state.
 	Incarnation int64
+	// Sequence increases with each report of an incarnation.
+	Sequence int64
+}
+
+// precedes reports whether the entry was registered before another one of the same
+// endpoint.
+func (e Entry) precedes(other Entry) bool {
+	if e.Incarnation != other.Incarnation {
+		return e.Incarnation < other.Incarnation
+	}
+	return e.Sequence < other.Sequence
 }
 
 // ChangeKind is the kind of a Change.
@@ -82,6 +93,14 @@
 // Revision returns the store revision up to which the list is complete.
 func (t *Table) Revision() platform.Revision { return t.revision }
 
+// Precedes reports whether a valid entry was registered before another one of the same key.
+// It tells entries apart whose revisions belong to different eras of the store.
+func (t *Table) Precedes(item, other platform.Item) bool {
+	entry, ok := t.decode(item)
+	later, otherOK := t.decode(other)
+	return ok && otherOK && entry.precedes(later)
+}
+
 // StoreUnreachable records that the store can't be read.
 func (t *Table) StoreUnreachable() { t.storeUnreachable = true }
 
@@ -160,7 +179,8 @@
 
 func (t *Table) put(now time.Time, item platform.Item) []Change {
 	old, exists := t.entries[item.Key]
-	if exists && old.revision >= item.Revision {
+	// An item of an earlier era than the entry's is what the caller knows to be newer.
+	if exists && old.revision >= item.Revision && old.revision.Era() == item.Revision.Era() {
 		delete(t.pendingRemovals, item.Key)
 		return nil
 	}
--- a/internal/front/configuration.go
+++ b/internal/front/configuration.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +16,7 @@
 type installedTable struct {
 	*routing.Table
 	installedAt time.Time
-	revision    platform.Revision
+	item        platform.Item
 }
 
 // configuration holds the newest valid configuration. It never returns to an
@@ -36,6 +37,29 @@
 	return t.Table, time.Since(t.installedAt)
 }
 
+// version returns the current version, 0 if there is none.
+func (c *configuration) version() int64 {
+	t := c.current.Load()
+	if t == nil {
+		return 0
+	}
+	return t.Version
+}
+
+// precedes implements consumer: the operators' versions increase. An item that can't be
+// decoded precedes each valid one.
+func (c *configuration) precedes(item, other platform.Item) bool {
+	if item.Key != c.wire.ConfigKey {
+		return false
+	}
+	later, err := c.wire.DecodeConfig(other)
+	if err != nil {
+		return false
+	}
+	earlier, err := c.wire.DecodeConfig(item)
+	return err != nil || earlier.Version < later.Version
+}
+
 func (c *configuration) replace(r reading, items []platform.Item, _ platform.Revision) {
 	for _, i := range items {
 		c.install(r, i)
@@ -65,7 +89,7 @@
 		return
 	}
 	old := c.current.Load()
-	if old != nil && i.Revision <= old.revision {
+	if old != nil && (i.Revision == old.item.Revision || bytes.Equal(i.Value, old.item.Value)) {
 		return
 	}
 	decoded, err := c.wire.DecodeConfig(i)
@@ -77,8 +101,13 @@
 		c.log.Error().Err(err).Stringer("revision", i.Revision).Msg("configuration refused; the last one stays")
 		return
 	}
+	if old != nil && (table.Version < old.Version || table.Version == old.Version && i.Revision < old.item.Revision) {
+		c.log.Warn().Int64("version", table.Version).Int64("current", old.Version).Stringer("revision", i.Revision).
+			Stringer("current_revision", old.item.Revision).Msg("older version of the configuration not installed")
+		return
+	}
 	c.onInstall(table)
-	c.current.Store(&installedTable{Table: table, installedAt: r.at, revision: i.Revision})
+	c.current.Store(&installedTable{Table: table, installedAt: r.at, item: i})
 	var former int64
 	if old != nil {
 		former = old.Version
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -54,6 +54,12 @@
 	e.list.StoreRegainedByPeer(at)
 }
 
+func (e *endpoints) precedes(item, other platform.Item) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.list.Precedes(item, other)
+}
+
 func (e *endpoints) tick(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -126,6 +126,9 @@
 	storeReachable(now time.Time)
 	// storeRegained reports when another daemon could read the store again.
 	storeRegained(at time.Time)
+	// precedes reports whether an item has an older content than another one of the same
+	// key: their revisions don't tell if they belong to different eras of the store.
+	precedes(item, other platform.Item) bool
 }
 
 // fleetView is the part of the mesh that a feed uses.
@@ -186,6 +189,12 @@
 	// contactedAt is when the store last responded, regainedAt when it last
 	// became reachable again.
 	contactedAt, regainedAt time.Time
+	// held are the items of a restored store that are older than what is known of their
+	// keys; departed are the removed items, by key.
+	held     map[string]heldItem
+	departed map[string]departure
+	// stalePeriod is how long held items are not used, 0 for ever.
+	stalePeriod time.Duration
 	// onRestored is called when the store's era has changed. It must not block.
 	onRestored func()
 	// probeAnswered is true if the store answered the last probe.
@@ -196,8 +205,9 @@
 	prefix string, source platform.ChangeLog, c consumer, fleet fleetView, onStoreContact func(), log zerolog.Logger,
 ) *feed {
 	return &feed{
-		prefix: prefix, source: source, consumer: c, fleet: fleet, onStoreContact: onStoreContact, onRegained: func() {}, onRestored: func() {}, log: log,
+		prefix: prefix, source: source, consumer: c, fleet: fleet, onStoreContact: onStoreContact, onRegained: func() {}, log: log,
 		wake: make(chan struct{}, 1), items: make(map[string]platform.Item),
+		held: make(map[string]heldItem), departed: make(map[string]departure), onRestored: func() {},
 	}
 }
 
--- a/internal/front/feed_items.go
+++ b/internal/front/feed_items.go
@@ -74,7 +74,7 @@
 func (f *feed) setRevision(at platform.Revision) {
 	if f.revision > 0 && at.Era() > f.revision.Era() {
 		f.log.Warn().Str("prefix", f.prefix).Int64("former_era", f.revision.Era()).Int64("era", at.Era()).
-			Stringer("former", f.revision).Stringer("revision", at).
+			Stringer("former", f.revision).Stringer("revision", at).Int("older_items", len(f.held)).
 			Msg("store restored from an older copy")
 		f.onRestored()
 	}
@@ -92,20 +92,29 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at < f.revision {
+		f.adoptNewer(from, items)
 		return
 	}
 	r := f.reading(from)
-	former := f.items
-	f.items = make(map[string]platform.Item, len(items))
 	for _, i := range items {
-		f.items[i.Key] = i
 		f.lastChange = max(f.lastChange, i.Revision)
 	}
-	for key := range former {
-		if _, ok := f.items[key]; !ok {
+	items = f.reconcile(r.at, items)
+	current := make(map[string]platform.Item, len(items))
+	for _, i := range items {
+		current[i.Key] = i
+	}
+	for key := range f.items {
+		if _, ok := current[key]; ok {
+			continue
+		}
+		f.recordRemoval(r.at, key, at)
+		if at.Era() == f.revision.Era() {
 			f.lastChange = max(f.lastChange, at) // the revision of the removal is not known
 		}
 	}
+	f.lastChange = max(f.lastChange, eraStart(at))
+	f.items = current
 	f.consumer.replace(r, items, at)
 	f.setRevision(at)
 }
@@ -132,17 +141,25 @@
 func (f *feed) applyEvents(from origin, events []platform.Event, at platform.Revision) {
 	r := f.reading(from)
 	at = max(at, f.revision)
+	accepted := make([]platform.Event, 0, len(events))
 	for _, ev := range events {
 		if ev.Item.Revision <= f.revision {
 			continue
 		}
-		if ev.Deleted {
+		f.lastChange = max(f.lastChange, ev.Item.Revision)
+		switch {
+		case ev.Deleted:
+			f.recordRemoval(r.at, ev.Item.Key, at)
 			delete(f.items, ev.Item.Key)
-		} else {
+		case f.isStale(ev.Item):
+			f.hold(r.at, ev.Item)
+			continue
+		default:
+			delete(f.held, ev.Item.Key)
 			f.items[ev.Item.Key] = ev.Item
 		}
-		f.lastChange = max(f.lastChange, ev.Item.Revision)
+		accepted = append(accepted, ev)
 	}
-	f.consumer.apply(r, events, at)
+	f.consumer.apply(r, accepted, at)
 	f.setRevision(at)
 }
--- a/internal/front/feed_machine_test.go
+++ b/internal/front/feed_machine_test.go
@@ -17,79 +17,60 @@
 	"github.com/azurehatch/azurehatch/internal/rapidtest"
 )
 
-// storeHistory is a store that remembers all its states.
-type storeHistory struct {
-	events []platform.Event
-	// states holds the items at each revision from 0 on.
-	states []map[string]platform.Item
-	// compactedAt is the revision up to which polls don't return events any more.
-	compactedAt platform.Revision
-}
-
-func (s *storeHistory) head() platform.Revision { return platform.Revision(len(s.states) - 1) }
-
-// change writes or deletes a key; an empty key changes another prefix.
-func (s *storeHistory) change(key string, deleted bool) {
-	next := maps.Clone(s.states[s.head()])
-	ev := platform.Event{Item: platform.Item{Key: key, Revision: s.head() + 1}, Deleted: deleted}
-	if key != "" {
-		if deleted {
-			delete(next, key)
-		} else {
-			ev.Item.Value = fmt.Append(nil, ev.Item.Revision)
-			next[key] = ev.Item
-		}
-		s.events = append(s.events, ev)
-	}
-	s.states = append(s.states, next)
+// tableConsumer keeps a list of endpoints, the item revision of each, and the highest content
+// of each key so far, which must not decrease.
+type tableConsumer struct {
+	table    *discovery.Table
+	items    map[string]platform.Revision
+	contents map[string]int64
+	// removed is the content with which each key was removed last, except those that a
+	// restored store has lost.
+	removed   map[string]int64
+	regressed string
+	broken    string
 }
 
-func (s *storeHistory) poll(after platform.Revision) (platform.Changes, error) {
-	if after < s.compactedAt {
-		return platform.Changes{}, platform.ErrCompacted
+func newTableConsumer(broken string) *tableConsumer {
+	decode := func(i platform.Item) (discovery.Entry, bool) {
+		return discovery.Entry{ID: i.Key, Service: "s", Sequence: content(i), Leaving: true}, true
 	}
-	c := platform.Changes{Revision: s.head()}
-	for _, ev := range s.events {
-		if ev.Item.Revision > after {
-			c.Events = append(c.Events, ev)
-		}
+	return &tableConsumer{
+		table: discovery.NewTable(decode), items: make(map[string]platform.Revision), contents: make(map[string]int64),
+		removed: make(map[string]int64), broken: broken,
 	}
-	return c, nil
-}
-
-// hadSince reports whether the item of a key had an item revision, 0 meaning that it did not
-// exist, at a revision of the store or later.
-func (s *storeHistory) hadSince(from platform.Revision, key string, item platform.Revision) bool {
-	return slices.ContainsFunc(s.states[from:], func(state map[string]platform.Item) bool { return state[key].Revision == item })
-}
-
-// tableConsumer keeps a list of endpoints and the item revision of each.
-type tableConsumer struct {
-	table *discovery.Table
-	items map[string]platform.Revision
 }
 
-func newTableConsumer() *tableConsumer {
-	decode := func(i platform.Item) (discovery.Entry, bool) { return discovery.Entry{ID: i.Key, Service: "s"}, true }
-	return &tableConsumer{table: discovery.NewTable(decode), items: make(map[string]platform.Revision)}
-}
-
-func (c *tableConsumer) record(changes []discovery.Change) {
+// record follows changes; lost tells that they are those of the first list of an era.
+func (c *tableConsumer) record(changes []discovery.Change, lost bool) {
 	for _, change := range changes {
+		id := change.Entry.ID
 		if change.Kind == discovery.Removed {
-			delete(c.items, change.Entry.ID)
-		} else {
-			c.items[change.Entry.ID] = change.Revision
+			delete(c.items, id)
+			if !lost {
+				c.removed[id] = change.Entry.Sequence
+			}
+			continue
+		}
+		c.items[id] = change.Revision
+		if change.Entry.Sequence < c.contents[id] || change.Entry.Sequence <= c.removed[id] {
+			c.regressed = fmt.Sprintf("%s to content %d, after %d and the removal of %d", id, change.Entry.Sequence, c.contents[id], c.removed[id])
 		}
+		c.contents[id] = max(c.contents[id], change.Entry.Sequence)
 	}
 }
 
 func (c *tableConsumer) replace(r reading, items []platform.Item, at platform.Revision) {
-	c.record(c.table.Replace(r.at, items, at))
+	lost := at.Era() > c.table.Revision().Era()
+	c.record(c.table.Replace(r.at, items, at), lost)
 }
 
 func (c *tableConsumer) apply(r reading, events []platform.Event, at platform.Revision) {
-	c.record(c.table.Apply(r.at, events, at))
+	lost := at.Era() > c.table.Revision().Era()
+	c.record(c.table.Apply(r.at, events, at), lost)
+}
+
+func (c *tableConsumer) precedes(item, other platform.Item) bool {
+	return c.broken != "older content" && c.table.Precedes(item, other)
 }
 func (*tableConsumer) storeUnreachable()        {}
 func (*tableConsumer) storeReachable(time.Time) {}
@@ -113,11 +94,11 @@
 
 func newFeedMachine(broken string) *feedMachine {
 	m := &feedMachine{
-		store:  &storeHistory{states: []map[string]platform.Item{{}}},
+		store:  newStoreHistory(),
 		pushed: make(chan *meshpb.Changes, 1), broken: broken,
 	}
 	for range 3 {
-		m.feeds = append(m.feeds, newFeed("p/", nil, newTableConsumer(),
+		m.feeds = append(m.feeds, newFeed("p/", nil, newTableConsumer(broken),
 			fixedFleet{follows: true, broadcast: m.pushed}, func() {}, zerolog.Nop()))
 		m.revisions = append(m.revisions, 0)
 	}
@@ -146,7 +127,7 @@
 	f := m.feeds[i]
 	c, err := m.store.poll(f.currentRevision())
 	if err != nil {
-		m.list(i, slices.Collect(maps.Values(m.store.states[m.store.head()])), m.store.head())
+		m.list(i, slices.Collect(maps.Values(m.store.current().items)), m.store.head())
 		return
 	}
 	m.inTransit = append(m.inTransit, func() {
@@ -159,6 +140,14 @@
 	})
 }
 
+// readAtOnce lets a feed read the store, and delivers the response.
+func (m *feedMachine) readAtOnce(i int) {
+	before := len(m.inTransit)
+	m.read(i)
+	m.inTransit[before]()
+	m.inTransit = slices.Delete(m.inTransit, before, before+1)
+}
+
 // list puts a list for a feed on its way.
 func (m *feedMachine) list(i int, items []platform.Item, at platform.Revision) {
 	f := m.feeds[i]
@@ -189,25 +178,42 @@
 // change.
 func (m *feedMachine) listInPages(i int) {
 	at, last := m.store.head(), machineKeys[len(machineKeys)-1]
-	items := maps.Clone(m.store.states[at])
+	items := maps.Clone(m.store.current().items)
 	m.store.change(last, false)
-	items[last] = m.store.states[m.store.head()][last]
+	items[last] = m.store.current().items[last]
 	m.list(i, slices.Collect(maps.Values(items)), at)
 }
 
+func (m *feedMachine) restore(copied int) {
+	m.store.restore(copied)
+	if m.broken == "forgotten removals" {
+		for _, f := range m.feeds {
+			clear(f.departed)
+		}
+	}
+}
+
 // check compares what each feed has passed on with the store's states: each key must be as it
-// was at the feed's revision or later, and the revision never decreases.
+// was at the feed's revision or later, or newer than the restored store has it, and neither the
+// revision nor the content decreases.
 func (m *feedMachine) check(t *rapid.T) {
 	for i, f := range m.feeds {
 		at := f.currentRevision()
 		if at < m.revisions[i] {
-			t.Fatalf("feed %d went back from revision %d to %d", i, m.revisions[i], at)
+			t.Fatalf("feed %d went back from revision %s to %s", i, m.revisions[i], at)
 		}
 		m.revisions[i] = at
-		got := f.consumer.(*tableConsumer).items
+		consumer := f.consumer.(*tableConsumer)
+		got := consumer.items
+		if consumer.regressed != "" {
+			t.Fatalf("feed %d at revision %s went back with %s", i, at, consumer.regressed)
+		}
 		for _, key := range machineKeys {
-			if !m.store.hadSince(at, key, got[key]) {
-				t.Fatalf("feed %d at revision %d has %s of revision %d, which the store never had since", i, at, key, got[key])
+			if !slices.ContainsFunc(m.store.since(at, key), func(had platform.Item) bool {
+				older := had.Revision.Era() > 0 && had.Revision > 0 && content(had) <= consumer.contents[key]
+				return had.Revision == got[key] || older && got[key].Era() < had.Revision.Era()
+			}) {
+				t.Fatalf("feed %d at revision %s has %s of revision %s, which the store never had since", i, at, key, got[key])
 			}
 		}
 		if items, _ := f.snapshot(); len(items) != len(got) {
@@ -216,23 +222,37 @@
 	}
 }
 
+// contentOf returns the content of a key that a feed has passed on, 0 if there is none.
+func contentOf(f *feed, key string) int64 {
+	if _, ok := f.consumer.(*tableConsumer).items[key]; !ok {
+		return 0
+	}
+	return content(f.items[key])
+}
+
 func (m *feedMachine) run(t *rapid.T) {
 	key := rapid.SampledFrom(append(slices.Clone(machineKeys), ""))
 	feedIndex := rapid.IntRange(0, len(m.feeds)-1)
 	t.Repeat(map[string]func(*rapid.T){
-		"change":        func(t *rapid.T) { m.store.change(key.Draw(t, "key"), rapid.Bool().Draw(t, "deleted")) },
-		"compact":       func(*rapid.T) { m.store.compactedAt = m.store.head() },
+		"change":  func(t *rapid.T) { m.store.change(key.Draw(t, "key"), rapid.Bool().Draw(t, "deleted")) },
+		"compact": func(*rapid.T) { m.store.compactedAt = m.store.head() },
+		"restore": func(t *rapid.T) { m.restore(rapid.IntRange(0, len(m.store.restorable)-1).Draw(t, "copy")) },
+		"restore before a removal": func(t *rapid.T) {
+			i, key := feedIndex.Draw(t, "feed"), rapid.SampledFrom(machineKeys).Draw(t, "key")
+			m.store.change(key, false)
+			m.readAtOnce(i)
+			m.store.change(key, true)
+			m.readAtOnce(i)
+			m.restore(len(m.store.restorable) - 2)
+			m.readAtOnce(i)
+		},
+		"write again":   func(*rapid.T) { m.store.writeAgain() },
 		"read":          func(t *rapid.T) { m.read(feedIndex.Draw(t, "feed")) },
 		"list in pages": func(t *rapid.T) { m.listInPages(feedIndex.Draw(t, "feed")) },
-		"read at once": func(t *rapid.T) {
-			before := len(m.inTransit)
-			m.read(feedIndex.Draw(t, "feed"))
-			m.inTransit[before]()
-			m.inTransit = slices.Delete(m.inTransit, before, before+1)
-		},
+		"read at once":  func(t *rapid.T) { m.readAtOnce(feedIndex.Draw(t, "feed")) },
 		"list and push at once": func(t *rapid.T) {
 			before := len(m.inTransit)
-			m.list(feedIndex.Draw(t, "feed"), slices.Collect(maps.Values(m.store.states[m.store.head()])), m.store.head())
+			m.list(feedIndex.Draw(t, "feed"), slices.Collect(maps.Values(m.store.current().items)), m.store.head())
 			m.deliverFrom(before)
 		},
 		"poll without changes": func(t *rapid.T) { // the store reports a revision whose changes the watch missed
@@ -266,27 +286,29 @@
 		"lose": func(*rapid.T) { m.inTransit = nil },
 		"":     m.check,
 	})
+	m.store.writeAgain()
 	for i, f := range m.feeds {
 		m.read(i)
 		m.inTransit[len(m.inTransit)-1]()
 		got := f.consumer.(*tableConsumer).items
 		for _, key := range machineKeys {
-			if want := m.store.states[m.store.head()][key].Revision; got[key] != want {
-				t.Fatalf("feed %d has %s of revision %d after a last read, the store has %d", i, key, got[key], want)
+			if want := m.store.current().items[key]; content(want) != contentOf(f, key) {
+				t.Fatalf("feed %d has %s of revision %s after a last read, the store has %s", i, key, got[key], want.Revision)
 			}
 		}
 	}
 }
 
 // Guards against a daemon that returns to an older state, skips a change or keeps a removed
-// item, whatever polls, lists, pushes and copies of peers arrive in whatever order.
+// item, whatever polls, lists, pushes and copies of peers arrive in whatever order, and from whatever
+// copy the store is restored.
 func TestFeedMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { newFeedMachine("").run(t) })
 }
 
 // Guards against a check that can't fail: it must detect each broken variant.
 func TestFeedBrokenVariants(t *testing.T) {
-	for _, broken := range []string{"gap", "regress", "skip", "unknown items"} {
+	for _, broken := range []string{"gap", "regress", "skip", "unknown items", "older content", "forgotten removals"} {
 		t.Run(broken, func(t *testing.T) {
 			rapidtest.MustFail(t, func(t *rapid.T) { newFeedMachine(broken).run(t) })
 		})
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -62,9 +62,10 @@
 		r.value <- string(ev.Item.Value)
 	}
 }
-func (recorder) storeUnreachable()        {}
-func (recorder) storeReachable(time.Time) {}
-func (recorder) storeRegained(time.Time)  {}
+func (recorder) precedes(platform.Item, platform.Item) bool { return false }
+func (recorder) storeUnreachable()                          {}
+func (recorder) storeReachable(time.Time)                   {}
+func (recorder) storeRegained(time.Time)                    {}
 
 // want waits for values in order, each for at most limit.
 func (r recorder) want(t *testing.T, limit time.Duration, values ...string) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -188,6 +188,7 @@
 	d.endpoints = newEndpoints(d.opts.Wire.DecodeEndpoint, d.pools, d.log)
 	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, d.config, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.budgets.StoreContacted, d.log)
+	d.endpointFeed.stalePeriod = staleEntryPeriod
 	d.joined, d.restored = make(chan struct{}), make(chan struct{}, 1)
 	d.endpointFeed.onRestored = d.signalRestored
 	d.configFeed.joined, d.endpointFeed.joined = d.joined, d.joined
@@ -285,6 +286,7 @@
 			return
 		case now := <-ticker.C:
 			d.endpoints.tick(now)
+			d.endpointFeed.admitHeld(now)
 			d.crashIsolator.tick(now)
 			d.budgets.Tick(now)
 			d.pools.setDaemons(d.mesh.Count())
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -219,6 +219,9 @@
 	return entries
 }
 
+// configVersionKey is the key of the configuration's version among the revisions of a digest.
+const configVersionKey = "configuration version"
+
 // meshState implements mesh.State: the state sent to peers and received from them.
 type meshState struct{ d *Daemon }
 
@@ -229,6 +232,7 @@
 		Revisions: map[string]int64{
 			d.configFeed.prefix:   int64(d.configFeed.lastChangeRevision()),
 			d.endpointFeed.prefix: int64(d.endpointFeed.lastChangeRevision()),
+			configVersionKey:      d.config.version(),
 		},
 		Balances: d.budgets.Balances(), Crashes: d.crashIsolator.entries(now), PartCrashes: d.crashIsolator.partEntries(now), Stopping: d.stopping.Load(),
 		Follows: d.mesh.FollowsStore(), StoreAgeMs: d.endpointFeed.contactAge(now), BackAgeMs: d.endpointFeed.regainedAge(now),
@@ -246,7 +250,12 @@
 	d.crashIsolator.merge(now, m.Address, m.Crashes, m.PartCrashes)
 	d.endpointFeed.mergeRegained(now, m.BackAgeMs)
 	for _, f := range []*feed{d.configFeed, d.endpointFeed} {
-		if f.shouldFetch(now, platform.Revision(m.Revisions[f.prefix])) {
+		changed := platform.Revision(m.Revisions[f.prefix])
+		fetch := f.shouldFetch(now, changed)
+		if f == d.configFeed && !fetch {
+			fetch = f.shouldFetchVersion(now, changed, m.Revisions[configVersionKey], d.config.version())
+		}
+		if fetch {
 			d.wg.Go(func() { f.fetch(m.Address, d.mesh.FetchItems) })
 		}
 	}
