--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -225,13 +225,7 @@
 		now := time.Now()
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
 			listed = listed && err == nil
-			if !failingSince.IsZero() {
-				f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(failingSince)).Msg("store regained")
-			}
-			if f.failing.Swap(false) {
-				f.onRegained()
-			}
-			f.recordContact(now, !failingSince.IsZero() && now.Sub(failingSince) > storeUnreachableAfter)
+			f.recordContact(now, failingSince)
 			failingSince, backoff = time.Time{}, minBackoff
 			if err != nil {
 				relists++
@@ -290,9 +284,17 @@
 	}
 }
 
-// recordContact records that the store responded, and whether it had been
-// unreachable before.
-func (f *feed) recordContact(now time.Time, regained bool) {
+// recordContact records that the store responded, and that it became reachable again if
+// its calls had failed since a time that is not zero.
+func (f *feed) recordContact(now, failingSince time.Time) {
+	regained := false
+	if !failingSince.IsZero() {
+		regained = now.Sub(failingSince) > storeUnreachableAfter
+		f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(failingSince)).Msg("store regained")
+	}
+	if f.failing.Swap(false) {
+		f.onRegained()
+	}
 	f.onStoreContact()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -361,7 +363,7 @@
 	}
 	f.broadcast(mesh.ChangeList{Events: c.Events}, lastRevision(c.Events))
 	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Stringer("revision", c.Revision).Msg("changes read")
-	f.apply(fromPoll, c.Events)
+	f.apply(c.Events)
 	if len(c.Events) > 0 && f.fleet.FollowsStore() {
 		pause.Sleep(ctx, f.batchDelayFor())
 	}
--- a/internal/front/feed_items.go
+++ b/internal/front/feed_items.go
@@ -119,13 +119,13 @@
 	f.setRevision(at)
 }
 
-// apply applies changes. The revision advances to that of the last change
+// apply applies polled changes. The revision advances to that of the last change
 // received, not to the one that the store reports, so that changes which a watch
 // missed are not skipped.
-func (f *feed) apply(from origin, events []platform.Event) {
+func (f *feed) apply(events []platform.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.applyEvents(from, events, lastRevision(events))
+	f.applyEvents(fromPoll, events, lastRevision(events))
 }
 
 // lastRevision returns the highest revision of the events, 0 if there are none.
--- a/internal/front/feed_machine_test.go
+++ b/internal/front/feed_machine_test.go
@@ -133,7 +133,7 @@
 	m.inTransit = append(m.inTransit, func() {
 		f.broadcast(mesh.ChangeList{Events: c.Events}, lastRevision(c.Events))
 		m.push(i)
-		f.apply(fromPoll, c.Events)
+		f.apply(c.Events)
 		if m.broken == "skip" {
 			f.setRevision(max(f.revision, c.Revision))
 		}
@@ -257,7 +257,7 @@
 		},
 		"poll without changes": func(t *rapid.T) { // the store reports a revision whose changes the watch missed
 			f := m.feeds[feedIndex.Draw(t, "feed")]
-			f.apply(fromPoll, nil)
+			f.apply(nil)
 			if m.broken == "skip" {
 				f.setRevision(max(f.revision, m.store.head()))
 			}
--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -108,9 +108,9 @@
 			f := newFeed(wire.EndpointPrefix, nil, e, fixedFleet{}, func() {}, zerolog.Nop())
 			f.stalePeriod = staleEntryPeriod
 			f.replace(fromList, []platform.Item{ready(3, 5)}, 5)
-			f.apply(fromPoll, c.before)
+			f.apply(c.before)
 			f.replace(fromList, c.restored, rev(5))
-			f.apply(fromPoll, c.after)
+			f.apply(c.after)
 			now := time.Now()
 			e.tick(now.Add(time.Second))
 			if f.admitHeld(now.Add(time.Second)); e.pools.hasEndpoints() != c.used {
