--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -247,11 +247,12 @@
 			f.consumer.storeUnreachable()
 			f.mu.Unlock()
 		}
-		f.waitToProbe(ctx, backoff)
-		limit := maxBackoff
+		wait, limit := backoff, maxBackoff
 		if f.probeAnswered {
-			limit = maxRefusedBackoff
+			// A store above its rate refuses the reads of all daemons at the same time.
+			wait, limit = jitter(backoff), maxRefusedBackoff
 		}
+		f.waitToProbe(ctx, wait)
 		backoff = min(2*backoff, limit)
 	}
 }
