--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -11,9 +11,11 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/azurehatch/azurehatch/internal/mesh"
 	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+	"github.com/azurehatch/azurehatch/internal/routing"
 	wire "github.com/azurehatch/azurehatch/platform"
 )
 
@@ -70,6 +72,47 @@
 	f.eventually("the next change is in force", func() bool { return f.serves("/third/x") })
 }
 
+// configItem is the item of a version of the configuration.
+func configItem(version int, at platform.Revision) platform.Item {
+	return platform.Item{Key: wire.ConfigKey, Revision: at, Value: fmt.Appendf(nil,
+		`{"version":%d,"routes":[{"name":"r","host":"h","prefix":"/a/","route_type":"safe","service":"s"}],"services":[{"name":"s"}]}`, version)}
+}
+
+// Guards against a daemon that ignores the newer version in a peer's copy since its revision is
+// of a former era, or returns to an older one by a list, a push or a copy.
+func TestVersionsAcrossEras(t *testing.T) {
+	c := &configuration{
+		wire: Wire{ConfigKey: wire.ConfigKey, DecodeConfig: wire.DecodeConfig}, log: zerolog.Nop(), onInstall: func(*routing.Table) {},
+	}
+	f := newFeed(wire.ConfigPrefix, nil, c, fixedFleet{}, func() {}, zerolog.Nop())
+	for n, step := range []struct {
+		from    origin
+		item    platform.Item
+		at      platform.Revision
+		version int64
+		held    platform.Revision
+	}{
+		{fromList, configItem(4, inEra(1, 5)), inEra(1, 7), 4, inEra(1, 5)},
+		{fromPeerCopy, configItem(6, 9), 9, 6, 9},
+		{fromPeerCopy, configItem(3, 8), 8, 6, 9},
+		{fromList, configItem(4, inEra(1, 5)), inEra(1, 8), 6, 9},
+		{fromPush, configItem(5, inEra(1, 9)), inEra(1, 9), 6, 9},
+		{fromPush, configItem(6, inEra(1, 10)), inEra(1, 10), 6, inEra(1, 10)},
+		{fromList, configItem(6, inEra(2, 4)), inEra(2, 4), 6, inEra(2, 4)},
+		{fromPush, configItem(7, inEra(2, 5)), inEra(2, 5), 7, inEra(2, 5)},
+	} {
+		if step.from == fromPush {
+			f.applyPushed(mesh.ChangeList{Events: []platform.Event{{Item: step.item}}}, step.at)
+		} else {
+			f.replace(step.from, []platform.Item{step.item}, step.at)
+		}
+		items, _ := f.snapshot()
+		if c.version() != step.version || len(items) != 1 || items[0].Revision != step.held {
+			t.Errorf("step %d: version %d, items %v, want version %d by the item of revision %s", n, c.version(), items, step.version, step.held)
+		}
+	}
+}
+
 // entryItem is the item of an endpoint's entry.
 func entryItem(state string, born, sequence int, at platform.Revision) platform.Item {
 	return platform.Item{Key: wire.EndpointPrefix + "i-1", Revision: at, Value: fmt.Appendf(nil,
