Let the soak restore the store from an older copy

The soak now plays a store that is away, loses up to 7.5 s of what it acknowledged and begins a new era; the operator and the endpoints write again what they had written. A second series of each seed consists mostly of such restores.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,14 +63,22 @@
 	})
 }
 
-// injectFaults starts faults in a seeded order for the given time and waits until all
-// have ended.
-func (s *scenario) injectFaults(length time.Duration) {
-	faults := []func(time.Duration){
-		s.disturbStorePath, s.disturbStorePath, s.disturbAllStorePaths, s.refuseStoreCalls, s.hangStore,
+// faultList returns the faults of a scenario; one that is listed more than once is more
+// frequent.
+type faultList func(s *scenario) []func(time.Duration)
+
+// allFaults returns all kinds of faults.
+func allFaults(s *scenario) []func(time.Duration) {
+	return []func(time.Duration){
+		s.disturbStorePath, s.disturbStorePath, s.disturbAllStorePaths, s.refuseStoreCalls, s.hangStore, s.restoreStore,
 		s.disturbEndpointPath, s.crashEndpoint, s.drainEndpoint, s.overloadEndpoint, s.corruptEndpoint,
 		s.killDaemon, s.pauseDaemon, s.stopDaemon, s.reloadSettings, s.reconfigure, s.reconfigure, s.reconfigureRepeatedly,
 	}
+}
+
+// injectFaults starts faults in a seeded order for the given time and waits until all
+// have ended.
+func (s *scenario) injectFaults(length time.Duration, faults []func(time.Duration)) {
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		f := faults[s.rng.IntN(len(faults))]
 		f(time.Duration(300+s.rng.IntN(3500)) * time.Millisecond)
@@ -202,13 +210,14 @@
 }
 
 // runSeed runs the scenario of one seed and reports each violated guarantee.
-func runSeed(t *testing.T, seed uint64, daemons int, length time.Duration) {
+func runSeed(t *testing.T, seed uint64, daemons int, length time.Duration, faults faultList) {
 	bed := newTestbed(t, daemons)
 	tr := newTraffic(bed)
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	callers.Go(func() { tr.probeReadiness(ctx) })
 	callers.Go(func() { bed.watchStalls(ctx) })
+	callers.Go(func() { bed.copyStore(ctx) })
 	for i := range 3 * daemons {
 		callers.Go(func() { tr.runCaller(ctx, i) })
 	}
@@ -216,7 +225,7 @@
 		callers.Go(func() { tr.probeVersions(ctx, d) })
 	}
 	s := &scenario{bed: bed, rng: rand.New(rand.NewPCG(seed, 1)), faulted: make(map[any]bool)}
-	s.injectFaults(length)
+	s.injectFaults(length, faults(s))
 	tr.awaitRecovery(bed)
 	cancel()
 	callers.Wait()
@@ -288,7 +297,7 @@
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, 3, shortRun)
+			runSeed(t, seed, 3, shortRun, allFaults)
 		})
 	}
 }
@@ -304,14 +313,18 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("regression=%d", r.seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, r.seed, daemons, longRun)
+			runSeed(t, r.seed, daemons, longRun, allFaults)
 		})
 	}
 	first := envInt(t, "AZUREHATCH_SOAK_FIRST", 1)
 	for seed := first; seed < first+count; seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, uint64(seed), daemons, longRun)
+			runSeed(t, uint64(seed), daemons, longRun, allFaults)
+		})
+		t.Run(fmt.Sprint("restores/seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, uint64(seed), daemons, longRun, restoreFaults)
 		})
 	}
 }
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
 	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
 
@@ -62,6 +63,9 @@
 	version   int
 	published time.Time
 	prepaid   map[string]int64
+	// config is the newest configuration, copies older contents of the store.
+	config any
+	copies []memstore.Copy
 	// lastStoreFault and lastEndpointFault are the last times at which a fault of
 	// the store or of an endpoint began or ended. openStoreFaults and
 	// openEndpointFaults count the active ones.
@@ -275,10 +279,23 @@
 		},
 		"tenants": tenants,
 	}
-	if _, err := bed.store.Put(context.Background(), "op/config", value); err != nil {
+	bed.config = value
+	bed.putConfig()
+	bed.published = time.Now()
+}
+
+// writeConfig writes the newest configuration again.
+func (bed *testbed) writeConfig() {
+	bed.mu.Lock()
+	defer bed.mu.Unlock()
+	bed.putConfig()
+}
+
+// putConfig writes the newest configuration. The caller holds bed.mu.
+func (bed *testbed) putConfig() {
+	if _, err := bed.store.Put(context.Background(), "op/config", bed.config); err != nil {
 		bed.t.Errorf("publish configuration %d: %v", bed.version, err)
 	}
-	bed.published = time.Now()
 }
 
 // probePath returns the path of a route that exists only in one version.
