Log when a request was first offered and how long a stop has lasted

A request that is lost in a planned stop was either sent to an endpoint late, cut without a response, or cut before its response was written. The log told neither when a request was first sent to an endpoint nor its time within the stop, so these could not be told apart. 'request ended' now has offered_ms and, during a stop, stopping_ms; 'callers' connections closed' counts the requests and the arriving ones that the end of a stop closes.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -341,6 +341,8 @@
 	pause.Sleep(ctx, unreadyPeriod)
 	d.handler.RefuseNew()
 	err := d.awaitRequests(ctx)
+	d.log.Info().Int64("active", d.handler.ActiveRequests()).Int("pending", d.pendingConns.count(time.Now())).
+		Dur("after_ms", time.Since(stopBegin)).Msg("callers' connections closed")
 	d.callersServer.Close()
 	returning, cancelReturn := context.WithTimeout(context.Background(), tokenReturnTimeout)
 	defer cancelReturn()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -93,6 +93,9 @@
 			return x.callerError(problem.New(problem.NoEndpoint, "no endpoint of service %q is available", x.service).
 				WithRetryAfter(spreadRetryAfter(choice.RetryAfter)))
 		}
+		if len(x.sentTo) == 0 {
+			x.offered = time.Since(x.start)
+		}
 		x.sentTo, x.tried[choice.ID] = append(x.sentTo, choice.ID), true
 		failed := x.tryEndpoint(ctx, choice)
 		if failed == nil {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -77,6 +77,8 @@
 	tried  map[string]bool
 	// runs is the number of attempts in which the request may have run.
 	runs int
+	// offered is the time from start to the first attempt; 0 if there was none.
+	offered time.Duration
 	// committed is true once the response's header was sent to the caller.
 	committed bool
 	status    int
@@ -333,10 +335,13 @@
 	if x.table != nil {
 		entry.Int64("config_version", x.table.Version).Dur("config_age_ms", x.tableAge)
 	}
+	if begun := x.handler.stopBegun.Load(); begun != nil {
+		entry.Dur("stopping_ms", time.Since(*begun))
+	}
 	entry.Str("request", x.meta.ID).Str("route", route).Str("service", x.service).Str("account", account).
 		Strs("endpoints", x.sentTo).Int("status", x.status).Str("ran", string(x.ran)).
 		Int64("reserved", x.reserved).Int64("billed", x.billed).Int64("events", x.events).
-		Dur("first_byte_ms", x.firstByte).Dur("longest_gap_ms", x.longestGap).
+		Dur("offered_ms", x.offered).Dur("first_byte_ms", x.firstByte).Dur("longest_gap_ms", x.longestGap).
 		Dur("elapsed_ms", elapsed).Dur("limit_ms", x.deadline.Sub(x.start)).
 		Msg("request ended")
 	tags := map[string]string{"service": x.service, "ran": string(x.ran), "status": statusClass(x.status)}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -179,7 +179,9 @@
 	sender *sender
 	// closing adds "Connection: close" to responses; refusing rejects new requests.
 	closing, refusing atomic.Bool
-	active            atomic.Int64
+	// stopBegun is the beginning of the shutdown; nil before it.
+	stopBegun atomic.Pointer[time.Time]
+	active    atomic.Int64
 	// checks are the running checks of endpoints that may have crashed.
 	checks sync.WaitGroup
 }
@@ -192,8 +194,12 @@
 	return &Handler{Options: opts, sender: newSender(opts.Scope)}
 }
 
-// DisableKeepAlives adds "Connection: close" to all further responses.
-func (h *Handler) DisableKeepAlives() { h.closing.Store(true) }
+// DisableKeepAlives begins the shutdown: it adds "Connection: close" to all further responses.
+func (h *Handler) DisableKeepAlives() {
+	now := time.Now()
+	h.stopBegun.CompareAndSwap(nil, &now)
+	h.closing.Store(true)
+}
 
 // RefuseNew rejects new requests as not run.
 func (h *Handler) RefuseNew() { h.refusing.Store(true) }
