Refuse requests that a stopping daemon has not sent to an endpoint yet

Callers saw requests that were sent to an endpoint late in a planned stop and cut at the end of the grace period, without an answer and also where they may not be repeated.

Cause: whether the daemon takes requests was checked once, when the header had been decoded. A request that then waited for its body or for tokens, or that an endpoint refused, was sent to an endpoint however late, with too little of the grace period left.

The check is now made before each attempt of a request that has not run anywhere, and the cut-off ends the wait for tokens. Such a request is refused with 503, Retry-After and Connection: close, which is true since it has run nowhere, and another daemon serves it. A request that may have run, or a stream that has begun, is still moved to another endpoint.

Evidence: on the code before, TestStopRefusesARequestWhoseBodyArrivesLate and TestStopMakesNoFurtherAttemptOfARequestThatHasNotRun failed with status 200 and a request at the endpoint, and TestStopRefusesARequestThatWaitsForTokens with a refusal after 3 s that lacked Connection: close.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -88,6 +88,9 @@
 	x.tried = make(map[string]bool)
 	x.handler.RetryBudget.Offered(x.service)
 	for {
+		if err := x.handler.stopped(); err != nil && x.ran == upstream.RanNo {
+			return err
+		}
 		choice, ok := x.handler.Pools.Choose(x.service, x.balanceRequest())
 		if !ok {
 			return x.callerError(problem.New(problem.NoEndpoint, "no endpoint of service %q is available", x.service).
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -167,9 +167,8 @@
 	if x.meta, err = x.handler.Codec.DecodeRequest(x.r.Header); err != nil {
 		return problem.New(problem.InvalidRequest, "%v", err)
 	}
-	if x.handler.refusing.Load() {
-		return problem.New(problem.ShuttingDown, "the daemon is shutting down; retry at another one").
-			WithRetryAfter(retryAfterStopping)
+	if err := x.handler.stopped(); err != nil {
+		return err
 	}
 	if x.table, x.tableAge = x.handler.Table(); x.table == nil {
 		return problem.New(problem.NoEndpoint, "the daemon has no configuration yet").WithRetryAfter(retryAfterUnconfigured)
@@ -246,8 +245,13 @@
 		return nil
 	}
 	tokens := x.meta.PromptTokens + x.meta.MaxOutput
+	ctx, release := cancelWhen(ctx, x.handler.shutdown.refusing)
+	defer release()
 	reservation, err := x.handler.Budgets.Reserve(ctx, x.account, tokens, x.table.MostUrgent(x.route))
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errStopping) {
+			return x.handler.stopped()
+		}
 		if ctx.Err() != nil {
 			return problem.New(problem.BudgetUnavailable, "no tokens could be reserved before the deadline").WithCause(err)
 		}
@@ -304,6 +308,9 @@
 	}
 	h := x.w.Header()
 	h.Set("Content-Type", problem.ContentType)
+	if x.handler.closing.Load() {
+		h.Set("Connection", "close")
+	}
 	x.handler.Codec.SetRequestID(h, x.meta.ID)
 	if p.RetryAfter > 0 {
 		name, value := x.handler.Codec.RetryAfter(p.RetryAfter)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -177,8 +177,9 @@
 type Handler struct {
 	Options
 	sender *sender
-	// closing adds "Connection: close" to responses; refusing rejects new requests.
-	closing, refusing atomic.Bool
+	// closing adds "Connection: close" to responses.
+	closing  atomic.Bool
+	shutdown shutdown
 	// stopBegun is the beginning of the shutdown; nil before it.
 	stopBegun atomic.Pointer[time.Time]
 	active    atomic.Int64
@@ -191,7 +192,7 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
-	return &Handler{Options: opts, sender: newSender(opts.Scope)}
+	return &Handler{Options: opts, sender: newSender(opts.Scope), shutdown: newShutdown()}
 }
 
 // DisableKeepAlives begins the shutdown: it adds "Connection: close" to all further responses.
@@ -201,9 +202,6 @@
 	h.closing.Store(true)
 }
 
-// RefuseNew rejects new requests as not run.
-func (h *Handler) RefuseNew() { h.refusing.Store(true) }
-
 // ActiveRequests returns the number of requests in progress.
 func (h *Handler) ActiveRequests() int64 { return h.active.Load() }
 
