Count the cut-off of a planned stop from the signal instead of its handling

Callers are told that requests sent up to 3 s after SIGTERM are served; a later one that is passed on and cut at the end of the grace period is lost.

Cause: a stopping daemon took requests until 3 s after it had handled the signal, so each one sent in the time that the handling was late could be passed on. A daemon short of CPU handles a signal late.

The schedule is now a function of the time of handling and of the earliest time at which the signal may have been sent, the last tick but one of the housekeeping: a signal from before it would have been handled. Requests are taken until 2.7 s after that time, at most half of the grace period; the end is counted from it as well, so that it stays before SIGKILL, but requests are never cut before the last sixth of the grace period.

Evidence: with the former rule in newStopPlan TestLateSignalDoesNotMoveTheCutOff failed for each lag (10 ms: refused after 3.01 s).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,18 +34,11 @@
 const (
 	// tickInterval is the interval of housekeeping.
 	tickInterval = 200 * time.Millisecond
-	// unreadyPeriod is the time between the end of readiness and the refusal of
-	// new requests: the load balancer probes every second and takes a daemon out
-	// after two failures.
-	unreadyPeriod = 3 * time.Second
 	// stopPollInterval is the interval at which a shutdown checks for active
 	// requests.
 	stopPollInterval = 50 * time.Millisecond
 	// tokenReturnTimeout bounds the return of tokens to the store at shutdown.
 	tokenReturnTimeout = 500 * time.Millisecond
-	// exitMargin is the part of the grace period reserved for the steps after
-	// the last request.
-	exitMargin = 700 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections. They are longer
 	// than the limits in the configuration, which callers are expected to keep.
 	headerTimeout = 10 * time.Second
@@ -113,6 +106,7 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	stopping atomic.Bool
+	ticks    tickTimes
 	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
 	grace atomic.Int64
 	// maxOutdated is the time for which a configuration that is known to be out of date
@@ -281,6 +275,7 @@
 		case <-d.ctx.Done():
 			return
 		case now := <-ticker.C:
+			d.ticks.record(time.Now())
 			d.endpoints.tick(now)
 			d.crashIsolator.tick(now)
 			d.budgets.Tick(now)
@@ -334,11 +329,13 @@
 	stopBegin := time.Now()
 	d.stopping.Store(true)
 	d.handler.DisableKeepAlives()
-	d.log.Info().Int64("open", d.handler.ActiveRequests()).Msg("daemon stopping")
-	deadline := stopBegin.Add(time.Duration(d.grace.Load()) - exitMargin)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	notBefore := d.ticks.signalNotBefore(stopBegin)
+	plan := newStopPlan(notBefore, stopBegin, time.Duration(d.grace.Load()))
+	d.log.Info().Int64("open", d.handler.ActiveRequests()).Dur("signal_age_at_most_ms", stopBegin.Sub(notBefore)).
+		Dur("refuse_in_ms", plan.refuseAt.Sub(stopBegin)).Dur("end_in_ms", plan.endAt.Sub(stopBegin)).Msg("daemon stopping")
+	ctx, cancel := context.WithDeadline(ctx, plan.endAt)
 	defer cancel()
-	pause.Sleep(ctx, unreadyPeriod)
+	pause.Sleep(ctx, time.Until(plan.refuseAt))
 	d.handler.RefuseNew()
 	err := d.awaitRequests(ctx)
 	d.log.Info().Int64("active", d.handler.ActiveRequests()).Int("pending", d.pendingConns.count(time.Now())).
