Answer the requests that the end of a planned stop cuts

Callers saw their connection closed without an answer at the end of the grace period, also where nothing had run and where no response had begun.

Cause: the end of a stop closed all connections, whatever their requests were waiting for. The server then treats the caller as disconnected, so that no error response is written.

The end now cancels the requests in progress, with an own cause, and interrupts the reading of bodies. A request whose response has not begun gets 502 if it may have run, else 503; connections are closed once these are sent, after at most 0.2 s, which is part of the margin before SIGKILL. A stream that has begun is cut as before.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,7 +22,6 @@
 	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
 	"github.com/azurehatch/azurehatch/internal/mesh"
 	"github.com/azurehatch/azurehatch/internal/metrics"
-	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/relay"
 	"github.com/azurehatch/azurehatch/internal/retry"
@@ -34,11 +33,6 @@
 const (
 	// tickInterval is the interval of housekeeping.
 	tickInterval = 200 * time.Millisecond
-	// stopPollInterval is the interval at which a shutdown checks for active
-	// requests.
-	stopPollInterval = 50 * time.Millisecond
-	// tokenReturnTimeout bounds the return of tokens to the store at shutdown.
-	tokenReturnTimeout = 500 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections. They are longer
 	// than the limits in the configuration, which callers are expected to keep.
 	headerTimeout = 10 * time.Second
@@ -322,50 +316,6 @@
 	return retry.WindowOptions{Ratio: b.RetryRatio, Slack: b.RetrySlack, Span: b.RetryWindow.Duration, UsableShare: retryMargin}
 }
 
-// Stop shuts the daemon down gracefully: it ends readiness, serves requests until
-// the load balancer has noticed, then refuses new ones and waits for the active
-// ones.
-func (d *Daemon) Stop(ctx context.Context) error {
-	stopBegin := time.Now()
-	d.stopping.Store(true)
-	d.handler.DisableKeepAlives()
-	notBefore := d.ticks.signalNotBefore(stopBegin)
-	plan := newStopPlan(notBefore, stopBegin, time.Duration(d.grace.Load()))
-	d.log.Info().Int64("open", d.handler.ActiveRequests()).Dur("signal_age_at_most_ms", stopBegin.Sub(notBefore)).
-		Dur("refuse_in_ms", plan.refuseAt.Sub(stopBegin)).Dur("end_in_ms", plan.endAt.Sub(stopBegin)).Msg("daemon stopping")
-	ctx, cancel := context.WithDeadline(ctx, plan.endAt)
-	defer cancel()
-	pause.Sleep(ctx, time.Until(plan.refuseAt))
-	d.handler.RefuseNew()
-	err := d.awaitRequests(ctx)
-	d.log.Info().Int64("active", d.handler.ActiveRequests()).Int("pending", d.pendingConns.count(time.Now())).
-		Dur("after_ms", time.Since(stopBegin)).Msg("callers' connections closed")
-	d.callersServer.Close()
-	returning, cancelReturn := context.WithTimeout(context.Background(), tokenReturnTimeout)
-	defer cancelReturn()
-	d.budgets.Close(returning)
-	d.close()
-	d.log.Info().Dur("took_ms", time.Since(stopBegin)).Msg("daemon stopped")
-	return errors.Wrap(err, "graceful stop")
-}
-
-// awaitRequests waits until no request is active or pending. The listener stays
-// open meanwhile, so that late callers get a response instead of a refused
-// connection.
-func (d *Daemon) awaitRequests(ctx context.Context) error {
-	for d.handler.ActiveRequests() > 0 || d.pendingConns.count(time.Now()) > 0 {
-		if pause.Sleep(ctx, stopPollInterval) {
-			continue
-		}
-		if open := d.handler.ActiveRequests(); open > 0 {
-			d.log.Warn().Int64("open", open).Msg("requests still active at the end of the grace period")
-			return ctx.Err()
-		}
-		return nil
-	}
-	return nil
-}
-
 // Close ends the daemon immediately, without returning tokens to the store.
 func (d *Daemon) Close() {
 	d.stopping.Store(true)
--- /dev/null
+++ b/internal/front/stop.go
@@ -0,0 +1,123 @@
+package front
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/pause"
+)
+
+const (
+	// takingPeriod is the time from a stop's signal for which new requests are served. The
+	// load balancer probes every second and takes a daemon out after two failures. Callers
+	// are told that requests sent in the first 3 s are served.
+	takingPeriod = 2700 * time.Millisecond
+	// exitMargin is the part of the grace period reserved for the steps after the last
+	// request.
+	exitMargin = 700 * time.Millisecond
+	// finalPart is the part of the grace period, its last sixth, in which requests may be
+	// cut.
+	finalPart = 6
+	// stopPollInterval is the interval at which a shutdown checks for active
+	// requests.
+	stopPollInterval = 50 * time.Millisecond
+	// tokenReturnTimeout bounds the return of tokens to the store at shutdown.
+	tokenReturnTimeout = 500 * time.Millisecond
+	// errorResponseTimeout bounds the sending of the error responses at the end of the
+	// grace period.
+	errorResponseTimeout = 200 * time.Millisecond
+)
+
+// tickTimes are the times of the last two ticks of the housekeeping. A signal that had been
+// waiting before the older one would have been handled by now.
+type tickTimes struct{ last, previous atomic.Pointer[time.Time] }
+
+func (t *tickTimes) record(now time.Time) { t.previous.Store(t.last.Swap(&now)) }
+
+// signalNotBefore returns the earliest time at which a signal that is handled now may have
+// been sent.
+func (t *tickTimes) signalNotBefore(now time.Time) time.Time {
+	if previous := t.previous.Load(); previous != nil {
+		return *previous
+	}
+	return now
+}
+
+// stopPlan is the schedule of a planned stop.
+type stopPlan struct {
+	// refuseAt is when requests that were not sent to an endpoint are refused, endAt when
+	// those in progress are ended.
+	refuseAt, endAt time.Time
+}
+
+// newStopPlan returns the schedule of a stop whose signal was sent between notBefore and
+// handled. A daemon short of CPU handles it late, which must not move the cut-off; the
+// requests in progress must not be cut before the last part of the grace period.
+func newStopPlan(notBefore, handled time.Time, grace time.Duration) stopPlan {
+	endAt := notBefore.Add(grace - exitMargin)
+	if earliest := handled.Add(grace - grace/finalPart); endAt.Before(earliest) {
+		endAt = earliest
+	}
+	return stopPlan{refuseAt: notBefore.Add(min(takingPeriod, grace/2)), endAt: endAt}
+}
+
+// Stop shuts the daemon down gracefully: it ends readiness, serves requests until
+// the load balancer has noticed, then refuses new ones and waits for the active
+// ones.
+func (d *Daemon) Stop(ctx context.Context) error {
+	stopBegin := time.Now()
+	d.stopping.Store(true)
+	d.handler.DisableKeepAlives()
+	notBefore := d.ticks.signalNotBefore(stopBegin)
+	plan := newStopPlan(notBefore, stopBegin, time.Duration(d.grace.Load()))
+	d.log.Info().Int64("open", d.handler.ActiveRequests()).Dur("signal_age_at_most_ms", stopBegin.Sub(notBefore)).
+		Dur("refuse_in_ms", plan.refuseAt.Sub(stopBegin)).Dur("end_in_ms", plan.endAt.Sub(stopBegin)).Msg("daemon stopping")
+	ctx, cancel := context.WithDeadline(ctx, plan.endAt)
+	defer cancel()
+	pause.Sleep(ctx, time.Until(plan.refuseAt))
+	d.handler.RefuseNew()
+	err := d.awaitRequests(ctx)
+	if err != nil {
+		d.log.Warn().Err(err).Msg("requests ended at the end of the grace period")
+		d.endRequests()
+	}
+	d.log.Info().Int64("active", d.handler.ActiveRequests()).Int("pending", d.pendingConns.count(time.Now())).
+		Dur("after_ms", time.Since(stopBegin)).Msg("callers' connections closed")
+	d.callersServer.Close()
+	returning, cancelReturn := context.WithTimeout(context.Background(), tokenReturnTimeout)
+	defer cancelReturn()
+	d.budgets.Close(returning)
+	d.close()
+	d.log.Info().Dur("took_ms", time.Since(stopBegin)).Msg("daemon stopped")
+	return errors.Wrap(err, "graceful stop")
+}
+
+// awaitRequests waits until no request is active or pending. The listener stays
+// open meanwhile, so that late callers get a response instead of a refused
+// connection.
+func (d *Daemon) awaitRequests(ctx context.Context) error {
+	for d.handler.ActiveRequests() > 0 || d.pendingConns.count(time.Now()) > 0 {
+		if pause.Sleep(ctx, stopPollInterval) {
+			continue
+		}
+		if open := d.handler.ActiveRequests(); open > 0 {
+			return errors.Errorf("%d requests are still active", open)
+		}
+		return nil
+	}
+	return nil
+}
+
+// endRequests ends the requests in progress and waits until the error responses have been
+// sent.
+func (d *Daemon) endRequests() {
+	d.handler.EndRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), errorResponseTimeout)
+	defer cancel()
+	if err := d.awaitRequests(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("requests without a complete response at the end of the grace period")
+	}
+}
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -5,10 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/azurehatch/azurehatch/internal/settings"
+	"github.com/azurehatch/azurehatch/internal/unit"
 )
 
 // Guards against a shutdown that aborts requests, leaves the daemon ready, or
@@ -119,6 +124,31 @@
 	f.start(0, false)
 }
 
+// Guards against a connection that is closed without a response at the end of the grace
+// period, while an endpoint works on its request.
+func TestEndOfStopAnswersARequestInProgress(t *testing.T) {
+	f := newFleet(t, 100*(promptTokens+outputTokens))
+	release := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	t.Cleanup(silent.Close)
+	t.Cleanup(func() { close(release) })
+	f.put("servers/i-2", map[string]any{
+		"service": "desk", "address": strings.TrimPrefix(silent.URL, "http://"), "zone": "z0", "slots": 6, "state": "ready",
+	})
+	d := f.daemons[0]
+	d.setBounds(settings.Bounds{Grace: unit.Seconds(4), Configuration: unit.Seconds(3)})
+	done := make(chan error, 1)
+	go func() { done <- d.Stop(t.Context()) }()
+	time.Sleep(time.Second) // the route's timeout of 3 s ends after the grace period
+	if status := f.send(0, "/order/x", false); status != http.StatusBadGateway {
+		t.Errorf("status %d, want 502", status)
+	}
+	if err := <-done; err == nil {
+		t.Error("the stop reports no error although a request was cut")
+	}
+	f.start(0, false)
+}
+
 // requireLateResponse reads the response to a request that arrived during a shutdown: it is
 // served or refused as not run.
 func requireLateResponse(t *testing.T, r *bufio.Reader) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -106,9 +106,10 @@
 	if x.committed {
 		return true
 	}
-	// The server cancels the context when the body times out, as if the caller had
-	// disconnected.
-	if x.r.Context().Err() != nil && problem.From(err).Kind != problem.RequestTimeout {
+	// The server cancels the context when the reading of the body times out or is
+	// interrupted, as if the caller had disconnected.
+	kind := problem.From(err).Kind
+	if x.r.Context().Err() != nil && kind != problem.RequestTimeout && kind != problem.ShuttingDown {
 		x.status = statusClientClosedRequest
 		return true
 	}
@@ -132,19 +133,23 @@
 	// the endpoint's slot beyond the deadline.
 	x.checkDeadline(conn.SetWriteDeadline(x.deadline.Add(callerGrace)))
 	x.checkDeadline(conn.SetReadDeadline(x.deadline))
-	if err := x.readBody(); err != nil {
+	bodyRead := x.interruptRead(conn)
+	err := x.readBody()
+	bodyRead()
+	if err != nil {
 		return err
 	}
 	// The server reads ahead to notice that the caller disconnects.
 	x.checkDeadline(conn.SetReadDeadline(time.Time{}))
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimeout)
 	defer cancel()
+	ctx, release := cancelWhen(ctx, x.handler.shutdown.ending)
+	defer release()
 	retryAfter, ok := x.handler.CrashIsolator.Begin(x.fingerprint)
 	if !ok {
 		return problem.New(problem.Overloaded, "the request has crashed endpoints and is isolated").WithRetryAfter(retryAfter)
 	}
-	err := x.reserve(ctx)
-	if err == nil {
+	if err = x.reserve(ctx); err == nil {
 		err = x.attempts(ctx)
 		x.settle()
 	}
@@ -222,6 +227,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		// The rest of the body may follow, so the connection cannot be reused.
 		x.w.Header().Set("Connection", "close")
+		if err := x.handler.stopped(); err != nil {
+			return err
+		}
 		return problem.New(problem.RequestTimeout, "only %d bytes of the body arrived in time", len(body)).WithCause(err)
 	case err != nil:
 		return problem.New(problem.InvalidRequest, "the body could not be read").WithCause(err)
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,14 +14,16 @@
 
 // shutdown tells requests how far the daemon's shutdown has come.
 type shutdown struct {
-	// refusing is done once no request is sent to a first endpoint any more.
-	refusing context.Context
-	refuse   context.CancelFunc
+	// refusing is done once no request is sent to a first endpoint any more, ending once
+	// the requests in progress must end.
+	refusing, ending context.Context
+	refuse, end      context.CancelFunc
 }
 
 func newShutdown() shutdown {
 	var s shutdown
 	s.refusing, s.refuse = context.WithCancel(context.Background())
+	s.ending, s.end = context.WithCancel(context.Background())
 	return s
 }
 
@@ -28,6 +31,13 @@
 // run.
 func (h *Handler) RefuseNew() { h.shutdown.refuse() }
 
+// EndRequests ends the requests in progress. Those whose response has not begun get an error
+// response.
+func (h *Handler) EndRequests() {
+	h.shutdown.refuse()
+	h.shutdown.end()
+}
+
 // stopped returns the error of a request that has not run when the daemon refuses requests;
 // nil before that.
 func (h *Handler) stopped() error {
@@ -48,3 +58,18 @@
 		cancel(nil)
 	}
 }
+
+// interruptRead ends the reading of the request's body once the requests in progress must
+// end. The returned function must be called when the body has been read.
+func (x *exchange) interruptRead(conn interface{ SetReadDeadline(time.Time) error }) (done func()) {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(x.handler.shutdown.ending, func() {
+		defer close(ended)
+		x.checkDeadline(conn.SetReadDeadline(time.Now()))
+	})
+	return func() {
+		if !stop() {
+			<-ended
+		}
+	}
+}
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -109,3 +109,35 @@
 		t.Errorf("response %v %q, error %v", resp, body, err)
 	}
 }
+
+// Guards against a connection that the end of a shutdown closes without a response, while a
+// response is possible.
+func TestEndOfStopAnswersRequestsWithoutResponse(t *testing.T) {
+	silent := startEndpoint(t, func(*http.Request, string, net.Conn) bool { time.Sleep(time.Second); return false })
+	for _, tt := range []struct {
+		name, path, rest string
+		status           int
+	}{
+		{"sent to an endpoint", "/order/x", "Content-Length: 1\r\n\r\nx", http.StatusBadGateway},
+		{"body incomplete", "/order/x", "Content-Length: 2\r\n\r\nx", http.StatusServiceUnavailable},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, silent)
+			c := h.sendRaw(t, tt.path, tt.rest)
+			time.Sleep(100 * time.Millisecond) // until the request has begun
+			h.handler.DisableKeepAlives()
+			h.handler.EndRequests()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != tt.status {
+				t.Errorf("status %d, want %d", resp.StatusCode, tt.status)
+			}
+			if !h.awaitIdle(200 * time.Millisecond) {
+				t.Error("the request is still active")
+			}
+		})
+	}
+}
