--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -177,9 +177,12 @@
 type Handler struct {
 	Options
 	sender *sender
-	// closing adds "Connection: close" to responses; refusing rejects new requests.
-	closing, refusing atomic.Bool
-	active            atomic.Int64
+	// closing adds "Connection: close" to responses.
+	closing  atomic.Bool
+	shutdown shutdown
+	// stopBegun is the beginning of the shutdown; nil before it.
+	stopBegun atomic.Pointer[time.Time]
+	active    atomic.Int64
 	// checks are the running checks of endpoints that may have crashed.
 	checks sync.WaitGroup
 }
@@ -189,14 +192,15 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
-	return &Handler{Options: opts, sender: newSender(opts.Scope)}
+	return &Handler{Options: opts, sender: newSender(opts.Scope), shutdown: newShutdown()}
 }
 
-// DisableKeepAlives adds "Connection: close" to all further responses.
-func (h *Handler) DisableKeepAlives() { h.closing.Store(true) }
-
-// RefuseNew rejects new requests as not run.
-func (h *Handler) RefuseNew() { h.refusing.Store(true) }
+// DisableKeepAlives begins the shutdown: it adds "Connection: close" to all further responses.
+func (h *Handler) DisableKeepAlives() {
+	now := time.Now()
+	h.stopBegun.CompareAndSwap(nil, &now)
+	h.closing.Store(true)
+}
 
 // ActiveRequests returns the number of requests in progress.
 func (h *Handler) ActiveRequests() int64 { return h.active.Load() }
