Ask the distributor again before a busy daemon draws for itself

Cause: requests that arrived while a daemon of a wide fleet waited for its distributor were a new shortfall, for which it asked the next in rank, which holds nothing, and then drew from the store itself. A busy daemon did so each time. The owner saw hardly any transfers, took its target from them, and returned 1.9 of 2.1 million tokens to the store 3 s before the store was lost. The busy daemon holds its draws without levelling.

Now a transfer that covers what was asked ends the round, and the next round starts with the distributor again. A source that gives nothing still leads to the store, so a daemon is not held up by one that has none.

TestOwnerHoldsTokensForABusyDaemon failed before: the busy daemon drew 1,087,370 tokens beside a live owner. The daemons of testFleet now know the next in rank as those of a mesh do.

--- /dev/null
+++ b/internal/escrow/budgets/busy_test.go
@@ -0,0 +1,72 @@
+package budgets
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/escrow"
+	"github.com/azurehatch/azurehatch/internal/platform/memstore"
+)
+
+// loadOne has one daemon serve requests of the first account that arrive at a fixed
+// interval, and returns the numbers of those that were reserved and refused.
+func (f *testFleet) loadOne(t *testing.T, number, requests int, tokens int64, interval time.Duration) (served, refused int) {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			r, err := f.managers[number].Reserve(t.Context(), &f.accounts[0], tokens, false)
+			if err == nil {
+				r.Settle(tokens)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				served++
+			} else {
+				refused++
+			}
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	return served, refused
+}
+
+// Guards against an account all of whose requests arrive at one daemon and are refused in a
+// loss of the store: the daemon drew for itself, so the owner returned what it held.
+func TestOwnerHoldsTokensForABusyDaemon(t *testing.T) {
+	const prepaid, tokens, busy = 10_000_000, 1000, 7
+	store := memstore.New(nil)
+	store.SetFaults(memstore.Faults{LatencyMillis: 4})
+	f := newTestFleet(t, store, 12, 3, 1, prepaid)
+	f.latency = 10 * time.Millisecond
+	owner := f.managers[0]
+	start := time.Now()
+	for round := range 4 {
+		if served, refused := f.loadOne(t, busy, 150, tokens, 2*time.Millisecond); refused > 0 {
+			t.Fatalf("round %d: %d of %d requests refused", round, refused, served+refused)
+		}
+		owner.Tick(start.Add(time.Duration(round) * (minRebalanceInterval + time.Millisecond)))
+		owner.wg.Wait()
+	}
+	item, err := store.Get(t.Context(), keyPrefix+f.accounts[0].Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record, err := escrow.ParseRecord(item.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for holder, drawn := range record.Drawn {
+		if holder != owner.Holder {
+			t.Errorf("holder %s drew %d tokens; only the owner %s should draw", holder, drawn, owner.Holder)
+		}
+	}
+	store.SetFaults(memstore.Faults{Outage: true})
+	if served, refused := f.loadOne(t, busy, 500, tokens, 2*time.Millisecond); refused > 0 {
+		t.Errorf("%d of %d requests refused in a loss of the store", refused, served+refused)
+	}
+}
--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -74,7 +74,7 @@
 }
 
 // drawFromSources requests tokens from the peers that are asked before the store. done
-// is true if no reservation waits afterwards, or if the store has no tokens left.
+// is true if they gave some, no reservation waits afterwards or the store has none left.
 func (m *Manager) drawFromSources(a *account) (r drawResult, done bool) {
 	sources := m.Peers.TransferSources(a.name)
 	if len(sources) == 0 {
@@ -82,9 +82,11 @@
 	}
 	result, exhausted := m.requestFromPeers(a, sources, a.shortfall, m.aheadOf(a))
 	switch {
-	case !m.hasWaiters(a):
+	case result == peersTransferred, !m.hasWaiters(a):
+		// Requests that came meanwhile are asked for in the same way: a busy daemon that
+		// drew for them itself would hide its need from the account's owner.
 		return storeDrawn, true
-	case exhausted && result != peersTransferred:
+	case exhausted:
 		return storeExhausted, true
 	}
 	return storeDrawn, false
@@ -267,8 +269,8 @@
 	return a.holding.Ahead(time.Now())
 }
 
-// requestFromPeers asks peers in turn until shortfall, called with m.mu held, returns 0
-// or allPeersTimeout has passed. exhausted reports whether one of them knows that the
+// requestFromPeers asks peers in turn until shortfall, called with m.mu held, returns 0,
+// one has given all that was asked for or allPeersTimeout has passed. exhausted reports whether one of them knows that the
 // store has no tokens left.
 func (m *Manager) requestFromPeers(
 	a *account, peers []string, shortfall func() int64, ahead int64,
@@ -296,6 +298,9 @@
 		if transfer.Tokens > 0 {
 			result = peersTransferred
 		}
+		if transfer.Tokens >= need {
+			return peersTransferred, exhausted
+		}
 	}
 	return result, exhausted
 }
--- a/internal/escrow/budgets/fleet_test.go
+++ b/internal/escrow/budgets/fleet_test.go
@@ -25,6 +25,8 @@
 	ownerPerDomain bool
 	// down holds the numbers of the daemons that do not answer.
 	down []int
+	// latency is the time that a request for tokens takes.
+	latency time.Duration
 }
 
 // fleetMember implements Peers for one daemon of a testFleet.
@@ -59,7 +61,11 @@
 	case p.Distributes(account):
 		return []string{"0"}
 	}
-	return []string{fmt.Sprint(p.distributor())}
+	sources := []string{fmt.Sprint(p.distributor())}
+	if next := p.distributor() + p.fleet.domains; next < p.number {
+		sources = append(sources, fmt.Sprint(next))
+	}
+	return sources
 }
 
 func (p fleetMember) LocalPeersByTokens(account string, n int) []string {
@@ -83,6 +89,7 @@
 		<-ctx.Done()
 		return escrow.Transfer{}, ctx.Err()
 	}
+	time.Sleep(p.fleet.latency)
 	return p.fleet.managers[i].Transfer(ctx, account, tokens, ahead), nil
 }
 
