--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -40,6 +40,15 @@
 	minBackoff   = 100 * time.Millisecond
 	maxBackoff   = 250 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
+	// maxRefusedBackoff applies while the store answers probes and refuses other reads,
+	// as it does above its limit of reads.
+	maxRefusedBackoff = time.Second
+	// While the history is gone again after each list, the wait before the next list
+	// doubles from minRelistBackoff to maxRelistBackoff. It is randomized, since all
+	// daemons notice at the same time.
+	minRelistBackoff   = 200 * time.Millisecond
+	maxRelistBackoff   = 2 * time.Second
+	maxRelistDoublings = 4
 	// In a wide fleet the preferred followers probe at intervals of up to
 	// maxFollowerBackoff that grow with their number: each tells the others of the
 	// store's return.
@@ -117,6 +126,9 @@
 	storeReachable(now time.Time)
 	// storeRegained reports when another daemon could read the store again.
 	storeRegained(at time.Time)
+	// precedes reports whether an item has an older content than another one of the same
+	// key: their revisions don't tell if they belong to different eras of the store.
+	precedes(item, other platform.Item) bool
 }
 
 // fleetView is the part of the mesh that a feed uses.
@@ -177,6 +189,16 @@
 	// contactedAt is when the store last responded, regainedAt when it last
 	// became reachable again.
 	contactedAt, regainedAt time.Time
+	// held are the items of a restored store that are older than what is known of their
+	// keys; departed are the removed items, by key.
+	held     map[string]heldItem
+	departed map[string]departure
+	// stalePeriod is how long held items are not used, 0 for ever.
+	stalePeriod time.Duration
+	// onRestored is called when the store's era has changed. It must not block.
+	onRestored func()
+	// probeAnswered is true if the store answered the last probe.
+	probeAnswered bool
 }
 
 func newFeed(
@@ -185,18 +207,20 @@
 	return &feed{
 		prefix: prefix, source: source, consumer: c, fleet: fleet, onStoreContact: onStoreContact, onRegained: func() {}, log: log,
 		wake: make(chan struct{}, 1), items: make(map[string]platform.Item),
+		held: make(map[string]heldItem), departed: make(map[string]departure), onRestored: func() {},
 	}
 }
 
 // run follows the store until ctx ends.
 func (f *feed) run(ctx context.Context) {
-	listed := false
+	listed, relists := false, 0
 	backoff := minBackoff
 	var failingSince time.Time
 	for ctx.Err() == nil {
 		if listed && failingSince.IsZero() && !f.waitUntilDue(ctx) {
 			continue
 		}
+		polled := listed
 		err := f.readOnce(ctx, &listed, !failingSince.IsZero())
 		now := time.Now()
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
@@ -209,6 +233,12 @@
 			}
 			f.recordContact(now, !failingSince.IsZero() && now.Sub(failingSince) > storeUnreachableAfter)
 			failingSince, backoff = time.Time{}, minBackoff
+			if err != nil {
+				relists++
+				f.waitToList(ctx, relists)
+			} else if polled {
+				relists = 0
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -217,14 +247,26 @@
 		f.failing.Store(true)
 		if failingSince.IsZero() {
 			failingSince = now
-			f.log.Warn().Err(err).Str("prefix", f.prefix).Int64("revision", int64(f.currentRevision())).Msg("store lost")
+			f.log.Warn().Err(err).Str("prefix", f.prefix).Stringer("revision", f.currentRevision()).Msg("store lost")
 		} else if now.Sub(failingSince) > storeUnreachableAfter {
 			f.mu.Lock()
 			f.consumer.storeUnreachable()
 			f.mu.Unlock()
 		}
 		f.waitToProbe(ctx, backoff)
-		backoff = min(2*backoff, maxBackoff)
+		limit := maxBackoff
+		if f.probeAnswered {
+			limit = maxRefusedBackoff
+		}
+		backoff = min(2*backoff, limit)
+	}
+}
+
+// waitToList waits before the list is read again, unless the history was gone for the first
+// time since the last poll that succeeded.
+func (f *feed) waitToList(ctx context.Context, relists int) {
+	if relists > 1 {
+		pause.Sleep(ctx, jitter(min(minRelistBackoff<<min(relists-2, maxRelistDoublings), maxRelistBackoff)))
 	}
 }
 
@@ -287,10 +329,12 @@
 // transfer of a configuration of some hundred KB over a slow link takes longer
 // than probeTimeout.
 func (f *feed) readOnce(ctx context.Context, listed *bool, failing bool) error {
+	f.probeAnswered = false
 	if failing {
 		if err := f.probe(ctx); err != nil {
 			return err
 		}
+		f.probeAnswered = true
 	}
 	wait := f.pollWait()
 	if failing || !f.fleet.FollowsStore() {
@@ -302,7 +346,8 @@
 			return err
 		}
 		*listed = true
-		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Int64("revision", int64(at)).Msg("list read")
+		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Stringer("revision", at).
+			Stringer("former", f.currentRevision()).Msg("list read")
 		if f.currentRevision() > 0 && f.broadcasts() {
 			f.broadcast(f.changesTo(items, at), at)
 		}
@@ -315,7 +360,7 @@
 		return err
 	}
 	f.broadcast(mesh.ChangeList{Events: c.Events}, lastRevision(c.Events))
-	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Int64("revision", int64(c.Revision)).Msg("changes read")
+	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Stringer("revision", c.Revision).Msg("changes read")
 	f.apply(fromPoll, c.Events)
 	if len(c.Events) > 0 && f.fleet.FollowsStore() {
 		pause.Sleep(ctx, f.batchDelayFor())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -81,7 +81,9 @@
 
 	configFeed, endpointFeed *feed
 	// joined is closed once the daemon knows the registered peers.
-	joined        chan struct{}
+	joined chan struct{}
+	// restored signals that the store was restored from an older copy.
+	restored      chan struct{}
 	config        *configuration
 	endpoints     *endpoints
 	pools         *pools
@@ -174,7 +176,9 @@
 	d.endpoints = newEndpoints(d.opts.Wire.DecodeEndpoint, d.pools, d.log)
 	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, d.config, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.budgets.StoreContacted, d.log)
-	d.joined = make(chan struct{})
+	d.endpointFeed.stalePeriod = staleEntryPeriod
+	d.joined, d.restored = make(chan struct{}), make(chan struct{}, 1)
+	d.endpointFeed.onRestored = d.signalRestored
 	d.configFeed.joined, d.endpointFeed.joined = d.joined, d.joined
 	d.configFeed.primary, d.endpointFeed.onRegained = d.endpointFeed, d.configFeed.requestRead
 	d.handler = relay.New(relay.Options{
@@ -198,7 +202,7 @@
 	d.wg.Go(func() { d.configFeed.run(d.ctx) })
 	d.wg.Go(func() { d.endpointFeed.run(d.ctx) })
 	d.wg.Go(d.housekeeping)
-	d.wg.Go(d.register)
+	d.wg.Go(d.stayRegistered)
 	d.callersServer = &http.Server{
 		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
 		ConnState: d.pendingConns.trackState,
@@ -271,6 +275,7 @@
 		case now := <-ticker.C:
 			d.ticks.record(time.Now())
 			d.endpoints.tick(now)
+			d.endpointFeed.admitHeld(now)
 			d.crashIsolator.tick(now)
 			d.budgets.Tick(now)
 			d.pools.setDaemons(d.mesh.Count())
@@ -283,7 +288,7 @@
 			if outdated := d.outdated(); outdated != wasOutdated {
 				wasOutdated = outdated
 				d.log.Warn().Bool("outdated", outdated).Dur("behind_ms", d.configFeed.outdatedFor(now)).
-					Int64("revision", int64(d.configFeed.currentRevision())).
+					Stringer("revision", d.configFeed.currentRevision()).
 					Msg("use of the configuration changed: a peer has a newer one")
 			}
 			if ready := d.Ready(); ready != wasReady {
