Begin a new era with the newest budget records of the fleet

Callers of a tenant were served beyond its prepaid budget (BUDGET) after the store had come back from a copy some seconds old. The account's record went back with the copy, so what had been drawn since was offered and drawn again, while the daemons that had drawn it ignored all revisions below those they knew and wrote nothing until the store's numbers had passed them.

Each era of the store has record keys of its own now. The first record of an era is the newest one that any daemon knows of the former eras: writes form a chain, and the writer of the last one knows it. A daemon asks all others, which do not count answers to earlier writes once they have replied, and creates the record on condition that there is none. Until then requests are served from the holdings. A write that was sent in a former era changes only that era's key, so a number that is given out again can't make it match. Where a holder does not answer for 4 s, its part of the holdings and 15 s of its spend count as drawn.

--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/platform"
@@ -124,7 +125,15 @@
 			time.Sleep(pendingWritePause)
 			continue
 		}
-		if !m.beginStoreCall() {
+		if !m.recordKnown(a) && !time.Now().Before(m.storeRetryAt) {
+			a.wanted = true
+			m.startReconcile()
+			m.mu.Unlock()
+			pauses++
+			time.Sleep(pendingWritePause)
+			continue
+		}
+		if !m.recordKnown(a) || !m.beginStoreCall() {
 			m.mu.Unlock()
 			return storeUnreachable
 		}
@@ -173,22 +182,26 @@
 // tokens, and reports whether the record now leaves the needed tokens.
 func (m *Manager) refreshRecord(a *account, need int64, urgent bool) bool {
 	m.mu.Lock()
-	skip := need <= 0 || !a.holding.MayRefresh(time.Now())
+	skip, era := need <= 0 || !a.holding.MayRefresh(time.Now()), m.era
 	m.mu.Unlock()
 	if skip {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, storeTimeout)
 	defer cancel()
-	item, err := m.Store.Get(ctx, keyPrefix+a.name)
+	item, err := m.Store.Get(ctx, recordKey(era, a.name))
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if errors.Is(err, platform.ErrNotFound) {
+		m.eraStale = true
+		return false
+	}
 	if err != nil {
 		m.markStoreUnreachable()
 		m.Log.Warn().Err(err).Str("account", a.name).Msg("budget record not read")
 		return false
 	}
-	m.adoptRecord(a, item)
+	m.adoptRecord(a, era, item)
 	if a.holding.Drawable(urgent) >= need {
 		return true
 	}
@@ -210,7 +223,11 @@
 	defer m.mu.Unlock()
 	if conflict, ok := platform.AsConflict(err); ok {
 		m.storeSuspect = false
-		m.adoptRecord(a, conflict.Actual)
+		m.adoptRecord(a, w.Era, conflict.Actual)
+		return false, storeUnreachable
+	}
+	if err == nil && item.Revision.Era() != w.Era {
+		m.discardWrite(a, w, item.Revision)
 		return false, storeUnreachable
 	}
 	return true, m.recordOutcome(a, w, item.Revision, err, purpose)
@@ -219,19 +236,37 @@
 // encodeWrite converts a write of the account's record to the platform's form.
 func (a *account) encodeWrite(w escrow.Write) (platform.Write, error) {
 	value, err := w.Record.Encode()
-	return platform.Write{Key: keyPrefix + a.name, Value: value, Expected: platform.Revision(w.Expected)}, err
+	return platform.Write{Key: recordKey(w.Era, a.name), Value: value, Expected: platform.Revision(w.Expected)}, err
+}
+
+// discardWrite records that a write took effect in a newer era than it was meant for, where
+// no daemon uses the record of the former one. The caller holds m.mu.
+func (m *Manager) discardWrite(a *account, w escrow.Write, revision platform.Revision) {
+	a.holding.Unknown()
+	m.observeEra(revision.Era())
+	m.Log.Warn().Str("account", a.name).Int64("era", w.Era).Stringer("revision", revision).
+		Msg("budget record written in a newer era, not counted")
 }
 
-// adoptRecord takes over the actual record after a read or a conflict. The caller holds
-// m.mu.
-func (m *Manager) adoptRecord(a *account, actual platform.Item) {
+// adoptRecord takes over the actual record of an era after a read or a conflict. The caller
+// holds m.mu.
+func (m *Manager) adoptRecord(a *account, era int64, actual platform.Item) {
+	m.observeEra(actual.Revision.Era())
+	if actual.Revision == 0 {
+		m.eraStale = true
+	}
+	if m.eraStale || era != m.era || actual.Revision.Era() != era {
+		a.holding.Failed()
+		return
+	}
 	record, err := escrow.ParseRecord(actual.Value)
 	if err != nil {
-		m.Log.Error().Err(err).Str("account", a.name).Int64("revision", int64(actual.Revision)).Msg("budget record not readable")
+		m.Log.Error().Err(err).Str("account", a.name).Stringer("revision", actual.Revision).Msg("budget record not readable")
 		a.holding.Failed()
 		return
 	}
 	a.holding.Conflict(record, int64(actual.Revision))
+	m.logDebt(a)
 	m.serveWaiters(a)
 }
 
--- a/internal/escrow/budgets/manager.go
+++ b/internal/escrow/budgets/manager.go
@@ -71,8 +71,12 @@
 	maxRebalanceAttempts       = 3
 )
 
-// keyPrefix is the prefix of the accounts' records in the store.
-const keyPrefix = "azurehatch/budget/"
+// Store holds the accounts' records.
+type Store interface {
+	platform.Records
+	// Range returns the items whose keys have the prefix, and the store's revision.
+	Range(ctx context.Context, prefix string) ([]platform.Item, platform.Revision, error)
+}
 
 // Peers provides access to the other daemons.
 type Peers interface {
@@ -100,13 +104,17 @@
 	// RequestTokens requests tokens from a peer, and ahead further ones if the peer
 	// has plenty. A retry with the same id returns the result of the first request.
 	RequestTokens(ctx context.Context, peer, id, account string, tokens, ahead int64) (escrow.Transfer, error)
+	// Members returns all daemons that are known, except this one.
+	Members() []Member
+	// BudgetRecords returns what a peer's Records returns.
+	BudgetRecords(ctx context.Context, peer string) ([]platform.Item, platform.Revision, error)
 }
 
 // Options configure a Manager.
 type Options struct {
 	// Holder is the holder id of this incarnation of the daemon.
 	Holder string
-	Store  platform.Records
+	Store  Store
 	Peers  Peers
 	Log    zerolog.Logger
 	Scope  tally.Scope
@@ -121,6 +129,13 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	// era is the store's era since eraSince; formerEra is true if this daemon has known
+	// another one. eraStale is true if a record is missing, which only a newer era explains.
+	era                 int64
+	eraSince            time.Time
+	formerEra, eraStale bool
+	// reconciling is true while the accounts are reconciled with a new era.
+	reconciling bool
 	// storeRetryAt is when the store may be called again after a failed call.
 	storeRetryAt time.Time
 	// storeSuspect is true from a failed call until one succeeds. storeProbing is
@@ -149,11 +164,14 @@
 	// transferDrawing is true while a goroutine draws tokens for them.
 	transferRequests []*transferRequest
 	transferDrawing  bool
+	// wanted is true if tokens were to be drawn or returned while the record of the
+	// current era was not known.
+	wanted bool
 }
 
 // New returns a Manager without holdings.
 func New(o Options) *Manager {
-	m := &Manager{Options: o, accounts: make(map[string]*account)}
+	m := &Manager{Options: o, accounts: make(map[string]*account), era: unknownEra}
 	if m.Scope == nil {
 		m.Scope = tally.NoopScope
 	}
@@ -179,6 +197,7 @@
 	a, ok := m.accounts[name]
 	if !ok {
 		a = &account{name: name, holding: escrow.NewHolding(time.Now(), m.Holder)}
+		a.holding.EnterEra(m.era)
 		m.accounts[name] = a
 	}
 	return a
@@ -259,6 +278,9 @@
 	}
 	m.mu.Unlock()
 	sort.Strings(names)
+	if m.reconcileBeforeReturn() {
+		m.reconcile(ctx)
+	}
 	var wg sync.WaitGroup
 	for _, name := range names {
 		wg.Go(func() { m.returnTokens(ctx, m.accounts[name]) })
@@ -268,6 +290,19 @@
 	m.wg.Wait()
 }
 
+// reconcileBeforeReturn reports whether tokens can be returned only after a reconciliation.
+func (m *Manager) reconcileBeforeReturn() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.reconciling || m.era == unknownEra {
+		return false
+	}
+	for _, a := range m.accounts {
+		a.wanted = a.wanted || a.holding.Available() > 0
+	}
+	return m.needsReconcile()
+}
+
 // returnTokens returns an account's tokens, after the end of any write of its record
 // that is in flight.
 func (m *Manager) returnTokens(ctx context.Context, a *account) {
--- a/internal/escrow/budgets/rebalance.go
+++ b/internal/escrow/budgets/rebalance.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strings"
+	"slices"
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/escrow"
@@ -20,6 +20,10 @@
 	if m.closed || m.rebalancing || now.Before(m.storeRetryAt) {
 		return
 	}
+	if m.needsReconcile() {
+		m.startReconcile()
+		return
+	}
 	all := now.Sub(m.rebalancedAt) >= m.rebalanceInterval
 	owned := m.Peers.Wide() && now.Sub(m.ownedRebalancedAt) >= minRebalanceInterval
 	if !all && !owned {
@@ -59,7 +63,7 @@
 	}()
 	for range maxRebalanceAttempts {
 		writes := m.rebalanceWrites(ownedOnly)
-		if len(writes) == 0 || m.writeAll(writes) {
+		if len(writes) == 0 || m.writeAll(writes, "level") {
 			return
 		}
 	}
@@ -79,6 +83,9 @@
 		if len(writes) == platform.MaxSwapKeys {
 			break
 		}
+		if !m.recordKnown(a) {
+			continue
+		}
 		if !owns && (ownedOnly || a.holding.BelowTarget(now)) {
 			continue
 		}
@@ -89,9 +96,9 @@
 	return writes
 }
 
-// writeAll writes several accounts' records atomically. It returns false after a
+// writeAll writes several accounts' records of one era atomically. It returns false after a
 // conflict.
-func (m *Manager) writeAll(wanted []accountWrite) bool {
+func (m *Manager) writeAll(wanted []accountWrite, purpose string) bool {
 	writes, err := encodeAll(wanted)
 	if err != nil {
 		m.mu.Lock()
@@ -113,10 +120,15 @@
 			w.account.holding.Failed()
 		}
 		m.adoptConflicts(conflicts.Actual)
+		m.eraStale = m.eraStale || lacksRecord(writes, conflicts.Actual)
 		return false
 	}
 	for _, w := range wanted {
-		m.recordOutcome(w.account, w.write, revision, err, "level")
+		if err == nil && revision.Era() != w.write.Era {
+			m.discardWrite(w.account, w.write, revision)
+			continue
+		}
+		m.recordOutcome(w.account, w.write, revision, err, purpose)
 	}
 	return true
 }
@@ -133,11 +145,23 @@
 	return writes, nil
 }
 
+// lacksRecord reports whether a record that a write expected to change does not exist.
+func lacksRecord(writes []platform.Write, actual []platform.Item) bool {
+	for _, w := range writes {
+		exists := func(i platform.Item) bool { return i.Key == w.Key && i.Revision != 0 }
+		if w.Expected != 0 && !slices.ContainsFunc(actual, exists) {
+			return true
+		}
+	}
+	return false
+}
+
 // adoptConflicts takes over the actual records after a conflict. The caller holds m.mu.
 func (m *Manager) adoptConflicts(actual []platform.Item) {
 	for _, item := range actual {
-		if a, ok := m.accounts[strings.TrimPrefix(item.Key, keyPrefix)]; ok {
-			m.adoptRecord(a, item)
+		era, name, ok := parseRecordKey(item.Key)
+		if a := m.accounts[name]; ok && a != nil {
+			m.adoptRecord(a, era, item)
 		}
 	}
 }
@@ -152,7 +176,7 @@
 		m.storeSuspect = false
 		a.holding.Written(w, int64(revision))
 		m.Scope.Counter("budget_writes").Inc(1)
-		m.Log.Info().Str("account", a.name).Str("write", purpose).Int64("revision", int64(revision)).
+		m.Log.Info().Str("account", a.name).Str("write", purpose).Stringer("revision", revision).
 			Int64("available", a.holding.Available()).Int64("reserved", a.holding.Reserved()).
 			Int64("undrawn", a.holding.Undrawn()).Msg("budget record written")
 		m.serveWaiters(a)
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -82,6 +82,11 @@
 	// keepUrgent is true if urgentFraction of the budget is kept for urgent requests.
 	keepUrgent bool
 
+	// era counts the restarts of the store from an older copy. reconciled is true if
+	// record is the account's record in this era, see EnterEra.
+	era        int64
+	reconciled bool
+
 	// record is the newest known state of the store's record, at revision.
 	record   Record
 	revision int64
@@ -110,7 +115,7 @@
 // NewHolding returns an empty holding for the holder id, which must be unique to
 // this incarnation of the daemon (see HolderID).
 func NewHolding(now time.Time, holder string) *Holding {
-	return &Holding{holder: holder, holderCount: 1, createdAt: now}
+	return &Holding{holder: holder, holderCount: 1, createdAt: now, reconciled: true}
 }
 
 // SetHolders sets the number of daemons that draw on the budget.
@@ -137,6 +142,9 @@
 	return h.drawn + h.received - h.sent - h.spent - h.reserved - h.returning
 }
 
+// Prepaid returns the account's budget.
+func (h *Holding) Prepaid() int64 { return h.prepaid }
+
 // Reserved returns the number of tokens set aside for open requests.
 func (h *Holding) Reserved() int64 { return h.reserved }
 
@@ -226,100 +234,63 @@
 	return float64(h.Available()) < lowWatermark*float64(h.Target(now)) && h.Drawable(false) > 0
 }
 
-// Transfer is the reply to a peer's request for tokens.
-type Transfer struct {
-	Tokens int64
-	// BudgetExhausted is true if the sender knows from the store that no tokens
-	// are left there, StoreUnreachable if the store does not answer the sender.
-	BudgetExhausted, StoreUnreachable bool
-}
-
 // WriteInFlight reports whether a write to the record is in flight.
 func (h *Holding) WriteInFlight() bool { return h.writeInFlight }
 
-// TransferOut removes tokens for a peer and returns their number: the need, as far as
-// the holding covers it, and up to as much again as long as half of the holding
-// remains.
-func (h *Holding) TransferOut(need int64) int64 {
-	have := h.Available()
-	if have <= 0 {
-		return 0
-	}
-	amount := min(have, max(need, min(have/2, 2*need)))
-	h.sent += amount
-	return amount
-}
-
-// TransferExact removes the tokens that a peer needs, as far as the holding covers
-// them, and returns their number.
-func (h *Holding) TransferExact(need int64) int64 {
-	amount := max(0, min(h.Available(), need))
-	h.sent += amount
-	return amount
-}
-
-// TransferAhead removes tokens that a peer wants for requests to come and returns their
-// number: at most a part of the holding, so that the distributors of other failure
-// domains get theirs.
-func (h *Holding) TransferAhead(wanted int64) int64 {
-	amount := max(0, min(wanted, h.Available()/maxAheadShare))
-	h.sent += amount
-	return amount
-}
-
-// Ahead returns the number of tokens that a daemon which distributes the tokens of an
-// account in its failure domain should request beyond need.
-func (h *Holding) Ahead(now time.Time) int64 {
-	return max(0, int64(h.recentRate(now)*aheadDuration.Seconds())-max(0, h.Available()))
-}
-
-// RecordTransfer adds transferred tokens to the rate of spend, because a daemon that
-// draws for others has to hold what they need.
-func (h *Holding) RecordTransfer(now time.Time, tokens int64) { h.recordSpend(now, tokens) }
-
-// Receive adds tokens that a peer transferred.
-func (h *Holding) Receive(tokens int64) { h.received += tokens }
-
-// Write is a compare-and-swap of the account's record.
+// Write is a compare-and-swap of the account's record in an era of the store.
 type Write struct {
 	Record   Record
 	Expected int64
+	Era      int64
 }
 
 // Draw returns the write that draws at least need tokens. It returns false if the
-// record leaves too few, another write is in flight or draws are paused after one
-// that found no tokens; the pause does not hold for urgent requests that the newest known
-// record covers. The caller reports the outcome with Written, Conflict, Failed or Unknown.
+// record leaves too few or is not reconciled, another write is in flight or draws are
+// paused after one that found no tokens; the pause does not hold for urgent requests that the
+// newest known record covers. The caller reports the outcome with Written, Conflict, Failed
+// or Unknown.
 func (h *Holding) Draw(now time.Time, need int64, urgent bool) (Write, bool) {
 	drawable := h.Drawable(urgent)
 	paused := now.Before(h.exhaustedUntil) && (!urgent || !h.keepUrgent)
-	if h.writeInFlight || paused || drawable < need || drawable <= 0 {
+	if !h.mayWrite() || paused || drawable < need || drawable <= 0 {
 		return Write{}, false
 	}
 	amount := max(need, min(need+h.Target(now)-max(0, h.Available()), h.Drawable(false)))
 	if amount <= 0 {
 		return Write{}, false
 	}
+	return h.write(h.record.withHolder(h.holder, h.drawn+amount, int64(h.recentRate(now)))), true
+}
+
+// mayWrite reports whether a write of the record may begin.
+func (h *Holding) mayWrite() bool { return h.reconciled && !h.writeInFlight }
+
+// write begins a write of the record.
+func (h *Holding) write(r Record) Write {
 	h.writeInFlight = true
-	return Write{Record: h.record.withHolder(h.holder, h.drawn+amount, int64(h.recentRate(now))), Expected: h.revision}, true
+	return Write{Record: r, Expected: h.revision, Era: h.era}
 }
 
 // Rebalance returns the write that brings the holding to its target, by a draw or by
-// returning the surplus. It returns false if the holding is within the watermarks or
-// no write is possible now.
+// returning the surplus. Tokens that are used and that the record lacks come first. It
+// returns false if the holding is within the watermarks or no write is possible now.
 func (h *Holding) Rebalance(now time.Time) (Write, bool) {
 	surplus := h.Available() - h.Target(now)
 	switch {
-	case h.writeInFlight || now.Before(h.exhaustedUntil):
+	case !h.mayWrite():
+		return Write{}, false
+	case h.debt() > 0 && h.Undrawn() > 0:
+		drawn := h.drawn + min(h.debt(), h.Undrawn())
+		return h.write(h.record.withHolder(h.holder, drawn, int64(h.recentRate(now)))), true
+	case now.Before(h.exhaustedUntil):
 		return Write{}, false
 	case h.BelowTarget(now):
 		return h.Draw(now, 0, false)
 	case float64(surplus) < (highWatermark-1)*float64(h.Target(now)) || surplus < h.prepaid/minSurplusDivisor:
 		return Write{}, false
 	}
-	h.writeInFlight = true
 	h.returning += surplus
-	return Write{Record: h.record.withHolder(h.holder, h.drawn-surplus, int64(h.recentRate(now))), Expected: h.revision}, true
+	return h.write(h.record.withHolder(h.holder, h.drawn-surplus, int64(h.recentRate(now)))), true
 }
 
 // Return returns the write that removes the holder's entry and returns its unspent
@@ -327,27 +298,34 @@
 // then on. Return returns false if the record has no entry of the holder, so that a
 // retry after a lost answer does not count its spend twice.
 func (h *Holding) Return() (Write, bool) {
-	if _, listed := h.record.Drawn[h.holder]; h.writeInFlight || !listed {
+	if _, listed := h.record.Drawn[h.holder]; !h.mayWrite() || !listed {
 		return Write{}, false
 	}
 	h.returning += max(0, h.Available())
-	h.writeInFlight = true
 	net := h.spent + h.reserved + h.sent - h.received
-	return Write{Record: h.record.withoutHolder(h.holder, net), Expected: h.revision}, true
+	return h.write(h.record.withoutHolder(h.holder, net)), true
 }
 
-// Written records that a write took effect at a revision.
+// Written records that a write took effect at a revision. A write of a former era counts
+// as one whose outcome is unknown.
 func (h *Holding) Written(w Write, revision int64) {
 	h.writeInFlight = false
-	h.adopt(w.Record, revision)
+	if w.Era == h.era {
+		h.adopt(w.Record, revision)
+	}
 }
 
-// Conflict records the actual state of the record after a failed comparison.
+// Conflict records the actual state of the record in the holding's era after a failed
+// comparison or a read.
 func (h *Holding) Conflict(actual Record, revision int64) {
 	h.writeInFlight = false
 	h.adopt(actual, revision)
 }
 
+// Read records the state of the record in the holding's era, as a read has found it. A write
+// may be in flight.
+func (h *Holding) Read(actual Record, revision int64) { h.adopt(actual, revision) }
+
 // Failed records that a write had no effect.
 func (h *Holding) Failed() { h.writeInFlight = false }
 
@@ -362,14 +340,14 @@
 // MayRefresh reports whether the record should be read again: it has been read or
 // written before, no write is in flight and draws are not paused.
 func (h *Holding) MayRefresh(now time.Time) bool {
-	return !h.writeInFlight && h.revision > 0 && !now.Before(h.exhaustedUntil)
+	return h.mayWrite() && h.revision > 0 && !now.Before(h.exhaustedUntil)
 }
 
 func (h *Holding) adopt(r Record, revision int64) {
-	if revision <= h.revision {
+	if h.reconciled && revision <= h.revision {
 		return
 	}
-	h.record, h.revision = r, revision
+	h.record, h.revision, h.reconciled = r, revision, true
 	h.drawn = r.Drawn[h.holder]
 	h.returning = 0
 }
--- /dev/null
+++ b/internal/escrow/transfer.go
@@ -0,0 +1,54 @@
+package escrow
+
+import "time"
+
+// Transfer is the reply to a peer's request for tokens.
+type Transfer struct {
+	Tokens int64
+	// BudgetExhausted is true if the sender knows from the store that no tokens
+	// are left there, StoreUnreachable if the store does not answer the sender.
+	BudgetExhausted, StoreUnreachable bool
+}
+
+// TransferOut removes tokens for a peer and returns their number: the need, as far as
+// the holding covers it, and up to as much again as long as half of the holding
+// remains.
+func (h *Holding) TransferOut(need int64) int64 {
+	have := h.Available()
+	if have <= 0 {
+		return 0
+	}
+	amount := min(have, max(need, min(have/2, 2*need)))
+	h.sent += amount
+	return amount
+}
+
+// TransferExact removes the tokens that a peer needs, as far as the holding covers
+// them, and returns their number.
+func (h *Holding) TransferExact(need int64) int64 {
+	amount := max(0, min(h.Available(), need))
+	h.sent += amount
+	return amount
+}
+
+// TransferAhead removes tokens that a peer wants for requests to come and returns their
+// number: at most a part of the holding, so that the distributors of other failure
+// domains get theirs.
+func (h *Holding) TransferAhead(wanted int64) int64 {
+	amount := max(0, min(wanted, h.Available()/maxAheadShare))
+	h.sent += amount
+	return amount
+}
+
+// Ahead returns the number of tokens that a daemon which distributes the tokens of an
+// account in its failure domain should request beyond need.
+func (h *Holding) Ahead(now time.Time) int64 {
+	return max(0, int64(h.recentRate(now)*aheadDuration.Seconds())-max(0, h.Available()))
+}
+
+// RecordTransfer adds transferred tokens to the rate of spend, because a daemon that
+// draws for others has to hold what they need.
+func (h *Holding) RecordTransfer(now time.Time, tokens int64) { h.recordSpend(now, tokens) }
+
+// Receive adds tokens that a peer transferred.
+func (h *Holding) Receive(tokens int64) { h.received += tokens }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -283,6 +283,7 @@
 		case now := <-ticker.C:
 			d.endpoints.tick(now)
 			d.crashIsolator.tick(now)
+			d.observeEra(max(d.configFeed.currentRevision(), d.endpointFeed.currentRevision()))
 			d.budgets.Tick(now)
 			d.pools.setDaemons(d.mesh.Count())
 			d.pools.updateGauges(now)
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/azurehatch/azurehatch/internal/escrow"
+	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/poison"
@@ -229,6 +230,7 @@
 		Revisions: map[string]int64{
 			d.configFeed.prefix:   int64(d.configFeed.lastChangeRevision()),
 			d.endpointFeed.prefix: int64(d.endpointFeed.lastChangeRevision()),
+			budgets.KeyPrefix:     int64(d.budgets.At()),
 		},
 		Balances: d.budgets.Balances(), Crashes: d.crashIsolator.entries(now), PartCrashes: d.crashIsolator.partEntries(now), Stopping: d.stopping.Load(),
 		Follows: d.mesh.FollowsStore(), StoreAgeMs: d.endpointFeed.contactAge(now), BackAgeMs: d.endpointFeed.regainedAge(now),
@@ -245,6 +247,7 @@
 	d.pools.merge(now, m.Address, m.Loads)
 	d.crashIsolator.merge(now, m.Address, m.Crashes, m.PartCrashes)
 	d.endpointFeed.mergeRegained(now, m.BackAgeMs)
+	d.observeEra(platform.Revision(m.Revisions[budgets.KeyPrefix]))
 	for _, f := range []*feed{d.configFeed, d.endpointFeed} {
 		if f.shouldFetch(now, platform.Revision(m.Revisions[f.prefix])) {
 			d.wg.Go(func() { f.fetch(m.Address, d.mesh.FetchItems) })
@@ -268,6 +271,9 @@
 
 // Items implements mesh.State.
 func (s meshState) Items(prefix string) ([]platform.Item, platform.Revision) {
+	if prefix == budgets.KeyPrefix {
+		return s.d.budgets.Records()
+	}
 	for _, f := range []*feed{s.d.configFeed, s.d.endpointFeed} {
 		if f.prefix == prefix {
 			return f.snapshot()
@@ -275,3 +281,11 @@
 	}
 	return nil, 0
 }
+
+// observeEra tells the budgets of the store's era. A revision of 0 means that no response of
+// the store is known.
+func (d *Daemon) observeEra(at platform.Revision) {
+	if at > 0 {
+		d.budgets.ObserveEra(at.Era())
+	}
+}
--- a/internal/mesh/items.go
+++ b/internal/mesh/items.go
@@ -7,6 +7,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/encoding/gzip"
 
+	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 	"github.com/azurehatch/azurehatch/internal/platform"
@@ -24,12 +25,21 @@
 
 // FetchItems returns a peer's copy of the store's items with a prefix.
 func (m *Mesh) FetchItems(addr, prefix string) ([]platform.Item, platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(m.ctx, itemsTimeout)
+	defer cancel()
+	return m.fetchItems(ctx, addr, prefix)
+}
+
+// BudgetRecords implements budgets.Peers.
+func (m *Mesh) BudgetRecords(ctx context.Context, addr string) ([]platform.Item, platform.Revision, error) {
+	return m.fetchItems(ctx, addr, budgets.KeyPrefix)
+}
+
+func (m *Mesh) fetchItems(ctx context.Context, addr, prefix string) ([]platform.Item, platform.Revision, error) {
 	conn := m.connOf(addr)
 	if conn == nil {
 		return nil, 0, failure.At(errors.New("unknown peer"), "mesh.items", addr)
 	}
-	ctx, cancel := context.WithTimeout(m.ctx, itemsTimeout)
-	defer cancel()
 	// The peer compresses its reply as the request is compressed.
 	reply, err := meshpb.NewMeshClient(conn).Items(ctx, &meshpb.ItemsRequest{Prefix: prefix}, grpc.UseCompressor(gzip.Name))
 	if err != nil {
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 )
@@ -231,6 +232,22 @@
 	return addrs
 }
 
+// Members returns all daemons that are known, except this one.
+func (m *Mesh) Members() []budgets.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	members := make([]budgets.Member, 0, len(m.peers))
+	for _, p := range m.peers {
+		heard := p.lastReceived
+		if heard.IsZero() {
+			heard = p.addedAt
+		}
+		members = append(members, budgets.Member{Addr: p.addr, Holder: p.id, Silent: now.Sub(heard)})
+	}
+	return members
+}
+
 // Count returns the number of live daemons that are not stopping, including this one.
 func (m *Mesh) Count() int {
 	m.mu.Lock()
