--- a/internal/escrow/budgets/busy_test.go
+++ b/internal/escrow/budgets/busy_test.go
@@ -52,7 +52,7 @@
 		owner.Tick(start.Add(time.Duration(round) * (minRebalanceInterval + time.Millisecond)))
 		owner.wg.Wait()
 	}
-	item, err := store.Get(t.Context(), keyPrefix+f.accounts[0].Name)
+	item, err := store.Get(t.Context(), KeyPrefix+"/"+f.accounts[0].Name)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -277,6 +277,7 @@
 			d.endpoints.tick(now)
 			d.endpointFeed.admitHeld(now)
 			d.crashIsolator.tick(now)
+			d.observeEra(max(d.configFeed.currentRevision(), d.endpointFeed.currentRevision()))
 			d.budgets.Tick(now)
 			d.pools.setDaemons(d.mesh.Count())
 			d.pools.updateGauges(now)
