Close callers' connections only once their responses are written

Callers could see a connection closed without an answer, or in the middle of one, at the end of a planned stop although the daemon counted no active request.

Cause: a request counted until its handler returned, but the server writes a short response, and the end of a longer one, only after that. A stop that found no active request meanwhile closed the connection. In the same way a request that had just been read, before the server knew of it, was closed unanswered.

Before connections are closed, the daemon ends the reading from idle ones, so that the server closes them and a request that crosses the close stays unread, and waits for the responses to what was read before.

--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -26,9 +26,9 @@
 	stopPollInterval = 50 * time.Millisecond
 	// tokenReturnTimeout bounds the return of tokens to the store at shutdown.
 	tokenReturnTimeout = 500 * time.Millisecond
-	// errorResponseTimeout bounds the sending of the error responses at the end of the
-	// grace period.
-	errorResponseTimeout = 200 * time.Millisecond
+	// lastResponsesTimeout bounds the sending of the last responses before the callers'
+	// connections are closed.
+	lastResponsesTimeout = 200 * time.Millisecond
 )
 
 // tickTimes are the times of the last two ticks of the housekeeping. A signal that had been
@@ -79,14 +79,15 @@
 	defer cancel()
 	pause.Sleep(ctx, time.Until(plan.refuseAt))
 	d.handler.RefuseNew()
-	err := d.awaitRequests(ctx)
-	if err != nil {
-		d.log.Warn().Err(err).Msg("requests ended at the end of the grace period")
-		d.endRequests()
+	var err error
+	if !d.awaitRequests(ctx) {
+		if open := d.handler.ActiveRequests(); open > 0 {
+			err = errors.Errorf("%d requests still active at the end of the grace period", open)
+			d.log.Warn().Err(err).Msg("requests ended")
+		}
+		d.handler.EndRequests()
 	}
-	d.log.Info().Int64("active", d.handler.ActiveRequests()).Int("pending", d.pendingConns.count(time.Now())).
-		Dur("after_ms", time.Since(stopBegin)).Msg("callers' connections closed")
-	d.callersServer.Close()
+	d.closeCallers(stopBegin)
 	returning, cancelReturn := context.WithTimeout(context.Background(), tokenReturnTimeout)
 	defer cancelReturn()
 	d.budgets.Close(returning)
@@ -95,29 +96,28 @@
 	return errors.Wrap(err, "graceful stop")
 }
 
-// awaitRequests waits until no request is active or pending. The listener stays
-// open meanwhile, so that late callers get a response instead of a refused
-// connection.
-func (d *Daemon) awaitRequests(ctx context.Context) error {
+// awaitRequests waits until no request is active or pending. It returns false if ctx is done
+// first. The listener stays open meanwhile, so that late callers get a response instead of a
+// refused connection.
+func (d *Daemon) awaitRequests(ctx context.Context) bool {
 	for d.handler.ActiveRequests() > 0 || d.pendingConns.count(time.Now()) > 0 {
-		if pause.Sleep(ctx, stopPollInterval) {
-			continue
+		if !pause.Sleep(ctx, stopPollInterval) {
+			return false
 		}
-		if open := d.handler.ActiveRequests(); open > 0 {
-			return errors.Errorf("%d requests are still active", open)
-		}
-		return nil
 	}
-	return nil
+	return true
 }
 
-// endRequests ends the requests in progress and waits until the error responses have been
-// sent.
-func (d *Daemon) endRequests() {
-	d.handler.EndRequests()
-	ctx, cancel := context.WithTimeout(context.Background(), errorResponseTimeout)
+// closeCallers closes the callers' connections once the responses that are due have been
+// sent. A request that was read before the end of reading is among these.
+func (d *Daemon) closeCallers(stopBegin time.Time) {
+	d.pendingConns.stopReading()
+	ctx, cancel := context.WithTimeout(context.Background(), lastResponsesTimeout)
 	defer cancel()
-	if err := d.awaitRequests(ctx); err != nil {
-		d.log.Warn().Err(err).Msg("requests without a complete response at the end of the grace period")
-	}
+	pause.Sleep(ctx, stopPollInterval) // a connection may just have read data
+	complete := d.awaitRequests(ctx)
+	d.log.Info().Bool("complete", complete).Int64("active", d.handler.ActiveRequests()).
+		Int("pending", d.pendingConns.count(time.Now())).Dur("after_ms", time.Since(stopBegin)).
+		Msg("callers' connections closed")
+	d.callersServer.Close()
 }
