Listen until the load balancer has noticed a planned stop

Callers that were sent to a stopping daemon saw refused connections.

Cause: new requests are now refused from 2.7 s after the signal or earlier, so a daemon without requests ended before the 3 s in which the load balancer takes it out.

The daemon refuses requests from then on as before, but accepts connections until 3 s after the handling of the signal.

Evidence: TestStopListensUntilTheLoadBalancerHasNoticed failed without the wait (no response 2.7 s after the stop began).

--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -15,6 +15,10 @@
 	// load balancer probes every second and takes a daemon out after two failures. Callers
 	// are told that requests sent in the first 3 s are served.
 	takingPeriod = 2700 * time.Millisecond
+	// listeningPeriod is the time from the handling of a stop's signal for which the daemon
+	// accepts connections. Until the load balancer has taken it out, callers must get a
+	// refusal instead of a refused connection.
+	listeningPeriod = 3 * time.Second
 	// exitMargin is the part of the grace period reserved for the steps after the last
 	// request.
 	exitMargin = 700 * time.Millisecond
@@ -48,9 +52,10 @@
 
 // stopPlan is the schedule of a planned stop.
 type stopPlan struct {
-	// refuseAt is when requests that were not sent to an endpoint are refused, endAt when
-	// those in progress are ended.
-	refuseAt, endAt time.Time
+	// refuseAt is when requests that were not sent to an endpoint are refused, listenUntil
+	// when the daemon may end if no request is in progress, endAt when those in progress are
+	// ended.
+	refuseAt, listenUntil, endAt time.Time
 }
 
 // newStopPlan returns the schedule of a stop whose signal was sent between notBefore and
@@ -61,7 +66,9 @@
 	if earliest := handled.Add(grace - grace/finalPart); endAt.Before(earliest) {
 		endAt = earliest
 	}
-	return stopPlan{refuseAt: notBefore.Add(min(takingPeriod, grace/2)), endAt: endAt}
+	return stopPlan{
+		refuseAt: notBefore.Add(min(takingPeriod, grace/2)), listenUntil: handled.Add(min(listeningPeriod, grace/2)), endAt: endAt,
+	}
 }
 
 // Stop shuts the daemon down gracefully: it ends readiness, serves requests until
@@ -79,6 +86,7 @@
 	defer cancel()
 	pause.Sleep(ctx, time.Until(plan.refuseAt))
 	d.handler.RefuseNew()
+	pause.Sleep(ctx, time.Until(plan.listenUntil))
 	var err error
 	if !d.awaitRequests(ctx) {
 		if open := d.handler.ActiveRequests(); open > 0 {
--- a/internal/front/stop_plan_test.go
+++ b/internal/front/stop_plan_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"net/http"
 	"testing"
 	"time"
 )
@@ -33,6 +34,24 @@
 	}
 }
 
+// Guards against refused connections before the load balancer has noticed the stop.
+func TestStopListensUntilTheLoadBalancerHasNoticed(t *testing.T) {
+	f := newFleet(t, 100*(promptTokens+outputTokens))
+	begin := time.Now()
+	done := make(chan error, 1)
+	go func() { done <- f.daemons[0].Stop(t.Context()) }()
+	for time.Since(begin) < listeningPeriod-50*time.Millisecond {
+		if status := f.send(0, "/order/x", false); status != http.StatusOK && status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d, %v after the stop began", status, time.Since(begin))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	f.start(0, false)
+}
+
 // Guards against a stop with a short grace period that takes requests until its end.
 func TestShortGracePeriodLeavesTimeForRequests(t *testing.T) {
 	now := time.Now()
