--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -77,6 +77,8 @@
 	tried  map[string]bool
 	// runs is the number of attempts in which the request may have run.
 	runs int
+	// offered is the time from start to the first attempt; 0 if there was none.
+	offered time.Duration
 	// committed is true once the response's header was sent to the caller.
 	committed bool
 	status    int
@@ -104,9 +106,10 @@
 	if x.committed {
 		return true
 	}
-	// The server cancels the context when the body times out, as if the caller had
-	// disconnected.
-	if x.r.Context().Err() != nil && problem.From(err).Kind != problem.RequestTimeout {
+	// The server cancels the context when the reading of the body times out or is
+	// interrupted, as if the caller had disconnected.
+	kind := problem.From(err).Kind
+	if x.r.Context().Err() != nil && kind != problem.RequestTimeout && kind != problem.ShuttingDown {
 		x.status = statusClientClosedRequest
 		return true
 	}
@@ -130,19 +133,23 @@
 	// the endpoint's slot beyond the deadline.
 	x.checkDeadline(conn.SetWriteDeadline(x.deadline.Add(callerGrace)))
 	x.checkDeadline(conn.SetReadDeadline(x.deadline))
-	if err := x.readBody(); err != nil {
+	bodyRead := x.interruptRead(conn)
+	err := x.readBody()
+	bodyRead()
+	if err != nil {
 		return err
 	}
 	// The server reads ahead to notice that the caller disconnects.
 	x.checkDeadline(conn.SetReadDeadline(time.Time{}))
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimeout)
 	defer cancel()
+	ctx, release := cancelWhen(ctx, x.handler.shutdown.ending)
+	defer release()
 	retryAfter, ok := x.handler.CrashIsolator.Begin(x.fingerprint)
 	if !ok {
 		return problem.New(problem.Overloaded, "the request has crashed endpoints and is isolated").WithRetryAfter(retryAfter)
 	}
-	err := x.reserve(ctx)
-	if err == nil {
+	if err = x.reserve(ctx); err == nil {
 		err = x.attempts(ctx)
 		x.settle()
 	}
@@ -165,9 +172,8 @@
 	if x.meta, err = x.handler.Codec.DecodeRequest(x.r.Header); err != nil {
 		return problem.New(problem.InvalidRequest, "%v", err)
 	}
-	if x.handler.refusing.Load() {
-		return problem.New(problem.ShuttingDown, "the daemon is shutting down; retry at another one").
-			WithRetryAfter(retryAfterStopping)
+	if err := x.handler.stopped(); err != nil {
+		return err
 	}
 	if x.table, x.tableAge = x.handler.Table(); x.table == nil {
 		return problem.New(problem.NoEndpoint, "the daemon has no configuration yet").WithRetryAfter(retryAfterUnconfigured)
@@ -221,6 +227,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		// The rest of the body may follow, so the connection cannot be reused.
 		x.w.Header().Set("Connection", "close")
+		if err := x.handler.stopped(); err != nil {
+			return err
+		}
 		return problem.New(problem.RequestTimeout, "only %d bytes of the body arrived in time", len(body)).WithCause(err)
 	case err != nil:
 		return problem.New(problem.InvalidRequest, "the body could not be read").WithCause(err)
@@ -244,8 +253,13 @@
 		return nil
 	}
 	tokens := x.meta.PromptTokens + x.meta.MaxOutput
+	ctx, release := cancelWhen(ctx, x.handler.shutdown.refusing)
+	defer release()
 	reservation, err := x.handler.Budgets.Reserve(ctx, x.account, tokens, x.table.MostUrgent(x.route))
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errStopping) {
+			return x.handler.stopped()
+		}
 		if ctx.Err() != nil {
 			return problem.New(problem.BudgetUnavailable, "no tokens could be reserved before the deadline").WithCause(err)
 		}
@@ -302,6 +316,9 @@
 	}
 	h := x.w.Header()
 	h.Set("Content-Type", problem.ContentType)
+	if x.handler.closing.Load() {
+		h.Set("Connection", "close")
+	}
 	x.handler.Codec.SetRequestID(h, x.meta.ID)
 	if p.RetryAfter > 0 {
 		name, value := x.handler.Codec.RetryAfter(p.RetryAfter)
@@ -333,10 +350,13 @@
 	if x.table != nil {
 		entry.Int64("config_version", x.table.Version).Dur("config_age_ms", x.tableAge)
 	}
+	if begun := x.handler.stopBegun.Load(); begun != nil {
+		entry.Dur("stopping_ms", time.Since(*begun))
+	}
 	entry.Str("request", x.meta.ID).Str("route", route).Str("service", x.service).Str("account", account).
 		Strs("endpoints", x.sentTo).Int("status", x.status).Str("ran", string(x.ran)).
 		Int64("reserved", x.reserved).Int64("billed", x.billed).Int64("events", x.events).
-		Dur("first_byte_ms", x.firstByte).Dur("longest_gap_ms", x.longestGap).
+		Dur("offered_ms", x.offered).Dur("first_byte_ms", x.firstByte).Dur("longest_gap_ms", x.longestGap).
 		Dur("elapsed_ms", elapsed).Dur("limit_ms", x.deadline.Sub(x.start)).
 		Msg("request ended")
 	tags := map[string]string{"service": x.service, "ran": string(x.ran), "status": statusClass(x.status)}
