Report a planned stop as failed only if responses were cut

A stop that answered each request, some of them with 502 at the end of the grace period, ended the process with status 1 and a message on standard error, as if requests had been lost. The error now counts the responses that are incomplete: streams that were cut after they had begun, and requests that were still active when the connections were closed.

--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -79,15 +79,11 @@
 	defer cancel()
 	pause.Sleep(ctx, time.Until(plan.refuseAt))
 	d.handler.RefuseNew()
-	var err error
 	if !d.awaitRequests(ctx) {
-		if open := d.handler.ActiveRequests(); open > 0 {
-			err = errors.Errorf("%d requests still active at the end of the grace period", open)
-			d.log.Warn().Err(err).Msg("requests ended")
-		}
+		d.log.Warn().Int64("open", d.handler.ActiveRequests()).Msg("requests ended at the end of the grace period")
 		d.handler.EndRequests()
 	}
-	d.closeCallers(stopBegin)
+	err := d.closeCallers(stopBegin)
 	returning, cancelReturn := context.WithTimeout(context.Background(), tokenReturnTimeout)
 	defer cancelReturn()
 	d.budgets.Close(returning)
@@ -109,15 +105,20 @@
 }
 
 // closeCallers closes the callers' connections once the responses that are due have been
-// sent. A request that was read before the end of reading is among these.
-func (d *Daemon) closeCallers(stopBegin time.Time) {
+// sent. A request that was read before the end of reading is among these. An error tells how
+// many responses are incomplete.
+func (d *Daemon) closeCallers(stopBegin time.Time) error {
 	d.pendingConns.stopReading()
 	ctx, cancel := context.WithTimeout(context.Background(), lastResponsesTimeout)
 	defer cancel()
 	pause.Sleep(ctx, stopPollInterval) // a connection may just have read data
-	complete := d.awaitRequests(ctx)
-	d.log.Info().Bool("complete", complete).Int64("active", d.handler.ActiveRequests()).
-		Int("pending", d.pendingConns.count(time.Now())).Dur("after_ms", time.Since(stopBegin)).
-		Msg("callers' connections closed")
+	d.awaitRequests(ctx)
+	active, cut := d.handler.ActiveRequests(), d.handler.CutResponses()
+	d.log.Info().Int64("active", active).Int64("cut", cut).Int("pending", d.pendingConns.count(time.Now())).
+		Dur("after_ms", time.Since(stopBegin)).Msg("callers' connections closed")
 	d.callersServer.Close()
+	if active+cut > 0 {
+		return errors.Errorf("%d responses cut at the end of the grace period", active+cut)
+	}
+	return nil
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -104,6 +104,9 @@
 		return false
 	}
 	if x.committed {
+		if x.handler.shutdown.ending.Err() != nil {
+			x.handler.cut.Add(1)
+		}
 		return true
 	}
 	// The server cancels the context when the reading of the body times out or is
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -183,6 +183,8 @@
 	// stopBegun is the beginning of the shutdown; nil before it.
 	stopBegun atomic.Pointer[time.Time]
 	active    atomic.Int64
+	// cut is the number of responses that the end of the shutdown cut.
+	cut atomic.Int64
 	// checks are the running checks of endpoints that may have crashed.
 	checks sync.WaitGroup
 }
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -38,6 +38,9 @@
 	h.shutdown.end()
 }
 
+// CutResponses returns the number of responses that EndRequests has cut after they had begun.
+func (h *Handler) CutResponses() int64 { return h.cut.Load() }
+
 // stopped returns the error of a request that has not run when the daemon refuses requests;
 // nil before that.
 func (h *Handler) stopped() error {
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -141,3 +141,20 @@
 		})
 	}
 }
+
+// Guards against a shutdown that cuts a stream and does not report it.
+func TestEndOfStopReportsACutStream(t *testing.T) {
+	e := startEndpoint(t, func(_ *http.Request, _ string, c net.Conn) bool {
+		_, _ = io.WriteString(c, chunkedStream(requestID, false, event(1)))
+		time.Sleep(time.Second)
+		return false
+	})
+	h := newHarness(t, e)
+	time.AfterFunc(200*time.Millisecond, h.handler.EndRequests)
+	if _, body, err := h.do(t, h.request(t, "POST", "/plan/x", "x")); err == nil || body != event(1) {
+		t.Errorf("body %q, error %v, want the first event and an error", body, err)
+	}
+	if !h.awaitIdle(time.Second) || h.handler.CutResponses() != 1 {
+		t.Errorf("%d responses cut, want 1", h.handler.CutResponses())
+	}
+}
