Soak planned stops with requests that outlast them

The soak excused each connection that failed for a request sent later than 3 s after SIGTERM, and all of its requests ended within the grace period. Each planned stop now has slow requests on connections opened before it, sent 1 to 5 s after SIGTERM. One that an endpoint has must be answered, and none that is sent later than 3 s may reach an endpoint.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -126,6 +126,9 @@
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set(platformtest.SenderHeader, d.name)
 	req.Header.Set(platformtest.SentHeader, strconv.FormatInt(r.startedAt.UnixNano(), 10))
+	if kind == "slow" {
+		req.Header.Set(platformtest.WorkHeader, slowWork.String())
+	}
 	if kind == "plan" {
 		req.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", prompt, maxOutput))
 	}
@@ -179,6 +182,7 @@
 	case r.status == http.StatusUnauthorized || r.status == http.StatusNotFound:
 		bed.addViolation("%s of %s: status %d for a route and key that all versions have", r.id, r.daemon.name, r.status)
 	}
+	tr.checkLateInStop(r)
 	if r.err != nil {
 		tr.checkFailedConnection(r)
 	}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -53,6 +53,14 @@
 		"failed after a planned stop was announced": {result{id: "a", kind: "look", err: errors.New("reset"), startedAt: time.Now()}, func(_ *traffic, d *daemon) {
 			d.stopRequested = time.Now().Add(-stopAnnouncement - time.Second)
 		}, false},
+		"executed late in a planned stop": {result{id: "a", kind: "order", status: http.StatusBadGateway, startedAt: time.Now()}, func(tr *traffic, d *daemon) {
+			execute(tr, "a")
+			d.stopRequested = time.Now().Add(-stopAnnouncement - time.Second)
+		}, true},
+		"slow request cut by a planned stop": {result{id: "a", kind: "slow", err: errors.New("EOF"), startedAt: time.Now()}, func(tr *traffic, d *daemon) {
+			execute(tr, "a")
+			d.stopRequested = time.Now().Add(-time.Second)
+		}, true},
 		"failed while the test process was stalled": {result{id: "a", kind: "look", err: errors.New("timeout"), startedAt: time.Now()}, func(tr *traffic, _ *daemon) {
 			tr.bed.lastStall = time.Now().Add(time.Millisecond)
 		}, false},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,7 @@
 // scenario is one run with its faults.
 type scenario struct {
 	bed *testbed
+	tr  *traffic
 	rng *rand.Rand
 	wg  sync.WaitGroup
 	mu  sync.Mutex
@@ -29,6 +30,8 @@
 	// endpoints and the store itself.
 	faulted  map[any]bool
 	faultLog []string
+	// stops counts the planned stops.
+	stops int
 }
 
 func (s *scenario) logFault(format string, args ...any) {
@@ -166,6 +169,7 @@
 	}
 	s.logFault("%s stops as planned", dm.name)
 	startedAt := time.Now()
+	s.sendDuringStop(dm)
 	s.wg.Go(func() {
 		if !dm.stop() && !dm.disturbedSince(startedAt) && !s.bed.stalledSince(startedAt) {
 			s.bed.addViolation("%s did not stop within %v", dm.name, gracePeriod)
@@ -215,7 +219,7 @@
 	for _, d := range bed.daemons {
 		callers.Go(func() { tr.probeVersions(ctx, d) })
 	}
-	s := &scenario{bed: bed, rng: rand.New(rand.NewPCG(seed, 1)), faulted: make(map[any]bool)}
+	s := &scenario{bed: bed, tr: tr, rng: rand.New(rand.NewPCG(seed, 1)), faulted: make(map[any]bool)}
 	s.injectFaults(length)
 	tr.awaitRecovery(bed)
 	cancel()
@@ -285,7 +289,7 @@
 
 // Guards against guarantees that are violated in a short series of overlapping faults.
 func TestSoakShort(t *testing.T) {
-	for _, seed := range []uint64{1, 2} {
+	for _, seed := range []uint64{1, 2, 4} { // 4 begins with a planned stop
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
 			runSeed(t, seed, 3, shortRun)
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -264,10 +264,12 @@
 			"target_latency_ms": 500, "max_attempts": attempts, "service": service,
 		}
 	}
+	slow := route("slow", "/slow/", "unsafe", "desk", 1)
+	slow["timeout_ms"] = slowWork.Milliseconds()
 	value := map[string]any{
 		"version": bed.version,
 		"routes": []map[string]any{
-			route("plan", "/plan/", "streaming", "llm", 2), route("order", "/order/", "unsafe", "desk", 2),
+			route("plan", "/plan/", "streaming", "llm", 2), route("order", "/order/", "unsafe", "desk", 2), slow,
 			route("look", "/look/", "safe", "desk", 2), route("probe", probePath(bed.version), "safe", "desk", 2),
 		},
 		"services": []map[string]any{
