Return to the distributor only after it has served a request

A distributor that gives too few tokens for the smallest request was asked until the requests timed out, although the store had tokens, and two daemons passed the same 693 tokens to and fro within milliseconds.

The daemon now returns to its distributor only if that served a request, and otherwise goes on to the store as before. Tokens can still go to and fro between daemons that collect idle ones of each other, at a slower rate, as before.

TestStoreIsAskedIfTheDistributorGivesTooFew failed before: refused after 0.5 s with 1,000 tokens in the store.

--- a/internal/escrow/budgets/busy_test.go
+++ b/internal/escrow/budgets/busy_test.go
@@ -1,6 +1,7 @@
 package budgets
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -70,3 +71,23 @@
 		t.Errorf("%d of %d requests refused in a loss of the store", refused, served+refused)
 	}
 }
+
+// tricklePeers are peers that are asked before the store and give one token a request.
+type tricklePeers struct{ testPeers }
+
+func (p tricklePeers) TransferSources(string) []string { return []string{"source"} }
+
+func (p tricklePeers) RequestTokens(context.Context, string, string, string, int64, int64) (escrow.Transfer, error) {
+	time.Sleep(time.Millisecond)
+	return escrow.Transfer{Tokens: 1}, nil
+}
+
+// Guards against a refusal while the store has tokens, since a distributor gives too few for
+// a request and is asked again and again.
+func TestStoreIsAskedIfTheDistributorGivesTooFew(t *testing.T) {
+	m := newManager(t, memstore.New(nil), "a", nil)
+	m.Peers = tricklePeers{testPeers{wide: true}}
+	if err := reserve(t, m, 900); err != nil {
+		t.Errorf("refused although the store has all %d tokens: %v", prepaid, err)
+	}
+}
--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -74,19 +74,20 @@
 }
 
 // drawFromSources requests tokens from the peers that are asked before the store. done
-// is true if they gave some, no reservation waits afterwards or the store has none left.
+// is true if a reservation was served, none waits afterwards or the store has none left.
 func (m *Manager) drawFromSources(a *account) (r drawResult, done bool) {
 	sources := m.Peers.TransferSources(a.name)
 	if len(sources) == 0 {
 		return storeDrawn, false
 	}
+	before := m.servedWaiters(a)
 	result, exhausted := m.requestFromPeers(a, sources, a.shortfall, m.aheadOf(a))
 	switch {
-	case result == peersTransferred, !m.hasWaiters(a):
+	case m.servedWaiters(a) > before, !m.hasWaiters(a):
 		// Requests that came meanwhile are asked for in the same way: a busy daemon that
 		// drew for them itself would hide its need from the account's owner.
 		return storeDrawn, true
-	case exhausted:
+	case exhausted && result != peersTransferred:
 		return storeExhausted, true
 	}
 	return storeDrawn, false
