Ask peers before the first configuration is used

A daemon that started while a restored store had an older configuration served it until the copy of a peer arrived, for up to a second.

Cause: nothing tells the item of a restored store from a current one, and the versions of the peers were heard only after the first list was in use.

Change: a daemon uses the first configuration that it has read once a peer has told a confirmed version and its own is not older, once four peers (or all) are found to have just started as well, or after a second in which too few were heard.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -85,6 +85,7 @@
 	// restored signals that the store was restored from an older copy.
 	restored      chan struct{}
 	config        *configuration
+	startVersion  startVersion
 	endpoints     *endpoints
 	pools         *pools
 	retryBudget   *retryBudget
@@ -184,7 +185,7 @@
 	d.handler = relay.New(relay.Options{
 		Codec: d.opts.Wire.Codec, Budgets: d.budgets, Pools: d.pools,
 		RetryBudget: d.retryBudget, CrashIsolator: d.crashIsolator,
-		Table: d.config.table, Outdated: d.outdated, Log: d.log, Scope: d.scope,
+		Table: d.table, Outdated: d.outdated, Log: d.log, Scope: d.scope,
 	})
 }
 
@@ -246,10 +247,33 @@
 // Ready reports whether the daemon should receive new callers: it has endpoints and a
 // configuration that is not known to be out of date, and is not shutting down.
 func (d *Daemon) Ready() bool {
-	t, _ := d.config.table()
+	t, _ := d.table()
 	return t != nil && !d.outdated() && d.pools.hasEndpoints() && !d.stopping.Load()
 }
 
+// table returns the configuration in use and its age; nil until the peers have confirmed the
+// first one.
+func (d *Daemon) table() (*routing.Table, time.Duration) {
+	others := -1
+	select {
+	case <-d.joined:
+		others = d.mesh.Count() - 1
+	default:
+	}
+	if !d.startVersion.usable(time.Now(), d.config.version(), others) {
+		return nil, 0
+	}
+	return d.config.table()
+}
+
+// confirmedVersion returns the version of the configuration in use, 0 if there is none.
+func (d *Daemon) confirmedVersion() int64 {
+	if t, _ := d.table(); t == nil {
+		return 0
+	}
+	return d.config.version()
+}
+
 // outdated reports whether the daemon has known for too long that it lacks a newer
 // configuration: half of the time in which a change must be in force, since it may hear of a
 // change late.
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -233,7 +233,7 @@
 		Revisions: map[string]int64{
 			d.configFeed.prefix:   int64(d.configFeed.lastChangeRevision()),
 			d.endpointFeed.prefix: int64(d.endpointFeed.lastChangeRevision()),
-			configVersionKey:      d.config.version(),
+			configVersionKey:      d.confirmedVersion(),
 			budgets.KeyPrefix:     int64(d.budgets.At()),
 		},
 		Balances: d.budgets.Balances(), Crashes: d.crashIsolator.entries(now), PartCrashes: d.crashIsolator.partEntries(now), Stopping: d.stopping.Load(),
@@ -251,6 +251,7 @@
 	d.pools.merge(now, m.Address, m.Loads)
 	d.crashIsolator.merge(now, m.Address, m.Crashes, m.PartCrashes)
 	d.endpointFeed.mergeRegained(now, m.BackAgeMs)
+	d.startVersion.hear(m.Address, m.Revisions[configVersionKey])
 	d.observeEra(platform.Revision(m.Revisions[budgets.KeyPrefix]))
 	for _, f := range []*feed{d.configFeed, d.endpointFeed} {
 		changed := platform.Revision(m.Revisions[f.prefix])
