--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -119,7 +119,6 @@
 // drawAtLeast draws tokens from the account's record; need is called with m.mu held
 // before each write and tells whether the tokens are for urgent requests.
 func (m *Manager) drawAtLeast(a *account, need func() (tokens int64, urgent bool)) drawResult {
-	dependent := m.Peers.Wide() && !m.Peers.Owns(a.name)
 	for attempts, pauses := 0, 0; attempts < maxWriteAttempts && pauses < maxPendingWritePauses; {
 		m.mu.Lock()
 		if a.holding.WriteInFlight() {
@@ -133,7 +132,6 @@
 			return storeUnreachable
 		}
 		tokens, urgent := need()
-		a.holding.SetDependent(dependent)
 		w, ok := a.holding.Draw(time.Now(), tokens, urgent)
 		m.mu.Unlock()
 		if !ok && !m.refreshRecord(a, tokens, urgent) {
--- a/internal/escrow/budgets/rebalance.go
+++ b/internal/escrow/budgets/rebalance.go
@@ -76,7 +76,6 @@
 		owns := m.Peers.Owns(a.name)
 		a.holding.SetHolders(holders)
 		a.holding.SetOwner(wide && owns)
-		a.holding.SetDependent(wide && !owns)
 		if len(writes) == platform.MaxSwapKeys {
 			break
 		}
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -77,9 +77,8 @@
 	holderCount int
 	// createdAt is when this daemon began to hold tokens of the account.
 	createdAt time.Time
-	// owner is true if the holder draws for other daemons too, dependent if another
-	// daemon draws for this one.
-	owner, dependent bool
+	// owner is true if the holder draws for other daemons too.
+	owner bool
 	// keepUrgent is true if urgentFraction of the budget is kept for urgent requests.
 	keepUrgent bool
 
@@ -120,10 +119,6 @@
 // SetOwner sets whether the holder draws for other daemons too.
 func (h *Holding) SetOwner(owner bool) { h.owner = owner }
 
-// SetDependent sets whether another daemon draws for this one, which then draws for itself
-// only if that one does not answer.
-func (h *Holding) SetDependent(dependent bool) { h.dependent = dependent }
-
 // KeepUrgent keeps a part of the budget for urgent requests.
 func (h *Holding) KeepUrgent(keep bool) { h.keepUrgent = keep }
 
@@ -201,15 +196,6 @@
 	return h.decayedRate(now) / (1 - math.Exp(-age.Seconds()/rateTimeConstant.Seconds()))
 }
 
-// recordedRate returns the rate of spend that a write puts into the record. A dependent
-// holder's is 0: it doesn't write again when its rate falls, and the owner serves it.
-func (h *Holding) recordedRate(now time.Time) int64 {
-	if h.dependent {
-		return 0
-	}
-	return int64(h.recentRate(now))
-}
-
 // Target returns the number of tokens that the holding should keep: the need at the
 // recent rate of spend, limited to the holder's part of what all holders may keep.
 func (h *Holding) Target(now time.Time) int64 {
@@ -221,21 +207,17 @@
 		}
 		return initial
 	}
-	rate, duration := h.recentRate(now), targetDuration
+	rate := h.recentRate(now)
 	maxHeld := maxHeldFraction
-	switch {
-	case h.owner:
+	if h.owner {
 		maxHeld = maxOwnerHeldFraction
-	case h.dependent:
-		// What it does not request of the owner is missing in the owner's rate.
-		duration = aheadDuration
 	}
 	if left := rest / float64(h.prepaid); left < shrinkBelowFraction {
 		maxHeld *= left / shrinkBelowFraction
 	}
 	limit := maxHeld * rest * h.record.rateShare(h.holder, rate)
 	minTarget := min(minTargetFraction, fleetMinTargetFraction/float64(h.holderCount)) * rest
-	return int64(max(min(rate*duration.Seconds(), limit), minTarget))
+	return int64(max(min(rate*targetDuration.Seconds(), limit), minTarget))
 }
 
 // BelowTarget reports whether the holding is so far below its target that tokens
@@ -319,7 +301,7 @@
 		return Write{}, false
 	}
 	h.writeInFlight = true
-	return Write{Record: h.record.withHolder(h.holder, h.drawn+amount, h.recordedRate(now)), Expected: h.revision}, true
+	return Write{Record: h.record.withHolder(h.holder, h.drawn+amount, int64(h.recentRate(now))), Expected: h.revision}, true
 }
 
 // Rebalance returns the write that brings the holding to its target, by a draw or by
@@ -337,7 +319,7 @@
 	}
 	h.writeInFlight = true
 	h.returning += surplus
-	return Write{Record: h.record.withHolder(h.holder, h.drawn-surplus, h.recordedRate(now)), Expected: h.revision}, true
+	return Write{Record: h.record.withHolder(h.holder, h.drawn-surplus, int64(h.recentRate(now))), Expected: h.revision}, true
 }
 
 // Return returns the write that removes the holder's entry and returns its unspent
