Answer a pipelined request that is in progress at the end of a planned stop

A caller whose request had arrived in one read with the request before it saw its connection closed without a response at the end of a planned stop.

Cause: a connection counted as one on which no request is arriving once the response before had been written, and reading the next request from the server's buffer did not change that. The end of reading then interrupted the read by which the server notices a disconnection, so the request was canceled as if its caller had left.

TestPipelinedRequestInProgressIsNotCanceled failed before (3 of 3 runs with -race) and passes now.

--- a/internal/front/pending_conns.go
+++ b/internal/front/pending_conns.go
@@ -103,6 +103,9 @@
 	case http.StateNew:
 		p.set(c, connAwaited)
 	case http.StateActive:
+		if c, ok := c.(*pendingConn); ok {
+			c.arriving.Store(true) // a pipelined request was read with the one before it
+		}
 		p.set(c, connAnswering)
 	case http.StateIdle:
 		if c, ok := c.(*pendingConn); ok {
--- a/internal/front/pending_conns_test.go
+++ b/internal/front/pending_conns_test.go
@@ -140,3 +140,45 @@
 		t.Error(err)
 	}
 }
+
+// Guards against an end of reading that looks like a caller's disconnection to a request that
+// arrived together with the one before it: its response would not be sent.
+func TestPipelinedRequestInProgressIsNotCanceled(t *testing.T) {
+	var p pendingConns
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun, canceled := make(chan struct{}), make(chan bool, 1)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/second" {
+				return
+			}
+			close(begun)
+			select {
+			case <-r.Context().Done():
+				canceled <- true
+			case <-time.After(200 * time.Millisecond):
+				canceled <- false
+			}
+		}),
+		ConnState: p.trackState, ReadHeaderTimeout: time.Minute,
+	}
+	go func() { _ = server.Serve(p.wrap(l)) }()
+	t.Cleanup(func() { server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	time.Sleep(20 * time.Millisecond) // until the server reads ahead
+	p.stopReading()
+	if <-canceled {
+		t.Error("the end of reading canceled a request in progress")
+	}
+}
