Test three parts of a planned stop that no test covered

With each of these taken out, all tests of package relay or front passed: the interruption of a body that is still arriving at the end of a stop (the test's request was answered by its route's timeout instead), the end of reading on connections accepted later, and the record of the daemon's ticks, from which the cut-off of a stop is counted. Each test fails without its part.

--- a/internal/front/pending_conns_test.go
+++ b/internal/front/pending_conns_test.go
@@ -182,3 +182,18 @@
 		t.Error("the end of reading canceled a request in progress")
 	}
 }
+
+// Guards against a request that is read from a connection accepted after the end of reading,
+// which the shutdown no longer waits for.
+func TestConnectionAcceptedAfterTheEndOfReadingIsClosedUnread(t *testing.T) {
+	var p pendingConns
+	p.stopReading()
+	c, handled := serveTracked(t, &p, 0)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") // may fail, as the connection is closed
+	if err := readAnswer(c); err == nil {
+		t.Error("the connection is served")
+	}
+	if len(handled) > 0 {
+		t.Error("a request was read after the end of reading")
+	}
+}
--- a/internal/front/stop_plan_test.go
+++ b/internal/front/stop_plan_test.go
@@ -60,3 +60,14 @@
 		t.Errorf("requests are taken until %v before the end", left)
 	}
 }
+
+// Guards against a daemon that does not record its ticks, whose cut-off would move with the
+// handling of the signal.
+func TestDaemonBoundsTheTimeOfASignal(t *testing.T) {
+	d := newFleet(t, 1).daemons[0]
+	time.Sleep(3 * tickInterval)
+	now := time.Now()
+	if age := now.Sub(d.ticks.signalNotBefore(now)); age <= 0 || age > time.Second {
+		t.Errorf("a signal handled now was sent at most %v ago", age)
+	}
+}
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -126,12 +126,17 @@
 			c := h.sendRaw(t, tt.path, tt.rest)
 			time.Sleep(100 * time.Millisecond) // until the request has begun
 			h.handler.DisableKeepAlives()
+			endedAt := time.Now()
 			h.handler.EndRequests()
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			if err != nil {
 				t.Fatal(err)
 			}
 			resp.Body.Close()
+			// The daemon closes its connections 200 ms later.
+			if waited := time.Since(endedAt); waited > 200*time.Millisecond {
+				t.Errorf("response after %v", waited)
+			}
 			if resp.StatusCode != tt.status {
 				t.Errorf("status %d, want %d", resp.StatusCode, tt.status)
 			}
