Draw from the store if a source does not give all that was asked for

A large request was refused (no tokens could be drawn in time) although the store had all of its tokens, while small requests of the account were served.

Now only a transfer of all that was asked for ends the round.

--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -37,7 +37,7 @@
 			m.mu.Unlock()
 			return
 		}
-		if fromStore != storeDrawn && fromPeers != peersTransferred {
+		if fromStore != storeDrawn && !fromPeers.gave() {
 			m.refuseWaiters(a, shortage{
 				drawnUp: fromStore == storeExhausted && fromPeers == peersExhausted, elsewhere: elsewhere, allHeard: complete,
 			})
@@ -75,16 +75,16 @@
 }
 
 // drawFromSources requests tokens from the peers that are asked before the store. done
-// is true if a reservation was served, none waits afterwards or the store has none left.
+// is true if they gave all that was asked for, no reservation waits afterwards or the store
+// has none left.
 func (m *Manager) drawFromSources(a *account) (r drawResult, done bool) {
 	sources := m.Peers.TransferSources(a.name)
 	if len(sources) == 0 {
 		return storeDrawn, false
 	}
-	before := m.servedWaiters(a)
 	result, exhausted := m.requestFromPeers(a, sources, a.shortfall, m.aheadOf(a))
 	switch {
-	case m.servedWaiters(a) > before, !m.hasWaiters(a):
+	case result == peersCovered, !m.hasWaiters(a):
 		// Requests that came meanwhile are asked for in the same way: a busy daemon that
 		// drew for them itself would hide its need from the account's owner.
 		return storeDrawn, true
@@ -277,11 +277,17 @@
 type peersResult uint8
 
 const (
-	peersTransferred peersResult = iota
+	// peersCovered means that the peers gave all that was asked for, peersTransferred that
+	// they gave a part.
+	peersCovered peersResult = iota
+	peersTransferred
 	peersExhausted
 	peersUnreachable
 )
 
+// gave reports whether the peers gave any tokens.
+func (r peersResult) gave() bool { return r == peersCovered || r == peersTransferred }
+
 // drawFromPeers requests the waiters' shortfall from the peers.
 func (m *Manager) drawFromPeers(a *account) peersResult {
 	var peers []string
@@ -319,7 +325,7 @@
 		m.mu.Unlock()
 		switch {
 		case need == 0:
-			return peersTransferred, exhausted
+			return peersCovered, exhausted
 		case time.Now().After(deadline):
 			return result, exhausted
 		}
@@ -335,7 +341,7 @@
 			result = peersTransferred
 		}
 		if transfer.Tokens >= need {
-			return peersTransferred, exhausted
+			return peersCovered, exhausted
 		}
 	}
 	return result, exhausted
--- a/internal/escrow/budgets/manager.go
+++ b/internal/escrow/budgets/manager.go
@@ -158,8 +158,6 @@
 	name    string
 	holding *escrow.Holding
 	waiters []*waiter
-	// served is the number of waiters that were served so far.
-	served int64
 	// drawing is true while a goroutine draws tokens for waiters.
 	drawing bool
 	// transferRequests are requests of peers that wait for a draw;
--- a/internal/escrow/budgets/transfer.go
+++ b/internal/escrow/budgets/transfer.go
@@ -118,7 +118,7 @@
 	if owner := m.Peers.TransferSources(a.name); len(owner) > 0 {
 		result, exhausted := m.requestFromPeers(a, owner, a.requestsShortfall, m.aheadOf(a))
 		switch {
-		case result == peersTransferred:
+		case result.gave():
 			return storeDrawn
 		case exhausted:
 			return storeExhausted
--- a/internal/escrow/budgets/waiters.go
+++ b/internal/escrow/budgets/waiters.go
@@ -68,7 +68,6 @@
 	for _, w := range a.waiters {
 		if a.holding.Reserve(time.Now(), w.tokens) {
 			w.done <- nil
-			a.served++
 		} else {
 			kept = append(kept, w)
 		}
@@ -105,13 +104,6 @@
 // hasUrgentWaiter reports whether an urgent request waits; urgent ones are first.
 func (a *account) hasUrgentWaiter() bool { return len(a.waiters) > 0 && a.waiters[0].urgent }
 
-// servedWaiters returns the number of waiters that were served so far.
-func (m *Manager) servedWaiters(a *account) int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return a.served
-}
-
 func (m *Manager) hasWaiters(a *account) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
