Use the budget records of a peer that has not heard of the new era

An account could be drawn past its budget after the store came back from a copy, where the daemon that drew last answered its peers before it had heard of the new era: its answer was left out, and with it the newest record, until the wait for it was over. Then only the bound for a missing daemon counted.

Its records count as evidence now, while it is still waited for, since it may count an answer to an earlier write later on.

--- a/internal/escrow/budgets/era.go
+++ b/internal/escrow/budgets/era.go
@@ -294,20 +294,24 @@
 	return all.missing(m.Peers.Members())
 }
 
-// askRecords asks one peer. An answer counts if the peer acts in the era, since it does not
-// count responses to its earlier writes then.
+// askRecords asks one peer. It counts as heard if it acts in the era, since it does not count
+// responses to its earlier writes then; what it knows counts in any case.
 func (m *Manager) askRecords(ctx context.Context, peer Member, era int64, all *answers) {
 	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
 	defer cancel()
 	items, at, err := m.Peers.BudgetRecords(ctx, peer.Addr)
-	if err != nil || at.Era() < era || peer.Holder == "" {
-		m.Log.Debug().Err(err).Str("peer", peer.Addr).Int64("peer_era", at.Era()).Msg("budget records of a peer not read yet")
+	if err != nil {
+		m.Log.Debug().Err(err).Str("peer", peer.Addr).Msg("budget records of a peer not read")
 		return
 	}
 	m.ObserveEra(at.Era())
 	for _, item := range items {
 		m.mergeRecord(all, era, item)
 	}
+	if at.Era() < era || peer.Holder == "" {
+		m.Log.Debug().Str("peer", peer.Addr).Int64("peer_era", at.Era()).Msg("peer does not know the store era yet")
+		return
+	}
 	all.mu.Lock()
 	defer all.mu.Unlock()
 	all.heard[peer.Holder], all.addrs[peer.Addr] = true, true
--- a/internal/escrow/budgets/manager_test.go
+++ b/internal/escrow/budgets/manager_test.go
@@ -86,7 +86,13 @@
 
 func newManager(t *testing.T, store *memstore.Store, name string, peers map[string]*Manager) *Manager {
 	t.Helper()
-	m := New(Options{Holder: escrow.HolderID(name, "1"), Store: store, Peers: testPeers{managers: peers}, Log: zerolog.Nop()})
+	return newStart(t, store, name, "1", peers)
+}
+
+// newStart returns the manager of one start of a daemon.
+func newStart(t *testing.T, store *memstore.Store, name, start string, peers map[string]*Manager) *Manager {
+	t.Helper()
+	m := New(Options{Holder: escrow.HolderID(name, start), Store: store, Peers: testPeers{managers: peers}, Log: zerolog.Nop()})
 	m.Configure([]routing.Account{{Name: "t", PrepaidTokens: prepaid}})
 	t.Cleanup(func() { m.Close(t.Context()) })
 	return m
