--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -75,15 +75,18 @@
 }
 
 // drawFromSources requests tokens from the peers that are asked before the store. done
-// is true if no reservation waits afterwards, or if the store has no tokens left.
+// is true if a reservation was served, none waits afterwards or the store has none left.
 func (m *Manager) drawFromSources(a *account) (r drawResult, done bool) {
 	sources := m.Peers.TransferSources(a.name)
 	if len(sources) == 0 {
 		return storeDrawn, false
 	}
+	before := m.servedWaiters(a)
 	result, exhausted := m.requestFromPeers(a, sources, a.shortfall, m.aheadOf(a))
 	switch {
-	case !m.hasWaiters(a):
+	case m.servedWaiters(a) > before, !m.hasWaiters(a):
+		// Requests that came meanwhile are asked for in the same way: a busy daemon that
+		// drew for them itself would hide its need from the account's owner.
 		return storeDrawn, true
 	case exhausted && result != peersTransferred:
 		return storeExhausted, true
@@ -117,6 +120,7 @@
 // drawAtLeast draws tokens from the account's record; need is called with m.mu held
 // before each write and tells whether the tokens are for urgent requests.
 func (m *Manager) drawAtLeast(a *account, need func() (tokens int64, urgent bool)) drawResult {
+	dependent := m.Peers.Wide() && !m.Peers.Owns(a.name)
 	for attempts, pauses := 0, 0; attempts < maxWriteAttempts && pauses < maxPendingWritePauses; {
 		m.mu.Lock()
 		if a.holding.WriteInFlight() {
@@ -138,6 +142,7 @@
 			return storeUnreachable
 		}
 		tokens, urgent := need()
+		a.holding.SetDependent(dependent)
 		w, ok := a.holding.Draw(time.Now(), tokens, urgent)
 		m.mu.Unlock()
 		if !ok && !m.refreshRecord(a, tokens, urgent) {
@@ -302,8 +307,8 @@
 	return a.holding.Ahead(time.Now())
 }
 
-// requestFromPeers asks peers in turn until shortfall, called with m.mu held, returns 0
-// or allPeersTimeout has passed. exhausted reports whether one of them knows that the
+// requestFromPeers asks peers in turn until shortfall, called with m.mu held, returns 0,
+// one has given all that was asked for or allPeersTimeout has passed. exhausted reports whether one of them knows that the
 // store has no tokens left.
 func (m *Manager) requestFromPeers(
 	a *account, peers []string, shortfall func() int64, ahead int64,
@@ -331,6 +336,9 @@
 		if transfer.Tokens > 0 {
 			result = peersTransferred
 		}
+		if transfer.Tokens >= need {
+			return peersTransferred, exhausted
+		}
 	}
 	return result, exhausted
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,7 +22,6 @@
 	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
 	"github.com/azurehatch/azurehatch/internal/mesh"
 	"github.com/azurehatch/azurehatch/internal/metrics"
-	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/relay"
 	"github.com/azurehatch/azurehatch/internal/retry"
@@ -34,18 +33,6 @@
 const (
 	// tickInterval is the interval of housekeeping.
 	tickInterval = 200 * time.Millisecond
-	// unreadyPeriod is the time between the end of readiness and the refusal of
-	// new requests: the load balancer probes every second and takes a daemon out
-	// after two failures.
-	unreadyPeriod = 3 * time.Second
-	// stopPollInterval is the interval at which a shutdown checks for active
-	// requests.
-	stopPollInterval = 50 * time.Millisecond
-	// tokenReturnTimeout bounds the return of tokens to the store at shutdown.
-	tokenReturnTimeout = 500 * time.Millisecond
-	// exitMargin is the part of the grace period reserved for the steps after
-	// the last request.
-	exitMargin = 700 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections. They are longer
 	// than the limits in the configuration, which callers are expected to keep.
 	headerTimeout = 10 * time.Second
@@ -94,7 +81,9 @@
 
 	configFeed, endpointFeed *feed
 	// joined is closed once the daemon knows the registered peers.
-	joined        chan struct{}
+	joined chan struct{}
+	// restored signals that the store was restored from an older copy.
+	restored      chan struct{}
 	config        *configuration
 	endpoints     *endpoints
 	pools         *pools
@@ -113,6 +102,7 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	stopping atomic.Bool
+	ticks    tickTimes
 	// grace is the time from SIGTERM to SIGKILL in nanoseconds.
 	grace atomic.Int64
 	// maxOutdated is the time for which a configuration that is known to be out of date
@@ -186,7 +176,9 @@
 	d.endpoints = newEndpoints(d.opts.Wire.DecodeEndpoint, d.pools, d.log)
 	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, d.config, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.budgets.StoreContacted, d.log)
-	d.joined = make(chan struct{})
+	d.endpointFeed.stalePeriod = staleEntryPeriod
+	d.joined, d.restored = make(chan struct{}), make(chan struct{}, 1)
+	d.endpointFeed.onRestored = d.signalRestored
 	d.configFeed.joined, d.endpointFeed.joined = d.joined, d.joined
 	d.configFeed.primary, d.endpointFeed.onRegained = d.endpointFeed, d.configFeed.requestRead
 	d.handler = relay.New(relay.Options{
@@ -210,7 +202,7 @@
 	d.wg.Go(func() { d.configFeed.run(d.ctx) })
 	d.wg.Go(func() { d.endpointFeed.run(d.ctx) })
 	d.wg.Go(d.housekeeping)
-	d.wg.Go(d.register)
+	d.wg.Go(d.stayRegistered)
 	d.callersServer = &http.Server{
 		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
 		ConnState: d.pendingConns.trackState,
@@ -281,7 +273,9 @@
 		case <-d.ctx.Done():
 			return
 		case now := <-ticker.C:
+			d.ticks.record(time.Now())
 			d.endpoints.tick(now)
+			d.endpointFeed.admitHeld(now)
 			d.crashIsolator.tick(now)
 			d.observeEra(max(d.configFeed.currentRevision(), d.endpointFeed.currentRevision()))
 			d.budgets.Tick(now)
@@ -295,7 +289,7 @@
 			if outdated := d.outdated(); outdated != wasOutdated {
 				wasOutdated = outdated
 				d.log.Warn().Bool("outdated", outdated).Dur("behind_ms", d.configFeed.outdatedFor(now)).
-					Int64("revision", int64(d.configFeed.currentRevision())).
+					Stringer("revision", d.configFeed.currentRevision()).
 					Msg("use of the configuration changed: a peer has a newer one")
 			}
 			if ready := d.Ready(); ready != wasReady {
@@ -328,46 +322,6 @@
 	return retry.WindowOptions{Ratio: b.RetryRatio, Slack: b.RetrySlack, Span: b.RetryWindow.Duration, UsableShare: retryMargin}
 }
 
-// Stop shuts the daemon down gracefully: it ends readiness, serves requests until
-// the load balancer has noticed, then refuses new ones and waits for the active
-// ones.
-func (d *Daemon) Stop(ctx context.Context) error {
-	stopBegin := time.Now()
-	d.stopping.Store(true)
-	d.handler.DisableKeepAlives()
-	d.log.Info().Int64("open", d.handler.ActiveRequests()).Msg("daemon stopping")
-	deadline := stopBegin.Add(time.Duration(d.grace.Load()) - exitMargin)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	pause.Sleep(ctx, unreadyPeriod)
-	d.handler.RefuseNew()
-	err := d.awaitRequests(ctx)
-	d.callersServer.Close()
-	returning, cancelReturn := context.WithTimeout(context.Background(), tokenReturnTimeout)
-	defer cancelReturn()
-	d.budgets.Close(returning)
-	d.close()
-	d.log.Info().Dur("took_ms", time.Since(stopBegin)).Msg("daemon stopped")
-	return errors.Wrap(err, "graceful stop")
-}
-
-// awaitRequests waits until no request is active or pending. The listener stays
-// open meanwhile, so that late callers get a response instead of a refused
-// connection.
-func (d *Daemon) awaitRequests(ctx context.Context) error {
-	for d.handler.ActiveRequests() > 0 || d.pendingConns.count(time.Now()) > 0 {
-		if pause.Sleep(ctx, stopPollInterval) {
-			continue
-		}
-		if open := d.handler.ActiveRequests(); open > 0 {
-			d.log.Warn().Int64("open", open).Msg("requests still active at the end of the grace period")
-			return ctx.Err()
-		}
-		return nil
-	}
-	return nil
-}
-
 // Close ends the daemon immediately, without returning tokens to the store.
 func (d *Daemon) Close() {
 	d.stopping.Store(true)
