Drop held entries that a list passed on does not have

A daemon of a wide fleet kept an entry of a restored store aside that the list of another daemon no longer had, and used it after 6 s: requests went to an endpoint that had left. TestListPassedOnRemovesHeldEntries failed.

--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -120,6 +121,9 @@
 	if c.Listed {
 		c.Events = slices.DeleteFunc(c.Events, func(ev platform.Event) bool { return ev.Deleted })
 		c.Events = append(c.Events, f.removals(c.Keys, at)...)
+		maps.DeleteFunc(f.held, func(key string, h heldItem) bool {
+			return h.item.Revision <= at && !slices.Contains(c.Keys, key)
+		})
 	}
 	f.applyEvents(fromPush, c.Events, at)
 }
