Draw tokens that a non-owner used and a new era's record lacks

Daemons of a wide fleet that do not own an account never draw ahead of need, and a holding in debt counted as below its target: its debt was never drawn, so that others could use the same tokens. TestDebtOfANonOwnerIsDrawnInAWideFleet failed.

--- a/internal/escrow/budgets/rebalance.go
+++ b/internal/escrow/budgets/rebalance.go
@@ -70,7 +70,7 @@
 }
 
 // rebalanceWrites returns the writes that bring the holdings to their targets. Only the
-// owner of an account draws ahead of need.
+// owner of an account draws ahead of need, but each daemon draws what it used and the record lacks.
 func (m *Manager) rebalanceWrites(ownedOnly bool) []accountWrite {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -86,7 +86,8 @@
 		if !m.recordKnown(a) {
 			continue
 		}
-		if !owns && (ownedOnly || a.holding.BelowTarget(now)) {
+		inDebt := a.holding.Available() < 0
+		if !owns && (ownedOnly || a.holding.BelowTarget(now) && !inDebt) {
 			continue
 		}
 		if w, ok := a.holding.Rebalance(now); ok {
