Wait for a running reconciliation before tokens are returned

A daemon that was stopped while it reconciled its accounts with a restored store returned no tokens and left no record of its draws.

Cause: the return gave up if a reconciliation was running, since the record of the new era was not known yet, and the end of the daemon then canceled the reconciliation.

The return now waits for it within its own timeout.

In an entry daemon the return has 0.5 s, and a reconciliation waits up to 4 s for daemons that do not answer: such a stop still returns nothing.

--- a/internal/escrow/budgets/manager.go
+++ b/internal/escrow/budgets/manager.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azurehatch/azurehatch/internal/escrow"
+	"github.com/azurehatch/azurehatch/internal/pause"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/problem"
 	"github.com/azurehatch/azurehatch/internal/relay"
@@ -278,6 +279,7 @@
 	}
 	m.mu.Unlock()
 	sort.Strings(names)
+	m.awaitReconcile(ctx)
 	if m.reconcileBeforeReturn() {
 		m.reconcile(ctx)
 	}
@@ -290,6 +292,19 @@
 	m.wg.Wait()
 }
 
+// awaitReconcile waits for the end of a reconciliation that is running: until then the records
+// to which tokens are returned are not known.
+func (m *Manager) awaitReconcile(ctx context.Context) {
+	for {
+		m.mu.Lock()
+		running := m.reconciling
+		m.mu.Unlock()
+		if !running || !pause.Sleep(ctx, pendingWritePause) {
+			return
+		}
+	}
+}
+
 // reconcileBeforeReturn reports whether tokens can be returned only after a reconciliation.
 func (m *Manager) reconcileBeforeReturn() bool {
 	m.mu.Lock()
