--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -174,6 +174,7 @@
 	d.retryBudget = newRetryBudget(
 		retryOptions(d.frontSettings.Bounds), d.frontSettings.Instance.FirstStart, d.mesh.Count, d.log)
 	d.config = &configuration{wire: d.opts.Wire, log: d.log, onInstall: d.applyConfiguration}
+	d.startVersion.log = d.log
 	d.endpoints = newEndpoints(d.opts.Wire.DecodeEndpoint, d.pools, d.log)
 	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, d.config, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.budgets.StoreContacted, d.log)
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // A store that was restored from an older copy has an older configuration until the operator
@@ -20,6 +22,7 @@
 // startVersion tells whether the first configuration that a daemon has read may be used: once
 // its peers are heard and none of them has a newer version.
 type startVersion struct {
+	log       zerolog.Logger
 	confirmed atomic.Bool
 	mu        sync.Mutex
 	// readAt is when the daemon first had a configuration.
@@ -59,6 +62,10 @@
 	}
 	heard := s.newest > 0 || others >= 0 && len(s.unconfirmed) >= min(others, confirmingPeers)
 	ok := own >= s.newest && (heard || now.Sub(s.readAt) > confirmTimeout)
-	s.confirmed.Store(ok)
+	if ok {
+		s.confirmed.Store(true)
+		s.log.Info().Int64("version", own).Int64("newest_of_peers", s.newest).Int("heard", len(s.unconfirmed)).Int("others", others).
+			Dur("waited_ms", now.Sub(s.readAt)).Msg("first configuration in use")
+	}
 	return ok
 }
