--- /dev/null
+++ b/internal/front/feed_wait.go
@@ -0,0 +1,90 @@
+package front
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/pause"
+)
+
+// waitToList waits before the list is read again, unless the history was gone for the first
+// time since the last poll that succeeded.
+func (f *feed) waitToList(ctx context.Context, relists int) {
+	if relists > 1 {
+		pause.Sleep(ctx, jitter(min(minRelistBackoff<<min(relists-2, maxRelistDoublings), maxRelistBackoff)))
+	}
+}
+
+// waitToProbe waits before the next probe of an unreachable store.
+func (f *feed) waitToProbe(ctx context.Context, backoff time.Duration) {
+	if f.fleet.PreferredFollower() && (f.primary == nil || !f.primary.failing.Load()) {
+		if f.fleet.Wide() {
+			backoff = min(backoff*time.Duration(max(1, f.fleet.Followers()/2)), maxFollowerBackoff)
+		}
+		pause.Sleep(ctx, backoff)
+		return
+	}
+	pause.Sleep(ctx, max(backoff, minSharedBackoff))
+	shared := min(sharedProbeInterval*time.Duration(f.fleet.Count()), maxSharedBackoff)
+	timer := time.NewTimer(max(0, shared-minSharedBackoff))
+	defer timer.Stop()
+	select {
+	case <-f.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// waitUntilDue reports whether the store should be read: immediately if the daemon
+// follows the store, else when there are changes or the last contact is older than
+// maxStoreIdle. It waits for changes at most followCheckInterval.
+func (f *feed) waitUntilDue(ctx context.Context) bool {
+	if f.fleet.FollowsStore() {
+		return true
+	}
+	timer := time.NewTimer(followCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-f.wake:
+		return true
+	case <-timer.C:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return time.Since(f.contactedAt) > maxStoreIdle
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// awaitJoin waits until the daemon knows its peers, at most joinTimeout.
+func (f *feed) awaitJoin(ctx context.Context) {
+	if f.joined == nil {
+		return
+	}
+	timer := time.NewTimer(joinTimeout)
+	defer timer.Stop()
+	select {
+	case <-f.joined:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *feed) batchDelayFor() time.Duration {
+	if f.fleet.PreferredFollower() {
+		return batchDelay
+	}
+	return longBatchDelay
+}
+
+// pollWait returns the wait of one poll. It is randomized over a wide range, since
+// a change makes all daemons start their next poll at the same time.
+func (f *feed) pollWait() time.Duration {
+	wait := min(max(time.Duration(f.fleet.Followers())*pollWaitPerFollower, minPollWait), maxPollWait)
+	wait = time.Duration((0.5 + rand.Float64()) * float64(wait)).Round(time.Millisecond)
+	if !f.fleet.Wide() {
+		return min(wait, maxSmallFleetPollWait)
+	}
+	return wait
+}
