Keep the records that peers tell while accounts are reconciled

Cause: d0 and d1 learned from d3 that 5,375 tokens were drawn, but the store was lost again before they could write the record of the new era. d3 then stopped as planned, and four seconds later d2 began the era with 4,612 tokens and an estimate for d3: what the others had been told was not kept.

A daemon now keeps a peer's newer record of a former era as its own evidence until the account is reconciled, and tells it to those who ask.

Evidence: TestRecordsOfPeersOutliveThem fails without it.

--- a/internal/escrow/budgets/era_peers.go
+++ b/internal/escrow/budgets/era_peers.go
@@ -93,7 +93,8 @@
 }
 
 // mergeRecord adopts a peer's record of the current era, which another daemon has reconciled,
-// or adds one of a former era to the answers.
+// or adds one of a former era to the answers and keeps it, since the peer may end before the
+// record of this era is written.
 func (m *Manager) mergeRecord(all *answers, era int64, item platform.Item) {
 	_, name, ok := parseRecordKey(item.Key)
 	record, err := escrow.ParseRecord(item.Value)
@@ -101,14 +102,18 @@
 		m.Log.Error().Err(err).Str("key", item.Key).Msg("budget record of a peer not readable")
 		return
 	}
+	m.mu.Lock()
+	a := m.accounts[name]
+	if a != nil && item.Revision.Era() >= era && m.era == item.Revision.Era() {
+		a.holding.Read(record, int64(item.Revision))
+		m.logDebt(a)
+		m.serveWaiters(a)
+	}
+	if a != nil && item.Revision.Era() < era {
+		a.holding.Learn(record, int64(item.Revision))
+	}
+	m.mu.Unlock()
 	if item.Revision.Era() >= era {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if a := m.accounts[name]; a != nil && m.era == item.Revision.Era() {
-			a.holding.Read(record, int64(item.Revision))
-			m.logDebt(a)
-			m.serveWaiters(a)
-		}
 		return
 	}
 	all.mu.Lock()
--- a/internal/escrow/budgets/restored_start_test.go
+++ b/internal/escrow/budgets/restored_start_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"github.com/azurehatch/azurehatch/internal/escrow"
@@ -48,3 +49,24 @@
 		t.Errorf("%d tokens were used of a budget of %d", used, prepaid)
 	}
 }
+
+// Guards against draws that are forgotten with a daemon that ends after it has told a peer of
+// them and before that peer could write the record of the new era.
+func TestRecordsOfPeersOutliveThem(t *testing.T) {
+	store := memstore.New(nil)
+	managers := newPeering(t, store, 2)
+	spend(t, managers, 10, 100, time.Second)
+	d0, d1 := managers["d0"], managers["d1"]
+	spend(t, map[string]*Manager{"d1": d1}, 10, 300, time.Second)
+	for _, m := range managers {
+		m.ObserveEra(1)
+	}
+	want, _ := d1.Records()
+	if known, _ := d0.Records(); cmp.Equal(known, want) {
+		t.Fatal("the peer knows nothing newer")
+	}
+	d0.gather(t.Context(), 1, true)
+	if known, _ := d0.Records(); !cmp.Equal(known, want) {
+		t.Errorf("records %v after the peer was asked, which knows %v", known, want)
+	}
+}
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -326,6 +326,14 @@
 // may be in flight.
 func (h *Holding) Read(actual Record, revision int64) { h.adopt(actual, revision) }
 
+// Learn keeps a record of a former era that a peer knows and that is newer than the one known
+// here, so that it is not lost with the peer before the account is reconciled.
+func (h *Holding) Learn(r Record, revision int64) {
+	if !h.reconciled && revision > h.revision {
+		h.record, h.revision = r, revision
+	}
+}
+
 // Failed records that a write had no effect.
 func (h *Holding) Failed() { h.writeInFlight = false }
 
