--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -294,6 +294,7 @@
 	{13, "the test sent requests to a daemon that had started but was not ready yet"},
 	{401, "the HTTP library wrote bytes that followed a response to standard error"},
 	{406, "the same"},
+	{4025, "budget records that peers had told were forgotten when these ended before a new era's record was written"},
 }
 
 // Guards against guarantees that are violated in a short series of overlapping faults.
