Do not count the daemons for each request, and use one jitter

Each request looked up the number of daemons, under the mesh's lock, although it matters only until the first configuration is confirmed; it is now asked for only until then. The wait of a poll had the formula of jitter written again. A comment is wrapped.

--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -312,8 +312,8 @@
 }
 
 // requestFromPeers asks peers in turn until shortfall, called with m.mu held, returns 0,
-// one has given all that was asked for or allPeersTimeout has passed. exhausted reports whether one of them knows that the
-// store has no tokens left.
+// one has given all that was asked for or allPeersTimeout has passed. exhausted reports
+// whether one of them knows that the store has no tokens left.
 func (m *Manager) requestFromPeers(
 	a *account, peers []string, shortfall func() int64, ahead int64,
 ) (result peersResult, exhausted bool) {
--- a/internal/front/feed_wait.go
+++ b/internal/front/feed_wait.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/pause"
@@ -82,7 +81,7 @@
 // a change makes all daemons start their next poll at the same time.
 func (f *feed) pollWait() time.Duration {
 	wait := min(max(time.Duration(f.fleet.Followers())*pollWaitPerFollower, minPollWait), maxPollWait)
-	wait = time.Duration((0.5 + rand.Float64()) * float64(wait)).Round(time.Millisecond)
+	wait = jitter(wait).Round(time.Millisecond)
 	if !f.fleet.Wide() {
 		return min(wait, maxSmallFleetPollWait)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -255,16 +255,20 @@
 // table returns the configuration in use and its age; nil until the peers have confirmed the
 // first one.
 func (d *Daemon) table() (*routing.Table, time.Duration) {
-	others := -1
+	if !d.startVersion.confirmed.Load() && !d.startVersion.usable(time.Now(), d.config.version(), d.otherDaemons()) {
+		return nil, 0
+	}
+	return d.config.table()
+}
+
+// otherDaemons returns the number of other daemons, -1 if it is not known yet.
+func (d *Daemon) otherDaemons() int {
 	select {
 	case <-d.joined:
-		others = d.mesh.Count() - 1
+		return d.mesh.Count() - 1
 	default:
+		return -1
 	}
-	if !d.startVersion.usable(time.Now(), d.config.version(), others) {
-		return nil, 0
-	}
-	return d.config.table()
 }
 
 // confirmedVersion returns the version of the configuration in use, 0 if there is none.
