--- /dev/null
+++ b/review/standins/drill.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// playDrill lets one machine serve a tenant for some seconds and stop as planned, before the
+// store comes back from a copy that is some seconds old.
+func playDrill(f *fleet) int {
+	const prepaid = 300000
+	f.configure([]tenant{{Name: "hule930", Keys: []string{theKey}, Prepaid: prepaid}})
+	f.addWorkers(engineName, 12, 64, 2*time.Millisecond)
+	f.addWorkers(plainName, 4, 6, 30*time.Millisecond)
+	f.startFleet(7)
+	time.Sleep(4 * time.Second)
+	c := f.store.copy()
+	copied := time.Now()
+	f.note("the store is copied")
+	var used int64
+	use := func(d *daemon, id string) answer {
+		q := generation(id, theKey, 11992, 384)
+		a := f.send(d, q)
+		if len(f.runsOf(q.id)) > 0 {
+			used += 11992 + a.tokens
+		}
+		return a
+	}
+	first, next := f.daemons[0], f.daemons[1]
+	for n := range 12 {
+		use(first, fmt.Sprintf("a%d", n))
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.note("the tenant has used %d of %d tokens, all at %s", used, prepaid, first.name)
+	if trouble {
+		first.signal(syscall.SIGTERM)
+		<-first.done
+		f.note("%s has stopped as planned", first.name)
+		f.store.away.Store(true)
+		time.Sleep(300 * time.Millisecond)
+		f.store.restore(c)
+		f.store.away.Store(false)
+		f.note("the store is back from a copy that is %.1f s old", time.Since(copied).Seconds())
+	}
+	for n, refused := 0, 0; n < 60 && refused < 12 && used < 2*prepaid; n++ {
+		a := use(next, fmt.Sprintf("b%d", n))
+		switch a.status {
+		case 402:
+			refused += 4
+		case 503:
+			refused++
+			time.Sleep(time.Second)
+		}
+	}
+	f.note("the tenant's requests that ran have %d tokens, input and delivered output; its prepaid is %d", used, prepaid)
+	if used > prepaid {
+		f.note("BUDGET is broken: the tenant got %d tokens more than its prepaid", used-prepaid)
+		return 1
+	}
+	return 0
+}
