--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -115,7 +115,7 @@
 		r := map[string]any{
 			"name": name, "host": "shop.example", "prefix": prefix, "route_type": kind, "timeout_ms": 12000,
 			"target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "allow_anonymous": false,
-			"sticky": service != plainName, "resumable": false, "gap_aim_ms": 500,
+			"sticky": service == engineName, "resumable": false, "gap_aim_ms": 500,
 		}
 		for k, v := range fields {
 			r[k] = v
@@ -133,8 +133,7 @@
 	text := must(json.Marshal(map[string]any{
 		"version": f.version, "routes": all,
 		"services": []map[string]any{
-			engineService(engineName), engineService(secondEngineName),
-			{"name": plainName, "health_path": "/health", "max_connections": 100, "protocol": "h1", "tls": false},
+			engineService(engineName), plainService(plainName), plainService(secondPlainName),
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": tenants,
@@ -143,6 +142,10 @@
 	f.note("the operator writes version %d", f.version)
 }
 
+func plainService(name string) map[string]any {
+	return map[string]any{"name": name, "health_path": "/health", "max_connections": 100, "protocol": "h1", "tls": false}
+}
+
 func engineService(name string) map[string]any {
 	return map[string]any{
 		"name": name, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
--- a/review/standins/poison.go
+++ b/review/standins/poison.go
@@ -14,15 +14,14 @@
 	contact      = 3 * time.Second // contact_ms
 	mostRetries  = 3               // of a request that crashes workers
 	workerReturn = 3 * time.Second // "back after some seconds"
-	askPath      = "/ask/"
-	crashingPath = "/ask/crash"
+	crashingPath = "/item/crash"
 )
 
-// askRoute returns a route to a service whose streams may be resumed at a second worker.
-func askRoute(service string) map[string]any {
+// itemRoute returns a route of safe requests to a service.
+func itemRoute(service string) map[string]any {
 	return map[string]any{
-		"name": "ask", "prefix": askPath, "route_type": "streaming", "service": service, "timeout_ms": 12000,
-		"target_latency_ms": 500, "priority": 0, "max_attempts": 2, "resumable": true,
+		"name": "item", "prefix": "/item/", "route_type": "safe", "service": service, "timeout_ms": 2500,
+		"target_latency_ms": 150, "max_attempts": 1,
 	}
 }
 
@@ -46,12 +45,11 @@
 }
 
 // sendCrashing sends the request that crashes workers, and once more at the next machine if
-// it fails.
+// it fails: clients retry safe requests after any failure.
 func (f *fleet) sendCrashing(n int) {
 	for try := range 2 {
-		q := generation(fmt.Sprintf("crash%d-%d", n, try), theKey, 800, 80)
-		q.path, q.body, q.prefix = crashingPath, "the same body", "5c1e07a2:800"
-		a := f.send(f.daemons[(n+try)%len(f.daemons)], q)
+		q := lookup(fmt.Sprintf("crash%d-%d", n, try), crashingPath)
+		a := f.send(f.daemons[(2*n+try)%len(f.daemons)], q)
 		f.note("%s: status %d, error %v, reached %d workers", q.id, a.status, a.err, len(f.runsOf(q.id)))
 		if a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout && a.err == nil {
 			return
@@ -59,6 +57,11 @@
 	}
 }
 
+// lookup is a safe request.
+func lookup(id, path string) request {
+	return request{id: id, method: http.MethodGet, path: path, key: theKey, deadline: 2500 * time.Millisecond}
+}
+
 // playPoison lets a request come again that has crashed workers, after all machines were
 // killed at the same moment.
 func playPoison(f *fleet) int {
@@ -83,8 +86,8 @@
 // configuration moved its route to another service.
 func playMovedPoison(f *fleet) int {
 	return f.playCrashing(func() {
-		f.note("the route %s moves to %s", askPath, secondEngineName)
-		f.configure(crashTenants, askRoute(secondEngineName))
+		f.note("the route moves from %s to %s", plainName, secondPlainName)
+		f.configure(crashTenants, itemRoute(secondPlainName))
 	})
 }
 
@@ -93,13 +96,13 @@
 // playCrashing lets a request crash workers until it is refused, disturbs the system and lets
 // the request come again, at machines that are in touch.
 func (f *fleet) playCrashing(disturb func()) int {
-	f.configure(crashTenants, askRoute(engineName))
-	f.addWorkers(engineName, 12, 64, 2*time.Millisecond)
-	f.addWorkers(secondEngineName, 6, 64, 2*time.Millisecond)
+	f.configure(crashTenants, itemRoute(plainName))
 	f.addWorkers(plainName, 4, 6, 30*time.Millisecond)
+	f.addWorkers(secondPlainName, 4, 6, 30*time.Millisecond)
+	f.addWorkers(engineName, 12, 64, 2*time.Millisecond)
 	var mu sync.Mutex
 	var reached []time.Time
-	for _, k := range f.workers[:18] {
+	for _, k := range f.workers[:8] {
 		k.crashOn(&reached, &mu)
 	}
 	f.startFleet(7)
@@ -110,16 +113,17 @@
 	}
 	defer func() { over.Store(true); traffic.Wait() }()
 	time.Sleep(3 * time.Second)
-	f.sendCrashing(0)
-	time.Sleep(workerReturn + time.Second)
-	f.sendCrashing(2)
+	for n := range 4 {
+		f.sendCrashing(n)
+		time.Sleep(workerReturn + time.Second)
+	}
 	mu.Lock()
 	if len(reached) < 3 {
 		f.unusable("only %d crashes at first", len(reached))
 	}
 	third := reached[2]
 	mu.Unlock()
-	time.Sleep(contact + time.Second)
+	time.Sleep(contact)
 	if trouble {
 		disturb()
 	}
@@ -147,9 +151,7 @@
 // usualTraffic sends sound requests to a machine, a few each second, until over is set.
 func (f *fleet) usualTraffic(c int, over *atomic.Bool) {
 	for n := 0; !over.Load(); n++ {
-		q := generation(fmt.Sprintf("u%d-%d", c, n), theKey, 800, 60)
-		q.path, q.prefix = askPath+"x", fmt.Sprintf("%x:800", 0xa0000+c*10000+n)
-		f.send(f.daemons[c], q)
+		f.send(f.daemons[c], lookup(fmt.Sprintf("u%d-%d", c, n), fmt.Sprintf("/item/%d-%d", c, n)))
 		time.Sleep(150 * time.Millisecond)
 	}
 }
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -18,8 +18,8 @@
 	kvCapacity = 538756 // tokens of a worker's memory
 	engineName = "engine"
 	plainName  = "desk"
-	// secondEngineName is a further service of model workers.
-	secondEngineName = "engine-b"
+	// secondPlainName is a further service like plainName.
+	secondPlainName = "desk-b"
 )
 
 // arrival is a request that reached a worker and ran there.
@@ -117,7 +117,7 @@
 	}
 	k.fleet.ran(arrival{k.id, k.service, time.Now(), r.Header.Clone(), r.Method, r.RequestURI})
 	h.Set("X-Response-Signature", k.id+"."+id)
-	if k.service == plainName {
+	if k.service != engineName {
 		time.Sleep(k.step)
 		_, _ = fmt.Fprintf(w, "done %s\n", id)
 		return
