--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -23,8 +23,10 @@
 	dir     string
 	program string
 	store   *store
-	daemons []*daemon
-	workers []*worker
+	// storeAddr is the address at which the store listens.
+	storeAddr string
+	daemons   []*daemon
+	workers   []*worker
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -35,6 +37,7 @@
 
 func newFleet() *fleet {
 	f := &fleet{store: newStore(), begun: time.Now(), program: must(filepath.Abs("target/azurehatch"))}
+	f.storeAddr = f.store.listen()
 	f.dir = must(os.MkdirTemp("", "review-"))
 	f.record = must(os.Create(filepath.Join(caseDir, "record.txt")))
 	if _, err := os.Stat(f.program); err != nil {
@@ -217,21 +220,12 @@
 		"{{node_name|json}}", quoted(d.name), "{{zone|json}}", quoted(d.zone), "{{region|json}}", quoted("tt-north"),
 		"{{bootstrap}}", fmt.Sprint(d.starts == 0), "{{listen.front|json}}", quoted(d.callers), "{{listen.ready|json}}", quoted(d.ready),
 		"{{listen.control|json}}", quoted(d.mesh), "{{seeds|json}}", quoted(seeds), "{{ip}}", host, "{{internal_ports.0}}", port,
-		"{{platform.address|json}}", quoted(storeAddr(d.f)), "{{limits.memory_mb}}", "284",
+		"{{platform.address|json}}", quoted(d.f.storeAddr), "{{limits.memory_mb}}", "284",
 		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10",
 		"{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000",
 	).Replace(text)
 }
 
-var storeOnce = sync.OnceValue(func() string { return theStore.listen() })
-
-var theStore *store
-
-func storeAddr(f *fleet) string {
-	theStore = f.store
-	return storeOnce()
-}
-
 func (d *daemon) start() {
 	file := filepath.Join(d.f.dir, d.name+".json")
 	if err := os.WriteFile(file, []byte(d.settings()), 0o600); err != nil {
