--- a/review/standins/drill.go
+++ b/review/standins/drill.go
@@ -1,11 +1,32 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 )
 
+// awaitHolders waits until the store's record of a tenant lists so many machines: each takes
+// a first share in the first seconds. A machine that is late would learn of the first one's
+// draws by its own.
+func (f *fleet) awaitHolders(name string, n int) {
+	for range 240 {
+		time.Sleep(50 * time.Millisecond)
+		for _, key := range f.store.keys("azurehatch/budget") {
+			text, _ := f.store.get(key)
+			var record struct {
+				Drawn map[string]int64 `json:"drawn"`
+			}
+			if strings.HasSuffix(key, "/"+name) && json.Unmarshal([]byte(text), &record) == nil && len(record.Drawn) == n {
+				return
+			}
+		}
+	}
+	f.unusable("not all machines hold tokens")
+}
+
 // playDrill lets one machine serve a tenant for some seconds and stop as planned, before the
 // store comes back from a copy that is some seconds old.
 func playDrill(f *fleet) int {
@@ -14,7 +35,7 @@
 	f.addWorkers(engineName, 12, 64, 2*time.Millisecond)
 	f.addWorkers(plainName, 4, 6, 30*time.Millisecond)
 	f.startFleet(7)
-	time.Sleep(4 * time.Second)
+	f.awaitHolders("hule930", len(f.daemons))
 	c := f.store.copy()
 	copied := time.Now()
 	f.note("the store is copied")
