--- a/review/standins/drill.go
+++ b/review/standins/drill.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -27,6 +28,23 @@
 	f.unusable("not all machines hold tokens")
 }
 
+// leave ends the machine's process: by a planned stop, or how "kill" or "restart" says.
+func (d *daemon) leave(how string) {
+	switch how {
+	case "kill":
+		d.kill()
+		d.f.note("%s is killed", d.name)
+	case "restart":
+		d.kill()
+		d.start()
+		d.f.note("%s is killed and starts again at once", d.name)
+	default:
+		d.signal(syscall.SIGTERM)
+		<-d.done
+		d.f.note("%s has stopped as planned", d.name)
+	}
+}
+
 // playDrill lets one machine serve a tenant for some seconds and stop as planned, before the
 // store comes back from a copy that is some seconds old.
 func playDrill(f *fleet) int {
@@ -55,9 +73,7 @@
 	}
 	f.note("the tenant has used %d of %d tokens, all at %s", used, prepaid, first.name)
 	if trouble {
-		first.signal(syscall.SIGTERM)
-		<-first.done
-		f.note("%s has stopped as planned", first.name)
+		first.leave(os.Getenv("HOW"))
 		f.store.away.Store(true)
 		time.Sleep(300 * time.Millisecond)
 		f.store.restore(c)
