--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -12,6 +12,12 @@
 	"time"
 )
 
+// Tokens of the largest kind of request on the sheet of mbed-tt.
+const (
+	planPrompt = 11992
+	planOutput = 384
+)
+
 // request is one attempt of a client.
 type request struct {
 	id, method, path, key string
--- a/review/standins/drill.go
+++ b/review/standins/drill.go
@@ -59,10 +59,10 @@
 	f.note("the store is copied")
 	var used int64
 	use := func(d *daemon, id string) answer {
-		q := generation(id, theKey, 11992, 384)
+		q := generation(id, theKey, planPrompt, planOutput)
 		a := f.send(d, q)
 		if len(f.runsOf(q.id)) > 0 {
-			used += 11992 + a.tokens
+			used += planPrompt + a.tokens
 		}
 		return a
 	}
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -195,16 +195,26 @@
 	f.note("%d machines are ready", n)
 }
 
-// freeAddr returns a free loopback address, with a port that the kernel gives to no outgoing
-// connection by itself.
+// Ports of the machines: below those that the kernel gives to outgoing connections, and apart
+// from those of other cases that run at the same time.
+const (
+	firstPort    = 12000
+	portsOfACase = 200
+	casesAtOnce  = 90
+)
+
+var nextPort = firstPort + os.Getpid()%casesAtOnce*portsOfACase
+
+// freeAddr returns a free loopback address.
 func freeAddr() string {
-	for {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000)))
-		if err == nil {
+	for range portsOfACase {
+		nextPort++
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort)); err == nil {
 			defer l.Close()
 			return l.Addr().String()
 		}
 	}
+	return must("", errors.New("no free port"))
 }
 
 // settings fills in the template of the deploy file.
--- a/review/standins/oversized.go
+++ b/review/standins/oversized.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -18,8 +19,8 @@
 	time.Sleep(2 * time.Second)
 	d := f.daemons[0]
 	if trouble {
-		q := generation("oversized", theKey, 1460, 80)
-		q.tokens = "1460,9223372036854775807"
+		q := generation("oversized", theKey, planPrompt, planOutput)
+		q.tokens = fmt.Sprintf("%d,%d", planPrompt, math.MaxInt64)
 		a := f.send(d, q)
 		f.note("a request with X-Token-Count %s: status %d, %d runs", q.tokens, a.status, len(f.runsOf(q.id)))
 	}
