Log on what the verdict rests that a request has not run

The line has the reason now for which the request counts as not run, the bytes of it that were written, the response's status, whether the response names the request, whether the connection had carried other requests or an earlier attempt of this one, and whether it was closed. A counter has the failed attempts by the same reason. No decision changes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,9 +61,11 @@
 // attemptFailure describes a failed attempt.
 type attemptFailure struct {
 	err error
-	// ran is whether the request ran at the endpoint.
-	ran     upstream.Ran
-	outcome balance.Outcome
+	// ran is whether the request ran at the endpoint, notRun why it counts as not run.
+	ran      upstream.Ran
+	notRun   notRunReason
+	outcome  balance.Outcome
+	evidence evidence
 	// notReceived is true if the request did not reach the endpoint; another
 	// attempt then does not count against the retry budget.
 	notReceived bool
@@ -85,7 +87,7 @@
 // attempts sends the request to one endpoint after another until the caller has a
 // response or shouldRetry allows no further attempt.
 func (x *exchange) attempts(ctx context.Context) error {
-	x.tried = make(map[string]bool)
+	x.tried, x.sentToAddr = make(map[string]bool), make(map[string]int)
 	x.handler.RetryBudget.Offered(x.service)
 	for {
 		if err := x.handler.stopped(); err != nil && x.ran == upstream.RanNo {
@@ -100,6 +102,7 @@
 			x.offered = time.Since(x.start)
 		}
 		x.sentTo, x.tried[choice.ID] = append(x.sentTo, choice.ID), true
+		x.sentToAddr[choice.Addr]++
 		failed := x.tryEndpoint(ctx, choice)
 		if failed == nil {
 			return nil
@@ -109,9 +112,7 @@
 			x.runs++
 		}
 		retry, reason := x.shouldRetry(ctx, failed)
-		x.handler.Log.Info().Str("request", x.meta.ID).Str("endpoint", choice.ID).Str("peer", choice.Addr).Err(failed.err).
-			Str("ran", string(failed.ran)).Bool("again", retry).Str("reason", reason).Int("candidates", choice.Candidates).
-			Float64("predicted_ms", choice.Cost).Msg("attempt failed")
+		x.recordFailure(choice, failed, retry, reason)
 		if !retry {
 			return x.callerError(failed.err)
 		}
@@ -195,6 +196,7 @@
 	a.stopTimer()
 	if failed != nil {
 		failed.retryTaken = a.retryTaken.Load()
+		failed.evidence = a.evidence(failed.err)
 	}
 	x.handler.Pools.Done(x.service, choice, a.started)
 	outcome := balance.Succeeded
@@ -288,10 +290,14 @@
 		return &attemptFailure{err: err, ran: upstream.RanUnknown, outcome: balance.NoValidResponse}
 	}
 	switch {
-	case !s.reached && !s.connected:
-		return &attemptFailure{err: err, ran: upstream.RanNo, outcome: balance.Unreachable, notReceived: true}
-	case !s.reached:
-		return &attemptFailure{err: err, ran: upstream.RanNo, outcome: balance.NoValidResponse, notReceived: true}
+	case !s.connected:
+		return &attemptFailure{
+			err: err, ran: upstream.RanNo, notRun: notConnected, outcome: balance.Unreachable, notReceived: true,
+		}
+	case s.written == 0:
+		return &attemptFailure{
+			err: err, ran: upstream.RanNo, notRun: nothingWritten, outcome: balance.NoValidResponse, notReceived: true,
+		}
 	case context.Cause(a.ctx) != nil:
 		return &attemptFailure{
 			err: errors.WithMessage(err, context.Cause(a.ctx).Error()), ran: upstream.RanUnknown, outcome: balance.NoValidResponse,
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -16,6 +16,7 @@
 	written atomic.Int64
 	// unchecked holds a value while a response is awaited or not checked.
 	unchecked chan struct{}
+	closed    atomic.Bool
 }
 
 func newEndpointConn(c net.Conn) *endpointConn {
@@ -29,6 +30,12 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *endpointConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
 // begin waits until the response before was checked, or ctx ends. It reports whether
 // endCheck must be called once the next response was checked.
 func (c *endpointConn) begin(ctx context.Context) bool {
@@ -53,8 +60,8 @@
 	begun         bool
 }
 
-// wrote reports whether any byte of the request was written.
-func (u *connUse) wrote() bool { return u.written.Load() > u.writtenBefore }
+// requestBytes returns the number of bytes of the request that were written.
+func (u *connUse) requestBytes() int64 { return u.written.Load() - u.writtenBefore }
 
 // checked ends the use of the connection; further calls do nothing.
 func (u *connUse) checked() {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -75,6 +75,8 @@
 	// order; tried holds the same ids.
 	sentTo []string
 	tried  map[string]bool
+	// sentToAddr counts the attempts by the endpoint's address.
+	sentToAddr map[string]int
 	// runs is the number of attempts in which the request may have run.
 	runs int
 	// offered is the time from start to the first attempt; 0 if there was none.
--- a/internal/relay/head.go
+++ b/internal/relay/head.go
@@ -27,13 +27,13 @@
 	case status == http.StatusMisdirectedRequest:
 		return &attemptFailure{
 			err: errors.Errorf("endpoint %q responded at %s", a.respMeta.Endpoint, a.choice.Addr),
-			ran: upstream.RanNo, outcome: balance.Refused,
+			ran: upstream.RanNo, notRun: misdirected, outcome: balance.Refused,
 			replaced: a.respMeta.Endpoint != "" && a.respMeta.Endpoint != a.choice.ID,
 		}
 	case a.respMeta.NotRun:
 		return &attemptFailure{
 			err: errors.Errorf("the endpoint refused the request with status %d", status),
-			ran: upstream.RanNo, outcome: balance.Refused,
+			ran: upstream.RanNo, notRun: refused, outcome: balance.Refused,
 		}
 	case promisesNotRun(status) && !a.x.route.Idempotent():
 		return &attemptFailure{
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -99,12 +99,13 @@
 
 // sendError is a failure before a response's header arrived.
 type sendError struct {
-	// reached is true if a part of the request was written, so that the endpoint may
-	// have received it.
-	reached bool
-	// connected is true if a connection was established.
-	connected bool
-	err       error
+	// written is the number of bytes of the request that were written, and that the
+	// endpoint may have received.
+	written int64
+	// connected is true if a connection was established, reused if it had carried an
+	// earlier request.
+	connected, reused bool
+	err               error
 }
 
 // Error implements error.
@@ -161,7 +162,7 @@
 	if err != nil {
 		failed := &sendError{connected: use != nil, err: failure.At(err, "relay.send", out.addr)}
 		if use != nil {
-			failed.reached = use.wrote()
+			failed.written, failed.reused = use.requestBytes(), use.reused
 			use.checked()
 		}
 		return nil, nil, failed
