--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -34,23 +34,38 @@
 type script func(r *http.Request, body string, c net.Conn) bool
 
 func startEndpoint(t *testing.T, answer script) *endpoint {
+	t.Helper()
+	e := listen(t)
+	go e.accept(func(c net.Conn) { e.serve(c, answer) })
+	return e
+}
+
+// startRawEndpoint starts an endpoint that handles its connections itself.
+func startRawEndpoint(t *testing.T, handle func(net.Conn)) *endpoint {
+	t.Helper()
+	e := listen(t)
+	go e.accept(handle)
+	return e
+}
+
+func listen(t *testing.T) *endpoint {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	e := &endpoint{addr: l.Addr().String(), listener: l, ended: make(chan struct{}, 16)}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(c, answer)
+	return &endpoint{addr: l.Addr().String(), listener: l, ended: make(chan struct{}, 16)}
+}
+
+func (e *endpoint) accept(handle func(net.Conn)) {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
 		}
-	}()
-	return e
+		go handle(c)
+	}
 }
 
 func (e *endpoint) serve(c net.Conn, answer script) {
