Send a further attempt at the same address on a connection of its own

Cause: a response on a kept connection counts as the request's own if it has the request's id. An endpoint that starts again at its address under a new id answers the first attempt with 421; the next attempt goes to its new id, on the same connection. A late copy of the 421 has the id of the request, so it was taken for the refusal of the attempt that was running there, and the request went on to another endpoint.

Why it works: nothing sent for an earlier attempt can arrive on a new connection. Only such attempts pay for one; all others stay on kept ones.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -261,7 +261,8 @@
 	resp, conn, err := x.handler.sender.send(a.ctx, outboundRequest{
 		method: x.r.Method, addr: a.choice.Addr, uri: x.r.RequestURI, host: x.r.Host,
 		header: x.handler.Codec.ForwardHeaders(x.r.Header, forward), body: x.body,
-		ownConnection: x.route.Kind == routing.Unsafe,
+		// A late copy of the refusal of an earlier attempt can't arrive on a new connection.
+		ownConnection: x.route.Kind == routing.Unsafe || x.sentToAddr[a.choice.Addr] > 1,
 	})
 	if err != nil {
 		return a.sendFailed(err)
--- a/internal/relay/once_test.go
+++ b/internal/relay/once_test.go
@@ -11,6 +11,35 @@
 	"time"
 )
 
+// Guards against a late copy of the refusal of an earlier attempt, at an endpoint that has
+// started again at its address, being taken for the refusal of the attempt that runs there.
+func TestLateCopyOfARefusalOfTheSameRequest(t *testing.T) {
+	refusal := response(requestID, http.StatusMisdirectedRequest, "", "X-Not-Executed: 1", "X-Instance-Id: b")
+	answer := respondWith(chunkedStream(requestID, true, event(1)), true)
+	refused := make(chan net.Conn, 1)
+	restarted := startEndpoint(t, func(r *http.Request, body string, c net.Conn) bool {
+		select {
+		case first := <-refused: // the second attempt runs
+			_, _ = io.WriteString(first, refusal)
+			time.Sleep(20 * time.Millisecond)
+			return answer(r, body, c)
+		default:
+			refused <- c
+			_, err := io.WriteString(c, refusal)
+			return err == nil
+		}
+	})
+	other := startEndpoint(t, answer)
+	h := newHarness(t, restarted, restarted, other)
+	resp, body, err := h.do(t, h.request(t, "POST", "/plan/x", "x"))
+	if err != nil || resp.StatusCode != http.StatusOK || body != event(1) {
+		t.Errorf("the caller got %v %q %v, want the stream", resp, body, err)
+	}
+	if n := len(other.requests()); n != 0 {
+		t.Errorf("a request that ran was sent to another endpoint %d times", n)
+	}
+}
+
 // breakAfter returns an endpoint's side of a connection that breaks once so many bytes of the
 // request have arrived, at once or after a pause; reset sends a reset instead of an end.
 // seen counts the requests of which bytes have arrived.
