Send requests of both interfaces to endpoints with one client

The relay's sender and the gateway's client did the same: send a request once and tell whether it ran. Only the relay's counted the bytes written, bounded a response's head and kept a connection from the next request until the response before was checked. It is now upstream.Client, which the gateway uses too; a body that is closed ends the use of its connection.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,7 +30,7 @@
 	cancel   context.CancelCauseFunc
 	// firstTokenTimer cancels the dispatch unless the first token stops it.
 	firstTokenTimer *time.Timer
-	resp            *http.Response
+	resp            *upstream.Response
 	err             error
 }
 
@@ -51,7 +50,6 @@
 
 // send sends the request and waits for the first byte of the answer's body.
 func (j *job) send(d *dispatch) {
-	//nolint:bodyclose // attempt closes the winner's body and firstAnswer the loser's.
 	d.resp, d.err = j.x.g.Upstream.Do(d.ctx, upstream.Call{
 		Endpoint: d.endpoint.ID, Addr: d.endpoint.Addr, Method: j.x.r.Method, Path: j.path,
 		Header: j.upstreamHeader(), Body: j.body,
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"strings"
 
 	"github.com/azurehatch/azurehatch/internal/failure"
@@ -35,7 +34,7 @@
 	return j.run()
 }
 
-func (j *job) relayPlain(resp *http.Response, endpoint Endpoint) error {
+func (j *job) relayPlain(resp *upstream.Response, endpoint Endpoint) error {
 	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
 		return j.plainFailure(endpoint, err)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -152,7 +152,7 @@
 	return max(1, int64(len(j.chat.raw["messages"]))/bytesPerToken)
 }
 
-func (j *job) relayCompletion(resp *http.Response, endpoint Endpoint) error {
+func (j *job) relayCompletion(resp *upstream.Response, endpoint Endpoint) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCompletionBytes+1))
 	if err != nil {
 		return failure.At(&upstream.Error{Endpoint: endpoint.ID, Ran: upstream.RanUnknown, Err: err},
@@ -173,7 +173,9 @@
 	return j.sendComplete(resp, body)
 }
 
-func (j *job) sendComplete(resp *http.Response, body []byte) error {
+// sendComplete sends a response that was read completely.
+func (j *job) sendComplete(resp *upstream.Response, body []byte) error {
+	resp.Accept()
 	h := j.x.w.Header()
 	copyHeader(h, resp.Header)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -191,7 +193,7 @@
 // engineRefusal handles an engine's status other than 200. The refusal of an
 // overloaded or failed engine may be retried at another endpoint; any other answer
 // is sent to the caller.
-func (j *job) engineRefusal(resp *http.Response, endpoint Endpoint) error {
+func (j *job) engineRefusal(resp *upstream.Response, endpoint Endpoint) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEngineErrorBytes))
 	if err != nil || resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
 		cause := errors.Wrapf(upstream.ErrStatus, "status %d: %.200s", resp.StatusCode, body)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -41,10 +40,8 @@
 	sentAt   time.Time
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
-	resp     *http.Response
+	resp     *upstream.Response
 	respMeta ResponseMeta
-	// conn is the connection to the endpoint.
-	conn *connUse
 	// started is true once the first byte of the body arrived, at startedAt.
 	started   bool
 	startedAt time.Time
@@ -235,20 +232,12 @@
 	// A lost answer breaks a connection as well, but leaves the endpoint up.
 	fingerprint, choice := x.fingerprint, a.choice
 	x.handler.checks.Go(func() {
-		if x.handler.sender.isDown(choice.Addr) {
+		if x.handler.client.RefusesConnections(choice.Addr, downTimeout) {
 			isolator.PartsCrashed(fingerprint, choice.ID)
 		}
 	})
 }
 
-// closeConn closes the connection to the endpoint, so that it is not reused.
-func (a *attempt) closeConn() {
-	a.cancel(errors.New("response not usable"))
-	if err := a.conn.Close(); err != nil {
-		a.x.handler.Log.Debug().Err(err).Str("peer", a.choice.Addr).Msg("connection to endpoint not closed")
-	}
-}
-
 // run sends the request and relays the response.
 func (a *attempt) run() *attemptFailure {
 	x := a.x
@@ -258,23 +247,24 @@
 	if x.account != nil {
 		forward.Account = x.account.Name
 	}
-	resp, conn, err := x.handler.sender.send(a.ctx, outboundRequest{
-		method: x.r.Method, addr: a.choice.Addr, uri: x.r.RequestURI, host: x.r.Host,
-		header: x.handler.Codec.ForwardHeaders(x.r.Header, forward), body: x.body,
+	resp, err := x.handler.client.Do(a.ctx, upstream.Call{
+		Endpoint: a.choice.ID, Addr: a.choice.Addr, Method: x.r.Method, Path: x.r.RequestURI, Host: x.r.Host,
+		Header: x.handler.Codec.ForwardHeaders(x.r.Header, forward), Body: x.body,
 		// A late copy of the refusal of an earlier attempt can't arrive on a new connection.
-		ownConnection: x.route.Kind == routing.Unsafe || x.sentToAddr[a.choice.Addr] > 1,
+		OwnConnection: x.route.Kind == routing.Unsafe || x.sentToAddr[a.choice.Addr] > 1,
 	})
 	if err != nil {
 		return a.sendFailed(err)
 	}
 	defer resp.Body.Close()
-	a.resp, a.conn, a.respMeta = resp, conn, x.handler.Codec.DecodeResponse(resp.Header)
-	defer conn.checked()
+	a.resp, a.respMeta = resp, x.handler.Codec.DecodeResponse(resp.Header)
 	a.recordAnnouncement()
 	failed := a.relay()
 	if failed != nil && failed.ran == upstream.RanUnknown {
 		// The endpoint may still work on the request. It stops when its connection ends.
-		a.closeConn()
+		if err := resp.Abandon(); err != nil {
+			x.handler.Log.Debug().Err(err).Str("request", x.meta.ID).Str("peer", a.choice.Addr).Msg("connection to endpoint not closed")
+		}
 	}
 	return failed
 }
@@ -290,22 +280,22 @@
 	if a.x.route.Kind == routing.Streaming && a.resp.StatusCode/100 == 2 {
 		return a.relayStream()
 	}
-	a.conn.checked()
+	a.resp.Accept()
 	return a.relayResponse()
 }
 
 // sendFailed classifies the failure of an attempt without a response header.
 func (a *attempt) sendFailed(err error) *attemptFailure {
-	var s *sendError
+	var s *upstream.Error
 	if !errors.As(err, &s) {
 		return &attemptFailure{err: err, ran: upstream.RanUnknown, outcome: balance.NoValidResponse}
 	}
 	switch {
-	case !s.connected:
+	case !s.Connected:
 		return &attemptFailure{
 			err: err, ran: upstream.RanNo, notRun: notConnected, outcome: balance.Unreachable, notReceived: true,
 		}
-	case s.written == 0:
+	case s.Ran == upstream.RanNo:
 		return &attemptFailure{
 			err: err, ran: upstream.RanNo, notRun: nothingWritten, outcome: balance.NoValidResponse, notReceived: true,
 		}
@@ -319,7 +309,7 @@
 }
 
 // commit sends the response's header to the caller, once per request.
-func (x *exchange) commit(resp *http.Response) {
+func (x *exchange) commit(resp *upstream.Response) {
 	if x.committed {
 		return
 	}
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/upstream"
 )
 
 // notRunReason is why a request counts as not run at an endpoint.
@@ -37,13 +38,13 @@
 // evidence returns what is known of an attempt that failed with err.
 func (a *attempt) evidence(err error) evidence {
 	e := evidence{earlierHere: a.x.sentToAddr[a.choice.Addr] - 1}
-	var s *sendError
+	var s *upstream.Error
 	switch {
-	case a.conn != nil:
-		e.connected, e.reused, e.closed, e.written = true, a.conn.reused, a.conn.closed.Load(), a.conn.requestBytes()
+	case a.resp != nil:
+		e.connected, e.reused, e.closed, e.written = true, a.resp.Reused(), a.resp.Closed(), a.resp.Written()
 		e.status, e.namesRequest = a.resp.StatusCode, a.respMeta.RequestID == a.x.meta.ID
 	case errors.As(err, &s):
-		e.connected, e.reused, e.closed, e.written = s.connected, s.reused, true, s.written
+		e.connected, e.reused, e.closed, e.written = s.Connected, s.Reused, true, s.Written
 	}
 	return e
 }
--- a/internal/relay/head.go
+++ b/internal/relay/head.go
@@ -77,7 +77,7 @@
 // connection's first response.
 func (a *attempt) ownResponse() bool {
 	refused := a.respMeta.NotRun || a.resp.StatusCode == http.StatusMisdirectedRequest
-	return a.respMeta.RequestID == a.x.meta.ID || a.respMeta.RequestID == "" && refused && !a.conn.reused
+	return a.respMeta.RequestID == a.x.meta.ID || a.respMeta.RequestID == "" && refused && !a.resp.Reused()
 }
 
 // mayRepeat reports whether a server error is retried instead of being returned to
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,8 +17,25 @@
 	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/poison"
 	"github.com/azurehatch/azurehatch/internal/routing"
+	"github.com/azurehatch/azurehatch/internal/upstream"
 )
 
+// Limits of connections to endpoints.
+const (
+	// connectTimeout bounds a connection attempt. Round trips take a few ms, and
+	// the remaining time must allow an attempt at another endpoint.
+	connectTimeout = 400 * time.Millisecond
+	// idleConnTimeout closes idle connections. It is below the endpoints'
+	// shortest idle timeout, 1 s, so that requests are not sent on connections
+	// that the endpoint is closing.
+	idleConnTimeout = 800 * time.Millisecond
+	// maxIdlePerEndpoint bounds the idle connections to one endpoint.
+	maxIdlePerEndpoint = 16
+)
+
+// latencyBuckets are those of the times of requests.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 18)
+
 // RequestMeta holds the values decoded from a caller's request headers.
 type RequestMeta struct {
 	// ID is the request id that the caller chose for this attempt.
@@ -176,7 +193,7 @@
 // Handler serves callers' requests.
 type Handler struct {
 	Options
-	sender *sender
+	client *upstream.Client
 	// closing adds "Connection: close" to responses.
 	closing  atomic.Bool
 	shutdown shutdown
@@ -194,7 +211,10 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
-	return &Handler{Options: opts, sender: newSender(opts.Scope), shutdown: newShutdown()}
+	client := upstream.New(upstream.Options{
+		ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout, IdlePerEndpoint: maxIdlePerEndpoint, Scope: opts.Scope,
+	})
+	return &Handler{Options: opts, client: client, shutdown: newShutdown()}
 }
 
 // DisableKeepAlives begins the shutdown: it adds "Connection: close" to all further responses.
@@ -211,7 +231,7 @@
 // to end. There must be no active requests.
 func (h *Handler) Close() {
 	h.checks.Wait()
-	h.sender.close()
+	h.client.Close()
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,7 +36,7 @@
 		n, err := a.resp.Body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
 		if errors.Is(err, io.EOF) && endsBetweenEvents(pending) {
-			a.conn.checked() // the next request need not wait for this one's caller
+			a.resp.Accept() // the next request need not wait for this one's caller
 		}
 		if n > 0 {
 			a.recordFirstByte()
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,230 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/dialer"
+	"github.com/azurehatch/azurehatch/internal/failure"
+)
+
+// Defaults for connections to endpoints.
+const (
+	defaultConnectTimeout  = 500 * time.Millisecond
+	defaultIdleTimeout     = 90 * time.Second
+	defaultIdlePerEndpoint = 64
+)
+
+// Limits of connections to endpoints.
+const (
+	// maxHeadBytes bounds a response's header. An endpoint in trouble may send one without
+	// end.
+	maxHeadBytes = 64 << 10
+	// writeBufferBytes is the size up to which a request is sent in one write.
+	writeBufferBytes = 16 << 10
+)
+
+// Options configure a Client. Zero values mean the defaults.
+type Options struct {
+	// ConnectTimeout bounds a connection attempt.
+	ConnectTimeout time.Duration
+	// IdleTimeout closes idle connections, IdlePerEndpoint bounds their number.
+	IdleTimeout     time.Duration
+	IdlePerEndpoint int
+	// Scope has the counter endpoint_connections; nil means none.
+	Scope tally.Scope
+}
+
+// Client sends calls to endpoints. It sends no call twice.
+type Client struct {
+	// pooled reuses connections, unpooled opens one for each call.
+	pooled, unpooled *http.Transport
+	dials            tally.Counter
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	if o.ConnectTimeout == 0 {
+		o.ConnectTimeout = defaultConnectTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	if o.IdlePerEndpoint == 0 {
+		o.IdlePerEndpoint = defaultIdlePerEndpoint
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	c := &Client{dials: o.Scope.Counter("endpoint_connections")}
+	c.pooled, c.unpooled = c.transport(o), c.transport(o)
+	c.unpooled.DisableKeepAlives = true
+	return c
+}
+
+func (c *Client) transport(o Options) *http.Transport {
+	d := dialer.New(o.ConnectTimeout)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c.dials.Inc(1)
+			conn, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return newEndpointConn(conn), nil
+		},
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    o.IdlePerEndpoint,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		WriteBufferSize:        writeBufferBytes,
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.unpooled.CloseIdleConnections()
+}
+
+// RefusesConnections reports whether the host of an endpoint refuses connections to addr,
+// because no process listens there. A host that does not answer may be cut off.
+func (c *Client) RefusesConnections(addr string, timeout time.Duration) bool {
+	c.dials.Inc(1)
+	conn, err := dialer.New(timeout).Dial("tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
+
+// Call is one request to one endpoint.
+type Call struct {
+	// Endpoint is the endpoint's ID, Addr its address as IP:port.
+	Endpoint, Addr string
+	Method         string
+	// Path is the URL path with the query string.
+	Path string
+	// Host is the Host header; empty means Addr.
+	Host   string
+	Header http.Header
+	Body   []byte
+	// OwnConnection sends the request on a new connection that is not reused: a kept
+	// connection may have been closed, or may deliver a late response to an earlier request.
+	OwnConnection bool
+}
+
+// Do sends the call and returns the response. The caller must close its body, before which
+// no other call uses the connection unless Accept is called. The error contains an *Error.
+func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
+	// The transport calls GotConn in the goroutine of RoundTrip, again if it replaces a
+	// connection that the endpoint had closed.
+	var use *connUse
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if use != nil {
+			use.release()
+		}
+		conn := i.Conn.(*endpointConn)
+		begun := conn.begin(ctx)
+		use = &connUse{endpointConn: conn, reused: i.Reused, writtenBefore: conn.written.Load()}
+		use.begun.Store(begun)
+	}}
+	req := call.request()
+	transport := c.pooled
+	if call.OwnConnection || req.Body == nil && hasIdempotencyKey(call.Header) {
+		transport = c.unpooled
+	}
+	//nolint:bodyclose // the caller closes it
+	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		failed := &Error{Endpoint: call.Endpoint, Ran: RanNo, Err: err}
+		if use != nil {
+			failed.Connected, failed.Reused, failed.Written = true, use.reused, use.requestBytes()
+			use.release()
+		}
+		if failed.Written > 0 {
+			failed.Ran = RanUnknown
+		}
+		return nil, failure.At(failed, "upstream.request", call.Addr)
+	}
+	r := &Response{Response: resp, use: use}
+	r.Body = releasingBody{resp.Body, use}
+	return r, nil
+}
+
+// request returns the HTTP request of a call. A request with a body but without GetBody is
+// not repeated by the transport itself. A body that turns out to be empty is sent as none
+// with methods that have none.
+func (c Call) request() *http.Request {
+	req := &http.Request{
+		Method: c.Method, URL: &url.URL{Scheme: "http", Host: c.Addr, Opaque: c.Path},
+		Host: c.Host, Header: c.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(c.Body) > 0 || !mayHaveBody(c.Method) {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(c.Body)), int64(len(c.Body))
+	}
+	return req
+}
+
+// mayHaveBody reports whether requests with a method usually have a body. The transport
+// announces an empty body with such a method.
+func mayHaveBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return false
+	}
+	return true
+}
+
+// hasIdempotencyKey reports whether a request has a header because of which the transport
+// repeats it by itself on a reused connection.
+func hasIdempotencyKey(h http.Header) bool {
+	return h.Get("Idempotency-Key") != "" || h.Get("X-Idempotency-Key") != ""
+}
+
+// Response is an endpoint's response to a call.
+type Response struct {
+	*http.Response
+	use *connUse
+}
+
+// Accept lets the next call use the connection. The response must have been found to be the
+// call's own, and usable as far as it can be read to its end.
+func (r *Response) Accept() { r.use.release() }
+
+// Abandon closes the connection, by whose end an endpoint that may still work on the call
+// notices that its response is not wanted.
+func (r *Response) Abandon() error { return errors.Wrap(r.use.Close(), "close connection to endpoint") }
+
+// Reused reports whether the connection had carried an earlier call, Closed whether it is
+// closed.
+func (r *Response) Reused() bool { return r.use.reused }
+
+// Closed reports whether the connection is closed.
+func (r *Response) Closed() bool { return r.use.closed.Load() }
+
+// Written returns the number of bytes of the call that were written.
+func (r *Response) Written() int64 { return r.use.requestBytes() }
+
+// releasingBody is a response body whose end of use lets the next call use the connection.
+type releasingBody struct {
+	io.ReadCloser
+	use *connUse
+}
+
+// Close implements io.Closer.
+func (b releasingBody) Close() error {
+	defer b.use.release()
+	return b.ReadCloser.Close()
+}
--- a/internal/relay/sender_test.go
+++ b/internal/upstream/client_test.go
@@ -1,4 +1,4 @@
-package relay
+package upstream
 
 import (
 	"context"
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/uber-go/tally/v4"
 )
 
 // lateConn returns from each write some time after its bytes were sent, as on a machine that
@@ -45,9 +44,9 @@
 				}
 				c.Close()
 			}()
-			s := newSender(tally.NoopScope)
-			defer s.close()
-			for _, transport := range []*http.Transport{s.pooled, s.unpooled} {
+			client := New(Options{})
+			defer client.Close()
+			for _, transport := range []*http.Transport{client.pooled, client.unpooled} {
 				dial := transport.DialContext
 				transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 					c, err := dial(ctx, network, addr)
@@ -65,12 +64,14 @@
 				}
 			}()
 			defer cancel()
-			_, _, err := s.send(ctx, outboundRequest{
-				method: http.MethodPost, addr: l.Addr().String(), uri: "/order/x", host: "shop.example", header: http.Header{},
-				body: []byte("x"), ownConnection: true,
+			resp, err := client.Do(ctx, Call{
+				Method: http.MethodPost, Addr: l.Addr().String(), Path: "/order/x", Header: http.Header{}, Body: []byte("x"), OwnConnection: true,
 			})
-			var failed *sendError
-			if !errors.As(err, &failed) || failed.written == 0 {
+			if err == nil {
+				resp.Body.Close()
+			}
+			var failed *Error
+			if !errors.As(err, &failed) || failed.Written == 0 || failed.Ran != RanUnknown {
 				t.Errorf("got %+v, want a failure after written bytes", err)
 			}
 		})
--- a/internal/relay/conn.go
+++ b/internal/upstream/conn.go
@@ -1,4 +1,4 @@
-package relay
+package upstream
 
 import (
 	"context"
@@ -7,20 +7,20 @@
 )
 
 // endpointConn is a connection to an endpoint. The transport returns a connection to its
-// pool as soon as it has read a response without a body, before the relay has seen that the
-// response is another request's and closes the connection. A request that gets the
-// connection meanwhile therefore waits until the response before it was checked.
+// pool as soon as it has read a response to its end, before the caller has seen whether the
+// response is its own and usable, or else closes the connection. A request that gets the
+// connection meanwhile therefore waits until the response before it was accepted.
 type endpointConn struct {
 	net.Conn
 	// written is the number of bytes written.
 	written atomic.Int64
-	// unchecked holds a value while a response is awaited or not checked.
-	unchecked chan struct{}
-	closed    atomic.Bool
+	// inUse holds a value while a response is awaited or not accepted.
+	inUse  chan struct{}
+	closed atomic.Bool
 }
 
 func newEndpointConn(c net.Conn) *endpointConn {
-	return &endpointConn{Conn: c, unchecked: make(chan struct{}, 1)}
+	return &endpointConn{Conn: c, inUse: make(chan struct{}, 1)}
 }
 
 // Write implements net.Conn.
@@ -36,19 +36,19 @@
 	return c.Conn.Close()
 }
 
-// begin waits until the response before was checked, or ctx ends. It reports whether
-// endCheck must be called once the next response was checked.
+// begin waits until the response before was accepted, or ctx ends. It reports whether
+// the use begins, so that end must be called.
 func (c *endpointConn) begin(ctx context.Context) bool {
 	select {
-	case c.unchecked <- struct{}{}:
+	case c.inUse <- struct{}{}:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
-// endCheck lets the next request use the connection.
-func (c *endpointConn) endCheck() { <-c.unchecked }
+// end lets the next request use the connection.
+func (c *endpointConn) end() { <-c.inUse }
 
 // connUse is the use of a connection by one request.
 type connUse struct {
@@ -57,16 +57,15 @@
 	reused bool
 	// writtenBefore is the number of bytes written before this request.
 	writtenBefore int64
-	begun         bool
+	begun         atomic.Bool
 }
 
 // requestBytes returns the number of bytes of the request that were written.
 func (u *connUse) requestBytes() int64 { return u.written.Load() - u.writtenBefore }
 
-// checked ends the use of the connection; further calls do nothing.
-func (u *connUse) checked() {
-	if u.begun {
-		u.begun = false
-		u.endCheck()
+// release ends the use of the connection; further calls do nothing.
+func (u *connUse) release() {
+	if u.begun.CompareAndSwap(true, false) {
+		u.end()
 	}
 }
