Close the gateway's connection after an answer that can't be used

Evidence: TestEndpointNoticesThatItsRequestWentOn of the gateway failed before: the engine had not noticed after 2 s (an idle connection is kept for 90 s); 400 ms are allowed. All answers of unknown outcome close the connection now, before the request goes on or the stream is resumed.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -77,17 +77,17 @@
 // lateCopy closes the connection of a dispatch that got the response to an earlier request,
 // and returns its error. It is unknown whether the endpoint runs this request.
 func (j *job) lateCopy(d *dispatch) error {
-	j.abandon(d)
+	j.abandon(d.resp)
 	d.resp.Body.Close()
 	d.resp = nil
 	cause := &upstream.Error{Endpoint: d.endpoint.ID, Ran: upstream.RanUnknown, Err: upstream.ErrOtherResponse}
 	return failure.At(cause, "gateway.dispatch", d.endpoint.Addr)
 }
 
-// abandon closes the connection of a dispatch, so that its endpoint stops.
-func (j *job) abandon(d *dispatch) {
-	if err := d.resp.Abandon(); err != nil {
-		j.x.log.Debug().Err(err).Str("endpoint", d.endpoint.ID).Msg("connection to endpoint not closed")
+// abandon closes the connection of a response, so that its endpoint stops.
+func (j *job) abandon(resp *upstream.Response) {
+	if err := resp.Abandon(); err != nil {
+		j.x.log.Debug().Err(err).Msg("connection to endpoint not closed")
 	}
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -288,7 +288,11 @@
 	}
 	defer d.resp.Body.Close()
 	j.mergeRan(upstream.RanUnknown)
-	return j.attributeTimeout(d, j.relay(d))
+	err := j.attributeTimeout(d, j.relay(d))
+	if err != nil && upstream.RanOf(err) == upstream.RanUnknown && !errors.Is(err, upstream.ErrStatus) {
+		j.abandon(d.resp) // the endpoint may still work on the request
+	}
+	return err
 }
 
 func (j *job) relay(d *dispatch) error {
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -94,3 +94,30 @@
 		})
 	}
 }
+
+// Guards against an endpoint that goes on with a request for which another one works,
+// because the connection was kept after an answer that is malformed.
+func TestEndpointNoticesThatItsRequestWentOn(t *testing.T) {
+	const notWantedBound = 400 * time.Millisecond
+	wentOn := make(chan time.Time, 1)
+	x := newFixture(t)
+	ended := make(chan time.Time, 1)
+	x.addRawEndpoint(func(_ *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, rawResponse("", `{"choices":[]}`))
+		_ = c.SetReadDeadline(time.Now().Add(5 * notWantedBound))
+		_, _ = c.Read(make([]byte, 1)) // works until the connection ends
+		ended <- time.Now()
+		return false
+	})
+	x.addRawEndpoint(func(_ *http.Request, c net.Conn) bool {
+		wentOn <- time.Now()
+		_, err := io.WriteString(c, rawResponse("", completionAnswer))
+		return err == nil
+	})
+	if resp, text, err := x.post(chatPath, completionBody); err != nil || text != completionAnswer {
+		t.Fatalf("got %v %q %v", resp, text, err)
+	}
+	if late := (<-ended).Sub(<-wentOn); late > notWantedBound {
+		t.Errorf("the first endpoint noticed %v after the request had gone on, want at most %v", late, notWantedBound)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -66,6 +66,9 @@
 	}
 	dst := streamWriter{x: j.x}
 	err := relay.Copy(dst, d.resp.Body)
+	if err != nil {
+		j.abandon(d.resp) // before the stream is resumed
+	}
 	for range maxStreamResumes {
 		if !j.resumable || !errors.Is(err, upstream.ErrTruncated) || relay.Progress().LastEventID == "" || ctx.Err() != nil {
 			break
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -201,8 +201,13 @@
 func (r *Response) Accept() { r.use.release() }
 
 // Abandon closes the connection, by whose end an endpoint that may still work on the call
-// notices that its response is not wanted.
-func (r *Response) Abandon() error { return errors.Wrap(r.use.Close(), "close connection to endpoint") }
+// notices that its response is not wanted. It does nothing if the connection is closed.
+func (r *Response) Abandon() error {
+	if r.Closed() {
+		return nil
+	}
+	return errors.Wrap(r.use.Close(), "close connection to endpoint")
+}
 
 // NamesEarlierCall reports whether the response has the id of the call before on its
 // connection, of which it is a late copy then.
