Send each order on a connection of its own

An order that the endpoint had accepted counted as certainly not accepted and would be placed again.

Evidence: TestLateCopyOfARefusalIsNotTheNextOrdersResult failed before: the accepted order counted as failed. Orders are rare, so a connection each costs little. Heads of endpoints' responses to the manager are bounded to 64 KiB.

--- a/internal/orders/endpoint.go
+++ b/internal/orders/endpoint.go
@@ -90,7 +90,7 @@
 	}
 	req.ContentLength = int64(len(content))
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := m.client.Do(req)
+	resp, err := m.orderClient.Do(req)
 	switch {
 	case body.refused.Load():
 		return order.ResultUnsent, errNotHeld
--- a/internal/orders/endpoint_test.go
+++ b/internal/orders/endpoint_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,6 +87,42 @@
 	}
 }
 
+// Guards against a late copy of the refusal of an earlier order that is taken for the answer
+// to the next one: an order that was accepted would be placed again.
+func TestLateCopyOfARefusalIsNotTheNextOrdersResult(t *testing.T) {
+	const refusal = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+	var received atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if received.Add(1) > 1 {
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
+		c, in, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, refusal)
+		if _, err := http.ReadRequest(in.Reader); err == nil {
+			_, _ = io.WriteString(c, refusal) // a late copy; the endpoint accepts the order
+			received.Add(1)
+		}
+	}))
+	defer s.Close()
+	m := newManager(t)
+	var results []order.Result
+	for range 2 {
+		got, _ := m.sendOrder("chat", testSend(order.Action{Kind: order.LoadVersion, Value: "v2"}), s.Listener.Addr().String(),
+			func() bool { return true })
+		results = append(results, got)
+	}
+	if diff := cmp.Diff([]order.Result{order.ResultFailed, order.ResultAccepted}, results); diff != "" {
+		t.Errorf("results of two orders (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against an endpoint that executes an order although the duty was lost
 // between opening the connection and writing the request.
 func TestOrderIsNotWrittenWithoutDuty(t *testing.T) {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -31,6 +31,8 @@
 	// endpoints.
 	idleConnTimeout    = 30 * time.Second
 	maxIdlePerEndpoint = 1
+	// maxHeadBytes bounds a response's header.
+	maxHeadBytes = 64 << 10
 )
 
 // Options are the settings of a Manager.
@@ -52,13 +54,14 @@
 
 // Manager competes for the duties and carries out those that the daemon holds.
 type Manager struct {
-	opts      Options
-	client    *http.Client
-	transport *http.Transport // nil if the transport is the caller's
-	ctx       context.Context
-	stop      context.CancelFunc
-	wg        sync.WaitGroup
-	trail     *trail
+	opts Options
+	// orderClient sends orders, client everything else.
+	orderClient, client *http.Client
+	transport           *http.Transport // of client; nil if it is the caller's
+	ctx                 context.Context
+	stop                context.CancelFunc
+	wg                  sync.WaitGroup
+	trail               *trail
 
 	// mu guards the fields below and all state machines. It is not held during
 	// calls to the store or to endpoints.
@@ -88,15 +91,16 @@
 		opts: o, ctx: ctx, stop: stop,
 		services: make(map[string]*service), statusReports: make(map[string]endpointReport),
 	}
-	transport := o.Transport
+	orderTransport, transport := o.Transport, o.Transport
 	if transport == nil {
-		m.transport = &http.Transport{IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: maxIdlePerEndpoint}
+		m.transport = &http.Transport{
+			IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: maxIdlePerEndpoint, MaxResponseHeaderBytes: maxHeadBytes,
+		}
 		transport = m.transport
+		// A kept connection may deliver a late copy of the answer to an earlier order.
+		orderTransport = &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	}
-	m.client = &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	m.orderClient, m.client = newHTTPClient(orderTransport), newHTTPClient(transport)
 	m.trail = newTrail(m)
 	m.rotation = newRotation(m)
 	m.spawn(m.loop)
@@ -104,6 +108,14 @@
 	return m
 }
 
+// newHTTPClient returns a client that follows no redirects.
+func newHTTPClient(t http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Close stops the manager without releasing its duties; see Drain.
 func (m *Manager) Close() {
 	m.stop()
