Do not send a stream's headers before its first event

What callers saw, of our own interface: status 200 with a problem document as its body, where the refusal had status 502.

Cause: an event that is not forwarded was flushed all the same, which sends the headers with status 200 while the exchange still takes the answer for not begun.

TestEmptyEventsDoNotBeginTheAnswer failed before. Nothing is flushed now before the first byte was written.

--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -121,3 +121,18 @@
 		t.Errorf("the first endpoint noticed %v after the request had gone on, want at most %v", late, notWantedBound)
 	}
 }
+
+// Guards against an empty event that sends the headers of an answer that has not begun: a
+// refusal gets the status 200 then.
+func TestEmptyEventsDoNotBeginTheAnswer(t *testing.T) {
+	x := newFixture(t)
+	x.addRawEndpoint(func(_ *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n\n")
+		time.Sleep(20 * time.Millisecond)
+		return false
+	})
+	resp, text, err := x.post(chatPath, streamBody)
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("got %v %q %v, want 502", resp, text, err)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -45,7 +45,12 @@
 	return s.x.w.Write(p)
 }
 
-func (s streamWriter) Flush() { s.x.w.Flush() }
+// Flush sends nothing before the first byte, since it would send the headers.
+func (s streamWriter) Flush() {
+	if s.x.committed {
+		s.x.w.Flush()
+	}
+}
 
 func (j *job) relayStream(d *dispatch) error {
 	ctx, endpoint := d.ctx, d.endpoint
