Bound the answers that the gateway passes on from endpoints

A plain answer and a stream end at 16 MiB, as in the relay, and a stream at 16 content chunks more than the request's limit of output tokens. The caller's answer is cut, the connection to the endpoint is closed.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -4,6 +4,8 @@
 	"io"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/problem"
 	"github.com/azurehatch/azurehatch/internal/upstream"
@@ -51,10 +53,13 @@
 	if _, err := j.x.w.Write(buffered); err != nil {
 		return j.plainFailure(endpoint, upstream.ErrCallerDisconnected)
 	}
-	if _, err := io.Copy(j.x.w, resp.Body); err != nil {
+	switch _, err := io.CopyN(j.x.w, resp.Body, upstream.MaxResponseBytes-maxBufferedBytes+1); {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err != nil:
 		return j.plainFailure(endpoint, err)
 	}
-	return nil
+	return j.plainFailure(endpoint, upstream.ErrTooLong)
 }
 
 func (j *job) plainFailure(endpoint Endpoint, err error) error {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,8 +16,6 @@
 
 // Limits of answers that are buffered completely before they are sent.
 const (
-	// maxCompletionBytes limits a chat completion that is not streamed.
-	maxCompletionBytes = 16 << 20
 	// maxStoredAnswerBytes limits the answer that is stored with a claim; its
 	// encoding fits claim.MaxAnswerBytes.
 	maxStoredAnswerBytes = 1 << 10
@@ -55,7 +53,7 @@
 func (j *job) relayStream(d *dispatch) error {
 	ctx, endpoint := d.ctx, d.endpoint
 	id := upstream.EventID{Request: j.x.id, Endpoint: endpoint.ID}
-	relay := &upstream.Relay{IDPrefix: id.Prefix(), ForwardUsage: j.chat.usageRequested}
+	relay := &upstream.Relay{IDPrefix: id.Prefix(), ForwardUsage: j.chat.usageRequested, MaxTokens: j.chat.maxTokens}
 	promptTokens := j.promptEstimate()
 	relay.OnToken = func(tokens int64) error {
 		if tokens == 1 {
@@ -162,13 +160,13 @@
 }
 
 func (j *job) relayCompletion(resp *upstream.Response, endpoint Endpoint) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCompletionBytes+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, upstream.MaxResponseBytes+1))
 	if err != nil {
 		return failure.At(&upstream.Error{Endpoint: endpoint.ID, Ran: upstream.RanUnknown, Err: err},
 			"gateway.answer", endpoint.Addr)
 	}
 	usage, ok := usageOf(body)
-	if !ok || len(body) > maxCompletionBytes {
+	if !ok || len(body) > upstream.MaxResponseBytes {
 		err := &upstream.Error{Endpoint: endpoint.ID, Ran: upstream.RanUnknown, Err: upstream.ErrMalformed}
 		return failure.At(err, "gateway.answer", endpoint.Addr)
 	}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -14,14 +14,9 @@
 	"github.com/azurehatch/azurehatch/internal/upstream"
 )
 
-const (
-	// maxBufferedBytes is the size up to which a response is read completely before
-	// its header is sent to the caller, so that a truncated one can still be retried.
-	maxBufferedBytes = 256 << 10
-	// maxResponseBytes bounds a response: an endpoint in trouble may send bytes
-	// without end.
-	maxResponseBytes = 16 << 20
-)
+// maxBufferedBytes is the size up to which a response is read completely before
+// its header is sent to the caller, so that a truncated one can still be retried.
+const maxBufferedBytes = 256 << 10
 
 // relayResponse relays a response that is not a stream of events.
 func (a *attempt) relayResponse() *attemptFailure {
@@ -102,7 +97,7 @@
 	}
 	x.commit(a.resp)
 	body := io.MultiReader(bytes.NewReader(head), a.resp.Body)
-	switch n, err := io.CopyN(x.w, body, maxResponseBytes+1); {
+	switch n, err := io.CopyN(x.w, body, upstream.MaxResponseBytes+1); {
 	case errors.Is(err, io.EOF):
 		return a.reportServerError()
 	case err != nil:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -56,8 +56,8 @@
 			return a.truncated(err)
 		case len(pending) > maxEventBytes:
 			return a.truncated(errors.Errorf("an event exceeds %d bytes", maxEventBytes))
-		case received > maxResponseBytes:
-			return a.tooLong(errors.Errorf("the stream exceeds %d bytes", maxResponseBytes))
+		case received > upstream.MaxResponseBytes:
+			return a.tooLong(errors.Errorf("the stream exceeds %d bytes", upstream.MaxResponseBytes))
 		case a.x.tooManyEvents():
 			return a.tooLong(errors.Errorf("%d events for at most %d tokens of output", a.x.events, a.x.meta.MaxOutput))
 		}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -17,8 +17,14 @@
 	relayBufferBytes = 16 << 10
 	// maxEventBytes bounds one server-sent event.
 	maxEventBytes = 1 << 20
+	// maxExtraChunks is the number of content chunks that a stream may have beyond its limit
+	// of output tokens, of which each chunk holds at least one.
+	maxExtraChunks = 16
 )
 
+// MaxResponseBytes bounds a response: an endpoint in trouble may send bytes without end.
+const MaxResponseBytes = 16 << 20
+
 // Errors of a relayed stream.
 var (
 	// ErrTruncated means that the endpoint's stream ended before [DONE].
@@ -26,6 +32,8 @@
 	// ErrMalformed means that the endpoint sent an event that is not part of a
 	// valid chat completion stream.
 	ErrMalformed = errors.New("the endpoint sent a malformed event")
+	// ErrTooLong means that a response goes on after the most that it can hold.
+	ErrTooLong = errors.New("the endpoint's response is longer than any complete one")
 	// ErrCallerDisconnected means that the caller's connection broke.
 	ErrCallerDisconnected = errors.New("the caller closed the connection")
 )
@@ -57,6 +65,8 @@
 type Relay struct {
 	// IDPrefix is prepended to the engine's event IDs.
 	IDPrefix string
+	// MaxTokens is the limit of output tokens; 0 means none.
+	MaxTokens int64
 	// ForwardUsage is true if the caller requested the usage chunk.
 	ForwardUsage bool
 	// OnToken is called after each content chunk with the number of content
@@ -83,12 +93,17 @@
 }
 
 // Copy relays events from src to dst until [DONE] or an error, which is
-// ErrTruncated if src ends before [DONE]. It may be called again with the resumed
-// stream.
+// ErrTruncated if src ends before [DONE] and ErrTooLong if it goes on without end. It may
+// be called again with the resumed stream.
 func (r *Relay) Copy(dst StreamWriter, src io.Reader) error {
-	in := bufio.NewReaderSize(src, relayBufferBytes)
+	limited := &io.LimitedReader{R: src, N: MaxResponseBytes + 1}
+	in := bufio.NewReaderSize(limited, relayBufferBytes)
 	for !r.progress.Done {
-		if err := r.relayEvent(dst, in); err != nil {
+		err := r.relayEvent(dst, in)
+		if limited.N <= 0 || r.MaxTokens > 0 && r.progress.Tokens > r.MaxTokens+maxExtraChunks {
+			return ErrTooLong
+		}
+		if err != nil {
 			return err
 		}
 		if in.Buffered() == 0 || r.progress.Done {
