Search each part of an event once

Cause: with each 4 KiB that arrived, the whole unfinished event, of up to 1 MiB, was searched for its end again, which takes the processor from all other requests of the daemon.

--- /dev/null
+++ b/internal/relay/events.go
@@ -0,0 +1,60 @@
+package relay
+
+import "bytes"
+
+// eventEnd terminates an event.
+var eventEnd = []byte("\n\n")
+
+// eventBuffer holds the part of a stream that is not forwarded yet. The zero value is empty.
+type eventBuffer struct {
+	pending []byte
+	// searched is the length of the part of pending in which no event ends.
+	searched int
+}
+
+func (b *eventBuffer) add(chunk []byte) { b.pending = append(b.pending, chunk...) }
+
+// complete returns the events that are complete; empty if there is none. They stay valid
+// until the next call of add or remove.
+func (b *eventBuffer) complete() []byte {
+	// The end of an event may begin with the last byte searched before.
+	from := max(b.searched-len(eventEnd)+1, 0)
+	end := bytes.LastIndex(b.pending[from:], eventEnd)
+	if end < 0 {
+		b.searched = len(b.pending)
+		return nil
+	}
+	return b.pending[:from+end+len(eventEnd)]
+}
+
+// remove removes the first n bytes, which complete has returned.
+func (b *eventBuffer) remove(n int) {
+	b.pending = append(b.pending[:0], b.pending[n:]...)
+	b.searched = len(b.pending)
+}
+
+// blank reports whether the stream can end here: no event has begun after the last complete
+// one.
+func (b *eventBuffer) blank() bool {
+	rest := b.pending[len(b.complete()):]
+	return len(bytes.TrimSpace(rest)) == 0
+}
+
+// lastEventID returns the id of the last event that has one.
+func lastEventID(events []byte) (string, bool) {
+	field := []byte("id:")
+	at := bytes.LastIndex(events, append([]byte("\n"), field...))
+	switch {
+	case at >= 0:
+		at++
+	case bytes.HasPrefix(events, field):
+		at = 0
+	default:
+		return "", false
+	}
+	line := events[at+len(field):]
+	if end := bytes.IndexByte(line, '\n'); end >= 0 {
+		line = line[:end]
+	}
+	return string(bytes.TrimSpace(line)), true
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -22,39 +22,35 @@
 	maxExtraEvents = 16
 )
 
-// eventEnd terminates an event.
-var eventEnd = []byte("\n\n")
-
 // relayStream relays a stream of events as they arrive. Only complete events are
 // sent to the caller, so that another endpoint can resume after the last of them.
 func (a *attempt) relayStream() *attemptFailure {
-	var pending []byte
+	var buf eventBuffer
 	var received int64
 	chunk := make([]byte, readBytes)
 	flush := http.NewResponseController(a.x.w)
 	for {
 		n, err := a.resp.Body.Read(chunk)
-		pending = append(pending, chunk[:n]...)
-		if errors.Is(err, io.EOF) && endsBetweenEvents(pending) {
+		buf.add(chunk[:n])
+		if errors.Is(err, io.EOF) && buf.blank() {
 			a.resp.Accept() // the next request need not wait for this one's caller
 		}
 		if n > 0 {
 			a.recordFirstByte()
 			a.x.mergeRan(upstream.RanYes)
 			received += int64(n)
-			var failed *attemptFailure
-			if pending, failed = a.forwardEvents(pending, flush); failed != nil {
+			if failed := a.forwardEvents(&buf, flush); failed != nil {
 				return failed
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && endsBetweenEvents(pending):
-			return a.endStream(pending)
+		case errors.Is(err, io.EOF) && buf.blank():
+			return a.endStream(buf.pending)
 		case errors.Is(err, io.EOF):
 			return a.truncated(io.ErrUnexpectedEOF)
 		case err != nil:
 			return a.truncated(err)
-		case len(pending) > maxEventBytes:
+		case len(buf.pending) > maxEventBytes:
 			return a.truncated(errors.Errorf("an event exceeds %d bytes", maxEventBytes))
 		case received > upstream.MaxResponseBytes:
 			return a.tooLong(errors.Errorf("the stream exceeds %d bytes", upstream.MaxResponseBytes))
@@ -64,38 +60,29 @@
 	}
 }
 
-// forwardEvents sends the complete events of pending to the caller and returns the
-// rest.
-func (a *attempt) forwardEvents(pending []byte, flush *http.ResponseController) ([]byte, *attemptFailure) {
-	end := bytes.LastIndex(pending, eventEnd)
-	if end < 0 {
-		return pending, nil
+// forwardEvents sends the complete events of buf to the caller and removes them.
+func (a *attempt) forwardEvents(buf *eventBuffer, flush *http.ResponseController) *attemptFailure {
+	complete := buf.complete()
+	if len(complete) == 0 {
+		return nil
 	}
 	a.x.recordGap(time.Now())
 	a.begun.Store(true)
 	a.resetStallTimer()
-	complete := pending[:end+len(eventEnd)]
 	x := a.x
 	x.commit(a.resp)
 	if _, err := x.w.Write(complete); err != nil {
-		return nil, a.notDelivered(err)
+		return a.notDelivered(err)
 	}
 	if err := flush.Flush(); err != nil {
-		return nil, a.notDelivered(err)
+		return a.notDelivered(err)
 	}
 	x.events += int64(bytes.Count(complete, eventEnd))
 	if id, ok := lastEventID(complete); ok {
 		x.meta.LastEventID = id
 	}
-	return append(pending[:0], pending[end+len(eventEnd):]...), nil
-}
-
-// endsBetweenEvents reports whether a part of a stream ends with a complete event.
-func endsBetweenEvents(part []byte) bool {
-	if end := bytes.LastIndex(part, eventEnd); end >= 0 {
-		part = part[end+len(eventEnd):]
-	}
-	return len(bytes.TrimSpace(part)) == 0
+	buf.remove(len(complete))
+	return nil
 }
 
 // recordGap updates the longest time between two arrivals of events.
@@ -121,22 +108,3 @@
 func (x *exchange) tooManyEvents() bool {
 	return x.meta.Sized && x.engine != nil && x.events > x.meta.MaxOutput+maxExtraEvents
 }
-
-// lastEventID returns the id of the last event that has one.
-func lastEventID(events []byte) (string, bool) {
-	field := []byte("id:")
-	at := bytes.LastIndex(events, append([]byte("\n"), field...))
-	switch {
-	case at >= 0:
-		at++
-	case bytes.HasPrefix(events, field):
-		at = 0
-	default:
-		return "", false
-	}
-	line := events[at+len(field):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
-	}
-	return string(bytes.TrimSpace(line)), true
-}
