Bound the memory of all unfinished responses of endpoints together

Cause here: each response was bounded, to 256 KiB read ahead and 1 MiB an event, but not their sum: endpoints that send up to the bound and then nothing make 300 requests keep some 300 MB, more than a machine of 284 MB has.

Why it works: beyond 16 KiB each, responses share an eighth of the process's memory. A body that does not fit is passed on as it arrives instead of being read ahead; an event that does not fit breaks its stream off, which is not counted as a crash by the request.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,6 +38,10 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
 	maxHeadBytes  = 64 << 10
+
+	// bufferMemoryDivisor is the part of the process's memory that the unfinished responses of
+	// endpoints may occupy: an eighth, since a daemon needs a quarter or less for all else.
+	bufferMemoryDivisor = 8
 )
 
 // Store is the part of the metadata store that the daemon uses.
@@ -187,6 +191,7 @@
 		Codec: d.opts.Wire.Codec, Budgets: d.budgets, Pools: d.pools,
 		RetryBudget: d.retryBudget, CrashIsolator: d.crashIsolator,
 		Table: d.table, Outdated: d.outdated, Log: d.log, Scope: d.scope,
+		BufferBytes: d.frontSettings.Machine.Memory.Bytes / bufferMemoryDivisor,
 	})
 }
 
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -1,18 +1,37 @@
 package relay
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+
+	"github.com/azurehatch/azurehatch/internal/upstream"
+)
 
 // eventEnd terminates an event.
 var eventEnd = []byte("\n\n")
 
-// eventBuffer holds the part of a stream that is not forwarded yet. The zero value is empty.
+// eventBuffer holds the part of a stream that is not forwarded yet.
 type eventBuffer struct {
+	memory  *upstream.Buffer
 	pending []byte
 	// searched is the length of the part of pending in which no event ends.
 	searched int
 }
 
-func (b *eventBuffer) add(chunk []byte) { b.pending = append(b.pending, chunk...) }
+// add adds the next part. It returns false if there is no memory for it.
+func (b *eventBuffer) add(chunk []byte) bool {
+	size := len(b.pending) + len(chunk)
+	if size > cap(b.pending) {
+		size = max(size, 2*cap(b.pending))
+		// While the data is copied, both copies are in memory.
+		if !b.memory.Grow(size + cap(b.pending)) {
+			return false
+		}
+		b.pending = slices.Grow(b.pending, size-len(b.pending))
+	}
+	b.pending = append(b.pending, chunk...)
+	return true
+}
 
 // complete returns the events that are complete; empty if there is none. They stay valid
 // until the next call of add or remove.
@@ -29,7 +48,11 @@
 
 // remove removes the first n bytes, which complete has returned.
 func (b *eventBuffer) remove(n int) {
-	b.pending = append(b.pending[:0], b.pending[n:]...)
+	if n == len(b.pending) && n > readBytes {
+		b.pending = nil // most events are far smaller
+		b.memory.Release()
+	}
+	b.pending = append(b.pending[:0], b.pending[min(n, len(b.pending)):]...)
 	b.searched = len(b.pending)
 }
 
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -184,6 +184,8 @@
 }
 
 func (c *crashIsolator) Begin(relay.Fingerprint) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return time.Second, !c.isolated
 }
 func (c *crashIsolator) MayRetry(relay.Fingerprint) bool {
@@ -268,7 +270,7 @@
 		Codec: platform.Codec{}, Budgets: h.budgets, Pools: h.pools,
 		RetryBudget: retries, CrashIsolator: h.crashes,
 		Table:    func() (*routing.Table, time.Duration) { return table, 0 },
-		Outdated: func() bool { return false }, Log: zerolog.Nop(),
+		Outdated: func() bool { return false }, Log: zerolog.Nop(), BufferBytes: testBufferBytes,
 	})
 	h.server = httptest.NewServer(h.handler)
 	t.Cleanup(func() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -186,14 +186,18 @@
 	// Outdated reports whether the configuration must not be used any more because a
 	// newer one is in force elsewhere.
 	Outdated func() bool
-	Log      zerolog.Logger
-	Scope    tally.Scope
+	// BufferBytes bounds the memory of all unfinished responses together; 0 means
+	// upstream.DefaultBufferBytes.
+	BufferBytes int64
+	Log         zerolog.Logger
+	Scope       tally.Scope
 }
 
 // Handler serves callers' requests.
 type Handler struct {
 	Options
-	client *upstream.Client
+	client  *upstream.Client
+	buffers *upstream.Buffers
 	// closing adds "Connection: close" to responses.
 	closing  atomic.Bool
 	shutdown shutdown
@@ -214,7 +218,7 @@
 	client := upstream.New(upstream.Options{
 		ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout, IdlePerEndpoint: maxIdlePerEndpoint, Scope: opts.Scope,
 	})
-	return &Handler{Options: opts, client: client, shutdown: newShutdown()}
+	return &Handler{Options: opts, client: client, buffers: upstream.NewBuffers(opts.BufferBytes), shutdown: newShutdown()}
 }
 
 // DisableKeepAlives begins the shutdown: it adds "Connection: close" to all further responses.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,23 +14,25 @@
 )
 
 // maxBufferedBytes is the size up to which a response is read completely before
-// its header is sent to the caller, so that a truncated one can still be retried.
+// its header is sent to the caller, so that a truncated one can still be retried. It is
+// less while the responses of all requests occupy the memory that they may.
 const maxBufferedBytes = 256 << 10
 
 // relayResponse relays a response that is not a stream of events.
 func (a *attempt) relayResponse() *attemptFailure {
-	var buf bytes.Buffer
-	n, err := io.CopyN(&buf, a.resp.Body, maxBufferedBytes)
-	if n > 0 || errors.Is(err, io.EOF) {
+	memory := a.x.handler.buffers.Buffer()
+	defer memory.Release()
+	head, err := memory.ReadAhead(a.resp.Body, maxBufferedBytes)
+	if len(head) > 0 || errors.Is(err, io.EOF) {
 		a.recordFirstByte()
 	}
 	switch {
 	case errors.Is(err, io.EOF):
-		return a.sendBuffered(buf.Bytes())
+		return a.sendBuffered(head)
 	case err != nil:
 		return a.truncated(err)
 	}
-	return a.sendUnbuffered(buf.Bytes())
+	return a.sendUnbuffered(head, memory)
 }
 
 // recordFirstByte records the arrival of the body's first byte.
@@ -88,22 +89,26 @@
 	return a.reportServerError()
 }
 
-// sendUnbuffered sends a response as it arrives; head is the part read so far.
-func (a *attempt) sendUnbuffered(head []byte) *attemptFailure {
+// sendUnbuffered sends a response as it arrives; head is the part read so far, which
+// occupies memory.
+func (a *attempt) sendUnbuffered(head []byte, memory *upstream.Buffer) *attemptFailure {
 	x := a.x
 	x.mergeRan(upstream.RanYes)
 	if a.resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
 	x.commit(a.resp)
-	body := io.MultiReader(bytes.NewReader(head), a.resp.Body)
-	switch n, err := io.CopyN(x.w, body, upstream.MaxResponseBytes+1); {
+	if _, err := x.w.Write(head); err != nil {
+		return a.truncated(err)
+	}
+	memory.Release()
+	switch n, err := io.CopyN(x.w, a.resp.Body, upstream.MaxResponseBytes+1-int64(len(head))); {
 	case errors.Is(err, io.EOF):
 		return a.reportServerError()
 	case err != nil:
 		return a.truncated(err)
 	default:
-		return a.tooLong(errors.Errorf("the response exceeds %d bytes", n-1))
+		return a.tooLong(errors.Errorf("the response exceeds %d bytes", n+int64(len(head))-1))
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/upstream"
 )
 
@@ -25,13 +26,19 @@
 // relayStream relays a stream of events as they arrive. Only complete events are
 // sent to the caller, so that another endpoint can resume after the last of them.
 func (a *attempt) relayStream() *attemptFailure {
-	var buf eventBuffer
+	buf := eventBuffer{memory: a.x.handler.buffers.Buffer()}
+	defer buf.memory.Release()
 	var received int64
 	chunk := make([]byte, readBytes)
 	flush := http.NewResponseController(a.x.w)
 	for {
 		n, err := a.resp.Body.Read(chunk)
-		buf.add(chunk[:n])
+		if !buf.add(chunk[:n]) {
+			return &attemptFailure{
+				err: errors.Errorf("no memory for an event of more than %d bytes", len(buf.pending)),
+				ran: upstream.RanUnknown, outcome: balance.NoValidResponse,
+			}
+		}
 		if errors.Is(err, io.EOF) && buf.blank() {
 			a.resp.Accept() // the next request need not wait for this one's caller
 		}
