Replace endpoints at their addresses in the soak

A new fault starts an endpoint at its address under a new id while its former entry stays, and sends the refusal of a request for the former id twice.

The restore runs' list of faults is unchanged.

--- a/internal/soak/endpoint_faults_test.go
+++ b/internal/soak/endpoint_faults_test.go
@@ -6,6 +6,14 @@
 	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
 
+// replaceFaults returns replacements of endpoints at their addresses, and what overlaps them.
+func replaceFaults(s *scenario) []func(time.Duration) {
+	return []func(time.Duration){
+		s.replaceEndpoint, s.replaceEndpoint, s.replaceEndpoint, s.reconfigure, s.drainEndpoint, s.crashEndpoint,
+		s.disturbStorePath, s.pauseDaemon, s.stopDaemon,
+	}
+}
+
 func (s *scenario) runEndpointFault(e *endpoint, d time.Duration, begin, end func()) {
 	if !s.claim(e) {
 		return
@@ -70,6 +78,20 @@
 	s.bed.announce(e)
 }
 
+// replaceEndpoint lets an endpoint crash and start again at its address under a new id. The
+// entry of the former id stays for a while, and requests to it are refused twice.
+func (s *scenario) replaceEndpoint(d time.Duration) {
+	e := s.randomEndpoint()
+	s.logFault("%s is replaced at its address; its former entry stays for %v", e.ID, d)
+	former, _ := e.Entry("")
+	s.runEndpointFault(e, d, func() {
+		if err := e.Replace(); err != nil {
+			s.bed.t.Errorf("replacement of %s: %v", e.ID, err)
+		}
+		s.bed.announce(e)
+	}, func() { s.bed.removeEntry(former) })
+}
+
 // corruptEndpoint lets an endpoint send responses that are none, or not only the request's.
 func (s *scenario) corruptEndpoint(d time.Duration) {
 	e, m := s.randomEndpoint(), platformtest.Misbehaviours[s.rng.IntN(len(platformtest.Misbehaviours))]
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -75,6 +75,7 @@
 	return []func(time.Duration){
 		s.disturbStorePath, s.disturbStorePath, s.disturbAllStorePaths, s.refuseStoreCalls, s.hangStore, s.restoreStore,
 		s.disturbEndpointPath, s.crashEndpoint, s.drainEndpoint, s.overloadEndpoint, s.corruptEndpoint,
+		s.replaceEndpoint,
 		s.killDaemon, s.pauseDaemon, s.stopDaemon, s.reloadSettings, s.reconfigure, s.reconfigure, s.reconfigureRepeatedly,
 	}
 }
@@ -287,14 +288,16 @@
 
 // regressions are seeds that once failed, with the cause.
 var regressions = []struct {
-	seed  uint64
-	cause string
+	seed   uint64
+	faults faultList
+	cause  string
 }{
-	{17, "a planned stop reset a connection whose request had not been read yet, on a machine with a load of 20"},
-	{13, "the test sent requests to a daemon that had started but was not ready yet"},
-	{401, "the HTTP library wrote bytes that followed a response to standard error"},
-	{406, "the same"},
-	{4025, "budget records that peers had told were forgotten when these ended before a new era's record was written"},
+	{17, allFaults, "a planned stop reset a connection whose request had not been read yet, on a machine with a load of 20"},
+	{13, allFaults, "the test sent requests to a daemon that had started but was not ready yet"},
+	{401, allFaults, "the HTTP library wrote bytes that followed a response to standard error"},
+	{406, allFaults, "the same"},
+	{4025, allFaults, "budget records that peers had told were forgotten when these ended before a new era's record was written"},
+	{6001, replaceFaults, "a late copy of a refusal counted for the next attempt of its request"},
 }
 
 // Guards against guarantees that are violated in a short series of overlapping faults.
@@ -318,7 +321,7 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("regression=%d", r.seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, r.seed, daemons, longRun, allFaults)
+			runSeed(t, r.seed, daemons, longRun, r.faults)
 		})
 	}
 	first := envInt(t, "AZUREHATCH_SOAK_FIRST", 1)
@@ -331,6 +334,10 @@
 			t.Parallel()
 			runSeed(t, uint64(seed), daemons, longRun, restoreFaults)
 		})
+		t.Run(fmt.Sprint("replacements/seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, uint64(seed), daemons, longRun, replaceFaults)
+		})
 	}
 }
 
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
+	store "github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/platform/memstore"
 	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
@@ -155,6 +158,25 @@
 	}
 }
 
+// removeEntry removes an entry of the store, unless a restore has already done so.
+func (bed *testbed) removeEntry(key string) {
+	for {
+		item, err := bed.store.Get(context.Background(), key)
+		if errors.Is(err, store.ErrNotFound) {
+			return
+		}
+		if err == nil {
+			err = bed.store.Delete(context.Background(), key, item.Revision)
+		}
+		if _, conflict := store.AsConflict(err); !conflict {
+			if err != nil {
+				bed.t.Errorf("remove %s: %v", key, err)
+			}
+			return
+		}
+	}
+}
+
 func (bed *testbed) startDaemons(n int, store string) {
 	dir := bed.t.TempDir()
 	for i := range n {
