Bound the memory of all unfinished answers of the gateway together

Beyond 16 KiB each, answers share limits.buffers (64 MiB): a plain answer that does not fit is passed on as it arrives, another one fails with an unknown outcome.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,7 +178,7 @@
 	d.gateway = gateway.New(gateway.Options{
 		Directory: d.directory, Ledger: d.ledger.Gateway(), Claims: d.claims, Pools: d.pools, Upstream: d.upstream,
 		Log: d.log, Scope: d.scope, MaxBody: d.settings.Limits.Body.Bytes, Timeout: d.settings.Limits.Request.Duration,
-		ExtensionTokens: d.settings.Budget.Step,
+		ExtensionTokens: d.settings.Budget.Step, BufferBytes: d.settings.Limits.Buffers.Bytes,
 	})
 	d.peerGRPC = peer.NewServer(d.ledger, d, creds.server, d.log)
 	d.background = startBackground(d)
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -4,7 +4,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -68,3 +70,76 @@
 		})
 	}
 }
+
+// The most that the gateway may keep of unfinished answers in the test below, and what its
+// connections and the test's own callers and endpoints may need beside that.
+const (
+	testBufferBytes = 8 << 20
+	otherBytes      = 16 << 20
+)
+
+// liveHeap returns the bytes that are in use after a garbage collection.
+func liveHeap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Guards against running out of memory when many endpoints at once send bytes that are no
+// complete answer and then nothing, while the requests of other callers are served.
+func TestManyEndlessAnswersAtOnce(t *testing.T) {
+	const requests, length = 100, 900 << 10
+	for _, c := range []struct{ name, path, body, head, part string }{
+		{"completions", chatPath, completionBody, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", "a"},
+		{"plain answers", "/services/orders/reprint", "", "HTTP/1.1 200 OK\r\n\r\n", "a"},
+		{"one event", chatPath, streamBody, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "event: a\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := []byte(c.head + strings.Repeat(c.part, length/len(c.part)))
+			x := newFixture(t)
+			x.g.Timeout = 700 * time.Millisecond
+			x.addRawEndpoint(func(r *http.Request, conn net.Conn) bool {
+				if strings.HasSuffix(r.URL.Path, "/sound") {
+					_, err := io.WriteString(conn, rawResponse("", "ok"))
+					return err == nil
+				}
+				_, _ = conn.Write(text)
+				_, _ = conn.Read(make([]byte, 1)) // until the daemon closes the connection
+				return false
+			})
+			x.fleet.balance = 1 << 40
+			before := liveHeap()
+			var callers sync.WaitGroup
+			var open atomic.Int64
+			open.Store(requests)
+			for range requests {
+				callers.Go(func() {
+					defer open.Add(-1)
+					req, err := http.NewRequest(http.MethodPost, x.server.URL+c.path, strings.NewReader(c.body))
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					req.Header.Set("Authorization", "Bearer "+testKey)
+					if resp, err := http.DefaultClient.Do(req); err == nil {
+						_, _ = io.Copy(io.Discard, resp.Body)
+						resp.Body.Close()
+					}
+				})
+			}
+			var most int64
+			for open.Load() > 0 {
+				if _, body, err := x.post("/services/orders/sound", ""); err != nil || body != "ok" {
+					t.Errorf("a sound request got %q %v", body, err)
+				}
+				most = max(most, liveHeap()-before)
+				time.Sleep(10 * time.Millisecond)
+			}
+			callers.Wait()
+			if most > testBufferBytes+otherBytes {
+				t.Errorf("%d requests keep %d MiB, want at most %d", requests, most>>20, (testBufferBytes+otherBytes)>>20)
+			}
+		})
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -205,7 +205,7 @@
 	t.Cleanup(client.Close)
 	g := New(Options{
 		Directory: f, Ledger: f, Claims: f, Pools: f, Upstream: client, Log: zerolog.Nop(),
-		MaxBody: 4096, Timeout: time.Minute, ExtensionTokens: 4,
+		MaxBody: 4096, BufferBytes: testBufferBytes, Timeout: time.Minute, ExtensionTokens: 4,
 	})
 	x := &fixture{t: t, fleet: f, g: g, server: httptest.NewServer(g.Handler())}
 	t.Cleanup(func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,9 @@
 	// FirstTokenTimeout limits the wait for the first token, or for the first
 	// byte of a plain answer, at one endpoint; 0 means Options.Timeout.
 	FirstTokenTimeout time.Duration
+	// BufferBytes bounds the memory of all unfinished answers of endpoints together; 0 means
+	// upstream.DefaultBufferBytes.
+	BufferBytes int64
 	// MaxBody is the largest request body in bytes; 0 means the gateway's limit.
 	MaxBody int64
 	// RequireKey refuses non-idempotent requests without an Idempotency-Key.
@@ -188,6 +191,9 @@
 	Upstream  *upstream.Client
 	Log       zerolog.Logger
 	Scope     tally.Scope
+	// BufferBytes bounds the memory of all unfinished answers of endpoints together; 0 means
+	// upstream.DefaultBufferBytes.
+	BufferBytes int64
 	// MaxBody is the largest request body in bytes for all services.
 	MaxBody int64
 	// Timeout limits a request without a deadline of its own.
@@ -203,6 +209,7 @@
 type Gateway struct {
 	Options
 	requests requestTracker
+	buffers  *upstream.Buffers
 }
 
 // New returns a gateway.
@@ -213,7 +220,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	g := &Gateway{Options: o}
+	g := &Gateway{Options: o, buffers: upstream.NewBuffers(o.BufferBytes)}
 	g.requests.init()
 	return g
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -12,7 +12,8 @@
 )
 
 // maxBufferedBytes is the part of a plain service's answer that is buffered before
-// the headers are sent to the caller. A failure up to there can be retried.
+// the headers are sent to the caller. A failure up to there can be retried. It is less while
+// the answers of all requests occupy the memory that they may.
 const maxBufferedBytes = 1 << 20
 
 const servicesPrefix = "/services/"
@@ -37,14 +38,17 @@
 }
 
 func (j *job) relayPlain(resp *upstream.Response, endpoint Endpoint) error {
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil {
+	memory := j.x.g.buffers.Buffer()
+	defer memory.Release()
+	buffered, err := memory.ReadAhead(resp.Body, maxBufferedBytes)
+	complete := errors.Is(err, io.EOF)
+	if err != nil && !complete {
 		return j.plainFailure(endpoint, err)
 	}
 	j.mergeRan(upstream.RanYes)
 	j.billed = j.x.service.Price
 	j.ticket.FirstToken()
-	if len(buffered) < maxBufferedBytes {
+	if complete {
 		return j.sendComplete(resp, buffered)
 	}
 	copyHeader(j.x.w.Header(), resp.Header)
@@ -53,7 +57,8 @@
 	if _, err := j.x.w.Write(buffered); err != nil {
 		return j.plainFailure(endpoint, upstream.ErrCallerDisconnected)
 	}
-	switch _, err := io.CopyN(j.x.w, resp.Body, upstream.MaxResponseBytes-maxBufferedBytes+1); {
+	memory.Release()
+	switch _, err := io.CopyN(j.x.w, resp.Body, upstream.MaxResponseBytes+1-int64(len(buffered))); {
 	case errors.Is(err, io.EOF):
 		return nil
 	case err != nil:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -53,7 +53,8 @@
 func (j *job) relayStream(d *dispatch) error {
 	ctx, endpoint := d.ctx, d.endpoint
 	id := upstream.EventID{Request: j.x.id, Endpoint: endpoint.ID}
-	relay := &upstream.Relay{IDPrefix: id.Prefix(), ForwardUsage: j.chat.usageRequested, MaxTokens: j.chat.maxTokens}
+	relay := &upstream.Relay{IDPrefix: id.Prefix(), ForwardUsage: j.chat.usageRequested, MaxTokens: j.chat.maxTokens, Memory: j.x.g.buffers.Buffer()}
+	defer relay.Memory.Release()
 	promptTokens := j.promptEstimate()
 	relay.OnToken = func(tokens int64) error {
 		if tokens == 1 {
@@ -160,16 +161,24 @@
 }
 
 func (j *job) relayCompletion(resp *upstream.Response, endpoint Endpoint) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, upstream.MaxResponseBytes+1))
-	if err != nil {
+	memory := j.x.g.buffers.Buffer()
+	defer memory.Release()
+	body, err := memory.ReadAhead(resp.Body, upstream.MaxResponseBytes+1)
+	usage, ok := upstream.Usage{}, false
+	switch {
+	case errors.Is(err, io.EOF):
+		if usage, ok = usageOf(body); !ok {
+			err = upstream.ErrMalformed
+		}
+	case len(body) > upstream.MaxResponseBytes:
+		err = upstream.ErrTooLong
+	case err == nil:
+		err = upstream.ErrNoMemory
+	}
+	if !ok {
 		return failure.At(&upstream.Error{Endpoint: endpoint.ID, Ran: upstream.RanUnknown, Err: err},
 			"gateway.answer", endpoint.Addr)
 	}
-	usage, ok := usageOf(body)
-	if !ok || len(body) > upstream.MaxResponseBytes {
-		err := &upstream.Error{Endpoint: endpoint.ID, Ran: upstream.RanUnknown, Err: upstream.ErrMalformed}
-		return failure.At(err, "gateway.answer", endpoint.Addr)
-	}
 	j.mergeRan(upstream.RanYes)
 	j.ticket.FirstToken()
 	j.outputTokens = usage.CompletionTokens
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 
 	"github.com/azurehatch/azurehatch/internal/upstream"
 )
@@ -19,18 +18,9 @@
 }
 
 // add adds the next part. It returns false if there is no memory for it.
-func (b *eventBuffer) add(chunk []byte) bool {
-	size := len(b.pending) + len(chunk)
-	if size > cap(b.pending) {
-		size = max(size, 2*cap(b.pending))
-		// While the data is copied, both copies are in memory.
-		if !b.memory.Grow(size + cap(b.pending)) {
-			return false
-		}
-		b.pending = slices.Grow(b.pending, size-len(b.pending))
-	}
-	b.pending = append(b.pending, chunk...)
-	return true
+func (b *eventBuffer) add(chunk []byte) (ok bool) {
+	b.pending, ok = b.memory.Append(b.pending, chunk)
+	return ok
 }
 
 // complete returns the events that are complete; empty if there is none. They stay valid
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,7 @@
 // Limits holds the limits on callers' requests.
 type Limits struct {
 	Body          unit.Size     `toml:"body" comment:"Largest request body."`
+	Buffers       unit.Size     `toml:"buffers" comment:"Memory of all unfinished answers of endpoints together."`
 	HeaderTimeout unit.Duration `toml:"header_timeout" comment:"Longest time for a caller to send the request's headers."`
 	BodyTimeout   unit.Duration `toml:"body_timeout" comment:"Longest time for a caller to send the whole request."`
 	Request       unit.Duration `toml:"request" comment:"Longest time for a request without a deadline of its own."`
@@ -95,7 +96,7 @@
 		Admin:    Listener{Listen: "127.0.0.1:8082"},
 		Platform: Platform{Addresses: []string{"http://127.0.0.1:2379"}, Timeout: unit.Seconds(2), CallsPerSecond: 50},
 		Limits: Limits{
-			Body: unit.Size{Bytes: 8 << 20}, HeaderTimeout: unit.Seconds(5), BodyTimeout: unit.Seconds(30),
+			Body: unit.Size{Bytes: 8 << 20}, Buffers: unit.Size{Bytes: 64 << 20}, HeaderTimeout: unit.Seconds(5), BodyTimeout: unit.Seconds(30),
 			Request: unit.Seconds(600), QueueWait: unit.Duration{Duration: 900 * time.Millisecond},
 		},
 		Budget:   Budget{Step: 256, Timeout: unit.Seconds(2), FlushMin: unit.Seconds(1)},
@@ -156,6 +157,7 @@
 		{"platform.timeout", s.Platform.Timeout.Seconds()},
 		{"platform.calls_per_second", s.Platform.CallsPerSecond},
 		{"limits.body", float64(s.Limits.Body.Bytes)},
+		{"limits.buffers", float64(s.Limits.Buffers.Bytes)},
 		{"limits.header_timeout", s.Limits.HeaderTimeout.Seconds()},
 		{"limits.body_timeout", s.Limits.BodyTimeout.Seconds()},
 		{"limits.request", s.Limits.Request.Seconds()},
--- a/internal/upstream/buffers.go
+++ b/internal/upstream/buffers.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -40,7 +41,11 @@
 func (b *Buffers) Buffer() *Buffer { return &Buffer{limit: b} }
 
 // Grow reports whether the response may occupy size bytes, and takes what it needs for that.
+// A nil Buffer has no limit.
 func (b *Buffer) Grow(size int) bool {
+	if b == nil {
+		return true
+	}
 	missing := int64(size) - freeBufferBytes - b.held
 	if missing <= 0 {
 		return true
@@ -59,6 +64,20 @@
 	b.held = 0
 }
 
+// Append appends more to data, which is what the response occupies. It returns false if there
+// is no memory for that.
+func (b *Buffer) Append(data, more []byte) ([]byte, bool) {
+	if size := len(data) + len(more); size > cap(data) {
+		size = max(size, 2*cap(data))
+		// While the data is copied, both copies are in memory.
+		if !b.Grow(size + cap(data)) {
+			return data, false
+		}
+		data = slices.Grow(data, size-len(data))
+	}
+	return append(data, more...), true
+}
+
 // ReadAhead reads until the end of r, up to most bytes, or until no more memory may be
 // occupied. The error is io.EOF after the end, and nil if there may be more.
 func (b *Buffer) ReadAhead(r io.Reader, most int) ([]byte, error) {
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -34,6 +34,8 @@
 	ErrMalformed = errors.New("the endpoint sent a malformed event")
 	// ErrTooLong means that a response goes on after the most that it can hold.
 	ErrTooLong = errors.New("the endpoint's response is longer than any complete one")
+	// ErrNoMemory means that a response needs more memory than is left for all of them.
+	ErrNoMemory = errors.New("no memory for the endpoint's response")
 	// ErrCallerDisconnected means that the caller's connection broke.
 	ErrCallerDisconnected = errors.New("the caller closed the connection")
 )
@@ -67,6 +69,8 @@
 	IDPrefix string
 	// MaxTokens is the limit of output tokens; 0 means none.
 	MaxTokens int64
+	// Memory is that of an unfinished event; nil means no limit.
+	Memory *Buffer
 	// ForwardUsage is true if the caller requested the usage chunk.
 	ForwardUsage bool
 	// OnToken is called after each content chunk with the number of content
@@ -75,6 +79,7 @@
 
 	progress    Progress
 	eventBuf    []byte
+	idLine      []byte // line with the ID of the event being read
 	eventID     []byte // ID of the event being read, without IDPrefix
 	lastEventID []byte // ID of the last relayed event, without IDPrefix
 }
@@ -130,16 +135,18 @@
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			hasID = true
 			r.eventID = append(r.eventID[:0], bytes.TrimSpace(id)...)
-			line = nil
-			r.eventBuf = append(append(append(append(r.eventBuf, "id: "...), r.IDPrefix...), r.eventID...), '\n')
+			r.idLine = append(append(append(r.idLine[:0], "id: "...), r.IDPrefix...), r.eventID...)
+			line = r.idLine
 		} else if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
 			if kind, err = r.classify(bytes.TrimSpace(data)); err != nil {
 				return err
 			}
 		}
-		if line != nil {
-			r.eventBuf = append(append(r.eventBuf, line...), '\n')
+		var ok bool
+		if r.eventBuf, ok = r.Memory.Append(r.eventBuf, line); !ok {
+			return ErrNoMemory
 		}
+		r.eventBuf = append(r.eventBuf, '\n')
 		if len(r.eventBuf) > maxEventBytes {
 			return ErrMalformed
 		}
