--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -43,8 +43,10 @@
 // daemon is one instance with its current process.
 type daemon struct {
 	// stops counts the planned stops.
-	stops                           int
-	name, domain, dir               string
+	stops             int
+	name, domain, dir string
+	// binary is the file of the program.
+	binary                          string
 	callerAddr, readyAddr, meshAddr string
 	store                           *proxy
 	seeds                           []string
@@ -106,7 +108,7 @@
 		return err
 	}
 	defer errs.Close() // the process has its own copy
-	d.cmd, d.exited = exec.Command(binary, "front", "--settings", file), make(chan struct{})
+	d.cmd, d.exited = exec.Command(d.binary, "front", "--settings", file), make(chan struct{})
 	d.cmd.Stdout, d.cmd.Stderr = d.log, errs
 	if err := d.cmd.Start(); err != nil {
 		return err
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -184,7 +184,7 @@
 		if err != nil {
 			bed.t.Fatal(err)
 		}
-		d := &daemon{name: fmt.Sprint("d", i), domain: domainOf(i), dir: dir, store: p}
+		d := &daemon{name: fmt.Sprint("d", i), domain: domainOf(i), dir: dir, store: p, binary: binary}
 		for _, addr := range []*string{&d.callerAddr, &d.readyAddr, &d.meshAddr} {
 			if *addr, err = freeAddr(); err != nil {
 				bed.t.Fatal(err)
