Keep huge numbers of tokens from overflowing an account's budget

Cause: the sum of prompt and output limit overflowed to a negative number, which the checks of the budget accept, and settling it adds tokens.

A negative sum is refused.

--- a/internal/escrow/budgets/manager.go
+++ b/internal/escrow/budgets/manager.go
@@ -223,6 +223,9 @@
 func (m *Manager) Reserve(
 	ctx context.Context, ra *routing.Account, tokens int64, urgent bool,
 ) (relay.Reservation, error) {
+	if tokens < 0 {
+		return nil, problem.New(problem.InvalidRequest, "the request declares %d tokens", tokens)
+	}
 	if tokens > ra.PrepaidTokens {
 		return nil, problem.New(problem.BudgetExhausted, "the request may use %d tokens, the whole budget is %d", tokens, ra.PrepaidTokens)
 	}
