Forward paths that begin with two slashes unchanged

Cause: the request target was passed as the opaque part of a URL, before which net/http writes the scheme if it begins with two slashes. Such a path is passed as path and query now. The few that net/http would encode anew then are refused with 400 instead of being changed.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -177,6 +177,9 @@
 	if x.meta, err = x.handler.Codec.DecodeRequest(x.r.Header); err != nil {
 		return problem.New(problem.InvalidRequest, "%v", err)
 	}
+	if err := upstream.CheckPath(x.r.RequestURI); err != nil {
+		return problem.New(problem.InvalidRequest, "%v", err)
+	}
 	if err := x.handler.stopped(); err != nil {
 		return err
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"syscall"
 	"time"
 
@@ -137,7 +138,10 @@
 		}
 		use = newConnUse(ctx, i.Conn.(*endpointConn), i.Reused, call.Header.Get(HeaderRequestID))
 	}}
-	req := call.request()
+	req, err := call.request()
+	if err != nil {
+		return nil, failure.At(&Error{Endpoint: call.Endpoint, Ran: RanNo, Err: err}, "upstream.request", call.Addr)
+	}
 	transport := c.pooled
 	if call.OwnConnection || req.Body == nil && hasIdempotencyKey(call.Header) {
 		transport = c.unpooled
@@ -163,15 +167,42 @@
 // request returns the HTTP request of a call. A request with a body but without GetBody is
 // not repeated by the transport itself. A body that turns out to be empty is sent as none
 // with methods that have none.
-func (c Call) request() *http.Request {
+func (c Call) request() (*http.Request, error) {
+	target, err := requestTarget(c.Path)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = "http", c.Addr
 	req := &http.Request{
-		Method: c.Method, URL: &url.URL{Scheme: "http", Host: c.Addr, Opaque: c.Path},
-		Host: c.Host, Header: c.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: c.Method, URL: target, Host: c.Host, Header: c.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(c.Body) > 0 || !mayHaveBody(c.Method) {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(c.Body)), int64(len(c.Body))
 	}
-	return req
+	return req, nil
+}
+
+// CheckPath returns an error if a path with its query can't be sent to an endpoint unchanged.
+func CheckPath(path string) error {
+	_, err := requestTarget(path)
+	return err
+}
+
+// requestTarget returns a URL without a host whose request target is exactly path. The
+// opaque form keeps all bytes, but gets a scheme if the path begins with two slashes.
+func requestTarget(path string) (*url.URL, error) {
+	if !strings.HasPrefix(path, "//") {
+		return &url.URL{Opaque: path}, nil
+	}
+	target, err := url.ParseRequestURI("/." + path)
+	if err != nil {
+		return nil, errors.Wrapf(err, "path %q", path)
+	}
+	target.Path, target.RawPath = strings.TrimPrefix(target.Path, "/."), strings.TrimPrefix(target.RawPath, "/.")
+	if sent := target.RequestURI(); sent != path {
+		return nil, errors.Errorf("path %q would be sent as %q", path, sent)
+	}
+	return target, nil
 }
 
 // mayHaveBody reports whether requests with a method usually have a body. The transport
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -77,3 +77,21 @@
 		})
 	}
 }
+
+// Guards against a path that reaches the endpoint changed.
+func TestPathsAreSentUnchanged(t *testing.T) {
+	for _, path := range []string{
+		"/", "/a/b?x=//y", "//", "//a/b", "//shelf/cancel?tray=7", "///a//b/", "//a%2Fb%20c?q=%2F&r", "//a?", "//a/../b", "//[::1]/x",
+		"/a\"b{c}?x=\"", "//h:80/x@y",
+	} {
+		req, err := Call{Method: http.MethodPost, Addr: "127.0.0.1:80", Path: path, Header: http.Header{}}.request()
+		if err != nil {
+			t.Errorf("%q: %v", path, err)
+		} else if got := req.URL.RequestURI(); got != path || req.URL.Host != "127.0.0.1:80" {
+			t.Errorf("%q is sent as %q to %s", path, got, req.URL.Host)
+		}
+	}
+	if err := CheckPath("//a\"b"); err == nil {
+		t.Error("a path that can't be sent unchanged is accepted")
+	}
+}
