Recognize a crashing request after its route moved to another service

Cause: the digests by which requests and parts of prompts are recognized held the service, which the configuration chooses. They hold the host, path, account and content of a request now, and the id of a part.

TestCrashingRequestIsKnownAfterItsRouteMoved failed before.

--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -55,8 +55,8 @@
 // NewParts returns an empty Parts.
 func NewParts() *Parts { return &Parts{records: make(map[Digest]*partRecord)} }
 
-// PartDigest returns the digest of a part of a prompt for the endpoints of a service.
-func PartDigest(service, part string) Digest { return DigestOf(service, []byte("part\x00"+part)) }
+// PartDigest returns the digest of a part of a prompt.
+func PartDigest(part string) Digest { return DigestOf("", []byte("part\x00"+part)) }
 
 // Blocked reports whether a request with the given parts must be refused, because of
 // which part and for how long.
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -38,10 +38,10 @@
 // the same digest, whoever sends them.
 type Digest uint64
 
-// DigestOf returns the digest of a request to service with the given body.
-func DigestOf(service string, body []byte) Digest {
+// DigestOf returns the digest of a request to a service or host with the given content.
+func DigestOf(target string, body []byte) Digest {
 	h := xxhash.New()
-	_, _ = h.WriteString(service)
+	_, _ = h.WriteString(target)
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write(body)
 	return Digest(h.Sum64())
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -75,3 +75,23 @@
 		}
 	}
 }
+
+// Guards against a request, or a part of a prompt, that crashes endpoints and is new to the
+// daemons after its route moved to another service.
+func TestCrashingRequestIsKnownAfterItsRouteMoved(t *testing.T) {
+	h := newHarness(t, startEndpoint(t, respondWith(response(requestID, 200, "ok"), true)))
+	for _, services := range [][2]string{{"desk", "llm"}, {"annex", "llm-2"}} {
+		h.table = newTableFor(t, services[0], services[1])
+		for _, path := range []string{"/order/x", "/plan/x"} {
+			if _, _, err := h.do(t, h.request(t, "POST", path, "x", "X-Prompt-Prefix", "a1:100,b2:50")); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if diff := cmp.Diff(h.crashes.begun[:2], h.crashes.begun[2:]); diff != "" {
+		t.Errorf("fingerprints before and after the move (-before +after):\n%s", diff)
+	}
+	if h.crashes.begun[0].Content == h.crashes.begun[1].Content {
+		t.Error("requests to different paths have one fingerprint")
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -248,9 +248,11 @@
 		account = x.account.Name
 	}
 	key := append([]byte(x.r.Method+" "+x.r.RequestURI+"\x00"+account+"\x00"), body...)
-	x.fingerprint.Content = poison.DigestOf(x.service, key)
+	// The service is left out: the same request may be sent to another one by a later version
+	// of the configuration.
+	x.fingerprint.Content = poison.DigestOf(x.r.Host, key)
 	for _, part := range x.meta.Prompt[:max(len(x.meta.Prompt)-1, 0)] {
-		x.fingerprint.Parts = append(x.fingerprint.Parts, poison.PartDigest(x.service, part.ID))
+		x.fingerprint.Parts = append(x.fingerprint.Parts, poison.PartDigest(part.ID))
 	}
 	return nil
 }
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -175,6 +175,8 @@
 	isolated bool
 	mu       sync.Mutex
 	crashed  []string
+	// begun holds the fingerprints of the requests in order.
+	begun []relay.Fingerprint
 	// isolateAfterCrash isolates each request that crashed an endpoint.
 	isolateAfterCrash bool
 	// partsCrashed and partsAnswered count the parts of the requests.
@@ -183,9 +185,10 @@
 	completed []bool
 }
 
-func (c *crashIsolator) Begin(relay.Fingerprint) (time.Duration, bool) {
+func (c *crashIsolator) Begin(f relay.Fingerprint) (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.begun = append(c.begun, f)
 	return time.Second, !c.isolated
 }
 func (c *crashIsolator) MayRetry(relay.Fingerprint) bool {
@@ -221,6 +224,8 @@
 	crashes *crashIsolator
 	handler *relay.Handler
 	server  *httptest.Server
+	// table must not be changed during a request.
+	table *routing.Table
 }
 
 const (
@@ -230,6 +235,12 @@
 )
 
 func newTable(t *testing.T) *routing.Table {
+	t.Helper()
+	return newTableFor(t, "desk", "llm")
+}
+
+// newTableFor returns a table whose routes lead to the given services.
+func newTableFor(t *testing.T, desk, llm string) *routing.Table {
 	t.Helper()
 	route := func(name string, kind routing.Kind, attempts int, resumable bool, service string) routing.Route {
 		timeout := 700 * time.Millisecond
@@ -244,10 +255,10 @@
 	table, err := routing.NewTable(routing.Config{
 		Version: 3,
 		Routes: []routing.Route{
-			route("order", routing.Unsafe, 1, false, "desk"), route("look", routing.Safe, 2, false, "desk"),
-			route("plan", routing.Streaming, 1, false, "llm"), route("ask", routing.Streaming, 2, true, "llm"),
+			route("order", routing.Unsafe, 1, false, desk), route("look", routing.Safe, 2, false, desk),
+			route("plan", routing.Streaming, 1, false, llm), route("ask", routing.Streaming, 2, true, llm),
 		},
-		Services: []routing.Service{{Name: "desk"}, {Name: "llm", Engine: &routing.Engine{MaxTokensPerEvent: 6}}},
+		Services: []routing.Service{{Name: desk}, {Name: llm, Engine: &routing.Engine{MaxTokensPerEvent: 6}}},
 		Accounts: []routing.Account{{Name: "acme", Keys: []string{testKey}, PrepaidTokens: 100000}},
 		Limits:   routing.Limits{BodyBytes: 1000},
 	})
@@ -264,12 +275,11 @@
 
 func newHarnessWith(t *testing.T, retries retryBudget, endpoints ...*endpoint) *harness {
 	t.Helper()
-	h := &harness{pools: &pools{order: endpoints}, budgets: &budgets{}, crashes: &crashIsolator{}}
-	table := newTable(t)
+	h := &harness{pools: &pools{order: endpoints}, budgets: &budgets{}, crashes: &crashIsolator{}, table: newTable(t)}
 	h.handler = relay.New(relay.Options{
 		Codec: platform.Codec{}, Budgets: h.budgets, Pools: h.pools,
 		RetryBudget: retries, CrashIsolator: h.crashes,
-		Table:    func() (*routing.Table, time.Duration) { return table, 0 },
+		Table:    func() (*routing.Table, time.Duration) { return h.table, 0 },
 		Outdated: func() bool { return false }, Log: zerolog.Nop(), BufferBytes: testBufferBytes,
 	})
 	h.server = httptest.NewServer(h.handler)
