Keep the crashes of isolated requests in the store

Cause: the isolation was only in the memory of the daemons. The daemon whose crash isolates a request, or blocks a part of prompts, now merges these crashes into one record of the store; each daemon reads it when it joins.

--- /dev/null
+++ b/internal/front/crash_records.go
@@ -0,0 +1,130 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azurehatch/azurehatch/internal/pause"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	"github.com/azurehatch/azurehatch/internal/poison"
+)
+
+// crashRecordKey is the key of the store with the crashes of isolated requests and blocked
+// parts of prompts, which would be forgotten if all daemons ended at once.
+const crashRecordKey = "azurehatch/crashes"
+
+const (
+	// maxRecordedCrashes bounds the record, to some 8 KB.
+	maxRecordedCrashes = 120
+	// crashRecordRetryDelay is the delay after a call to the store that failed.
+	crashRecordRetryDelay = time.Second
+)
+
+// crashRecord is the value of crashRecordKey.
+type crashRecord struct {
+	Requests []recordedCrash `json:"requests"`
+	Parts    []recordedCrash `json:"parts"`
+}
+
+// recordedCrash is one crash of an endpoint.
+type recordedCrash struct {
+	Digest   uint64 `json:"digest"`
+	Endpoint string `json:"endpoint"`
+	// AtMs is the time of the crash in Unix milliseconds.
+	AtMs int64 `json:"at_ms"`
+}
+
+func recordCrashes(entries []poison.Entry) []recordedCrash {
+	var out []recordedCrash
+	for _, e := range entries {
+		if !e.Completed && len(out) < maxRecordedCrashes {
+			out = append(out, recordedCrash{Digest: uint64(e.Digest), Endpoint: e.Endpoint, AtMs: e.At.UnixMilli()})
+		}
+	}
+	return out
+}
+
+// crashEntries returns the entries of recorded crashes. A time in the future, as after a jump
+// of the time of day, counts as now.
+func crashEntries(now time.Time, recorded []recordedCrash) []poison.Entry {
+	var out []poison.Entry
+	for _, c := range recorded {
+		age := max(0, now.Sub(time.UnixMilli(c.AtMs)))
+		out = append(out, poison.Entry{Digest: poison.Digest(c.Digest), Endpoint: c.Endpoint, At: now.Add(-age)})
+	}
+	return out
+}
+
+// record returns the crashes of isolated requests and blocked parts.
+func (c *crashIsolator) record(now time.Time) crashRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return crashRecord{
+		Requests: recordCrashes(c.registry.RecentEntries(now, crashEntryAge, 0)),
+		Parts:    recordCrashes(c.parts.Entries(now, crashEntryAge, 0)),
+	}
+}
+
+func (c *crashIsolator) mergeRecord(now time.Time, r crashRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.Merge(now, crashEntries(now, r.Requests))
+	c.logBlocked(c.parts.Merge(now, crashEntries(now, r.Parts)), "record of the store")
+}
+
+// signalIsolated makes keepCrashRecord write the record.
+func (c *crashIsolator) signalIsolated() {
+	select {
+	case c.isolated <- struct{}{}:
+	default:
+	}
+}
+
+// keepCrashRecord reads the record of the store, and merges into it what this daemon isolates,
+// until ctx ends.
+func (c *crashIsolator) keepCrashRecord(ctx context.Context, store platform.Records) {
+	for write := false; ctx.Err() == nil; {
+		if err := c.syncCrashRecord(ctx, store, write); err != nil {
+			c.log.Warn().Err(err).Bool("write", write).Msg("record of crashes not read or written")
+			pause.Sleep(ctx, jitter(crashRecordRetryDelay))
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.isolated:
+			write = true
+		}
+	}
+}
+
+// syncCrashRecord merges the record of the store into what is known, and writes all of it if
+// write is true.
+func (c *crashIsolator) syncCrashRecord(ctx context.Context, store platform.Records, write bool) error {
+	item, err := store.Get(ctx, crashRecordKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return errors.Wrap(err, "read record of crashes")
+	}
+	if err == nil {
+		var stored crashRecord
+		if err := json.Unmarshal(item.Value, &stored); err != nil {
+			c.log.Error().Err(err).Stringer("revision", item.Revision).Msg("record of crashes not readable; it is replaced by the next one")
+		}
+		c.mergeRecord(time.Now(), stored)
+	}
+	if !write {
+		return nil
+	}
+	r := c.record(time.Now())
+	value, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode record of crashes")
+	}
+	if _, err := store.CompareAndSwap(ctx, platform.Write{Key: crashRecordKey, Value: value, Expected: item.Revision}); err != nil {
+		return errors.Wrap(err, "write record of crashes")
+	}
+	c.log.Info().Int("requests", len(r.Requests)).Int("parts", len(r.Parts)).Msg("record of crashes written")
+	return nil
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -210,6 +210,13 @@
 	d.wg.Go(func() { d.endpointFeed.run(d.ctx) })
 	d.wg.Go(d.housekeeping)
 	d.wg.Go(d.stayRegistered)
+	d.wg.Go(func() {
+		select {
+		case <-d.joined:
+			d.crashIsolator.keepCrashRecord(d.ctx, d.store)
+		case <-d.ctx.Done():
+		}
+	})
 	d.callersServer = &http.Server{
 		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
 		ConnState: d.pendingConns.trackState,
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -91,6 +91,8 @@
 // peers share.
 type crashIsolator struct {
 	log zerolog.Logger
+	// isolated receives a value when a crash at this daemon isolates a request or a part.
+	isolated chan struct{}
 
 	mu       sync.Mutex
 	registry *poison.Registry
@@ -101,7 +103,7 @@
 
 func newCrashIsolator(log zerolog.Logger) *crashIsolator {
 	return &crashIsolator{
-		log: log, registry: poison.New(poison.Options{CrashesToIsolate: crashesToIsolate}), parts: poison.NewParts(),
+		log: log, isolated: make(chan struct{}, 1), registry: poison.New(poison.Options{CrashesToIsolate: crashesToIsolate}), parts: poison.NewParts(),
 	}
 }
 
@@ -130,7 +132,11 @@
 func (c *crashIsolator) Crashed(f relay.Fingerprint, endpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.registry.RecordCrash(time.Now(), endpoint, []poison.Digest{f.Content})
+	now := time.Now()
+	c.registry.RecordCrash(now, endpoint, []poison.Digest{f.Content})
+	if c.registry.Verdict(now, f.Content) == poison.Isolated {
+		c.signalIsolated()
+	}
 	c.log.Info().Uint64("digest", uint64(f.Content)).Str("endpoint", endpoint).Msg("request crashed an endpoint")
 }
 
@@ -142,6 +148,9 @@
 	c.log.Info().Interface("parts", f.Parts).Str("endpoint", endpoint).
 		Msg("endpoint went down before it answered a request with these prompt parts")
 	c.logBlocked(blocked, "")
+	if len(blocked) > 0 {
+		c.signalIsolated()
+	}
 }
 
 // PartsAnswered implements relay.CrashIsolator.
