Replace a follower of the store as soon as it has lost the store

Cause: in a wide fleet two daemons of a failure domain follow the store, and others take their place once the last answer of the store to them is 5 s old, since a poll may take 3 s. A follower whose poll has failed knows sooner, but told others only the age. A follower says now that it has no contact while its calls fail.

Evidence: TestFollowerThatLostTheStoreSaysSoAtOnce failed before (age 5 ms).

--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -76,11 +76,12 @@
 }
 
 // contactAge returns the time since the store's last response in milliseconds, -1
-// before the first.
+// before the first and while the store does not respond: another daemon follows the
+// store in the place of one that can't.
 func (f *feed) contactAge(now time.Time) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.contactedAt.IsZero() {
+	if f.contactedAt.IsZero() || f.failing.Load() {
 		return -1
 	}
 	return now.Sub(f.contactedAt).Milliseconds()
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -139,6 +139,31 @@
 	}
 }
 
+// Guards against a follower of the store that is replaced only seconds after it has lost the
+// store: until then nobody in its failure domain learns of changes.
+func TestFollowerThatLostTheStoreSaysSoAtOnce(t *testing.T) {
+	store := memstore.New(nil)
+	if _, err := store.CompareAndSwap(t.Context(), platform.Write{Key: "p/a", Value: []byte("1")}); err != nil {
+		t.Fatal(err)
+	}
+	r := recorder{value: make(chan string, 8)}
+	f := newFeed("p/", store, r, fixedFleet{follows: true}, func() {}, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.run(ctx)
+	r.want(t, 2*time.Second, "1")
+	if age := f.contactAge(time.Now()); age < 0 {
+		t.Errorf("contact age %d ms while the store responds", age)
+	}
+	store.SetFaults(memstore.Faults{Outage: true})
+	awaitCondition(t, "the feed has noticed the loss", f.failing.Load)
+	if age := f.contactAge(time.Now()); age != -1 {
+		t.Errorf("contact age %d ms after the loss, want -1", age)
+	}
+	store.SetFaults(memstore.Faults{})
+	awaitCondition(t, "the store is back", func() bool { return f.contactAge(time.Now()) >= 0 })
+}
+
 // Guards against a daemon that reads the store although others follow it, and
 // against one that misses what they broadcast: changes in the message, changes too
 // large for a message, and changes that leave a gap after its own revision.
