Bound what the kernel keeps of a connection for the daemon

The rest, 10 to 14 MiB, was in the kernel: it enlarges the receive buffer of a connection up to 32 MiB, beside the memory that the process bounds, for each connection whose reader falls behind.

Connections to endpoints and to the store have a receive buffer of 256 KiB now, which carries 20 MB/s at a round trip of 12 ms.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -18,20 +18,28 @@
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
+// receiveBufferBytes bounds what the kernel keeps of a connection for the process, which may
+// be 32 MiB otherwise. It carries 20 MB/s at a round trip of 12 ms.
+const receiveBufferBytes = 256 << 10
+
 // New returns a dialer whose connection attempts fail after timeout.
 func New(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setOptions}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose
-// data is not acknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var opt error
+// setOptions sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose data is not
+// acknowledged, and the size of the receive buffer.
+func setOptions(_, _ string, c syscall.RawConn) error {
+	var timeout, buffer error
 	err := c.Control(func(fd uintptr) {
-		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		timeout = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		buffer = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
 	})
 	if err != nil {
 		return errors.Wrap(err, "access socket")
 	}
-	return errors.Wrap(opt, "set TCP_USER_TIMEOUT")
+	if timeout != nil {
+		return errors.Wrap(timeout, "set TCP_USER_TIMEOUT")
+	}
+	return errors.Wrap(buffer, "set SO_RCVBUF")
 }
