Release the part of a response that was read ahead before passing on the rest

Cause: the part of a response that was read ahead stayed in use until the response ended, since its length was needed then, while its memory had been given back to the limit of all responses, for others to take.

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -101,14 +101,15 @@
 	if _, err := x.w.Write(head); err != nil {
 		return a.truncated(err)
 	}
-	memory.Release()
-	switch n, err := io.CopyN(x.w, a.resp.Body, upstream.MaxResponseBytes+1-int64(len(head))); {
+	rest := upstream.MaxResponseBytes + 1 - int64(len(head))
+	memory.Release() // head is not used any more, so that it can be collected
+	switch _, err := io.CopyN(x.w, a.resp.Body, rest); {
 	case errors.Is(err, io.EOF):
 		return a.reportServerError()
 	case err != nil:
 		return a.truncated(err)
 	default:
-		return a.tooLong(errors.Errorf("the response exceeds %d bytes", n+int64(len(head))-1))
+		return a.tooLong(errors.Errorf("the response exceeds %d bytes", upstream.MaxResponseBytes))
 	}
 }
 
