--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,9 +40,6 @@
 	// FirstTokenTimeout limits the wait for the first token, or for the first
 	// byte of a plain answer, at one endpoint; 0 means Options.Timeout.
 	FirstTokenTimeout time.Duration
-	// BufferBytes bounds the memory of all unfinished answers of endpoints together; 0 means
-	// upstream.DefaultBufferBytes.
-	BufferBytes int64
 	// MaxBody is the largest request body in bytes; 0 means the gateway's limit.
 	MaxBody int64
 	// RequireKey refuses non-idempotent requests without an Idempotency-Key.
--- a/internal/upstream/buffers.go
+++ b/internal/upstream/buffers.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"slices"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -68,28 +67,33 @@
 // is no memory for that.
 func (b *Buffer) Append(data, more []byte) ([]byte, bool) {
 	if size := len(data) + len(more); size > cap(data) {
-		size = max(size, 2*cap(data))
-		// While the data is copied, both copies are in memory.
-		if !b.Grow(size + cap(data)) {
+		var ok bool
+		if data, ok = b.enlarge(data, max(size, 2*cap(data))); !ok {
 			return data, false
 		}
-		data = slices.Grow(data, size-len(data))
 	}
 	return append(data, more...), true
 }
 
+// enlarge copies data to a slice of the given capacity.
+func (b *Buffer) enlarge(data []byte, size int) ([]byte, bool) {
+	// While the data is copied, both copies are in memory.
+	if !b.Grow(size + cap(data)) {
+		return data, false
+	}
+	return append(make([]byte, 0, size), data...), true
+}
+
 // ReadAhead reads until the end of r, up to most bytes, or until no more memory may be
 // occupied. The error is io.EOF after the end, and nil if there may be more.
 func (b *Buffer) ReadAhead(r io.Reader, most int) ([]byte, error) {
 	var data []byte
 	for len(data) < most {
 		if len(data) == cap(data) {
-			size := min(max(2*cap(data), 4<<10), most)
-			// While the data is copied, both copies are in memory.
-			if !b.Grow(size + cap(data)) {
+			var ok bool
+			if data, ok = b.enlarge(data, min(max(2*cap(data), 4<<10), most)); !ok {
 				return data, nil
 			}
-			data = append(make([]byte, 0, size), data...)
 		}
 		n, err := r.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
