--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -78,6 +78,29 @@
 	// the last one.
 	storeUnreachable bool
 	storeRegainedAt  time.Time
+	// deferred are the removals that were deferred since the last TakeDeferred.
+	deferred []Deferral
+}
+
+// Deferral is the removal of an entry that was deferred because the entry may have expired
+// only because of a store outage.
+type Deferral struct {
+	Entry Entry
+	// Revision is the revision of the removal.
+	Revision platform.Revision
+	// Until is when the entry is removed at the earliest.
+	Until time.Time
+	// StoreUnreachable is true if the store could not be read at the time, RegainedAt the end
+	// of the last outage.
+	StoreUnreachable bool
+	RegainedAt       time.Time
+}
+
+// TakeDeferred returns the removals that were deferred since the last call.
+func (t *Table) TakeDeferred() []Deferral {
+	deferred := t.deferred
+	t.deferred = nil
+	return deferred
 }
 
 type storedEntry struct {
@@ -216,6 +239,9 @@
 			deadline = t.storeRegainedAt.Add(reregisterGrace)
 		}
 		t.pendingRemovals[item.Key] = deadline
+		t.deferred = append(t.deferred, Deferral{
+			Entry: old.Entry, Revision: item.Revision, Until: deadline, StoreUnreachable: t.storeUnreachable, RegainedAt: t.storeRegainedAt,
+		})
 		return nil
 	}
 	delete(t.entries, item.Key)
--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -99,6 +99,9 @@
 		return
 	}
 	if len(c.Packed) == 0 || c.Since > at {
+		f.log.Info().Str("prefix", f.prefix).Bool("too_large", len(c.Packed) == 0).Stringer("since", platform.Revision(c.Since)).
+			Stringer("revision", platform.Revision(c.Revision)).Stringer("own", platform.Revision(at)).
+			Msg("changes passed on by a peer can't be applied; reading the store")
 		f.requestRead()
 		return
 	}
@@ -108,8 +111,9 @@
 		f.requestRead()
 		return
 	}
-	f.log.Debug().Str("prefix", f.prefix).Int("events", len(changes.Events)).Bool("listed", changes.Listed).
-		Stringer("revision", platform.Revision(c.Revision)).Msg("changes passed on by a peer")
+	f.log.Info().Str("prefix", f.prefix).Int("events", len(changes.Events)).Bool("listed", changes.Listed).
+		Stringer("revision", platform.Revision(c.Revision)).Stringer("own", platform.Revision(at)).
+		Int64("store_regained_ms", c.BackAgeMs).Msg("changes passed on by a peer")
 	f.applyPushed(changes, platform.Revision(c.Revision))
 }
 
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -27,13 +27,13 @@
 func (e *endpoints) replace(r reading, items []platform.Item, at platform.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.applyToPools(e.list.Replace(r.at, items, at))
+	e.applyToPools(r, e.list.Replace(r.at, items, at))
 }
 
 func (e *endpoints) apply(r reading, events []platform.Event, at platform.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.applyToPools(e.list.Apply(r.at, events, at))
+	e.applyToPools(r, e.list.Apply(r.at, events, at))
 }
 
 func (e *endpoints) storeUnreachable() {
@@ -63,17 +63,27 @@
 func (e *endpoints) tick(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.applyToPools(e.list.Tick(now))
+	e.applyToPools(reading{at: now, origin: fromGracePeriod}, e.list.Tick(now))
 }
 
-func (e *endpoints) applyToPools(changes []discovery.Change) {
+func (e *endpoints) applyToPools(r reading, changes []discovery.Change) {
+	for _, d := range e.list.TakeDeferred() {
+		regained := -time.Millisecond
+		if !d.RegainedAt.IsZero() {
+			regained = r.at.Sub(d.RegainedAt)
+		}
+		e.log.Info().Str("endpoint", d.Entry.ID).Str("service", d.Entry.Service).Stringer("revision", d.Revision).
+			Str("origin", string(r.origin)).Bool("store_unreachable", d.StoreUnreachable).
+			Int64("store_regained_ms", regained.Milliseconds()).Dur("for_ms", d.Until.Sub(r.at)).
+			Msg("removal of an endpoint deferred: its entry may have expired in an outage of the store")
+	}
 	kinds := map[discovery.ChangeKind]string{
 		discovery.Put: "put", discovery.Restarted: "restarted", discovery.Removed: "removed",
 	}
 	for _, c := range changes {
 		e.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("peer", c.Entry.Addr).
 			Bool("leaving", c.Entry.Leaving).Stringer("revision", c.Revision).Str("change", kinds[c.Kind]).
-			Msg("endpoint changed")
+			Str("origin", string(r.origin)).Dur("behind_ms", r.behind).Msg("endpoint changed")
 		e.pools.applyChange(c.Kind, c.Entry.Service, balance.Endpoint{
 			ID: c.Entry.ID, Addr: c.Entry.Addr, Domain: c.Entry.Domain, Slots: c.Entry.Slots, Leaving: c.Entry.Leaving,
 			Incarnation: c.Entry.Incarnation,
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -103,6 +103,8 @@
 	fromPoll     origin = "poll"
 	fromPush     origin = "push"
 	fromPeerCopy origin = "peer copy"
+	// fromGracePeriod is the end of the time for which a removal was deferred.
+	fromGracePeriod origin = "grace period"
 )
 
 // reading is one reading of items: its time, its origin and how long the feed had known
@@ -308,12 +310,13 @@
 		f.awaitJoin(ctx)
 		return nil
 	}
+	began := time.Now()
 	c, err := f.source.Poll(ctx, f.prefix, f.currentRevision(), wait)
+	f.logPoll(c, err, wait, time.Since(began))
 	if err != nil {
 		return err
 	}
 	f.broadcast(mesh.ChangeList{Events: c.Events}, lastRevision(c.Events))
-	f.log.Debug().Str("prefix", f.prefix).Int("events", len(c.Events)).Stringer("revision", c.Revision).Msg("changes read")
 	f.apply(c.Events)
 	if len(c.Events) > 0 && f.fleet.FollowsStore() {
 		pause.Sleep(ctx, f.batchDelayFor())
--- a/internal/front/feed_wait.go
+++ b/internal/front/feed_wait.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/azurehatch/azurehatch/internal/pause"
+	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
 // waitToList waits before the list is read again, unless the history was gone for the first
@@ -87,3 +90,15 @@
 	}
 	return wait
 }
+
+// logPoll logs the result of a poll: without it, a watch that hears
+// nothing can't be told from one that is answered late or not repeated. Polls without
+// changes are frequent, so they are logged at the level debug.
+func (f *feed) logPoll(c platform.Changes, err error, wait, took time.Duration) {
+	line := f.log.Debug()
+	if len(c.Events) > 0 || errors.Is(err, platform.ErrCompacted) {
+		line = f.log.Info()
+	}
+	line.Err(err).Str("prefix", f.prefix).Int("events", len(c.Events)).Stringer("after", f.currentRevision()).
+		Stringer("revision", c.Revision).Dur("wait_ms", wait).Dur("took_ms", took).Msg("changes read")
+}
