Record the store's return before the first changes are passed on

What callers saw: nothing yet by itself. The first changes that a follower reads after an outage were passed on before it had recorded the store's return, so the message said that the store had never been away. The contact is now recorded between the read and its use. TestFirstChangesAfterAnOutageTellOfTheReturn failed before: -1 ms for a store that had just come back.

--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -64,29 +64,6 @@
 	return events
 }
 
-// regainedAge returns the time since the store last became reachable again in
-// milliseconds, -1 if it never did.
-func (f *feed) regainedAge(now time.Time) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.regainedAt.IsZero() {
-		return -1
-	}
-	return now.Sub(f.regainedAt).Milliseconds()
-}
-
-// contactAge returns the time since the store's last response in milliseconds, -1
-// before the first and while the store does not respond: another daemon follows the
-// store in the place of one that can't.
-func (f *feed) contactAge(now time.Time) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.contactedAt.IsZero() || f.failing.Load() {
-		return -1
-	}
-	return now.Sub(f.contactedAt).Milliseconds()
-}
-
 // receive applies changes that a follower of the store broadcast. If changes are
 // missing between them and the feed's revision, the store is read instead.
 func (f *feed) receive(now time.Time, c *meshpb.Changes) {
@@ -133,21 +110,6 @@
 	f.applyEvents(fromPush, c.Events, at)
 }
 
-// mergeRegained adopts from a peer the time at which the store became reachable
-// again: the grace period of entries that expired during the outage starts then.
-func (f *feed) mergeRegained(now time.Time, ageMs int64) {
-	if ageMs < 0 {
-		return
-	}
-	at := now.Add(-time.Duration(ageMs) * time.Millisecond)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at.After(f.regainedAt.Add(regainedAtTolerance)) {
-		f.regainedAt = at
-		f.consumer.storeRegained(at)
-	}
-}
-
 // requestRead makes a daemon that does not follow the store read its changes.
 func (f *feed) requestRead() {
 	select {
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -187,9 +187,9 @@
 	// the last fetch started.
 	fetching  bool
 	fetchedAt time.Time
-	// contactedAt is when the store last responded, regainedAt when it last
-	// became reachable again.
-	contactedAt, regainedAt time.Time
+	// contactedAt is when the store last responded, lostAt the time of the first failed call
+	// since, zero if there is none. regainedAt is when it last became reachable again.
+	contactedAt, lostAt, regainedAt time.Time
 	// held are the items of a restored store that are older than what is known of their
 	// keys; departed are the removed items, by key.
 	held     map[string]heldItem
@@ -216,18 +216,15 @@
 func (f *feed) run(ctx context.Context) {
 	listed, relists := false, 0
 	backoff := minBackoff
-	var failingSince time.Time
 	for ctx.Err() == nil {
-		if listed && failingSince.IsZero() && !f.waitUntilDue(ctx) {
+		if listed && !f.failing.Load() && !f.waitUntilDue(ctx) {
 			continue
 		}
 		polled := listed
-		err := f.readOnce(ctx, &listed, !failingSince.IsZero())
-		now := time.Now()
+		err := f.readOnce(ctx, &listed)
 		if err == nil || errors.Is(err, platform.ErrCompacted) {
 			listed = listed && err == nil
-			f.recordContact(now, failingSince)
-			failingSince, backoff = time.Time{}, minBackoff
+			backoff = minBackoff
 			if err != nil {
 				relists++
 				f.waitToList(ctx, relists)
@@ -239,15 +236,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.failing.Store(true)
-		if failingSince.IsZero() {
-			failingSince = now
-			f.log.Warn().Err(err).Str("prefix", f.prefix).Stringer("revision", f.currentRevision()).Msg("store lost")
-		} else if now.Sub(failingSince) > storeUnreachableAfter {
-			f.mu.Lock()
-			f.consumer.storeUnreachable()
-			f.mu.Unlock()
-		}
+		f.recordFailure(time.Now(), err)
 		wait, limit := backoff, maxBackoff
 		if f.probeAnswered {
 			// A store above its rate refuses the reads of all daemons at the same time.
@@ -258,33 +247,13 @@
 	}
 }
 
-// recordContact records that the store responded, and that it became reachable again if
-// its calls had failed since a time that is not zero.
-func (f *feed) recordContact(now, failingSince time.Time) {
-	regained := false
-	if !failingSince.IsZero() {
-		regained = now.Sub(failingSince) > storeUnreachableAfter
-		f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(failingSince)).Msg("store regained")
-	}
-	if f.failing.Swap(false) {
-		f.onRegained()
-	}
-	f.onStoreContact()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.contactedAt = now
-	if regained {
-		f.regainedAt = now
-	}
-	f.consumer.storeReachable(now)
-}
-
 // readOnce reads the list if it has not been read, else polls for changes. A
 // failing store is first probed by a call with a small response, since the
 // transfer of a configuration of some hundred KB over a slow link takes longer
 // than probeTimeout.
-func (f *feed) readOnce(ctx context.Context, listed *bool, failing bool) error {
+func (f *feed) readOnce(ctx context.Context, listed *bool) error {
 	f.probeAnswered = false
+	failing := f.failing.Load()
 	if failing {
 		if err := f.probe(ctx); err != nil {
 			return err
@@ -300,6 +269,7 @@
 		if err != nil {
 			return err
 		}
+		f.recordContact(time.Now())
 		*listed = true
 		f.log.Info().Str("prefix", f.prefix).Int("items", len(items)).Stringer("revision", at).
 			Stringer("former", f.currentRevision()).Msg("list read")
@@ -313,6 +283,9 @@
 	began := time.Now()
 	c, err := f.source.Poll(ctx, f.prefix, f.currentRevision(), wait)
 	f.logPoll(c, err, wait, time.Since(began))
+	if err == nil || errors.Is(err, platform.ErrCompacted) {
+		f.recordContact(time.Now())
+	}
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/front/feed_contact.go
@@ -0,0 +1,75 @@
+package front
+
+import "time"
+
+// recordContact records that the store responded. It is called before what was read is
+// applied and passed on, since removals after an outage are judged by the time of the
+// store's return.
+func (f *feed) recordContact(now time.Time) {
+	f.mu.Lock()
+	if lostAt := f.lostAt; !lostAt.IsZero() {
+		f.lostAt = time.Time{}
+		if now.Sub(lostAt) > storeUnreachableAfter {
+			f.regainedAt = now
+		}
+		f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(lostAt)).Msg("store regained")
+	}
+	f.contactedAt = now
+	f.consumer.storeReachable(now)
+	f.mu.Unlock()
+	if f.failing.Swap(false) {
+		f.onRegained()
+	}
+	f.onStoreContact()
+}
+
+// recordFailure records that a call of the store failed.
+func (f *feed) recordFailure(now time.Time, err error) {
+	f.failing.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostAt.IsZero() {
+		f.lostAt = now
+		f.log.Warn().Err(err).Str("prefix", f.prefix).Stringer("revision", f.revision).Msg("store lost")
+	} else if now.Sub(f.lostAt) > storeUnreachableAfter {
+		f.consumer.storeUnreachable()
+	}
+}
+
+// regainedAge returns the time since the store last became reachable again in
+// milliseconds, -1 if it never did.
+func (f *feed) regainedAge(now time.Time) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.regainedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(f.regainedAt).Milliseconds()
+}
+
+// contactAge returns the time since the store's last response in milliseconds, -1
+// before the first and while the store does not respond: another daemon follows the
+// store in the place of one that can't.
+func (f *feed) contactAge(now time.Time) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.contactedAt.IsZero() || f.failing.Load() {
+		return -1
+	}
+	return now.Sub(f.contactedAt).Milliseconds()
+}
+
+// mergeRegained adopts from a peer the time at which the store became reachable
+// again: the grace period of entries that expired during the outage starts then.
+func (f *feed) mergeRegained(now time.Time, ageMs int64) {
+	if ageMs < 0 {
+		return
+	}
+	at := now.Add(-time.Duration(ageMs) * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.regainedAt.Add(regainedAtTolerance)) {
+		f.regainedAt = at
+		f.consumer.storeRegained(at)
+	}
+}
--- /dev/null
+++ b/internal/front/outage_test.go
@@ -0,0 +1,108 @@
+package front
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/mesh"
+	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/pause"
+	"github.com/azurehatch/azurehatch/internal/platform"
+	wire "github.com/azurehatch/azurehatch/platform"
+)
+
+// lapsedEntry is an endpoint's entry that removalLog removes.
+var lapsedEntry = entryItem("ready", 100, 3, 5)
+
+var lapsedRemoval = platform.Event{Item: platform.Item{Key: lapsedEntry.Key, Revision: 9}, Deleted: true}
+
+// removalLog is a store with the entry of one endpoint. It can be read unless it is away. The
+// entry is gone once the store was away.
+type removalLog struct{ away, wasAway atomic.Bool }
+
+func (l *removalLog) setAway(away bool) {
+	l.away.Store(away)
+	if away {
+		l.wasAway.Store(true)
+	}
+}
+
+func (l *removalLog) Range(context.Context, string) ([]platform.Item, platform.Revision, error) {
+	return []platform.Item{lapsedEntry}, 5, nil
+}
+
+func (l *removalLog) Probe(context.Context) error {
+	if l.away.Load() {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (l *removalLog) Poll(
+	ctx context.Context, _ string, after platform.Revision, wait time.Duration,
+) (platform.Changes, error) {
+	if after < lapsedRemoval.Item.Revision && l.wasAway.Load() && !l.away.Load() {
+		return platform.Changes{Events: []platform.Event{lapsedRemoval}, Revision: lapsedRemoval.Item.Revision}, nil
+	}
+	pause.Sleep(ctx, min(wait, 20*time.Millisecond))
+	if l.away.Load() {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return platform.Changes{Revision: after}, nil
+}
+
+// startEndpointFeed runs a feed of a store's endpoints until the test ends. It returns once the
+// feed has an endpoint.
+func startEndpointFeed(t *testing.T, log platform.ChangeLog, fleet fixedFleet) (*feed, *endpoints) {
+	t.Helper()
+	e := newEndpoints(wire.DecodeEndpoint, newPools("z", zerolog.Nop(), tally.NoopScope), zerolog.Nop())
+	f := newFeed(wire.EndpointPrefix, log, e, fleet, func() {}, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	awaitCondition(t, "the endpoint is known", e.pools.hasEndpoints)
+	return f, e
+}
+
+// pushOfRemoval is the message of a follower that has read the removal of lapsedEntry.
+func pushOfRemoval(t *testing.T, storeRegainedMs int64) *meshpb.Changes {
+	t.Helper()
+	packed, err := mesh.Pack(mesh.ChangeList{Events: []platform.Event{lapsedRemoval}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &meshpb.Changes{
+		Prefix: wire.EndpointPrefix, Since: 5, Revision: int64(lapsedRemoval.Item.Revision), BackAgeMs: storeRegainedMs, Packed: packed,
+	}
+}
+
+// Guards against removals after an outage that are passed on without the time of the store's
+// return: the other daemons would drop endpoints that have only to register again.
+func TestFirstChangesAfterAnOutageTellOfTheReturn(t *testing.T) {
+	store := &removalLog{}
+	pushed := make(chan *meshpb.Changes, 8)
+	startEndpointFeed(t, store, fixedFleet{follows: true, daemons: 63, broadcast: pushed})
+	store.setAway(true)
+	time.Sleep(storeUnreachableAfter + 500*time.Millisecond)
+	store.setAway(false)
+	select {
+	case c := <-pushed:
+		if c.BackAgeMs < 0 || c.BackAgeMs > 500 {
+			t.Errorf("the store came back %d ms before the message, want up to 500 ms", c.BackAgeMs)
+		}
+	case <-time.After(3 * time.Second):
+		t.Fatal("the removal was not passed on")
+	}
+}
