Apply removals that a peer has read while the store turns this daemon away

Cause: the list of endpoints took "this daemon can't read the store" for "the store is away", and deferred each removal until 2.1 s after it could read the store itself. A daemon of a wide fleet that does not follow the store probes a lost one every 8 s, so the state outlasted the refusal by up to 8 s, while followers that had never lost the store passed the removals on. Fix: a push, or a digest of a follower whose store has just answered, is evidence that the store is not away. Removals are then judged by the time of the store's return, which the same messages tell, and not by this daemon's own contact. Without such evidence in 3.5 s the state is as before. TestRemovalThatAPeerReadIsAppliedWhileTheStoreIsLost and TestRemovalAfterAnOutageHasItsGracePeriodWhileTheStoreIsLost failed before; the model of the list has the two messages, and a variant that ignores them fails. Each draw of the model may now register or expire an entry in one step, since more kinds of steps made the variant without a grace period hard to find.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -124,7 +124,7 @@
 	return ok && otherOK && entry.precedes(later)
 }
 
-// StoreUnreachable records that the store can't be read.
+// StoreUnreachable records that no daemon is known to read the store.
 func (t *Table) StoreUnreachable() { t.storeUnreachable = true }
 
 // StoreReachable records that the store was read at the given time.
@@ -137,11 +137,15 @@
 // StoreRegainedByPeer records the time at which another daemon was able to read
 // the store again after an outage.
 func (t *Table) StoreRegainedByPeer(at time.Time) {
-	if !t.storeUnreachable && at.After(t.storeRegainedAt) {
+	if at.After(t.storeRegainedAt) {
 		t.storeRegainedAt = at
 	}
 }
 
+// StoreReadByPeer records that another daemon reads the store, so that entries do not
+// expire because of an outage.
+func (t *Table) StoreReadByPeer() { t.storeUnreachable = false }
+
 // Apply applies the store events up to a revision and returns the resulting
 // changes.
 func (t *Table) Apply(now time.Time, events []platform.Event, revision platform.Revision) []Change {
--- a/internal/discovery/table_machine_test.go
+++ b/internal/discovery/table_machine_test.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// changeAndApply changes a key and applies all events that the table lacks.
+func (m *tableMachine) changeAndApply(key, value string) {
+	m.change(key, value)
+	from := m.applied
+	for revision := m.applied + 1; revision <= m.head(); revision++ {
+		m.advance(revision)
+	}
+	m.record(m.table.Apply(m.now, m.events[from:], m.head()))
+}
+
 func (m *tableMachine) run(t *rapid.T) {
 	values := []string{"s 1", "s 1 leaving", "s 1 again", "", "garbage"}
 	t.Repeat(map[string]func(*rapid.T){
@@ -137,6 +147,8 @@
 			}
 			m.record(m.table.Apply(m.now, m.events[from:to], platform.Revision(to)))
 		},
+		"register": func(t *rapid.T) { m.changeAndApply(rapid.SampledFrom(machineKeys).Draw(t, "key"), "s 1") },
+		"expire":   func(t *rapid.T) { m.changeAndApply(rapid.SampledFrom(machineKeys).Draw(t, "key"), "") },
 		"list": func(t *rapid.T) { // perhaps the copy of a peer that lags
 			at := platform.Revision(rapid.IntRange(0, int(m.head())).Draw(t, "at"))
 			if m.broken == "older list" {
@@ -158,6 +170,19 @@
 			}
 			m.table.storeUnreachable = m.unreachable
 		},
+		"a peer regains the store": func(t *rapid.T) {
+			at := m.now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms ago")) * time.Millisecond)
+			if at.After(m.regainedAt) {
+				m.regainedAt = at
+			}
+			m.table.StoreRegainedByPeer(at)
+		},
+		"a peer reads the store": func(*rapid.T) {
+			m.unreachable = false
+			if m.broken != "own contact only" {
+				m.table.StoreReadByPeer()
+			}
+		},
 		"wait": func(t *rapid.T) {
 			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
 			if m.broken != "lapsed for ever" {
@@ -182,7 +207,7 @@
 
 // Guards against a check that can't fail: it must detect each broken variant.
 func TestTableBrokenVariants(t *testing.T) {
-	for _, broken := range []string{"older list", "no grace", "lapsed for ever"} {
+	for _, broken := range []string{"older list", "no grace", "lapsed for ever", "own contact only"} {
 		t.Run(broken, func(t *testing.T) {
 			rapidtest.MustFail(t, func(t *rapid.T) { newTableMachine(broken).run(t) })
 		})
--- a/internal/front/broadcast.go
+++ b/internal/front/broadcast.go
@@ -68,6 +68,7 @@
 // missing between them and the feed's revision, the store is read instead.
 func (f *feed) receive(now time.Time, c *meshpb.Changes) {
 	f.mergeRegained(now, c.BackAgeMs)
+	f.recordPeerContact(now, now)
 	f.mu.Lock()
 	f.markBehind(now, platform.Revision(c.Revision))
 	at := int64(f.revision)
--- a/internal/front/configuration.go
+++ b/internal/front/configuration.go
@@ -84,6 +84,8 @@
 
 func (c *configuration) storeRegained(time.Time) {}
 
+func (c *configuration) storeReadByPeer() {}
+
 func (c *configuration) install(r reading, i platform.Item) {
 	if i.Key != c.wire.ConfigKey {
 		return
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -54,6 +54,12 @@
 	e.list.StoreRegainedByPeer(at)
 }
 
+func (e *endpoints) storeReadByPeer() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list.StoreReadByPeer()
+}
+
 func (e *endpoints) precedes(item, other platform.Item) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -63,6 +63,9 @@
 	// storeUnreachableAfter is the duration of failures after which the store
 	// counts as unreachable.
 	storeUnreachableAfter = time.Second
+	// peerContactPeriod is how long after an answer to a peer the store counts as not away:
+	// entries expire after three report intervals of about 1.2 s without it.
+	peerContactPeriod = 3500 * time.Millisecond
 	// batchDelay is the delay between a change and the next poll, so that one
 	// poll returns all changes of a burst. longBatchDelay applies to the other
 	// daemons of a wide fleet, all of which follow the store while they start.
@@ -125,8 +128,10 @@
 	// storeUnreachable and storeReachable report whether the store can be read.
 	storeUnreachable()
 	storeReachable(now time.Time)
-	// storeRegained reports when another daemon could read the store again.
+	// storeRegained reports when another daemon could read the store again, and
+	// storeReadByPeer that one reads it while this daemon can't.
 	storeRegained(at time.Time)
+	storeReadByPeer()
 	// precedes reports whether an item has an older content than another one of the same
 	// key: their revisions don't tell if they belong to different eras of the store.
 	precedes(item, other platform.Item) bool
@@ -190,6 +195,8 @@
 	// contactedAt is when the store last responded, lostAt the time of the first failed call
 	// since, zero if there is none. regainedAt is when it last became reachable again.
 	contactedAt, lostAt, regainedAt time.Time
+	// peerContactAt is when the store last answered a peer that follows it, as far as known.
+	peerContactAt time.Time
 	// held are the items of a restored store that are older than what is known of their
 	// keys; departed are the removed items, by key.
 	held     map[string]heldItem
--- a/internal/front/feed_contact.go
+++ b/internal/front/feed_contact.go
@@ -31,11 +31,30 @@
 	if f.lostAt.IsZero() {
 		f.lostAt = now
 		f.log.Warn().Err(err).Str("prefix", f.prefix).Stringer("revision", f.revision).Msg("store lost")
-	} else if now.Sub(f.lostAt) > storeUnreachableAfter {
+	} else if now.Sub(f.lostAt) > storeUnreachableAfter && !f.readByPeers(now) {
 		f.consumer.storeUnreachable()
 	}
 }
 
+// recordPeerContact records when the store answered a peer that follows it.
+func (f *feed) recordPeerContact(now, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.peerContactAt) {
+		f.peerContactAt = at
+	}
+	if f.readByPeers(now) {
+		f.consumer.storeReadByPeer()
+	}
+}
+
+// readByPeers reports whether a follower of the store reads it while this daemon can't: the
+// store turns this daemon away, and is not away. The caller holds f.mu.
+func (f *feed) readByPeers(now time.Time) bool {
+	return !f.lostAt.IsZero() && f.peerContactAt.Sub(f.lostAt) > storeUnreachableAfter &&
+		now.Sub(f.peerContactAt) < peerContactPeriod
+}
+
 // regainedAge returns the time since the store last became reachable again in
 // milliseconds, -1 if it never did.
 func (f *feed) regainedAge(now time.Time) int64 {
--- a/internal/front/feed_machine_test.go
+++ b/internal/front/feed_machine_test.go
@@ -75,6 +75,7 @@
 func (*tableConsumer) storeUnreachable()        {}
 func (*tableConsumer) storeReachable(time.Time) {}
 func (*tableConsumer) storeRegained(time.Time)  {}
+func (*tableConsumer) storeReadByPeer()         {}
 
 // feedMachine is three feeds of one store. What they read from it, push and copy is on its
 // way for any time, arrives in any order, twice or never.
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -66,6 +66,7 @@
 func (recorder) storeUnreachable()                          {}
 func (recorder) storeReachable(time.Time)                   {}
 func (recorder) storeRegained(time.Time)                    {}
+func (recorder) storeReadByPeer()                           {}
 
 // want waits for values in order, each for at most limit.
 func (r recorder) want(t *testing.T, limit time.Duration, values ...string) {
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -76,6 +76,12 @@
 	return f, e
 }
 
+// loseStore makes the store unreachable for a feed that does not read it by itself.
+func loseStore(f *feed) {
+	f.recordFailure(time.Now().Add(-5*time.Second), platform.ErrUnavailable)
+	f.recordFailure(time.Now(), platform.ErrUnavailable)
+}
+
 // pushOfRemoval is the message of a follower that has read the removal of lapsedEntry.
 func pushOfRemoval(t *testing.T, storeRegainedMs int64) *meshpb.Changes {
 	t.Helper()
@@ -106,3 +112,29 @@
 		t.Fatal("the removal was not passed on")
 	}
 }
+
+// Guards against requests to an endpoint that has left, from a daemon that the store turns away:
+// it deferred a removal that a follower had read, until it could read the store itself.
+func TestRemovalThatAPeerReadIsAppliedWhileTheStoreIsLost(t *testing.T) {
+	f, e := startEndpointFeed(t, &removalLog{}, fixedFleet{daemons: 63})
+	loseStore(f)
+	f.receive(time.Now(), pushOfRemoval(t, -1))
+	if e.pools.hasEndpoints() {
+		t.Error("the endpoint is used after a peer has read its removal from a store that was never away")
+	}
+}
+
+// Guards against endpoints that are dropped at the end of an outage of the store, and against
+// ones that stay in use after it at a daemon that the store still turns away.
+func TestRemovalAfterAnOutageHasItsGracePeriodWhileTheStoreIsLost(t *testing.T) {
+	f, e := startEndpointFeed(t, &removalLog{}, fixedFleet{daemons: 63})
+	loseStore(f)
+	f.receive(time.Now(), pushOfRemoval(t, 200))
+	if !e.pools.hasEndpoints() {
+		t.Error("the endpoint was dropped 0.2 s after the store's return")
+	}
+	e.tick(time.Now().Add(2500 * time.Millisecond))
+	if e.pools.hasEndpoints() {
+		t.Error("the endpoint is used 2.7 s after the store's return")
+	}
+}
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -260,6 +260,9 @@
 	d.pools.merge(now, m.Address, m.Loads)
 	d.crashIsolator.merge(now, m.Address, m.Crashes, m.PartCrashes)
 	d.endpointFeed.mergeRegained(now, m.BackAgeMs)
+	if m.Follows && m.StoreAgeMs >= 0 {
+		d.endpointFeed.recordPeerContact(now, now.Add(-time.Duration(m.StoreAgeMs)*time.Millisecond))
+	}
 	d.startVersion.hear(m.Address, m.Revisions[configVersionKey])
 	d.observeEra(platform.Revision(m.Revisions[budgets.KeyPrefix]))
 	for _, f := range []*feed{d.configFeed, d.endpointFeed} {
