Don't tell the fleet of a return of the store that was never away

A return is now told only if no follower is known to have read the store meanwhile, and the time that a peer told of the same return stays. TestReturnOfAStoreThatWasNotAwayIsNotTold and TestReturnOfAStoreIsToldAsThePeerThatSawItFirst failed before.

--- a/internal/front/feed_contact.go
+++ b/internal/front/feed_contact.go
@@ -8,11 +8,12 @@
 func (f *feed) recordContact(now time.Time) {
 	f.mu.Lock()
 	if lostAt := f.lostAt; !lostAt.IsZero() {
+		readByPeers := f.readByPeers(now)
 		f.lostAt = time.Time{}
-		if now.Sub(lostAt) > storeUnreachableAfter {
+		if now.Sub(lostAt) > storeUnreachableAfter && !readByPeers {
 			f.regainedAt = now
 		}
-		f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(lostAt)).Msg("store regained")
+		f.log.Info().Str("prefix", f.prefix).Dur("after_ms", now.Sub(lostAt)).Bool("read_by_peers", readByPeers).Msg("store regained")
 	}
 	f.contactedAt = now
 	f.consumer.storeReachable(now)
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -138,3 +138,27 @@
 		t.Error("the endpoint is used 2.7 s after the store's return")
 	}
 }
+
+// Guards against a daemon that the store turned away for itself and that tells the fleet of a
+// return of the store: all daemons would defer the removals of the next 2 s.
+func TestReturnOfAStoreThatWasNotAwayIsNotTold(t *testing.T) {
+	f, _ := startEndpointFeed(t, &removalLog{}, fixedFleet{daemons: 63})
+	loseStore(f)
+	f.receive(time.Now(), pushOfRemoval(t, -1))
+	f.recordContact(time.Now())
+	if age := f.regainedAge(time.Now()); age >= 0 {
+		t.Errorf("a return of the store %d ms ago is told, want none: a peer has read it meanwhile", age)
+	}
+}
+
+// Guards against a second return that is told after one outage: daemons that notice it later
+// than others would prolong the grace period of entries that expired.
+func TestReturnOfAStoreIsToldAsThePeerThatSawItFirst(t *testing.T) {
+	f, _ := startEndpointFeed(t, &removalLog{}, fixedFleet{daemons: 63})
+	loseStore(f)
+	f.receive(time.Now(), pushOfRemoval(t, 1500))
+	f.recordContact(time.Now())
+	if age := f.regainedAge(time.Now()); age < 1500 || age > 2500 {
+		t.Errorf("the store came back %d ms ago, want 1,500 ms as the peer said", age)
+	}
+}
