Let the live timeout of local peers grow with the failure domain

Cause: a daemon calls 3 of its 48 local peers each 250 ms, so that a round takes 4 s, but a local peer counted as lost after 2.5 s; only the timeout of remote peers grew with the fleet. A follower passes changes on to live peers only, and which daemons follow is chosen from the live ones. The timeout is now three times the mean time between two digests, as for remote peers, and at least 2.5 s; the age of a follower's contact with the store allows for as much. In failure domains of up to 20 daemons nothing changes. TestLocalPeersOfALargeFailureDomainStayLive failed before: 1 of 50 daemons counted as live, and all followed the store.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -31,12 +31,12 @@
 	// exchangeTimeout bounds one exchange; a peer answers in a few ms.
 	exchangeTimeout = 600 * time.Millisecond
 	// liveTimeout is the time without a digest after which a peer no longer counts
-	// as live. Peers in other failure domains of a wide fleet are called in turn, so
-	// for them it is remoteLiveRounds times the mean time between two digests, and at
-	// least minRemoteLiveTimeout.
+	// as live. In a wide fleet peers are called in turn, so it is at least liveRounds
+	// times the mean time between two digests there, and at least
+	// minRemoteLiveTimeout for peers in other failure domains.
 	liveTimeout          = 2500 * time.Millisecond
 	minRemoteLiveTimeout = 12 * time.Second
-	remoteLiveRounds     = 3
+	liveRounds           = 3
 	// A peer that did not answer a request for tokens is passed over for
 	// suspectTime, which doubles with each failure up to maxSuspectTime and ends
 	// with the next digest of the peer.
@@ -79,8 +79,8 @@
 	// maxTransferSources is the number of peers asked for tokens before the store.
 	maxTransferSources = 2
 	// storeContactTimeout is the age of a follower's last answer from the store
-	// after which another daemon takes its place. A poll of the store takes up to
-	// 3 s.
+	// after which another daemon takes its place, where digests of local peers are as
+	// frequent as liveTimeout allows. A poll of the store takes up to 3 s.
 	storeContactTimeout = 5 * time.Second
 )
 
@@ -151,6 +151,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// localPeerCount is the number of peers in this daemon's failure domain at the last round
+	// of exchanges.
+	localPeerCount int
 	// answered holds recently answered token requests by id, so that retries
 	// return the same result; answeredOrder holds their ids, oldest first.
 	answered      map[string]*answeredRequest
@@ -259,6 +262,12 @@
 func (m *Mesh) beginExchanges(now time.Time) (local, remote []*peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.localPeerCount = 0
+	for _, p := range m.peers {
+		if p.domain == m.Domain {
+			m.localPeerCount++
+		}
+	}
 	for addr, p := range m.peers {
 		m.checkReachable(now, p)
 		if now.Sub(p.lastReceived) > peerExpiry && now.Sub(p.addedAt) > peerExpiry {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -332,3 +332,30 @@
 		t.Errorf("%d of %d daemons count as live although each was heard in the last 30 s", got, daemons)
 	}
 }
+
+// Guards against a failure domain so large that its daemons lose each other between two digests:
+// changes of the store were not passed on to those, and who follows the store changed all the time.
+func TestLocalPeersOfALargeFailureDomainStayLive(t *testing.T) {
+	const daemons, pollTime = 50, 3 * time.Second
+	n := unservedMeshes(t, 1, 1)[0]
+	n.Mesh.Addr = "127.0.0.1:9999" // the last one in the order of the addresses
+	now := time.Now()
+	for i := 1; i < daemons; i++ {
+		n.Add(fmt.Sprintf("127.0.0.1:%d", 1000+i), n.Domain)
+	}
+	n.beginExchanges(now)
+	n.mu.Lock()
+	round := exchangeInterval * (daemons - 1) / localFanout
+	for _, p := range n.peers {
+		// Each peer was heard when it was called last; its followers had just been answered by the store.
+		p.lastReceived = now.Add(-round)
+		p.followsStore, p.lastStoreContact = true, p.lastReceived.Add(-pollTime)
+	}
+	n.mu.Unlock()
+	if got := n.Count(); got != daemons {
+		t.Errorf("%d of %d daemons count as live although each was heard %v ago", got, daemons, round)
+	}
+	if n.FollowsStore() {
+		t.Errorf("the last daemon follows the store although others were answered by it within %v of their digests", pollTime)
+	}
+}
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -31,17 +31,30 @@
 // m.mu.
 func (m *Mesh) live(now time.Time, p *peer) bool {
 	if m.isLocal(p.domain) {
-		return now.Sub(p.lastReceived) < liveTimeout
+		return now.Sub(p.lastReceived) < m.localLiveTimeout()
 	}
 	return now.Sub(p.lastReceived) < m.remoteLiveTimeout()
 }
 
+// localLiveTimeout is the time without a digest after which a local peer no longer counts as
+// live. The caller holds m.mu.
+func (m *Mesh) localLiveTimeout() time.Duration {
+	if !m.wide() {
+		return liveTimeout
+	}
+	return max(liveRounds*meanDigestInterval(m.localPeerCount, localFanout), liveTimeout)
+}
+
+// meanDigestInterval is the mean time between two digests of a peer: each of two peers calls
+// the other once in peers/fanout rounds of exchanges.
+func meanDigestInterval(peers, fanout int) time.Duration {
+	return exchangeInterval * time.Duration(peers) / time.Duration(2*fanout)
+}
+
 // remoteLiveTimeout is the time without a digest after which a peer in another failure
 // domain of a wide fleet no longer counts as live. The caller holds m.mu.
 func (m *Mesh) remoteLiveTimeout() time.Duration {
-	// Each of two peers calls the other once in len(m.peers) / remoteFanout rounds.
-	round := exchangeInterval * time.Duration(len(m.peers)) / (2 * remoteFanout)
-	return max(remoteLiveRounds*round, minRemoteLiveTimeout)
+	return max(liveRounds*meanDigestInterval(len(m.peers), remoteFanout), minRemoteLiveTimeout)
 }
 
 // presumedLive reports whether a peer is live, or was added so recently that no digest
@@ -64,9 +77,10 @@
 	return list
 }
 
-// storeReachable reports whether the store recently answered the peer.
-func (p *peer) storeReachable(now time.Time) bool {
-	return now.Sub(p.lastStoreContact) < storeContactTimeout
+// storeReachable reports whether the store recently answered a local peer, as far as its last
+// digest can tell. The caller holds m.mu.
+func (m *Mesh) storeReachable(now time.Time, p *peer) bool {
+	return now.Sub(p.lastStoreContact) < storeContactTimeout+m.localLiveTimeout()-liveTimeout
 }
 
 // PeersByTokens returns the live peers in descending order of their tokens of an
@@ -272,7 +286,7 @@
 func (m *Mesh) FollowsStore() bool {
 	now := time.Now()
 	return m.isPreferred(func(p *peer) bool {
-		return p.lastReceived.IsZero() || p.followsStore && p.storeReachable(now)
+		return p.lastReceived.IsZero() || p.followsStore && m.storeReachable(now, p)
 	})
 }
 
