End polls before an endpoint that leaves must be known to all daemons

A watch of the store may hear nothing until it is asked anew. At 295 daemons a poll waited up to 3.6 s (12 followers, 0.2 s each, times 1.5), and with 0.9 s for reading and passing on what it missed the sum is 4.5 s, where an endpoint that leaves must be known after 4 s; with more failure domains it waited up to 18 s. The bound was known to small fleets only, as a constant of theirs. The setting bounds.draining names it now, and a poll ends that much before it; polls of the configuration end before bounds.configuration in the same way. TestPollsEndBeforeALeavingEndpointMustBeKnown has the sum for the bounds of the deployments.

--- a/internal/front/feed.go
+++ b/internal/front/feed.go
@@ -24,11 +24,14 @@
 	// the mesh replaces a follower.
 	pollWaitPerFollower = 200 * time.Millisecond
 	minPollWait         = time.Second
-	maxPollWait         = 12 * time.Second
-	// maxSmallFleetPollWait leaves 0.5 s of the 2 s after which an endpoint that says in
-	// the store that it leaves may get no more requests: a watch may hear nothing until
-	// it is asked anew.
-	maxSmallFleetPollWait = 1500 * time.Millisecond
+	// A watch may hear nothing until it is asked anew. So a poll ends before a change must
+	// be known to all daemons: by pollReadTime for reading what it missed, in a wide fleet
+	// also by passOnTime for passing it on, but not sooner than shortestPollWait.
+	pollReadTime     = 500 * time.Millisecond
+	passOnTime       = 400 * time.Millisecond
+	shortestPollWait = 200 * time.Millisecond
+	// defaultChangeBound is the time in which a change must be known if none is set.
+	defaultChangeBound = 2 * time.Second
 	// joinTimeout is how long a feed waits after its first list until the daemon
 	// knows its peers, so that not all daemons that start together poll the store.
 	joinTimeout = time.Second
@@ -205,6 +208,8 @@
 	stalePeriod time.Duration
 	// onRestored is called when the store's era has changed. It must not block.
 	onRestored func()
+	// changeBound is the time in which all daemons must know of a change, in nanoseconds.
+	changeBound atomic.Int64
 	// probeAnswered is true if the store answered the last probe.
 	probeAnswered bool
 }
@@ -212,13 +217,18 @@
 func newFeed(
 	prefix string, source platform.ChangeLog, c consumer, fleet fleetView, onStoreContact func(), log zerolog.Logger,
 ) *feed {
-	return &feed{
+	f := &feed{
 		prefix: prefix, source: source, consumer: c, fleet: fleet, onStoreContact: onStoreContact, onRegained: func() {}, log: log,
 		wake: make(chan struct{}, 1), items: make(map[string]platform.Item),
 		held: make(map[string]heldItem), departed: make(map[string]departure), onRestored: func() {},
 	}
+	f.setChangeBound(defaultChangeBound)
+	return f
 }
 
+// setChangeBound sets the time in which all daemons must know of a change.
+func (f *feed) setChangeBound(d time.Duration) { f.changeBound.Store(int64(d)) }
+
 // run follows the store until ctx ends.
 func (f *feed) run(ctx context.Context) {
 	listed, relists := false, 0
--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -86,16 +86,21 @@
 // fixedFleet is a fleet with a fixed number of other daemons, wide unless small, in which
 // this daemon follows the store or not.
 type fixedFleet struct {
-	follows   bool
-	daemons   int
+	follows bool
+	daemons int
+	// followers is the number of followers of a wide fleet, 0 for that of 64 daemons.
+	followers int
 	small     bool
 	broadcast chan *meshpb.Changes
 }
 
 func (f fixedFleet) Count() int { return f.daemons + 1 }
 func (f fixedFleet) Followers() int {
-	if f.small {
+	switch {
+	case f.small:
 		return f.daemons + 1
+	case f.followers > 0:
+		return f.followers
 	}
 	return 8
 }
@@ -337,3 +342,27 @@
 		t.Error("no copy is fetched if the peer with the newest one does not come back")
 	}
 }
+
+// Guards against requests to an endpoint whose leaving a watch missed: the time until the next poll
+// ends, its result is read and passed on must fit into the time in which all daemons must know of it.
+func TestPollsEndBeforeALeavingEndpointMustBeKnown(t *testing.T) {
+	for _, c := range []struct {
+		bound     time.Duration
+		daemons   int
+		followers int
+	}{{2 * time.Second, 7, 7}, {3 * time.Second, 64, 8}, {4 * time.Second, 295, 12}, {3 * time.Second, 295, 12}, {1500 * time.Millisecond, 64, 8}} {
+		fleet := fixedFleet{follows: true, daemons: c.daemons - 1, followers: c.followers, small: c.daemons <= 16}
+		f := newFeed("p/", &gappedLog{}, recorder{}, fleet, func() {}, zerolog.Nop())
+		f.setChangeBound(c.bound)
+		rest := pollReadTime
+		if fleet.Wide() {
+			rest += passOnTime
+		}
+		for range 500 {
+			if wait := f.pollWait(); wait+rest > c.bound {
+				t.Errorf("%d daemons: a poll of %v and %v for the rest, but leaving endpoints must be known after %v", c.daemons, wait, rest, c.bound)
+				break
+			}
+		}
+	}
+}
--- a/internal/front/feed_wait.go
+++ b/internal/front/feed_wait.go
@@ -83,12 +83,12 @@
 // pollWait returns the wait of one poll. It is randomized over a wide range, since
 // a change makes all daemons start their next poll at the same time.
 func (f *feed) pollWait() time.Duration {
-	wait := min(max(time.Duration(f.fleet.Followers())*pollWaitPerFollower, minPollWait), maxPollWait)
-	wait = jitter(wait).Round(time.Millisecond)
-	if !f.fleet.Wide() {
-		return min(wait, maxSmallFleetPollWait)
+	wait := jitter(max(time.Duration(f.fleet.Followers())*pollWaitPerFollower, minPollWait))
+	longest := time.Duration(f.changeBound.Load()) - pollReadTime
+	if f.fleet.Wide() {
+		longest -= passOnTime
 	}
-	return wait
+	return min(wait, max(longest, shortestPollWait)).Round(time.Millisecond)
 }
 
 // logPoll logs the result of a poll: without it, a watch that hears
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -174,7 +174,6 @@
 		State: meshState{d}, Log: d.log, Scope: d.scope,
 	})
 	d.budgets = budgets.New(budgets.Options{Holder: d.id, Store: d.store, Peers: d.mesh, Log: d.log, Scope: d.scope})
-	d.setBounds(d.frontSettings.Bounds)
 	d.retryBudget = newRetryBudget(
 		retryOptions(d.frontSettings.Bounds), d.frontSettings.Instance.FirstStart, d.mesh.Count, d.log)
 	d.config = &configuration{wire: d.opts.Wire, log: d.log, onInstall: d.applyConfiguration}
@@ -183,6 +182,7 @@
 	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, d.config, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed.stalePeriod = staleEntryPeriod
+	d.setBounds(d.frontSettings.Bounds)
 	d.joined, d.restored = make(chan struct{}), make(chan struct{}, 1)
 	d.endpointFeed.onRestored = d.signalRestored
 	d.configFeed.joined, d.endpointFeed.joined = d.joined, d.joined
@@ -357,6 +357,8 @@
 func (d *Daemon) setBounds(b settings.Bounds) {
 	d.grace.Store(int64(b.Grace.Duration))
 	d.maxOutdated.Store(int64(b.Configuration.Duration / 2))
+	d.configFeed.setChangeBound(b.Configuration.Duration)
+	d.endpointFeed.setChangeBound(b.Draining.Duration)
 }
 
 func retryOptions(b settings.Bounds) retry.WindowOptions {
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -56,6 +56,7 @@
 	Grace       unit.Duration `toml:"grace" comment:"Time from SIGTERM to SIGKILL."`
 	// Configuration is the time in which a change must be in force.
 	Configuration unit.Duration `toml:"configuration" comment:"Time in which a change of the configuration must be in force. A daemon that has known for half of it that it lacks a newer one refuses requests."`
+	Draining      unit.Duration `toml:"draining" comment:"Time in which all daemons must know of an endpoint that leaves."`
 }
 
 // DefaultFront returns the default settings.
@@ -65,7 +66,7 @@
 		Listen:   FrontListen{Callers: "127.0.0.1:8080", Ready: "127.0.0.1:8082", Mesh: "127.0.0.1:8081", Seeds: []string{}},
 		Store:    FrontStore{Address: "127.0.0.1:2380"},
 		Machine:  Machine{Memory: unit.Size{Bytes: 256 << 20}},
-		Bounds:   Bounds{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: unit.Seconds(10), Grace: unit.Seconds(8), Configuration: unit.Seconds(3)},
+		Bounds:   Bounds{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: unit.Seconds(10), Grace: unit.Seconds(8), Configuration: unit.Seconds(3), Draining: unit.Seconds(2)},
 		Log:      Log{Level: "info"},
 	}
 }
@@ -113,6 +114,7 @@
 	}{
 		{"machine.memory", float64(s.Machine.Memory.Bytes)}, {"bounds.retry_window", s.Bounds.RetryWindow.Seconds()},
 		{"bounds.grace", s.Bounds.Grace.Seconds()}, {"bounds.configuration", s.Bounds.Configuration.Seconds()},
+		{"bounds.draining", s.Bounds.Draining.Seconds()},
 	} {
 		if p.value <= 0 {
 			return errors.Errorf("%s must be positive", p.name)
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -57,7 +57,7 @@
 		"{{node_name|json}}", `"f1"`, "{{zone|json}}", `"z"`, "{{region|json}}", `"r"`, "{{bootstrap}}", "true",
 		"{{listen.front|json}}", `"10.0.0.1:80"`, "{{listen.ready|json}}", `"10.0.0.1:81"`, "{{listen.control|json}}", `"10.0.0.1:82"`,
 		"{{seeds|json}}", `["10.0.0.2:82"]`, "{{ip}}", "10.0.0.1", "{{internal_ports.0}}", "83", "{{platform.address|json}}", `"10.0.0.9:83"`, "{{limits.memory_mb}}", "284",
-		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10", "{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000",
+		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10", "{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000", "{{bounds.drain_ms}}", "2000",
 	)
 	s, err := ParseFront("settings.toml", []byte(values.Replace(string(text))))
 	if err != nil {
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -232,7 +232,7 @@
 		"{{listen.control|json}}", quoted(d.mesh), "{{seeds|json}}", quoted(seeds), "{{ip}}", host, "{{internal_ports.0}}", port,
 		"{{platform.address|json}}", quoted(d.f.storeAddr), "{{limits.memory_mb}}", "284",
 		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10",
-		"{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000",
+		"{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000", "{{bounds.drain_ms}}", "2000",
 	).Replace(text)
 }
 
