Read and log the limits of requests that endpoints name

An endpoint in need names in its answers the requests a second that it takes from all daemons together. It was read nowhere. The limit is kept for one incarnation, until a request that was sent after the last such answer is answered without one, and logged when it changes. The choice of endpoints does not use it yet.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -19,6 +19,12 @@
 	// RetryAfter is the time for which the endpoint wants no requests from this daemon; 0
 	// if it did not say so.
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the endpoint takes from all daemons
+	// together; 0 if it named none.
+	Limit float64
+	// UnlimitedSince is set if the response names no limit: when its request was sent. A
+	// response that was under way does not end a limit that was named meanwhile.
+	UnlimitedSince time.Time
 }
 
 // incarnation is one life of an endpoint's process.
@@ -34,9 +40,30 @@
 type notice struct {
 	leaving     bool
 	pausedUntil time.Time
+	limit       RateLimit
 	receivedAt  time.Time
 }
 
+// RateLimit is what is known of the limit of an incarnation.
+type RateLimit struct {
+	// PerSecond is the number of requests a second that the endpoint takes from all daemons
+	// together; 0 if there is no limit.
+	PerSecond float64
+	// StatedAt is when a response last told so.
+	StatedAt time.Time
+}
+
+// update returns the limit after an announcement.
+func (l RateLimit) update(now time.Time, a Announcement) RateLimit {
+	switch {
+	case a.Limit > 0:
+		return RateLimit{PerSecond: a.Limit, StatedAt: now}
+	case a.UnlimitedSince.After(l.StatedAt):
+		return RateLimit{StatedAt: now}
+	}
+	return l
+}
+
 // RecordAnnouncement records what the endpoint e, as it was chosen, announced. It returns
 // true if the announcement changes whether the endpoint gets requests.
 func (p *Pool) RecordAnnouncement(now time.Time, e Endpoint, a Announcement) bool {
@@ -46,13 +73,22 @@
 	if until := now.Add(min(a.RetryAfter, maxPause)); a.RetryAfter > 0 && until.After(n.pausedUntil) {
 		n.pausedUntil = until
 	}
+	n.limit = n.limit.update(now, a)
 	if n == former {
 		return false
 	}
 	n.receivedAt = now
 	p.pruneNotices(now)
 	p.notices[e.incarnation()] = n
-	return true
+	return n.leaving != former.leaving || n.pausedUntil != former.pausedUntil || n.limit.PerSecond != former.limit.PerSecond
+}
+
+// limit returns what is known of the endpoint's limit of requests a second.
+func (p *Pool) limit(e *endpointState) RateLimit {
+	if len(p.notices) == 0 {
+		return RateLimit{}
+	}
+	return p.notices[e.incarnation()].limit
 }
 
 // pruneNotices removes the notices of incarnations that have been gone for maxPause.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -164,6 +164,8 @@
 	// RetryAfter is set if no endpoint is eligible: the time until one that wants no
 	// requests for now accepts them again, 0 if there is none.
 	RetryAfter time.Duration
+	// Limit is what is known of the endpoint's limit of requests a second.
+	Limit RateLimit
 }
 
 // Choose returns the endpoint with the lowest cost and counts the request
@@ -198,6 +200,9 @@
 			best, choice.Endpoint, choice.PrefillTokens, choice.Cost = e, e.Endpoint, prefill, cost
 		}
 	}
+	if best != nil {
+		choice.Limit = p.limit(best)
+	}
 	return best, choice
 }
 
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -154,7 +154,7 @@
 	p.mu.Unlock()
 	if changed {
 		p.log.Info().Str("service", service).Str("endpoint", c.ID).Int64("incarnation", c.Incarnation).Bool("leaving", a.Leaving).
-			Dur("retry_after_ms", a.RetryAfter).Msg("endpoint announced that it wants no requests")
+			Dur("retry_after_ms", a.RetryAfter).Float64("requests_per_s", a.Limit).Msg("endpoint announced which requests it wants")
 	}
 }
 
--- a/internal/relay/announce_test.go
+++ b/internal/relay/announce_test.go
@@ -29,6 +29,10 @@
 		{"refused with a date", response(requestID, 503, "", "X-Not-Executed: 1", "Retry-After: Fri, 04 Dec 2026 21:00:00 GMT"), nil},
 		{"refused with a negative time", response(requestID, 503, "", "X-Not-Executed: 1", "Retry-After: -3"), nil},
 		{"no refusal", response(requestID, 200, "ok", "Retry-After: 2"), nil},
+		{"names a limit", response(requestID, 200, "ok", "Server-Limit: 2.5"), []balance.Announcement{{Limit: 2.5}}},
+		{"refused, names a limit", response(requestID, 503, "", "X-Not-Executed: 1", "Server-Limit: 1"), []balance.Announcement{{Limit: 1}}},
+		{"names a limit that is none", response(requestID, 200, "ok", "Server-Limit: few"), nil},
+		{"limit of another request", response("r-0", 200, "ok", "Server-Limit: 2.5"), nil},
 		{"of another request", response("r-0", 503, "", "X-Not-Executed: 1", "Retry-After: 2", "Server-Leaving: 1"), nil},
 		{"of another endpoint", response(requestID, 421, "", "X-Instance-Id: other", "Server-Leaving: 1"), nil},
 	} {
--- a/internal/relay/head.go
+++ b/internal/relay/head.go
@@ -92,7 +92,13 @@
 	if !a.ownResponse() || a.respMeta.Endpoint != "" && a.respMeta.Endpoint != a.choice.ID {
 		return
 	}
-	announced := balance.Announcement{Leaving: a.respMeta.Leaving}
+	announced := balance.Announcement{Leaving: a.respMeta.Leaving, Limit: a.respMeta.Limit}
+	if len(a.respMeta.InvalidLimits) > 0 {
+		a.x.handler.Log.Info().Str("request", a.x.meta.ID).Str("endpoint", a.choice.ID).
+			Strs("values", a.respMeta.InvalidLimits).Msg("limits of an endpoint ignored: no number of requests a second")
+	} else if announced.Limit == 0 && a.choice.Limit.PerSecond > 0 {
+		announced.UnlimitedSince = a.sentAt
+	}
 	if a.resp.StatusCode == http.StatusServiceUnavailable {
 		announced.RetryAfter = a.respMeta.RetryAfter
 		if len(a.respMeta.InvalidRetryAfter) > 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,6 +88,10 @@
 	RetryAfter time.Duration
 	// InvalidRetryAfter lists times to wait that are none and are ignored.
 	InvalidRetryAfter []string
+	// Limit is the number of requests a second that the endpoint takes from all daemons
+	// together; 0 if it names none. InvalidLimits lists limits that are none.
+	Limit         float64
+	InvalidLimits []string
 	// Report is the endpoint's load; valid if Reported.
 	Report   balance.LoadReport
 	Reported bool
