Keep the whole fleet to the limit of requests that an endpoint names

Cause: the limit was not read, and what endpoints announce was kept by each daemon for itself, while this limit holds for all of them together. Fix: each request to such an endpoint needs a permit. The daemon that ranks first for the endpoint grants all of its permits from a token bucket at the limit. Weighed: shares of the limit by the number of daemons leave permits idle where callers are unevenly distributed, and allow bursts of one request of each daemon (docs/design/platform.md).

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -53,6 +53,17 @@
 	StatedAt time.Time
 }
 
+// restatementAge is the age by which a statement of the same limit must be newer to replace
+// another one. Ages are passed on with the time of a message added, so that a statement that two
+// daemons tell each other would become newer each time.
+const restatementAge = time.Second
+
+// Supersedes reports whether a statement replaces a former one.
+func (l RateLimit) Supersedes(former RateLimit) bool {
+	newer := l.StatedAt.Sub(former.StatedAt)
+	return newer > restatementAge || newer > 0 && l.PerSecond != former.PerSecond
+}
+
 // update returns the limit after an announcement.
 func (l RateLimit) update(now time.Time, a Announcement) RateLimit {
 	switch {
@@ -83,6 +94,9 @@
 	return n.leaving != former.leaving || n.pausedUntil != former.pausedUntil || n.limit.PerSecond != former.limit.PerSecond
 }
 
+// LimitOf returns what is known of the limit of the endpoint e, as it was chosen.
+func (p *Pool) LimitOf(e Endpoint) RateLimit { return p.notices[e.incarnation()].limit }
+
 // limit returns what is known of the endpoint's limit of requests a second.
 func (p *Pool) limit(e *endpointState) RateLimit {
 	if len(p.notices) == 0 {
@@ -128,13 +142,48 @@
 	return 1 + int(share*float64(since)/float64(returnTime)), true
 }
 
+// RecordLimit records what a peer knows of an endpoint's limit, unless a newer response of the
+// endpoint is known.
+func (p *Pool) RecordLimit(now time.Time, e Endpoint, l RateLimit) {
+	n := p.notices[e.incarnation()]
+	if !l.Supersedes(n.limit) {
+		return
+	}
+	n.limit, n.receivedAt = l, now
+	p.pruneNotices(now)
+	p.notices[e.incarnation()] = n
+}
+
+// Permitted records that a request chosen for an endpoint with a limit is sent.
+func (p *Pool) Permitted(now time.Time, c Choice, r Request) {
+	if e, ok := p.endpoints[c.ID]; ok {
+		e.recordPrompt(now, r.Prompt, p.opts.KVTokens)
+	}
+}
+
+// Denied ends a choice whose endpoint's limit allows no request for a time.
+func (p *Pool) Denied(now time.Time, c Choice, wait time.Duration) {
+	p.Done(c, false)
+	if e, ok := p.endpoints[c.ID]; ok && e.incarnation() == c.incarnation() {
+		e.deniedUntil = now.Add(wait)
+	}
+}
+
+// denial returns the time for which the endpoint's limit still allows no request.
+func (p *Pool) denial(now time.Time, e *endpointState) time.Duration {
+	if p.limit(e).PerSecond == 0 {
+		return 0
+	}
+	return max(0, e.deniedUntil.Sub(now))
+}
+
 // withheld reports whether what the endpoint announced forbids to send it a request now.
 func (p *Pool) withheld(now time.Time, e *endpointState) bool {
 	if e.Leaving || len(p.notices) == 0 {
 		return e.Leaving
 	}
 	limit, limited := p.returningSlots(now, e)
-	return p.leaves(e) || p.pause(now, e) > 0 || limited && e.openRequests >= limit
+	return p.leaves(e) || p.pause(now, e) > 0 || p.denial(now, e) > 0 || limited && e.openRequests >= limit
 }
 
 // Announced returns the number of endpoints that leave, by their entries or by their own
@@ -152,11 +201,11 @@
 }
 
 // shortestPause returns the time until the first of the paused endpoints wants requests
-// again, 0 if none is paused.
+// again, or the limit of one allows them, 0 if there is none.
 func (p *Pool) shortestPause(now time.Time) time.Duration {
 	var shortest time.Duration
 	for _, e := range p.endpoints {
-		if d := p.pause(now, e); d > 0 && !p.leaves(e) && (shortest == 0 || d < shortest) {
+		if d := max(p.pause(now, e), p.denial(now, e)); d > 0 && !p.leaves(e) && (shortest == 0 || d < shortest) {
 			shortest = d
 		}
 	}
--- a/internal/balance/announce_test.go
+++ b/internal/balance/announce_test.go
@@ -81,3 +81,78 @@
 		t.Errorf("%d notices kept, want the last one or two", len(p.notices))
 	}
 }
+
+// Guards against requests to an endpoint whose limit allows none for now, against callers that are
+// not told when it does, and against a prompt that counts as cached where it was not sent.
+func TestEndpointAtItsLimitIsPassedOver(t *testing.T) {
+	p := newPool(2, 6)
+	capped := Endpoint{ID: "e00", Domain: "z0", Slots: 6, Incarnation: 7}
+	p.Put(capped)
+	p.RecordAnnouncement(start, capped, Announcement{Limit: 2})
+	r := Request{Prompt: []PromptPart{{ID: "a", Tokens: 5000}, {ID: "b", Tokens: 10}}, PromptTokens: 5010, Tried: map[string]bool{"e01": true}}
+	c, ok := p.Choose(start, r)
+	if !ok || c.ID != "e00" || c.Limit.PerSecond != 2 {
+		t.Fatalf("chose %q with a limit of %v, want e00 with 2", c.ID, c.Limit.PerSecond)
+	}
+	p.Denied(start, c, 300*time.Millisecond)
+	if c, ok := p.Choose(start, r); ok || c.RetryAfter != 300*time.Millisecond {
+		t.Errorf("chose %q, retry after %v; want none and 300 ms", c.ID, c.RetryAfter)
+	}
+	again, ok := p.Choose(start.Add(300*time.Millisecond), r)
+	if !ok || again.PrefillTokens != c.PrefillTokens {
+		t.Errorf("%d tokens to process after a denial, want %d as before", again.PrefillTokens, c.PrefillTokens)
+	}
+	p.Permitted(start.Add(300*time.Millisecond), again, r)
+	p.Done(again, true)
+	if cached, _ := p.Choose(start.Add(time.Second), r); cached.PrefillTokens >= again.PrefillTokens {
+		t.Errorf("%d tokens to process after the prompt was sent, want less than %d", cached.PrefillTokens, again.PrefillTokens)
+	}
+	r.WithoutLimited = true
+	if c, ok := p.Choose(start.Add(time.Second), r); ok {
+		t.Errorf("chose %q, which has a limit", c.ID)
+	}
+}
+
+// Guards against a limit that outlives what the endpoint says, that a response under way ends, or
+// that holds for the endpoint's next incarnation.
+func TestLimitHoldsAsLongAsTheEndpointSaysSo(t *testing.T) {
+	p := newPool(1, 6)
+	e := Endpoint{ID: "e00", Domain: "z0", Slots: 6, Incarnation: 7}
+	p.Put(e)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for _, step := range []struct {
+		name    string
+		at      int
+		a       Announcement
+		changed bool
+		want    float64
+	}{
+		{"named", 100, Announcement{Limit: 3}, true, 3},
+		{"named again", 200, Announcement{Limit: 3}, false, 3},
+		{"another one", 300, Announcement{Limit: 1.5}, true, 1.5},
+		{"a response that was under way", 350, Announcement{UnlimitedSince: at(250)}, false, 1.5},
+		{"ended", 500, Announcement{UnlimitedSince: at(400)}, true, 0},
+		{"named once more", 600, Announcement{Limit: 2}, true, 2},
+	} {
+		if changed := p.RecordAnnouncement(at(step.at), e, step.a); changed != step.changed {
+			t.Errorf("%s: changed %v, want %v", step.name, changed, step.changed)
+		}
+		if got := p.LimitOf(e).PerSecond; got != step.want {
+			t.Errorf("%s: limit %v, want %v", step.name, got, step.want)
+		}
+	}
+	p.RecordLimit(at(700), e, RateLimit{PerSecond: 9, StatedAt: at(550)})
+	if got := p.LimitOf(e).PerSecond; got != 2 {
+		t.Errorf("limit %v after an older statement of a peer, want 2", got)
+	}
+	p.RecordLimit(at(800), e, RateLimit{StatedAt: at(750)})
+	if got := p.LimitOf(e).PerSecond; got != 0 {
+		t.Errorf("limit %v after a peer told of its end, want none", got)
+	}
+	p.RecordAnnouncement(at(900), e, Announcement{Limit: 2})
+	e.Incarnation = 8
+	p.Put(e)
+	if c, _ := p.Choose(at(1000), Request{}); c.Limit.PerSecond != 0 {
+		t.Errorf("limit %v after a restart, want none", c.Limit.PerSecond)
+	}
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -44,6 +44,8 @@
 	Idempotent bool
 	// Tried holds the IDs of the endpoints that the request was already sent to.
 	Tried map[string]bool
+	// WithoutLimited leaves out the endpoints that limit the requests they take.
+	WithoutLimited bool
 }
 
 // sharedPrefix returns the parts that other requests may have in common with
@@ -169,8 +171,8 @@
 }
 
 // Choose returns the endpoint with the lowest cost and counts the request
-// there. The caller must call Done exactly once for each choice. It returns
-// false if no endpoint is eligible.
+// there. The caller must call Done exactly once for each choice, and Permitted before it
+// sends a request to an endpoint with a limit. It returns false if no endpoint is eligible.
 func (p *Pool) Choose(now time.Time, r Request) (Choice, bool) {
 	e, c := p.best(now, r)
 	if e == nil {
@@ -178,7 +180,9 @@
 	}
 	e.openRequests++
 	e.pendingPrefill += c.PrefillTokens
-	e.recordPrompt(now, r.Prompt, p.opts.KVTokens)
+	if c.Limit.PerSecond == 0 {
+		e.recordPrompt(now, r.Prompt, p.opts.KVTokens)
+	}
 	return c, true
 }
 
@@ -187,7 +191,7 @@
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
 	for _, e := range p.endpoints {
-		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) {
+		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) || r.WithoutLimited && p.limit(e).PerSecond > 0 {
 			continue
 		}
 		choice.Candidates++
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/discovery"
 	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
@@ -92,6 +93,7 @@
 	startVersion  startVersion
 	endpoints     *endpoints
 	pools         *pools
+	permits       *permits
 	retryBudget   *retryBudget
 	crashIsolator *crashIsolator
 	budgets       *budgets.Manager
@@ -173,6 +175,11 @@
 		ID: d.id, Addr: d.meshListener.Addr().String(), Domain: d.frontSettings.Instance.FailureDomain,
 		State: meshState{d}, Log: d.log, Scope: d.scope,
 	})
+	d.permits = newPermits(d.mesh, d.stopping.Load, d.log)
+	d.pools.permits = d.permits
+	d.pools.report = func(e balance.Endpoint, l balance.RateLimit) {
+		d.wg.Go(func() { d.permits.report(d.ctx, e, l) })
+	}
 	d.budgets = budgets.New(budgets.Options{Holder: d.id, Store: d.store, Peers: d.mesh, Log: d.log, Scope: d.scope})
 	d.retryBudget = newRetryBudget(
 		retryOptions(d.frontSettings.Bounds), d.frontSettings.Instance.FirstStart, d.mesh.Count, d.log)
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -286,6 +286,11 @@
 	}
 }
 
+// Permit implements mesh.State.
+func (s meshState) Permit(ctx context.Context, r *meshpb.PermitRequest) (*meshpb.PermitReply, error) {
+	return s.d.permits.serve(ctx, r)
+}
+
 // TransferTokens implements mesh.State.
 func (s meshState) TransferTokens(ctx context.Context, account string, tokens, ahead int64) escrow.Transfer {
 	return s.d.budgets.Transfer(ctx, account, tokens, ahead)
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -19,6 +20,10 @@
 	domain string
 	log    zerolog.Logger
 	scope  tally.Scope
+	// permits grants requests to endpoints with limits, and report tells a changed limit to
+	// the daemon that grants them.
+	permits *permits
+	report  func(e balance.Endpoint, l balance.RateLimit)
 
 	mu        sync.Mutex
 	byService map[string]*balance.Pool
@@ -31,7 +36,7 @@
 func newPools(domain string, log zerolog.Logger, scope tally.Scope) *pools {
 	return &pools{
 		domain: domain, log: log, scope: scope, byService: make(map[string]*balance.Pool),
-		limits: make(map[string]balance.Limits), daemons: 1,
+		limits: make(map[string]balance.Limits), daemons: 1, report: func(balance.Endpoint, balance.RateLimit) {},
 	}
 }
 
@@ -151,11 +156,43 @@
 func (p *pools) Announced(service string, c balance.Choice, a balance.Announcement) {
 	p.mu.Lock()
 	changed := p.pool(service).RecordAnnouncement(time.Now(), c.Endpoint, a)
+	limit := p.pool(service).LimitOf(c.Endpoint)
 	p.mu.Unlock()
-	if changed {
-		p.log.Info().Str("service", service).Str("endpoint", c.ID).Int64("incarnation", c.Incarnation).Bool("leaving", a.Leaving).
-			Dur("retry_after_ms", a.RetryAfter).Float64("requests_per_s", a.Limit).Msg("endpoint announced which requests it wants")
+	if !changed {
+		return
 	}
+	p.log.Info().Str("service", service).Str("endpoint", c.ID).Int64("incarnation", c.Incarnation).Bool("leaving", a.Leaving).
+		Dur("retry_after_ms", a.RetryAfter).Float64("requests_per_s", a.Limit).Msg("endpoint announced which requests it wants")
+	if a.Limit > 0 || !a.UnlimitedSince.IsZero() {
+		p.report(c.Endpoint, limit)
+	}
+}
+
+// Permit implements relay.Pools.
+func (p *pools) Permit(ctx context.Context, service string, c balance.Choice, r balance.Request) bool {
+	if c.Limit.PerSecond == 0 {
+		return true
+	}
+	result := p.permits.acquire(ctx, c.Endpoint, c.Limit)
+	p.countPermit(service, result.granted)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, pool := time.Now(), p.pool(service)
+	pool.RecordLimit(now, c.Endpoint, result.limit)
+	if result.granted {
+		pool.Permitted(now, c, r)
+	} else {
+		pool.Denied(now, c, result.wait)
+	}
+	return result.granted
+}
+
+func (p *pools) countPermit(service string, granted bool) {
+	result := "denied"
+	if granted {
+		result = "granted"
+	}
+	p.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("endpoint_permits").Inc(1)
 }
 
 // EndpointRemoved implements relay.Pools.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -98,6 +98,8 @@
 	Items(prefix string) ([]platform.Item, platform.Revision)
 	// Pushed handles changes that a follower of the store pushed.
 	Pushed(c *meshpb.Changes)
+	// Permit answers a peer's request for a permit.
+	Permit(ctx context.Context, r *meshpb.PermitRequest) (*meshpb.PermitReply, error)
 }
 
 // Options configure a Mesh.
--- a/internal/relay/announce_test.go
+++ b/internal/relay/announce_test.go
@@ -96,3 +96,40 @@
 		})
 	}
 }
+
+// Guards against requests to endpoints whose limits allow none, against a request that asks for
+// permits without end, and against callers that are not refused at once if no endpoint is left.
+func TestEndpointsWithoutAPermitGetNoRequest(t *testing.T) {
+	capped, free := startEndpoint(t, respondWith(response(requestID, 200, "ok"), false)), startEndpoint(t, respondWith(response(requestID, 200, "ok"), false))
+	h := newHarness(t, capped, free)
+	h.pools.denied = map[string]bool{"a": true}
+	if resp, _, err := h.do(t, h.request(t, "POST", "/order/x", "x")); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("got %v, %v; want 200 of the endpoint without a limit", resp, err)
+	}
+	if n := len(capped.requests()); n != 0 || h.pools.denials == 0 {
+		t.Errorf("%d requests after %d denials, want none", n, h.pools.denials)
+	}
+	h.pools.denied, h.pools.denials = map[string]bool{"a": true, "b": true}, 0
+	start := time.Now()
+	resp, _, err := h.do(t, h.request(t, "POST", "/order/x", "x"))
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || time.Since(start) > time.Second {
+		t.Errorf("got %v, %v after %v; want 503 at once with a time to wait", resp, err, time.Since(start))
+	}
+	if h.pools.denials > 8 {
+		t.Errorf("%d permits were asked for, want a few", h.pools.denials)
+	}
+}
+
+// Guards against a limit that never ends, since the responses that name none are not told.
+func TestResponseWithoutALimitEndsIt(t *testing.T) {
+	h := newHarness(t, startEndpoint(t, respondWith(response(requestID, 200, "ok"), false)))
+	h.pools.limit = 2
+	before := time.Now()
+	if _, _, err := h.do(t, h.request(t, "POST", "/order/x", "x")); err != nil {
+		t.Fatal(err)
+	}
+	h.server.Close()
+	if a := h.pools.announced; len(a) != 1 || a[0].Limit != 0 || a[0].UnlimitedSince.Before(before) {
+		t.Errorf("announcements %+v, want one of an endpoint without a limit", a)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -29,6 +29,8 @@
 	// retryAfterSpread is the ratio of a pause of all endpoints to the time over which
 	// their callers are spread after it.
 	retryAfterSpread = 4
+	// maxDenials bounds the requests for permits of one attempt, each of which takes a few ms.
+	maxDenials = 4
 	// downTimeout bounds the check whether an endpoint is down.
 	downTimeout = 300 * time.Millisecond
 )
@@ -90,7 +92,7 @@
 		if err := x.handler.stopped(); err != nil && x.ran == upstream.RanNo {
 			return err
 		}
-		choice, ok := x.handler.Pools.Choose(x.service, x.balanceRequest())
+		choice, ok := x.choose(ctx)
 		if !ok {
 			return x.callerError(problem.New(problem.NoEndpoint, "no endpoint of service %q is available", x.service).
 				WithRetryAfter(spreadRetryAfter(choice.RetryAfter)))
@@ -116,6 +118,19 @@
 	}
 }
 
+// choose returns the endpoint for the next attempt. After maxDenials endpoints whose limits
+// allowed no request, only those without a limit are considered.
+func (x *exchange) choose(ctx context.Context) (balance.Choice, bool) {
+	r := x.balanceRequest()
+	for denials := 0; ; denials++ {
+		r.WithoutLimited = denials >= maxDenials
+		choice, ok := x.handler.Pools.Choose(x.service, r)
+		if !ok || x.handler.Pools.Permit(ctx, x.service, choice, r) {
+			return choice, ok
+		}
+	}
+}
+
 // spreadRetryAfter returns the time after which a caller that found no endpoint may return,
 // given the time until one accepts requests again, 0 if unknown. The callers refused during
 // a pause of all endpoints return over a quarter of it instead of in one wave.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -110,16 +110,29 @@
 	announced []balance.Announcement
 	// pause is the RetryAfter of a choice without an endpoint.
 	pause time.Duration
+	// limit is that of each endpoint; denied are the endpoints whose limits allow no request.
+	limit  float64
+	denied map[string]bool
+	// denials is the number of requests for permits that were denied.
+	denials int
 }
 
 func (p *pools) Choose(_ string, r balance.Request) (balance.Choice, bool) {
 	for i, e := range p.order {
-		if id := string(rune('a' + i)); !r.Tried[id] {
-			return balance.Choice{Endpoint: balance.Endpoint{ID: id, Addr: e.addr}}, true
+		if id := string(rune('a' + i)); !r.Tried[id] && !(r.WithoutLimited && p.denied[id]) {
+			return balance.Choice{Endpoint: balance.Endpoint{ID: id, Addr: e.addr}, Limit: balance.RateLimit{PerSecond: p.limit}}, true
 		}
 	}
 	return balance.Choice{RetryAfter: p.pause}, false
 }
+func (p *pools) Permit(_ context.Context, _ string, c balance.Choice, _ balance.Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.denied[c.ID] {
+		p.denials++
+	}
+	return !p.denied[c.ID]
+}
 func (p *pools) Started(string, balance.Choice, time.Duration) {}
 func (p *pools) Done(string, balance.Choice, bool)             {}
 func (p *pools) Reported(string, string, balance.LoadReport)   {}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,6 +132,9 @@
 	// ends that. Without an eligible endpoint, the choice has a RetryAfter if known.
 	// Started records the time to the first byte of a response.
 	Choose(service string, r balance.Request) (balance.Choice, bool)
+	// Permit reports whether the endpoint's limit allows the request; if not, the choice has
+	// ended.
+	Permit(ctx context.Context, service string, c balance.Choice, r balance.Request) bool
 	Started(service string, c balance.Choice, elapsed time.Duration)
 	Done(service string, c balance.Choice, started bool)
 	Observe(service, endpoint string, o balance.Outcome)
