--- a/internal/soak/announce_test.go
+++ b/internal/soak/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/azurehatch/azurehatch/platform/platformtest"
@@ -13,6 +14,13 @@
 	// arrive, maxInPause the number of requests that may arrive afterwards.
 	pauseGrace = 500 * time.Millisecond
 	maxInPause = 2
+	// In each limitWindow, an endpoint may get limitFactor times what its limit allows, and
+	// limitSlack requests, from daemons that have been told for pauseGrace, from limitDelay
+	// after it first named its limit.
+	limitWindow = 4 * time.Second
+	limitDelay  = 3 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
 )
 
 // heardKey is a daemon and an endpoint's process, as result.leaving identifies it.
@@ -34,6 +42,7 @@
 		daemons[d.name] = d
 	}
 	for _, e := range tr.bed.endpoints {
+		tr.checkLimit(e, daemons, e.Arrivals())
 		byDaemon := make(map[string][]platformtest.Arrival)
 		for _, a := range e.Arrivals() {
 			byDaemon[a.Sender] = append(byDaemon[a.Sender], a)
@@ -81,3 +90,35 @@
 		}
 	}
 }
+
+// checkLimit checks that the daemons together kept to the limit that an endpoint named. A daemon that
+// was interrupted since it was told doesn't count.
+func (tr *traffic) checkLimit(e *endpoint, daemons map[string]*daemon, arrivals []platformtest.Arrival) {
+	slices.SortFunc(arrivals, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
+	toldAt := make(map[string]time.Time)
+	var named time.Time
+	var limit float64
+	var counted []time.Time
+	for _, a := range arrivals {
+		if a.Limit != limit {
+			limit, named, counted = a.Limit, a.At, nil
+			clear(toldAt)
+		}
+		if limit == 0 {
+			continue
+		}
+		told, ok := toldAt[a.Sender]
+		if !ok {
+			toldAt[a.Sender] = a.At
+			continue
+		}
+		if a.At.Sub(told) < pauseGrace || a.At.Sub(named) < limitDelay || daemons[a.Sender].interruptedBetween(told.Add(-limitWindow), a.At) {
+			continue
+		}
+		counted = slices.DeleteFunc(append(counted, a.At), func(at time.Time) bool { return a.At.Sub(at) >= limitWindow })
+		if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; float64(len(counted)) > allowed && !tr.bed.stalledSince(counted[0]) {
+			tr.bed.addViolation("%s got %d requests in %v at a limit of %.2f a second", e.ID, len(counted), limitWindow, limit)
+			return
+		}
+	}
+}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -147,3 +147,26 @@
 		})
 	}
 }
+
+// Guards against a check that passes although the daemons together exceed an endpoint's limit.
+func TestChecksFindAnExceededLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		perSecond float64
+		broken    bool
+	}{"at the limit": {2, false}, "a quarter more": {2.5, false}, "three times the limit": {6, true}} {
+		t.Run(name, func(t *testing.T) {
+			tr, d := newBareTraffic(t)
+			e := &endpoint{Endpoint: &platformtest.Endpoint{ID: "e", Slots: 8, Runs: tr.bed.runs}}
+			at := time.Now()
+			var arrivals []platformtest.Arrival
+			for i := range int(12 * c.perSecond) {
+				after := time.Duration(float64(i) / c.perSecond * float64(time.Second))
+				arrivals = append(arrivals, platformtest.Arrival{Sender: d.name, At: at.Add(after), Limit: 2})
+			}
+			tr.checkLimit(e, map[string]*daemon{d.name: d}, arrivals)
+			if broken := len(tr.bed.violations) > 0; broken != c.broken {
+				t.Errorf("broken %v, want %v: %v", broken, c.broken, tr.bed.violations)
+			}
+		})
+	}
+}
--- a/internal/soak/endpoint_faults_test.go
+++ b/internal/soak/endpoint_faults_test.go
@@ -108,3 +108,22 @@
 	s.logFault("%s wants no requests for %v, over %v", e.ID, wait, d)
 	s.runFault(d, func() { e.SetPause(wait) }, func() { e.SetPause(0); s.release(e) })
 }
+
+// limitFaults returns endpoints that name limits, and what overlaps them.
+func limitFaults(s *scenario) []func(time.Duration) {
+	return []func(time.Duration){
+		s.limitEndpoint, s.limitEndpoint, s.limitEndpoint, s.crashEndpoint, s.drainEndpoint, s.disturbEndpointPath,
+		s.killDaemon, s.pauseDaemon, s.stopDaemon, s.disturbStorePath,
+	}
+}
+
+// limitEndpoint lets an endpoint name the requests a second that it takes from all daemons.
+func (s *scenario) limitEndpoint(d time.Duration) {
+	e, limit := s.randomEndpoint(), 0.5+3.5*s.rng.Float64()
+	if !s.claim(e) {
+		return
+	}
+	d += limitWindow
+	s.logFault("%s takes %.2f requests a second for %v", e.ID, limit, d)
+	s.runFault(d, func() { e.SetLimit(limit) }, func() { e.SetLimit(0); s.release(e) })
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -308,6 +308,10 @@
 			runSeed(t, seed, 3, shortRun, allFaults)
 		})
 	}
+	t.Run("limits", func(t *testing.T) {
+		t.Parallel()
+		runSeed(t, 1, 3, shortRun+limitWindow, limitFaults)
+	})
 }
 
 // TestSoak runs AZUREHATCH_SOAK_SEEDS seeds from AZUREHATCH_SOAK_FIRST on, and the
@@ -338,6 +342,10 @@
 			t.Parallel()
 			runSeed(t, uint64(seed), daemons, longRun, replaceFaults)
 		})
+		t.Run(fmt.Sprint("limits/seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, uint64(seed), daemons, longRun, limitFaults)
+		})
 	}
 }
 
