Tell peers of the limits that endpoints name

The rule held, since a daemon counts once it has been told itself; but each of 64 daemons sent a request to each endpoint without a permit before it was told. A daemon now tells those with which it exchanges loads, for 5 s after a response, what the endpoint said of its limit, also that it has ended. TestLimitsAreToldToPeers.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -41,7 +41,9 @@
 	leaving     bool
 	pausedUntil time.Time
 	limit       RateLimit
-	receivedAt  time.Time
+	// limitHeardAt is when a response to this daemon last told about the limit.
+	limitHeardAt time.Time
+	receivedAt   time.Time
 }
 
 // RateLimit is what is known of the limit of an incarnation.
@@ -53,6 +55,10 @@
 	StatedAt time.Time
 }
 
+// limitToldFor is how long after a response a daemon tells its peers of a limit: all daemons that
+// exchange loads hear of it in this time.
+const limitToldFor = 5 * time.Second
+
 // restatementAge is the age by which a statement of the same limit must be newer to replace
 // another one. Ages are passed on with the time of a message added, so that a statement that two
 // daemons tell each other would become newer each time.
@@ -84,7 +90,9 @@
 	if until := now.Add(min(a.RetryAfter, maxPause)); a.RetryAfter > 0 && until.After(n.pausedUntil) {
 		n.pausedUntil = until
 	}
-	n.limit = n.limit.update(now, a)
+	if n.limit = n.limit.update(now, a); n.limit != former.limit {
+		n.limitHeardAt = now
+	}
 	if n == former {
 		return false
 	}
@@ -94,6 +102,21 @@
 	return n.leaving != former.leaving || n.pausedUntil != former.pausedUntil || n.limit.PerSecond != former.limit.PerSecond
 }
 
+// HeardLimits returns the limits of which responses to this daemon told within limitToldFor, also
+// those that have ended, by endpoint.
+func (p *Pool) HeardLimits(now time.Time) map[Endpoint]RateLimit {
+	if len(p.notices) == 0 {
+		return nil
+	}
+	heard := make(map[Endpoint]RateLimit)
+	for _, e := range p.endpoints {
+		if n, ok := p.notices[e.incarnation()]; ok && now.Sub(n.limitHeardAt) < limitToldFor {
+			heard[e.Endpoint] = n.limit
+		}
+	}
+	return heard
+}
+
 // LimitOf returns what is known of the limit of the endpoint e, as it was chosen.
 func (p *Pool) LimitOf(e Endpoint) RateLimit { return p.notices[e.incarnation()].limit }
 
--- a/internal/front/permits_test.go
+++ b/internal/front/permits_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/discovery"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 )
 
@@ -133,3 +135,42 @@
 		t.Errorf("got %+v, want no permit for %v", r, permitRetryDelay)
 	}
 }
+
+// Guards against daemons that send requests without a permit to an endpoint whose limit only others
+// have heard: each of 64 daemons sent one to each endpoint before it was told itself.
+func TestLimitsAreToldToPeers(t *testing.T) {
+	newTold := func() *pools {
+		p := newPools("z", zerolog.Nop(), tally.NoopScope)
+		p.applyChange(discovery.Put, "llm", cappedEngine)
+		return p
+	}
+	limitAt := func(p *pools) float64 {
+		c, ok := p.Choose("llm", balance.Request{})
+		if !ok {
+			t.Fatal("no endpoint")
+		}
+		p.Done("llm", c, false)
+		return c.Limit.PerSecond
+	}
+	heard, told, third := newTold(), newTold(), newTold()
+	choice := balance.Choice{Endpoint: cappedEngine}
+	now := time.Now()
+	heard.Announced("llm", choice, balance.Announcement{Limit: 2.5})
+	told.merge(now, "heard", heard.loads(time.Now()))
+	if got := limitAt(told); got != 2.5 {
+		t.Errorf("limit %v at a daemon that was told by a peer, want 2.5", got)
+	}
+	if loads := told.loads(now); len(loads) != 0 {
+		t.Errorf("hearsay is passed on: %v", loads)
+	}
+	third.merge(now, "heard", heard.loads(time.Now().Add(time.Minute)))
+	if got := limitAt(third); got != 0 {
+		t.Errorf("limit %v after a minute without a response, want none told", got)
+	}
+	time.Sleep(5 * time.Millisecond)
+	heard.Announced("llm", choice, balance.Announcement{UnlimitedSince: time.Now()})
+	told.merge(time.Now(), "heard", heard.loads(time.Now()))
+	if got := limitAt(told); got != 0 {
+		t.Errorf("limit %v after a peer told of its end, want none", got)
+	}
+}
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -203,7 +203,8 @@
 	p.log.Warn().Str("service", service).Str("endpoint", endpoint).Msg("endpoint gone: another endpoint uses its address")
 }
 
-// loads returns this daemon's load at each endpoint, to be sent to peers.
+// loads returns this daemon's load at each endpoint, and the limits that endpoints told it, to be
+// sent to peers.
 func (p *pools) loads(now time.Time) []*meshpb.EndpointLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -214,11 +215,17 @@
 				Service: service, Endpoint: id, Requests: int64(l.Requests), Reading: l.PrefillTokens, Ok: l.Succeeded, Failed: l.Failed,
 			})
 		}
+		for e, l := range pool.HeardLimits(now) {
+			loads = append(loads, &meshpb.EndpointLoad{
+				Service: service, Endpoint: e.ID, Incarnation: e.Incarnation, Limit: encodeRateLimit(now, l),
+			})
+		}
 	}
 	return loads
 }
 
-// merge replaces a peer's load; endpoints missing from loads have none.
+// merge replaces a peer's load; endpoints missing from loads have none. Limits stay until a newer
+// statement arrives.
 func (p *pools) merge(now time.Time, peer string, loads []*meshpb.EndpointLoad) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -226,7 +233,12 @@
 		pool.RemovePeer(peer)
 	}
 	for _, l := range loads {
-		if pool, ok := p.byService[l.Service]; ok {
+		pool, ok := p.byService[l.Service]
+		switch {
+		case !ok:
+		case l.Limit != nil:
+			pool.RecordLimit(now, balance.Endpoint{ID: l.Endpoint, Incarnation: l.Incarnation}, decodeRateLimit(now, l.Limit))
+		default:
 			pool.SetPeerLoad(now, peer, l.Endpoint, balance.Load{
 				Requests: int(l.Requests), PrefillTokens: l.Reading, Succeeded: l.Ok, Failed: l.Failed,
 			})
