Bound the time that a request spends on permits

Where peers don't answer, four permits of one attempt could take 1.6 s. After 0.2 s only endpoints without a limit are considered. A peer that does not answer a request for a permit is passed over for tokens as well, and the names say so.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -118,16 +118,16 @@
 }
 
 // LimitOf returns what is known of the limit of the endpoint e, as it was chosen.
-func (p *Pool) LimitOf(e Endpoint) RateLimit { return p.notices[e.incarnation()].limit }
-
-// limit returns what is known of the endpoint's limit of requests a second.
-func (p *Pool) limit(e *endpointState) RateLimit {
+func (p *Pool) LimitOf(e Endpoint) RateLimit {
 	if len(p.notices) == 0 {
 		return RateLimit{}
 	}
 	return p.notices[e.incarnation()].limit
 }
 
+// limited reports whether the endpoint limits the requests it takes.
+func (p *Pool) limited(e *endpointState) bool { return p.LimitOf(e.Endpoint).PerSecond > 0 }
+
 // pruneNotices removes the notices of incarnations that have been gone for maxPause.
 func (p *Pool) pruneNotices(now time.Time) {
 	for of, n := range p.notices {
@@ -194,7 +194,7 @@
 
 // denial returns the time for which the endpoint's limit still allows no request.
 func (p *Pool) denial(now time.Time, e *endpointState) time.Duration {
-	if p.limit(e).PerSecond == 0 {
+	if !p.limited(e) {
 		return 0
 	}
 	return max(0, e.deniedUntil.Sub(now))
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -191,7 +191,7 @@
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
 	for _, e := range p.endpoints {
-		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) || r.WithoutLimited && p.limit(e).PerSecond > 0 {
+		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) || r.WithoutLimited && p.limited(e) {
 			continue
 		}
 		choice.Candidates++
@@ -205,7 +205,7 @@
 		}
 	}
 	if best != nil {
-		choice.Limit = p.limit(best)
+		choice.Limit = p.LimitOf(best.Endpoint)
 	}
 	return best, choice
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,7 +37,7 @@
 	liveTimeout          = 2500 * time.Millisecond
 	minRemoteLiveTimeout = 12 * time.Second
 	liveRounds           = 3
-	// A peer that did not answer a request for tokens is passed over for
+	// A peer that did not answer a request for tokens or a permit is passed over for
 	// suspectTime, which doubles with each failure up to maxSuspectTime and ends
 	// with the next digest of the peer.
 	suspectTime    = 2 * time.Second
@@ -133,10 +133,10 @@
 	lastCalled, addedAt time.Time
 	exchanging          bool
 	unreachable         bool
-	// suspectUntil is the end of the time in which the peer is not asked for tokens
-	// after tokenFailures requests without an answer.
-	suspectUntil  time.Time
-	tokenFailures int
+	// suspectUntil is the end of the time in which the peer is not asked for tokens and
+	// permits after silentRequests requests for them without an answer.
+	suspectUntil   time.Time
+	silentRequests int
 }
 
 // Mesh connects this daemon with its peers.
@@ -367,7 +367,7 @@
 			m.Log.Info().Str("peer", p.addr).Str("peer_id", d.Id).Msg("peer heard")
 		}
 		p.id, p.domain, p.balances, p.stopping, p.unreachable = d.Id, d.Domain, d.Balances, d.Stopping, false
-		p.suspectUntil, p.tokenFailures = time.Time{}, 0
+		p.suspectUntil, p.silentRequests = time.Time{}, 0
 		p.lastReceived, p.followsStore, p.lastStoreContact = time.Now(), d.Follows, time.Time{}
 		if d.StoreAgeMs >= 0 {
 			p.lastStoreContact = p.lastReceived.Add(-time.Duration(d.StoreAgeMs) * time.Millisecond)
--- a/internal/mesh/tokens.go
+++ b/internal/mesh/tokens.go
@@ -43,13 +43,13 @@
 	}
 }
 
-// suspect records that a peer did not answer a request for tokens.
+// suspect records that a peer did not answer a request for tokens or a permit.
 func (m *Mesh) suspect(addr string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[addr]; p != nil {
-		p.suspectUntil = now.Add(min(suspectTime<<min(p.tokenFailures, maxSuspectDoublings), maxSuspectTime))
-		p.tokenFailures++
+		p.suspectUntil = now.Add(min(suspectTime<<min(p.silentRequests, maxSuspectDoublings), maxSuspectTime))
+		p.silentRequests++
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -29,8 +29,10 @@
 	// retryAfterSpread is the ratio of a pause of all endpoints to the time over which
 	// their callers are spread after it.
 	retryAfterSpread = 4
-	// maxDenials bounds the requests for permits of one attempt, each of which takes a few ms.
-	maxDenials = 4
+	// maxDenials bounds the requests for permits of one attempt, each of which takes a few ms,
+	// and maxPermitTime the time until the last of them where peers don't answer.
+	maxDenials    = 4
+	maxPermitTime = 200 * time.Millisecond
 	// downTimeout bounds the check whether an endpoint is down.
 	downTimeout = 300 * time.Millisecond
 )
@@ -119,11 +121,11 @@
 }
 
 // choose returns the endpoint for the next attempt. After maxDenials endpoints whose limits
-// allowed no request, only those without a limit are considered.
+// allowed no request, or maxPermitTime, only those without a limit are considered.
 func (x *exchange) choose(ctx context.Context) (balance.Choice, bool) {
-	r := x.balanceRequest()
+	r, start := x.balanceRequest(), time.Now()
 	for denials := 0; ; denials++ {
-		r.WithoutLimited = denials >= maxDenials
+		r.WithoutLimited = denials >= maxDenials || time.Since(start) > maxPermitTime
 		choice, ok := x.handler.Pools.Choose(x.service, r)
 		if !ok || x.handler.Pools.Permit(ctx, x.service, choice, r) {
 			return choice, ok
