--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -87,7 +87,7 @@
 }
 
 // Guards against an endpoint that gets more requests than it takes from all daemons together,
-// because each daemon keeps to its limit by itself or not at all.
+// because each daemon keeps to its limit by itself or not at all, and against a limit that does not end.
 func TestFleetKeepsToTheLimitOfAnEndpoint(t *testing.T) {
 	f := newFleet(t, 1000)
 	capped := f.startCapped("2")
@@ -104,4 +104,11 @@
 	if least := limit * int(window/time.Second) / 2; got < least {
 		t.Errorf("%d requests in %v at a limit of %d a second: less than half of what the endpoint takes", got, window, limit)
 	}
+	capped.setLimit("")
+	f.sendFor(2*time.Second, 20*time.Millisecond) // all daemons have been told of the end
+	from = time.Now()
+	f.sendFor(time.Second, 20*time.Millisecond)
+	if got := capped.between(from, from.Add(time.Second)); got < 10*limit {
+		t.Errorf("%d requests in a second after the limit of %d had ended, want many more", got, limit)
+	}
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -342,7 +342,7 @@
 func TestLocalPeersOfALargeFailureDomainStayLive(t *testing.T) {
 	const daemons, pollTime = 50, 3 * time.Second
 	n := unservedMeshes(t, 1, 1)[0]
-	n.Mesh.Addr = "127.0.0.1:9999" // the last one in the order of the addresses
+	n.Addr = "127.0.0.1:9999" // the last one in the order of the addresses
 	now := time.Now()
 	for i := 1; i < daemons; i++ {
 		n.Add(fmt.Sprintf("127.0.0.1:%d", 1000+i), n.Domain)
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -29,7 +29,7 @@
 		learn(rapid.Float64Range(0.05, 40).Draw(t, "first limit"))
 		t.Repeat(map[string]func(*rapid.T){
 			"limit": func(t *rapid.T) { learn(rapid.Float64Range(0.05, 40).Draw(t, "limit")) },
-			"older statement": func(t *rapid.T) {
+			"older statement": func(*rapid.T) {
 				i.Learn(now, key, balance.RateLimit{PerSecond: 1000, StatedAt: stated.Add(-time.Millisecond)})
 			},
 			"time": func(t *rapid.T) {
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -119,7 +119,7 @@
 
 func (p *pools) Choose(_ string, r balance.Request) (balance.Choice, bool) {
 	for i, e := range p.order {
-		if id := string(rune('a' + i)); !r.Tried[id] && !(r.WithoutLimited && p.denied[id]) {
+		if id := string(rune('a' + i)); !r.Tried[id] && (!r.WithoutLimited || !p.denied[id]) {
 			return balance.Choice{Endpoint: balance.Endpoint{ID: id, Addr: e.addr}, Limit: balance.RateLimit{PerSecond: p.limit}}, true
 		}
 	}
