--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -264,12 +264,7 @@
 func (m *Mesh) beginExchanges(now time.Time) (local, remote []*peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.localPeerCount = 0
-	for _, p := range m.peers {
-		if p.domain == m.Domain {
-			m.localPeerCount++
-		}
-	}
+	m.localPeerCount = m.countLocalPeers()
 	for addr, p := range m.peers {
 		m.checkReachable(now, p)
 		if now.Sub(p.lastReceived) > peerExpiry && now.Sub(p.addedAt) > peerExpiry {
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -36,6 +36,18 @@
 	return now.Sub(p.lastReceived) < m.remoteLiveTimeout()
 }
 
+// countLocalPeers returns the number of peers in this daemon's failure domain. The caller holds
+// m.mu.
+func (m *Mesh) countLocalPeers() int {
+	n := 0
+	for _, p := range m.peers {
+		if p.domain == m.Domain {
+			n++
+		}
+	}
+	return n
+}
+
 // localLiveTimeout is the time without a digest after which a local peer no longer counts as
 // live. The caller holds m.mu.
 func (m *Mesh) localLiveTimeout() time.Duration {
--- /dev/null
+++ b/internal/mesh/permits_test.go
@@ -0,0 +1,51 @@
+package mesh
+
+import (
+	"testing"
+
+	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+)
+
+// Guards against a request for a permit that is not answered by the daemon it was sent to, and
+// against daemons of one fleet that rank different ones first for an endpoint.
+func TestPermits(t *testing.T) {
+	nodes := newNodes(t, 3, 1)
+	first := make(map[string]bool)
+	for _, n := range nodes {
+		addr := n.HighestRanked("endpoint e", true)
+		if addr == "" {
+			addr = n.Addr
+		}
+		first[addr] = true
+	}
+	if len(first) != 1 {
+		t.Errorf("daemons ranked first: %v, want one", first)
+	}
+	for endpoint, granted := range map[string]bool{"e": true, "f": false} {
+		reply, err := nodes[0].RequestPermit(t.Context(), nodes[1].Addr, &meshpb.PermitRequest{Endpoint: endpoint})
+		if err != nil || reply.Granted != granted || reply.WaitMs != 7 {
+			t.Errorf("%s: %v, %v; want granted %v", endpoint, reply, err, granted)
+		}
+	}
+	if _, err := nodes[0].RequestPermit(t.Context(), "127.0.0.1:1", &meshpb.PermitRequest{}); err == nil {
+		t.Error("an unknown peer answered")
+	}
+}
+
+// Guards against a daemon that does not answer and is asked for all permits of its endpoints.
+func TestSilentDaemonIsNotRankedFirst(t *testing.T) {
+	nodes := unservedMeshes(t, 5, 1)
+	var n *node
+	for _, n = range nodes {
+		if n.HighestRanked("endpoint e", true) != "" {
+			break
+		}
+	}
+	first := n.HighestRanked("endpoint e", true)
+	if _, err := n.RequestPermit(t.Context(), first, &meshpb.PermitRequest{Endpoint: "e"}); err == nil {
+		t.Fatal("a peer that does not run answered")
+	}
+	if n.HighestRanked("endpoint e", true) == first {
+		t.Errorf("%s is still ranked first", first)
+	}
+}
