--- a/internal/front/feed_test.go
+++ b/internal/front/feed_test.go
@@ -343,8 +343,7 @@
 	}
 }
 
-// Guards against requests to an endpoint whose leaving a watch missed: the time until the next poll
-// ends, its result is read and passed on must fit into the time in which all daemons must know of it.
+// Guards against requests to an endpoint whose leaving a watch missed, by the sum of the steps that follow.
 func TestPollsEndBeforeALeavingEndpointMustBeKnown(t *testing.T) {
 	for _, c := range []struct {
 		bound     time.Duration
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -86,8 +86,7 @@
 	return map[string]any{"service": "desk", "address": addr, "zone": "z0", "slots": 6, "state": "ready"}
 }
 
-// Guards against an endpoint that gets more requests than it takes from all daemons together,
-// because each daemon keeps to its limit by itself or not at all, and against a limit that does not end.
+// Guards against an endpoint that gets more than it takes from all daemons, and against a limit without end.
 func TestFleetKeepsToTheLimitOfAnEndpoint(t *testing.T) {
 	f := newFleet(t, 1000)
 	capped := f.startCapped("2")
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -94,8 +94,7 @@
 	}
 }
 
-// Guards against removals after an outage that are passed on without the time of the store's
-// return: the other daemons would drop endpoints that have only to register again.
+// Guards against receivers that drop endpoints which have only to register again after an outage.
 func TestFirstChangesAfterAnOutageTellOfTheReturn(t *testing.T) {
 	store := &removalLog{}
 	pushed := make(chan *meshpb.Changes, 8)
@@ -113,8 +112,7 @@
 	}
 }
 
-// Guards against requests to an endpoint that has left, from a daemon that the store turns away:
-// it deferred a removal that a follower had read, until it could read the store itself.
+// Guards against requests to an endpoint that has left, from a daemon that the store turns away.
 func TestRemovalThatAPeerReadIsAppliedWhileTheStoreIsLost(t *testing.T) {
 	f, e := startEndpointFeed(t, &removalLog{}, fixedFleet{daemons: 63})
 	loseStore(f)
@@ -124,8 +122,7 @@
 	}
 }
 
-// Guards against endpoints that are dropped at the end of an outage of the store, and against
-// ones that stay in use after it at a daemon that the store still turns away.
+// Guards against a grace period that is missing, or never ends, at a daemon that the store turns away.
 func TestRemovalAfterAnOutageHasItsGracePeriodWhileTheStoreIsLost(t *testing.T) {
 	f, e := startEndpointFeed(t, &removalLog{}, fixedFleet{daemons: 63})
 	loseStore(f)
@@ -139,8 +136,7 @@
 	}
 }
 
-// Guards against a daemon that the store turned away for itself and that tells the fleet of a
-// return of the store: all daemons would defer the removals of the next 2 s.
+// Guards against removals that all daemons defer because the store had turned one of them away.
 func TestReturnOfAStoreThatWasNotAwayIsNotTold(t *testing.T) {
 	f, _ := startEndpointFeed(t, &removalLog{}, fixedFleet{daemons: 63})
 	loseStore(f)
@@ -151,8 +147,7 @@
 	}
 }
 
-// Guards against a second return that is told after one outage: daemons that notice it later
-// than others would prolong the grace period of entries that expired.
+// Guards against a grace period that daemons prolong which notice the store's return late.
 func TestReturnOfAStoreIsToldAsThePeerThatSawItFirst(t *testing.T) {
 	f, _ := startEndpointFeed(t, &removalLog{}, fixedFleet{daemons: 63})
 	loseStore(f)
--- a/internal/front/permits_test.go
+++ b/internal/front/permits_test.go
@@ -136,8 +136,7 @@
 	}
 }
 
-// Guards against daemons that send requests without a permit to an endpoint whose limit only others
-// have heard: each of 64 daemons sent one to each endpoint before it was told itself.
+// Guards against requests without a permit to an endpoint whose limit only other daemons have heard.
 func TestLimitsAreToldToPeers(t *testing.T) {
 	newTold := func() *pools {
 		p := newPools("z", zerolog.Nop(), tally.NoopScope)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -337,8 +337,7 @@
 	}
 }
 
-// Guards against a failure domain so large that its daemons lose each other between two digests:
-// changes of the store were not passed on to those, and who follows the store changed all the time.
+// Guards against a failure domain so large that its daemons lose each other between two digests.
 func TestLocalPeersOfALargeFailureDomainStayLive(t *testing.T) {
 	const daemons, pollTime = 50, 3 * time.Second
 	n := unservedMeshes(t, 1, 1)[0]
