One filter for ranked peers, one place that learns a limit, one copy of arrivals

The order for permits repeated the conditions of the order for tokens; the lock around what the issuer learns stood twice; the soak copied and sorted arrivals that are recorded in order. Behaviour is as before.

--- a/internal/front/permits.go
+++ b/internal/front/permits.go
@@ -83,9 +83,7 @@
 	now := time.Now()
 	owner := p.owner(e.ID)
 	if owner == "" {
-		p.mu.Lock()
-		p.issuer.Learn(now, keyOf(e), l)
-		p.mu.Unlock()
+		p.learn(now, keyOf(e), l)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -112,9 +110,7 @@
 	now := time.Now()
 	key, l := permit.Key{Endpoint: r.Endpoint, Incarnation: r.Incarnation}, decodeRateLimit(now, r.Limit)
 	if r.Report {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return &meshpb.PermitReply{Limit: encodeRateLimit(now, p.issuer.Learn(now, key, l))}, nil
+		return &meshpb.PermitReply{Limit: encodeRateLimit(now, p.learn(now, key, l))}, nil
 	}
 	result := p.grant(now, key, l)
 	return &meshpb.PermitReply{
@@ -122,6 +118,12 @@
 	}, nil
 }
 
+func (p *permits) learn(now time.Time, k permit.Key, l balance.RateLimit) balance.RateLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.issuer.Learn(now, k, l)
+}
+
 func (p *permits) grant(now time.Time, k permit.Key, l balance.RateLimit) permitResult {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -144,8 +144,7 @@
 	own := ownerScore(key, m.addrHash)
 	var list []*peer
 	for _, p := range m.peers {
-		if p.domain != "" && (p.domain == m.Domain) == local && !p.stopping && !now.Before(p.suspectUntil) &&
-			m.presumedLive(now, p) && ownerScore(key, p.addrHash) > own {
+		if (p.domain == m.Domain) == local && m.rankable(now, p) && ownerScore(key, p.addrHash) > own {
 			list = append(list, p)
 		}
 	}
@@ -155,6 +154,12 @@
 	return list
 }
 
+// rankable reports whether a peer takes part in the rendezvous order: it is not known to stop, has
+// answered its last request, and is presumed live. The caller holds m.mu.
+func (m *Mesh) rankable(now time.Time, p *peer) bool {
+	return p.domain != "" && !p.stopping && !now.Before(p.suspectUntil) && m.presumedLive(now, p)
+}
+
 // ownerScore is the rendezvous hash of an account and a daemon. The daemon with the
 // highest score owns the account, and the one with the highest score in a failure domain
 // distributes its tokens there. It mixes two hashes by the finalizer of splitmix64, since it
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -48,10 +48,7 @@
 		highest = ownerScore(hash, m.addrHash)
 	}
 	for _, p := range m.peers {
-		if p.domain == "" || p.stopping || now.Before(p.suspectUntil) || !m.presumedLive(now, p) {
-			continue
-		}
-		if score := ownerScore(hash, p.addrHash); score > highest {
+		if score := ownerScore(hash, p.addrHash); score > highest && m.rankable(now, p) {
 			best, highest = p.addr, score
 		}
 	}
--- a/internal/soak/announce_test.go
+++ b/internal/soak/announce_test.go
@@ -42,9 +42,10 @@
 		daemons[d.name] = d
 	}
 	for _, e := range tr.bed.endpoints {
-		tr.checkLimit(e, daemons, e.Arrivals())
+		arrivals := e.Arrivals()
+		tr.checkLimit(e, daemons, arrivals)
 		byDaemon := make(map[string][]platformtest.Arrival)
-		for _, a := range e.Arrivals() {
+		for _, a := range arrivals {
 			byDaemon[a.Sender] = append(byDaemon[a.Sender], a)
 		}
 		for name, arrivals := range byDaemon {
@@ -94,7 +95,6 @@
 // checkLimit checks that the daemons together kept to the limit that an endpoint named. A daemon that
 // was interrupted since it was told doesn't count.
 func (tr *traffic) checkLimit(e *endpoint, daemons map[string]*daemon, arrivals []platformtest.Arrival) {
-	slices.SortFunc(arrivals, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
 	toldAt := make(map[string]time.Time)
 	var named time.Time
 	var limit float64
