Decode evacuation bounds, cold endpoints and home regions

Change: settings, configuration, endpoint entries and response headers carry them as typed fields. Nothing acts on them yet.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,6 +29,8 @@
 	Incarnation int64
 	// Sequence increases with each report of an incarnation.
 	Sequence int64
+	// ColdFor is how long the endpoint stays cold, as of the report; 0 if it is not cold.
+	ColdFor time.Duration
 }
 
 // precedes reports whether the entry was registered before another one of the same
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,6 +92,8 @@
 	// together; 0 if it names none. InvalidLimits lists limits that are none.
 	Limit         float64
 	InvalidLimits []string
+	// ColdFor is how long the endpoint says that it stays cold; 0 if not stated.
+	ColdFor time.Duration
 	// Report is the endpoint's load; valid if Reported.
 	Report   balance.LoadReport
 	Reported bool
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -56,6 +56,8 @@
 	AllowAnonymous bool
 	// Resumable streams may be continued at another endpoint.
 	Resumable bool
+	// Regions lists the regions in which endpoints may serve the route; empty means all.
+	Regions []string
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -76,6 +78,11 @@
 	Name string
 	// MaxConnections limits the connections of the whole fleet to one endpoint.
 	MaxConnections int
+	// ColdPeriod is how long an endpoint is cold after its start; 0 if never.
+	ColdPeriod time.Duration
+	// ColdRate is the number of requests a second that a cold endpoint takes from all daemons
+	// together; 0 means no limit.
+	ColdRate float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -91,6 +98,8 @@
 	// accounts.
 	PrepaidTokens int64
 	Unlimited     bool
+	// Regions lists the regions in which endpoints may serve the account; empty means all.
+	Regions []string
 }
 
 // Limits restrict the requests that callers may send.
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -25,7 +25,9 @@
 	Name          string `toml:"name" comment:"Name of the instance; each start of the daemon gets an id of its own."`
 	FailureDomain string `toml:"failure_domain" comment:"Failure domain of this instance."`
 	Region        string `toml:"region" comment:"Region that holds the failure domain."`
-	FirstStart    bool   `toml:"first_start" comment:"True if the whole fleet starts for the first time."`
+	// Regions holds the region of each failure domain of the deployment.
+	Regions    map[string]string `toml:"regions" comment:"Region of each failure domain, for routes and accounts that are bound to regions."`
+	FirstStart bool              `toml:"first_start" comment:"True if the whole fleet starts for the first time."`
 }
 
 // FrontListen holds the addresses that the daemon listens on, and those of peers to
@@ -46,6 +48,8 @@
 // Machine holds the resource limits of the process.
 type Machine struct {
 	Memory unit.Size `toml:"memory" comment:"Memory of the process."`
+	// LinkMbps is the bandwidth of the machine's link in Mbit/s in each direction; 0 if unknown.
+	LinkMbps float64 `toml:"link_mbps" comment:"Bandwidth of the machine's link in Mbit/s; 0: unknown."`
 }
 
 // Bounds holds the limits that the deployment sets.
@@ -57,6 +61,11 @@
 	// Configuration is the time in which a change must be in force.
 	Configuration unit.Duration `toml:"configuration" comment:"Time in which a change of the configuration must be in force. A daemon that has known for half of it that it lacks a newer one refuses requests."`
 	Draining      unit.Duration `toml:"draining" comment:"Time in which all daemons must know of an endpoint that leaves."`
+	Evacuation    unit.Duration `toml:"evacuation" comment:"Time after which no endpoint of an evacuated failure domain gets requests any more."`
+	// ColdRatio and ColdSlack bound the requests that a cold endpoint gets in one second from all
+	// daemons: its rate times ColdRatio plus ColdSlack.
+	ColdRatio float64 `toml:"cold_ratio" comment:"Requests to a cold endpoint in one second over the rate that it takes."`
+	ColdSlack float64 `toml:"cold_slack" comment:"Requests beyond that ratio in one second."`
 }
 
 // DefaultFront returns the default settings.
@@ -66,7 +75,7 @@
 		Listen:   FrontListen{Callers: "127.0.0.1:8080", Ready: "127.0.0.1:8082", Mesh: "127.0.0.1:8081", Seeds: []string{}},
 		Store:    FrontStore{Address: "127.0.0.1:2380"},
 		Machine:  Machine{Memory: unit.Size{Bytes: 256 << 20}},
-		Bounds:   Bounds{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: unit.Seconds(10), Grace: unit.Seconds(8), Configuration: unit.Seconds(3), Draining: unit.Seconds(2)},
+		Bounds:   Bounds{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: unit.Seconds(10), Grace: unit.Seconds(8), Configuration: unit.Seconds(3), Draining: unit.Seconds(2), Evacuation: unit.Seconds(5), ColdRatio: 1},
 		Log:      Log{Level: "info"},
 	}
 }
@@ -93,6 +102,16 @@
 	if s.Instance.Name == "" {
 		return errors.New("instance.name is not set")
 	}
+	for _, p := range []struct {
+		name  string
+		value float64
+	}{
+		{"machine.link_mbps", s.Machine.LinkMbps}, {"bounds.cold_ratio", s.Bounds.ColdRatio}, {"bounds.cold_slack", s.Bounds.ColdSlack},
+	} {
+		if p.value < 0 {
+			return errors.Errorf("%s must not be negative", p.name)
+		}
+	}
 	if s.Instance.FailureDomain == "" {
 		return errors.New("instance.failure_domain is not set")
 	}
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -47,7 +48,23 @@
 	}
 }
 
-// Guards against a deployment template that sets an unknown key.
+// templateSection is a section of the template that is rendered if its name has a value.
+var templateSection = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
+
+// renderSections renders the sections of the names with values and removes the others.
+func renderSections(text string, values map[string]string) string {
+	return templateSection.ReplaceAllStringFunc(text, func(section string) string {
+		m := templateSection.FindStringSubmatch(section)
+		value, ok := values[m[1]]
+		if !ok {
+			return ""
+		}
+		return strings.NewReplacer("{{@}}", "z", "{{.|json}}", value, "{{.}}", value).Replace(m[2])
+	})
+}
+
+// Guards against a deployment template that sets an unknown key, or that can't be parsed on a
+// deployment that lacks some bounds.
 func TestDeploymentTemplateParses(t *testing.T) {
 	text, err := os.ReadFile("../../deploy/settings.toml")
 	if err != nil {
@@ -59,10 +76,21 @@
 		"{{seeds|json}}", `["10.0.0.2:82"]`, "{{ip}}", "10.0.0.1", "{{internal_ports.0}}", "83", "{{platform.address|json}}", `"10.0.0.9:83"`, "{{limits.memory_mb}}", "284",
 		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10", "{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000", "{{bounds.drain_ms}}", "2000",
 	)
-	s, err := ParseFront("settings.toml", []byte(values.Replace(string(text))))
+	rendered := values.Replace(string(text))
+	s, err := ParseFront("settings.toml", []byte(renderSections(rendered, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
+	all, err := ParseFront("settings.toml", []byte(renderSections(rendered, map[string]string{
+		"zones": `"r"`, "limits.link_mbps": "10.0", "bounds.evacuation_ms": "5000", "bounds.cold_over": "1.5", "bounds.cold_slack": "5",
+	})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if all.Instance.Regions["z"] != "r" || all.Machine.LinkMbps != 10 || all.Bounds.Evacuation.Duration != 5*time.Second ||
+		all.Bounds.ColdRatio != 1.5 || all.Bounds.ColdSlack != 5 {
+		t.Errorf("settings with all sections %+v", all)
+	}
 	if s.Instance.Name != "f1" || s.Listen.Mesh != "10.0.0.1:82" || s.Machine.Memory.Bytes != 284<<20 || s.Bounds.RetrySlack != 54 ||
 		s.Bounds.Configuration.Duration != 2*time.Second {
 		t.Errorf("settings %+v", s)
