Keep SIGHUP that arrives before a daemon handles signals

Cause: SIGHUP ends a Go process until a handler is registered. A daemon registered it after it had read its settings: of three processes each, all ended by a signal up to 12 ms after the start, one of three at 30 ms (race build, loaded machine). Change: an early package initialization registers the handler for the command front, and the signals are kept until the daemon reads them. Result: the test fails without the initialization (signal: hangup) and passes with it; the same trial ends processes up to about 3 ms after the start, before the runtime is up.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azurehatch/azurehatch/internal/front"
+	"github.com/azurehatch/azurehatch/internal/hangup"
 	"github.com/azurehatch/azurehatch/internal/settings"
 	"github.com/azurehatch/azurehatch/platform"
 )
@@ -72,8 +73,7 @@
 	log, flush := front.NewLog(out, level)
 	defer flush()
 	redirectLibraryLog(log)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := hangup.Signals(syscall.SIGTERM, syscall.SIGINT)
 	d, err := front.New(front.Options{
 		Settings: s, Log: log,
 		Store: func(scope tally.Scope) front.Store { return platform.NewStore(s.Store.Address, scope) },
