Evacuated failure domains and regions restrict the choice of an endpoint

Cause: the operator's evacuations were read and ignored, and the regions of routes and accounts were decoded only. Change: internal/evacuation holds the evacuated failure domains through lists, deletions and restored stores; internal/routing resolves regions to failure domains once per configuration; internal/balance leaves both out of each choice. Requests that no endpoint may get are refused before their body is read. The feed of the operator's items keeps to the shorter of its bounds.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -223,12 +223,12 @@
 	return leaving, paused
 }
 
-// shortestPause returns the time until the first of the paused endpoints wants requests
-// again, or the limit of one allows them, 0 if there is none.
-func (p *Pool) shortestPause(now time.Time) time.Duration {
+// shortestPause returns the time until the first of the paused endpoints to which the request
+// may go wants requests again, or the limit of one allows them, 0 if there is none.
+func (p *Pool) shortestPause(now time.Time, r Request) time.Duration {
 	var shortest time.Duration
 	for _, e := range p.endpoints {
-		if d := max(p.pause(now, e), p.denial(now, e)); d > 0 && !p.leaves(e) && (shortest == 0 || d < shortest) {
+		if d := max(p.pause(now, e), p.denial(now, e)); d > 0 && !p.leaves(e) && r.admits(e) && (shortest == 0 || d < shortest) {
 			shortest = d
 		}
 	}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -46,6 +46,9 @@
 	Tried map[string]bool
 	// WithoutLimited leaves out the endpoints that limit the requests they take.
 	WithoutLimited bool
+	// Domains holds the failure domains to which the request may go; nil means all, an empty
+	// map none.
+	Domains map[string]bool
 }
 
 // sharedPrefix returns the parts that other requests may have in common with
@@ -101,6 +104,8 @@
 	daemons int
 	// notices holds what endpoints announced.
 	notices map[incarnation]notice
+	// evacuated holds the failure domains whose endpoints get no new requests.
+	evacuated map[string]bool
 }
 
 // New returns an empty pool.
@@ -127,7 +132,7 @@
 		state = newEndpointState(e)
 		p.endpoints[e.ID] = state
 	}
-	state.Endpoint = e
+	state.Endpoint, state.evacuated = e, p.evacuated[e.Domain]
 }
 
 // Remove removes an endpoint. Its open requests are not affected.
@@ -136,7 +141,9 @@
 // Reset discards the state of an endpoint whose process has restarted.
 func (p *Pool) Reset(id string) {
 	if e, ok := p.endpoints[id]; ok {
-		p.endpoints[id] = newEndpointState(e.Endpoint)
+		state := newEndpointState(e.Endpoint)
+		state.evacuated = e.evacuated
+		p.endpoints[id] = state
 	}
 }
 
@@ -166,6 +173,8 @@
 	// RetryAfter is set if no endpoint is eligible: the time until one that wants no
 	// requests for now accepts them again, 0 if there is none.
 	RetryAfter time.Duration
+	// Restriction is set if no endpoint is eligible: why none may get the request.
+	Restriction Restriction
 	// Limit is what is known of the endpoint's limit of requests a second.
 	Limit RateLimit
 }
@@ -176,7 +185,7 @@
 func (p *Pool) Choose(now time.Time, r Request) (Choice, bool) {
 	e, c := p.best(now, r)
 	if e == nil {
-		return Choice{RetryAfter: p.shortestPause(now)}, false
+		return Choice{RetryAfter: p.shortestPause(now, r), Restriction: p.Restriction(r.Domains)}, false
 	}
 	e.openRequests++
 	e.pendingPrefill += c.PrefillTokens
@@ -187,11 +196,11 @@
 }
 
 func (p *Pool) best(now time.Time, r Request) (*endpointState, Choice) {
-	preferred := p.preferredEndpoint(r.sharedPrefix())
+	preferred := p.preferredEndpoint(r)
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
 	for _, e := range p.endpoints {
-		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) || r.WithoutLimited && p.limited(e) {
+		if r.Tried[e.ID] || !r.admits(e) || p.atConnectionLimit(e) || p.withheld(now, e) || r.WithoutLimited && p.limited(e) {
 			continue
 		}
 		choice.Candidates++
@@ -210,9 +219,11 @@
 	return best, choice
 }
 
-// preferredEndpoint returns the endpoint that all daemons prefer for a shared
-// prefix: the first one in the order of rendezvous hashing by its last part.
-func (p *Pool) preferredEndpoint(shared []PromptPart) *endpointState {
+// preferredEndpoint returns the endpoint that all daemons prefer for the shared
+// prefix of a request: the first one in the order of rendezvous hashing by its
+// last part, among those to which the request may go.
+func (p *Pool) preferredEndpoint(r Request) *endpointState {
+	shared := r.sharedPrefix()
 	if len(shared) == 0 {
 		return nil
 	}
@@ -220,7 +231,7 @@
 	var best *endpointState
 	var highest uint64
 	for _, e := range p.endpoints {
-		if p.leaves(e) {
+		if p.leaves(e) || !r.admits(e) {
 			continue
 		}
 		if score := xxhash.Sum64String(key + "\x00" + e.ID); best == nil || score > highest {
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -93,6 +93,9 @@
 	cachedParts  map[string]cachedPart
 	cachedTokens int64
 
+	// evacuated is true while the endpoint's failure domain is evacuated.
+	evacuated bool
+
 	// deniedUntil is the end of the time for which the endpoint's limit allows no request.
 	deniedUntil time.Time
 
--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -80,7 +80,7 @@
 		Wire: front.Wire{
 			Codec: platform.Codec{}, DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint,
 			ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, EndpointPrefix: platform.EndpointPrefix,
-			ReadyPath: platform.ReadyPath,
+			EvacuationPrefix: platform.EvacuationPrefix, ReadyPath: platform.ReadyPath,
 		},
 	})
 	if err != nil {
--- a/internal/front/configuration.go
+++ b/internal/front/configuration.go
@@ -22,8 +22,10 @@
 // configuration holds the newest valid configuration. It never returns to an
 // older one.
 type configuration struct {
-	wire      Wire
-	log       zerolog.Logger
+	wire Wire
+	log  zerolog.Logger
+	// regions holds the region of each failure domain.
+	regions   map[string]string
 	onInstall func(*routing.Table)
 	current   atomic.Pointer[installedTable]
 }
@@ -68,6 +70,9 @@
 
 func (c *configuration) apply(r reading, events []platform.Event, _ platform.Revision) {
 	for _, ev := range events {
+		if ev.Item.Key != c.wire.ConfigKey {
+			continue
+		}
 		if ev.Deleted {
 			c.log.Warn().Str("key", ev.Item.Key).Stringer("revision", ev.Item.Revision).
 				Msg("configuration deleted; the last one stays")
@@ -108,6 +113,7 @@
 			Stringer("current_revision", old.item.Revision).Msg("older version of the configuration not installed")
 		return
 	}
+	c.bindRegions(table)
 	c.onInstall(table)
 	c.current.Store(&installedTable{Table: table, installedAt: r.at, item: i})
 	var former int64
@@ -118,3 +124,16 @@
 		Int("routes", len(table.Routes)).Int("accounts", len(table.Accounts)).
 		Str("origin", string(r.origin)).Dur("behind_ms", r.behind).Msg("configuration installed")
 }
+
+// maxRegionWarnings bounds the log lines about regions of one version of the configuration.
+const maxRegionWarnings = 10
+
+// bindRegions resolves the regions in a configuration. One without failure domains is most
+// likely misspelled, but the rest of the configuration has to come into force.
+func (c *configuration) bindRegions(t *routing.Table) {
+	unknown := t.BindRegions(c.regions)
+	for _, u := range unknown[:min(len(unknown), maxRegionWarnings)] {
+		c.log.Warn().Int64("version", t.Version).Str("owner", u.Owner).Str("region", u.Region).Int("regions_unknown", len(unknown)).
+			Msg("configuration names a region without failure domains")
+	}
+}
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -207,7 +207,7 @@
 		Wire: Wire{
 			Codec: wire.Codec{}, DecodeConfig: wire.DecodeConfig, DecodeEndpoint: wire.DecodeEndpoint,
 			ConfigPrefix: wire.ConfigPrefix, ConfigKey: wire.ConfigKey, EndpointPrefix: wire.EndpointPrefix,
-			ReadyPath: wire.ReadyPath,
+			EvacuationPrefix: wire.EvacuationPrefix, ReadyPath: wire.ReadyPath,
 		},
 	})
 	if err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -58,7 +58,9 @@
 	DecodeEndpoint discovery.Decode
 	// ConfigPrefix is a prefix of ConfigKey, the configuration's key.
 	// EndpointPrefix is the prefix of the endpoints' keys.
-	ConfigPrefix, ConfigKey, EndpointPrefix string
+	// EvacuationPrefix, which begins with ConfigPrefix, is that of the keys that name evacuated
+	// failure domains.
+	ConfigPrefix, ConfigKey, EndpointPrefix, EvacuationPrefix string
 	// ReadyPath is the path of the readiness probe.
 	ReadyPath string
 }
@@ -90,6 +92,7 @@
 	// restored signals that the store was restored from an older copy.
 	restored      chan struct{}
 	config        *configuration
+	evacuations   *evacuations
 	startVersion  startVersion
 	endpoints     *endpoints
 	pools         *pools
@@ -183,10 +186,11 @@
 	d.budgets = budgets.New(budgets.Options{Holder: d.id, Store: d.store, Peers: d.mesh, Log: d.log, Scope: d.scope})
 	d.retryBudget = newRetryBudget(
 		retryOptions(d.frontSettings.Bounds), d.frontSettings.Instance.FirstStart, d.mesh.Count, d.log)
-	d.config = &configuration{wire: d.opts.Wire, log: d.log, onInstall: d.applyConfiguration}
+	d.config = &configuration{wire: d.opts.Wire, log: d.log, regions: d.frontSettings.Instance.Regions, onInstall: d.applyConfiguration}
 	d.startVersion.log = d.log
 	d.endpoints = newEndpoints(d.opts.Wire.DecodeEndpoint, d.pools, d.log)
-	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, d.config, d.mesh, d.budgets.StoreContacted, d.log)
+	d.evacuations = newEvacuations(d.opts.Wire.EvacuationPrefix, d.pools, d.log, d.scope)
+	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, operatorItems{d.config, d.evacuations}, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.budgets.StoreContacted, d.log)
 	d.endpointFeed.stalePeriod = staleEntryPeriod
 	d.setBounds(d.frontSettings.Bounds)
@@ -324,6 +328,7 @@
 			d.ticks.record(time.Now())
 			d.endpoints.tick(now)
 			d.endpointFeed.admitHeld(now)
+			d.evacuations.tick(now)
 			d.crashIsolator.tick(now)
 			d.observeEra(max(d.configFeed.currentRevision(), d.endpointFeed.currentRevision()))
 			d.budgets.Tick(now)
@@ -360,11 +365,13 @@
 		Dur("grace_ms", s.Bounds.Grace.Duration).Msg("settings reloaded")
 }
 
-// setBounds applies the bounds that are not those of the retry budget.
+// setBounds applies the bounds that are not those of the retry budget. What the operator writes
+// is read with the configuration: the shorter of its bounds holds for all of it.
 func (d *Daemon) setBounds(b settings.Bounds) {
 	d.grace.Store(int64(b.Grace.Duration))
-	d.maxOutdated.Store(int64(b.Configuration.Duration / 2))
-	d.configFeed.setChangeBound(b.Configuration.Duration)
+	operatorBound := min(b.Configuration.Duration, b.Evacuation.Duration)
+	d.maxOutdated.Store(int64(operatorBound / 2))
+	d.configFeed.setChangeBound(operatorBound)
 	d.endpointFeed.setChangeBound(b.Draining.Duration)
 }
 
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -29,6 +29,8 @@
 	byService map[string]*balance.Pool
 	limits    map[string]balance.Limits
 	daemons   int
+	// evacuated holds the evacuated failure domains.
+	evacuated map[string]bool
 }
 
 var _ relay.Pools = (*pools)(nil)
@@ -45,6 +47,7 @@
 	if !ok {
 		pool = balance.New(balance.Options{Domain: p.domain, Limits: p.limits[service]})
 		pool.SetDaemons(p.daemons)
+		pool.SetEvacuated(time.Now(), p.evacuated)
 		p.byService[service] = pool
 	}
 	return pool
@@ -73,6 +76,46 @@
 	}
 }
 
+// evacuate sets the evacuated failure domains.
+func (p *pools) evacuate(now time.Time, domains map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuated = domains
+	for _, pool := range p.byService {
+		pool.SetEvacuated(now, domains)
+	}
+}
+
+// openRequests returns the number of this daemon's open requests in a failure domain.
+func (p *pools) openRequests(domain string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, pool := range p.byService {
+		n += pool.OpenRequests(domain)
+	}
+	return n
+}
+
+// knowsDomain reports whether an endpoint belongs to a failure domain.
+func (p *pools) knowsDomain(domain string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byService {
+		if pool.HasDomain(domain) {
+			return true
+		}
+	}
+	return false
+}
+
+// Restriction implements relay.Pools.
+func (p *pools) Restriction(service string, domains map[string]bool) balance.Restriction {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool(service).Restriction(domains)
+}
+
 // applyChange applies a change of the list of endpoints.
 func (p *pools) applyChange(kind discovery.ChangeKind, service string, e balance.Endpoint) {
 	p.mu.Lock()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -96,6 +96,9 @@
 		}
 		choice, ok := x.choose(ctx)
 		if !ok {
+			if err := x.restricted(choice.Restriction); err != nil {
+				return x.callerError(err)
+			}
 			return x.callerError(problem.New(problem.NoEndpoint, "no endpoint of service %q is available", x.service).
 				WithRetryAfter(spreadRetryAfter(choice.RetryAfter)))
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,6 +35,8 @@
 	retryAfterNoEndpoint   = 400 * time.Millisecond
 	retryAfterStopping     = 50 * time.Millisecond
 	retryAfterOutdated     = 50 * time.Millisecond
+	// An evacuation lasts seconds or more, and the regions of a configuration longer.
+	retryAfterRestricted = 2 * time.Second
 )
 
 // errTimeout is the cause of a request context that ends at its deadline.
@@ -54,6 +56,8 @@
 	account  *routing.Account
 	service  string
 	engine   *routing.Engine
+	// domains holds the failure domains to which the request may go; nil means all.
+	domains  map[string]bool
 	body     []byte
 	deadline time.Time
 	// fingerprint identifies the request's content and the parts of its prompt.
@@ -208,6 +212,10 @@
 	if s, ok := x.table.Service(x.service); ok {
 		x.engine = s.Engine
 	}
+	x.domains = x.table.AllowedDomains(x.route, x.account)
+	if err := x.restricted(x.handler.Pools.Restriction(x.service, x.domains)); err != nil {
+		return err
+	}
 	timeout := x.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -301,6 +309,7 @@
 func (x *exchange) balanceRequest() balance.Request {
 	return balance.Request{
 		Prompt: x.meta.Prompt, PromptTokens: x.meta.PromptTokens, Idempotent: x.route.Idempotent(), Tried: x.tried,
+		Domains: x.domains,
 	}
 }
 
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -113,6 +113,8 @@
 	// limit is that of each endpoint; denied are the endpoints whose limits allow no request.
 	limit  float64
 	denied map[string]bool
+	// restriction is that of each request.
+	restriction balance.Restriction
 	// denials is the number of requests for permits that were denied.
 	denials int
 }
@@ -125,6 +127,7 @@
 	}
 	return balance.Choice{RetryAfter: p.pause}, false
 }
+func (p *pools) Restriction(string, map[string]bool) balance.Restriction { return p.restriction }
 func (p *pools) Permit(_ context.Context, _ string, c balance.Choice, _ balance.Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -134,6 +134,9 @@
 	// ends that. Without an eligible endpoint, the choice has a RetryAfter if known.
 	// Started records the time to the first byte of a response.
 	Choose(service string, r balance.Request) (balance.Choice, bool)
+	// Restriction returns why no endpoint may get a request that may go to the given failure
+	// domains; nil means all.
+	Restriction(service string, domains map[string]bool) balance.Restriction
 	// Permit reports whether the endpoint's limit allows the request; if not, the choice has
 	// ended.
 	Permit(ctx context.Context, service string, c balance.Choice, r balance.Request) bool
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -129,6 +129,7 @@
 	services      map[string]*Service
 	// mostUrgent is the lowest priority value of the routes to engines.
 	mostUrgent int
+	regions    regionBindings
 }
 
 // NewTable indexes a configuration. It returns an error if a route has an
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -133,7 +133,7 @@
 	}{
 		{"machine.memory", float64(s.Machine.Memory.Bytes)}, {"bounds.retry_window", s.Bounds.RetryWindow.Seconds()},
 		{"bounds.grace", s.Bounds.Grace.Seconds()}, {"bounds.configuration", s.Bounds.Configuration.Seconds()},
-		{"bounds.draining", s.Bounds.Draining.Seconds()},
+		{"bounds.draining", s.Bounds.Draining.Seconds()}, {"bounds.evacuation", s.Bounds.Evacuation.Seconds()},
 	} {
 		if p.value <= 0 {
 			return errors.Errorf("%s must be positive", p.name)
