Tests of evacuations and regions; the soak evacuates failure domains

Cause: nothing played an evacuation beside restarts, cuts and restores. A request that no endpoint may get is refused without waiting for its body: the server held the refusal back until the body was read.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -191,6 +191,7 @@
 	f.t.Helper()
 	s := settings.DefaultFront()
 	s.Instance = settings.FrontInstance{Name: fmt.Sprintf("d%d", i), FailureDomain: fmt.Sprintf("z%d", i), FirstStart: first}
+	s.Instance.Regions = map[string]string{"z0": "north", "z1": "south"}
 	mesh := "127.0.0.1:0"
 	if f.daemons[i] != nil {
 		mesh = f.daemons[i].meshListener.Addr().String()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -213,7 +213,7 @@
 		x.engine = s.Engine
 	}
 	x.domains = x.table.AllowedDomains(x.route, x.account)
-	if err := x.restricted(x.handler.Pools.Restriction(x.service, x.domains)); err != nil {
+	if err := x.refuseRestricted(); err != nil {
 		return err
 	}
 	timeout := x.route.Timeout
--- a/internal/relay/restriction.go
+++ b/internal/relay/restriction.go
@@ -1,12 +1,27 @@
 package relay
 
 import (
+	"net/http"
+
 	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/problem"
 )
 
-// restricted returns the error of a request that no endpoint may get, nil if one may. It is
-// known before the body is read and tokens are reserved, so the caller is told at once.
+// refuseRestricted returns the error of a request that no endpoint may get, nil if one may. The
+// caller is told at once: before tokens are reserved, and without waiting for the body.
+func (x *exchange) refuseRestricted() error {
+	err := x.restricted(x.handler.Pools.Restriction(x.service, x.domains))
+	if err == nil {
+		return nil
+	}
+	// Otherwise the server reads the body before it sends the refusal.
+	if err := http.NewResponseController(x.w).EnableFullDuplex(); err != nil {
+		x.handler.Log.Debug().Err(err).Str("request", x.meta.ID).Msg("refusal waits for the body")
+	}
+	return err
+}
+
+// restricted returns the error of a request that no endpoint may get, nil if one may.
 func (x *exchange) restricted(r balance.Restriction) error {
 	var err *problem.Error
 	switch r {
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -64,7 +64,7 @@
 		}
 		s.bed.store.Status.Store(0)
 		time.Sleep(configDelay)
-		s.bed.writeConfig()
+		s.bed.writeOperatorItems()
 		for _, i := range order {
 			time.Sleep(configDelay / time.Duration(len(order)))
 			s.bed.announce(s.bed.endpoints[i])
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -346,6 +346,10 @@
 			t.Parallel()
 			runSeed(t, uint64(seed), daemons, longRun, limitFaults)
 		})
+		t.Run(fmt.Sprint("evacuations/seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, uint64(seed), daemons, longRun, evacuateFaults)
+		})
 	}
 }
 
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -66,9 +66,11 @@
 	version   int
 	published time.Time
 	prepaid   map[string]int64
-	// config is the newest configuration, copies older contents of the store.
-	config any
-	copies []memstore.Copy
+	// config is the newest configuration, evacuated the failure domain that is evacuated, if any,
+	// copies older contents of the store.
+	config    any
+	evacuated string
+	copies    []memstore.Copy
 	// lastStoreFault and lastEndpointFault are the last times at which a fault of
 	// the store or of an endpoint began or ended. openStoreFaults and
 	// openEndpointFaults count the active ones.
@@ -311,11 +313,12 @@
 	bed.published = time.Now()
 }
 
-// writeConfig writes the newest configuration again.
-func (bed *testbed) writeConfig() {
+// writeOperatorItems writes the newest configuration and the evacuation in force again.
+func (bed *testbed) writeOperatorItems() {
 	bed.mu.Lock()
 	defer bed.mu.Unlock()
 	bed.putConfig()
+	bed.putEvacuation()
 }
 
 // putConfig writes the newest configuration. The caller holds bed.mu.
