--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -60,6 +60,8 @@
 	// lastDisturbed is the last time at which the daemon was started, killed,
 	// paused or cut off from the store, or such a fault ended.
 	lastDisturbed time.Time
+	// lastBehind is the last time at which a pause or a cut from the store began or ended.
+	lastBehind time.Time
 	// interruptions are the times at which the process was started, killed, paused or
 	// resumed.
 	interruptions []time.Time
@@ -136,6 +138,9 @@
 		d.lastDisturbed = time.Now()
 		d.interruptions = append(d.interruptions, d.lastDisturbed)
 	}
+	if s == syscall.SIGSTOP || s == syscall.SIGCONT {
+		d.lastBehind = time.Now()
+	}
 	if s == syscall.SIGTERM && d.stopRequested.IsZero() {
 		d.stopRequested = time.Now()
 	}
@@ -156,9 +161,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastDisturbed = time.Now()
+	d.lastBehind = d.lastDisturbed
 	d.openStoreFaults += change
 }
 
+// mayBeBehindSince reports whether a pause or a cut from the store, since a time, may have kept
+// changes of the store from the daemon. A start doesn't: a daemon reads the store before it serves.
+func (d *daemon) mayBeBehindSince(since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.paused || d.openStoreFaults > 0 || d.lastBehind.After(since)
+}
+
 // kill kills the process and waits for its exit.
 func (d *daemon) kill() {
 	d.signal(syscall.SIGKILL)
