Don't pass on parts of answers and invalid statuses as answers

An answer without a length ends with its connection. Where an endpoint reset the connection while a long upload was still being written, the write took the kernel's error and the read saw the end of the stream: the caller got the part as a complete answer. The end of a connection that has begun to answer counts now only once the request was written without an error.

A status of three digits passes the HTTP library whatever its value. 000, 099 and "+20" made the handler panic: the caller's connection ended, the tokens stayed reserved and the request counted as open at its endpoint. 101 and 600 to 999 reached the caller. Final statuses outside of 200 to 599 are failed attempts that may have run; orders answered so have an unknown result instead of counting as failed. A panic settles the tokens and ends the attempt.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -35,6 +35,8 @@
 	hedgeDelay            time.Duration
 	winner                string
 	firstTokenTimeout     time.Duration
+	// maxBody is that of the service; 0 means 100.
+	maxBody int64
 }
 
 const testKey = "secret"
@@ -44,7 +46,7 @@
 }
 
 func (f *fakeFleet) Service(name string) (Service, bool) {
-	return Service{Name: "orders", Price: 10, MaxBody: 100, NonIdempotent: func(method, path string) bool {
+	return Service{Name: "orders", Price: 10, MaxBody: max(f.maxBody, 100), NonIdempotent: func(method, path string) bool {
 		return method == http.MethodPost && path == "/reprint"
 	}}, name == "orders"
 }
--- a/internal/gateway/once_test.go
+++ b/internal/gateway/once_test.go
@@ -15,6 +15,14 @@
 // addRawEndpoint adds an endpoint that responds to each request itself, on its connection. It
 // returns false to close the connection.
 func (x *fixture) addRawEndpoint(respond func(r *http.Request, c net.Conn) bool) {
+	x.addEarlyEndpoint(func(r *http.Request, c net.Conn) bool {
+		_, err := io.Copy(io.Discard, r.Body)
+		return err == nil && respond(r, c)
+	})
+}
+
+// addEarlyEndpoint is addRawEndpoint for an endpoint that responds before it has read a body.
+func (x *fixture) addEarlyEndpoint(respond func(r *http.Request, c net.Conn) bool) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		x.t.Fatal(err)
@@ -40,7 +48,7 @@
 					if err != nil {
 						return
 					}
-					if _, err := io.Copy(io.Discard, r.Body); err != nil || !respond(r, c) {
+					if !respond(r, c) {
 						return
 					}
 				}
--- a/internal/orders/endpoint.go
+++ b/internal/orders/endpoint.go
@@ -112,10 +112,11 @@
 		return order.ResultAccepted, nil
 	case status == http.StatusConflict:
 		return order.ResultRefused, nil
-	case status < http.StatusInternalServerError && status != http.StatusRequestTimeout:
+	case status >= http.StatusOK && status < http.StatusInternalServerError && status != http.StatusRequestTimeout:
 		return order.ResultFailed, errors.Errorf("status %d", status)
 	}
-	// After a server error it is unknown whether the endpoint accepted the order.
+	// After a server error, or a status outside of the protocol, it is unknown whether the
+	// endpoint accepted the order.
 	return order.ResultUnknown, errors.Errorf("status %d", status)
 }
 
--- a/internal/orders/endpoint_test.go
+++ b/internal/orders/endpoint_test.go
@@ -55,6 +55,15 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		panic(http.ErrAbortHandler)
 	}
+	invalid := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n")
+		c.Close()
+	}
 	m := newManager(t)
 	for _, test := range []struct {
 		name    string
@@ -67,6 +76,7 @@
 		{"invalid", answer(400), true, order.ResultFailed},
 		{"redirect", answer(307), true, order.ResultFailed},
 		{"server error", answer(500), true, order.ResultUnknown},
+		{"no status of the protocol", invalid, true, order.ResultUnknown},
 		{"answer lost", hangUp, true, order.ResultUnknown},
 		{"duty lost", answer(202), false, order.ResultUnsent},
 		{"connection refused", nil, true, order.ResultFailed},
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -206,13 +206,11 @@
 	a.begun.Store(x.committed)
 	a.last = x.runs+1 >= max(x.route.MaxAttempts, 1) || len(x.sentTo) >= maxSends || choice.Candidates == 1
 	a.startTimer()
-	failed := a.run()
-	a.stopTimer()
+	failed := a.runToEnd()
 	if failed != nil {
 		failed.retryTaken = a.retryTaken.Load()
 		failed.evidence = a.evidence(failed.err)
 	}
-	x.handler.Pools.Done(x.service, choice, a.started)
 	outcome := balance.Succeeded
 	if failed != nil {
 		outcome = failed.outcome
@@ -255,6 +253,14 @@
 	})
 }
 
+// runToEnd runs the attempt and ends its choice, also if it panics: the request would count as
+// open at the endpoint for ever.
+func (a *attempt) runToEnd() *attemptFailure {
+	defer func() { a.x.handler.Pools.Done(a.x.service, a.choice, a.started) }()
+	defer a.stopTimer()
+	return a.run()
+}
+
 // run sends the request and relays the response.
 func (a *attempt) run() *attemptFailure {
 	x := a.x
@@ -320,6 +326,8 @@
 		return &attemptFailure{
 			err: errors.WithMessage(err, context.Cause(a.ctx).Error()), ran: upstream.RanUnknown, outcome: balance.NoValidResponse,
 		}
+	case errors.Is(err, upstream.ErrInvalidStatus):
+		return &attemptFailure{err: err, ran: upstream.RanUnknown, outcome: balance.NoValidResponse}
 	default:
 		return &attemptFailure{err: err, ran: upstream.RanUnknown, outcome: balance.NoValidResponse, crashed: true}
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -154,12 +154,16 @@
 	if !ok {
 		return problem.New(problem.Overloaded, "the request has crashed endpoints and is isolated").WithRetryAfter(retryAfter)
 	}
-	if err = x.reserve(ctx); err == nil {
-		err = x.attempts(ctx)
-		x.settle()
+	completed := false
+	defer func() { x.handler.CrashIsolator.End(x.fingerprint, completed) }()
+	if err = x.reserve(ctx); err != nil {
+		return err
 	}
+	// A panic must not leave tokens reserved.
+	defer x.settle()
+	err = x.attempts(ctx)
 	// An error response does not show that an endpoint can run the request.
-	x.handler.CrashIsolator.End(x.fingerprint, err == nil && x.status/100 == 2)
+	completed = err == nil && x.status/100 == 2
 	return err
 }
 
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -115,11 +115,22 @@
 	denied map[string]bool
 	// denials is the number of requests for permits that were denied.
 	denials int
+	// chosen and ended count the requests at endpoints.
+	chosen, ended int
+}
+
+func (p *pools) counts() (chosen, ended int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.chosen, p.ended
 }
 
 func (p *pools) Choose(_ string, r balance.Request) (balance.Choice, bool) {
 	for i, e := range p.order {
 		if id := string(rune('a' + i)); !r.Tried[id] && (!r.WithoutLimited || !p.denied[id]) {
+			p.mu.Lock()
+			p.chosen++
+			p.mu.Unlock()
 			return balance.Choice{Endpoint: balance.Endpoint{ID: id, Addr: e.addr}, Limit: balance.RateLimit{PerSecond: p.limit}}, true
 		}
 	}
@@ -130,12 +141,17 @@
 	defer p.mu.Unlock()
 	if p.denied[c.ID] {
 		p.denials++
+		p.ended++
 	}
 	return !p.denied[c.ID]
 }
 func (p *pools) Started(string, balance.Choice, time.Duration) {}
-func (p *pools) Done(string, balance.Choice, bool)             {}
 func (p *pools) Reported(string, string, balance.LoadReport)   {}
+func (p *pools) Done(string, balance.Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended++
+}
 func (p *pools) Announced(_ string, _ balance.Choice, a balance.Announcement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -136,7 +136,7 @@
 		if use != nil {
 			use.release()
 		}
-		use = newConnUse(ctx, i.Conn.(*endpointConn), i.Reused, call.Header.Get(HeaderRequestID))
+		use = newConnUse(ctx, i.Conn.(*endpointConn), i.Reused, call.Header.Get(HeaderRequestID), int64(len(call.Body)))
 	}}
 	req, err := call.request()
 	if err != nil {
@@ -146,15 +146,20 @@
 	if call.OwnConnection || req.Body == nil && hasIdempotencyKey(call.Header) {
 		transport = c.unpooled
 	}
-	//nolint:bodyclose // the caller closes it
 	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil && !validStatus(resp.StatusCode) {
+		err = errors.Wrapf(ErrInvalidStatus, "status %q", resp.Status)
+		use.Close()
+		resp.Body.Close()
+	}
 	if err != nil {
 		failed := &Error{Endpoint: call.Endpoint, Ran: RanNo, Err: err}
 		if use != nil {
 			failed.Connected, failed.Reused, failed.Written = true, use.reused, use.requestBytes()
 			use.release()
 		}
-		if failed.Written > 0 {
+		// A response may arrive before the write has returned and was counted.
+		if failed.Written > 0 || resp != nil {
 			failed.Ran = RanUnknown
 		}
 		return nil, failure.At(failed, "upstream.request", call.Addr)
@@ -164,6 +169,10 @@
 	return r, nil
 }
 
+// validStatus reports whether a status is that of a final response. The transport's parser
+// passes on all numbers of three digits, and informational ones that switch protocols.
+func validStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
+
 // request returns the HTTP request of a call. A request with a body but without GetBody is
 // not repeated by the transport itself. A body that turns out to be empty is sent as none
 // with methods that have none.
@@ -252,7 +261,7 @@
 func (r *Response) Reused() bool { return r.use.reused }
 
 // Closed reports whether the connection is closed.
-func (r *Response) Closed() bool { return r.use.closed.Load() }
+func (r *Response) Closed() bool { return r.use.isClosed() }
 
 // Written returns the number of bytes of the call that were written.
 func (r *Response) Written() int64 { return r.use.requestBytes() }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -64,4 +64,6 @@
 	ErrStatus = errors.New("the endpoint answered with an error status")
 	// ErrOtherResponse means that a response belongs to an earlier request.
 	ErrOtherResponse = errors.New("the endpoint's response belongs to an earlier request")
+	// ErrInvalidStatus means that a status is not that of a final response, 200 to 599.
+	ErrInvalidStatus = errors.New("the endpoint answered with a status outside of the protocol")
 )
