--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -25,6 +25,8 @@
 	// UnlimitedSince is set if the response names no limit: when its request was sent. A
 	// response that was under way does not end a limit that was named meanwhile.
 	UnlimitedSince time.Time
+	// ColdFor is how long the endpoint stays cold; 0 if it did not say so.
+	ColdFor time.Duration
 }
 
 // incarnation is one life of an endpoint's process.
@@ -84,6 +86,7 @@
 // RecordAnnouncement records what the endpoint e, as it was chosen, announced. It returns
 // true if the announcement changes whether the endpoint gets requests.
 func (p *Pool) RecordAnnouncement(now time.Time, e Endpoint, a Announcement) bool {
+	cold := a.ColdFor > 0 && p.RecordCold(now, e, a.ColdFor, true)
 	former := p.notices[e.incarnation()]
 	n := former
 	n.leaving = n.leaving || a.Leaving
@@ -94,12 +97,12 @@
 		n.limitHeardAt = now
 	}
 	if n == former {
-		return false
+		return cold
 	}
 	n.receivedAt = now
 	p.pruneNotices(now)
 	p.notices[e.incarnation()] = n
-	return n.leaving != former.leaving || n.pausedUntil != former.pausedUntil || n.limit.PerSecond != former.limit.PerSecond
+	return cold || n.leaving != former.leaving || n.pausedUntil != former.pausedUntil || n.limit.PerSecond != former.limit.PerSecond
 }
 
 // HeardLimits returns the limits of which responses to this daemon told within limitToldFor, also
@@ -125,8 +128,10 @@
 	return p.notices[e.incarnation()].limit
 }
 
-// limited reports whether the endpoint limits the requests it takes.
-func (p *Pool) limited(e *endpointState) bool { return p.LimitOf(e.Endpoint).PerSecond > 0 }
+// limited reports whether requests to the endpoint need permits.
+func (p *Pool) limited(now time.Time, e *endpointState) bool {
+	return p.LimitOf(e.Endpoint).PerSecond > 0 || p.cold(now, e)
+}
 
 // pruneNotices removes the notices of incarnations that have been gone for maxPause.
 func (p *Pool) pruneNotices(now time.Time) {
@@ -177,14 +182,14 @@
 	p.notices[e.incarnation()] = n
 }
 
-// Permitted records that a request chosen for an endpoint with a limit is sent.
+// Permitted records that a request that needed a permit is sent.
 func (p *Pool) Permitted(now time.Time, c Choice, r Request) {
 	if e, ok := p.endpoints[c.ID]; ok {
 		e.recordPrompt(now, r.Prompt, p.opts.KVTokens)
 	}
 }
 
-// Denied ends a choice whose endpoint's limit allows no request for a time.
+// Denied ends a choice for whose endpoint there is no permit for a time.
 func (p *Pool) Denied(now time.Time, c Choice, wait time.Duration) {
 	p.Done(c, false)
 	if e, ok := p.endpoints[c.ID]; ok && e.incarnation() == c.incarnation() {
@@ -192,21 +197,25 @@
 	}
 }
 
-// denial returns the time for which the endpoint's limit still allows no request.
+// denial returns the time for which no permit is to be had for the endpoint.
 func (p *Pool) denial(now time.Time, e *endpointState) time.Duration {
-	if !p.limited(e) {
+	d := e.deniedUntil.Sub(now)
+	if d <= 0 || !p.limited(now, e) {
 		return 0
 	}
-	return max(0, e.deniedUntil.Sub(now))
+	return d
 }
 
-// withheld reports whether what the endpoint announced forbids to send it a request now.
+// withheld reports whether what is known of the endpoint forbids to send it a request now.
 func (p *Pool) withheld(now time.Time, e *endpointState) bool {
-	if e.Leaving || len(p.notices) == 0 {
-		return e.Leaving
+	if e.Leaving || p.denial(now, e) > 0 {
+		return true
+	}
+	if len(p.notices) == 0 {
+		return false
 	}
 	limit, limited := p.returningSlots(now, e)
-	return p.leaves(e) || p.pause(now, e) > 0 || p.denial(now, e) > 0 || limited && e.openRequests >= limit
+	return p.leaves(e) || p.pause(now, e) > 0 || limited && e.openRequests >= limit
 }
 
 // Announced returns the number of endpoints that leave, by their entries or by their own
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -44,7 +44,7 @@
 	Idempotent bool
 	// Tried holds the IDs of the endpoints that the request was already sent to.
 	Tried map[string]bool
-	// WithoutLimited leaves out the endpoints that limit the requests they take.
+	// WithoutLimited leaves out the endpoints to which requests need permits.
 	WithoutLimited bool
 }
 
@@ -91,6 +91,8 @@
 	// MaxConnections limits the connections of all daemons to one endpoint;
 	// 0 means no limit.
 	MaxConnections int
+	// Cold applies to endpoints that have just started.
+	Cold ColdLimits
 }
 
 // Pool holds the state of one service's endpoints.
@@ -101,11 +103,16 @@
 	daemons int
 	// notices holds what endpoints announced.
 	notices map[incarnation]notice
+	// coldStates holds what is known of the coldness of endpoints, by ID.
+	coldStates map[string]*coldState
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{opts: o, endpoints: make(map[string]*endpointState), daemons: 1, notices: make(map[incarnation]notice)}
+	return &Pool{
+		opts: o, endpoints: make(map[string]*endpointState), daemons: 1, notices: make(map[incarnation]notice),
+		coldStates: make(map[string]*coldState),
+	}
 }
 
 // SetDaemons sets the number of daemons that share the pool.
@@ -168,11 +175,16 @@
 	RetryAfter time.Duration
 	// Limit is what is known of the endpoint's limit of requests a second.
 	Limit RateLimit
+	// Cold is true if the endpoint is cold or may be.
+	Cold bool
 }
 
+// NeedsPermit reports whether a request needs a permit before it is sent to the endpoint.
+func (c Choice) NeedsPermit() bool { return c.Limit.PerSecond > 0 || c.Cold }
+
 // Choose returns the endpoint with the lowest cost and counts the request
 // there. The caller must call Done exactly once for each choice, and Permitted before it
-// sends a request to an endpoint with a limit. It returns false if no endpoint is eligible.
+// sends a request that needs a permit. It returns false if no endpoint is eligible.
 func (p *Pool) Choose(now time.Time, r Request) (Choice, bool) {
 	e, c := p.best(now, r)
 	if e == nil {
@@ -180,7 +192,7 @@
 	}
 	e.openRequests++
 	e.pendingPrefill += c.PrefillTokens
-	if c.Limit.PerSecond == 0 {
+	if !c.NeedsPermit() {
 		e.recordPrompt(now, r.Prompt, p.opts.KVTokens)
 	}
 	return c, true
@@ -191,7 +203,7 @@
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
 	for _, e := range p.endpoints {
-		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) || r.WithoutLimited && p.limited(e) {
+		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) || r.WithoutLimited && p.limited(now, e) {
 			continue
 		}
 		choice.Candidates++
@@ -205,7 +217,7 @@
 		}
 	}
 	if best != nil {
-		choice.Limit = p.LimitOf(best.Endpoint)
+		choice.Limit, choice.Cold = p.LimitOf(best.Endpoint), p.cold(now, best)
 	}
 	return best, choice
 }
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -93,7 +93,7 @@
 	cachedParts  map[string]cachedPart
 	cachedTokens int64
 
-	// deniedUntil is the end of the time for which the endpoint's limit allows no request.
+	// deniedUntil is the end of the time for which no permit is to be had.
 	deniedUntil time.Time
 
 	health
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -114,6 +114,11 @@
 		return false
 	}
 	e.decay(now)
+	if o == NoValidResponse || o == Unreachable {
+		p.suspectRestart(now, e)
+	} else {
+		p.answeredAfterRestart(now, e)
+	}
 	switch o {
 	case Succeeded:
 		e.succeeded++
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -90,9 +90,13 @@
 		e.log.Info().Str("endpoint", c.Entry.ID).Str("service", c.Entry.Service).Str("peer", c.Entry.Addr).
 			Bool("leaving", c.Entry.Leaving).Stringer("revision", c.Revision).Str("change", kinds[c.Kind]).
 			Str("origin", string(r.origin)).Dur("behind_ms", r.behind).Msg("endpoint changed")
-		e.pools.applyChange(c.Kind, c.Entry.Service, balance.Endpoint{
+		endpoint := balance.Endpoint{
 			ID: c.Entry.ID, Addr: c.Entry.Addr, Domain: c.Entry.Domain, Slots: c.Entry.Slots, Leaving: c.Entry.Leaving,
 			Incarnation: c.Entry.Incarnation,
-		})
+		}
+		e.pools.applyChange(c.Kind, c.Entry.Service, endpoint)
+		if c.Kind != discovery.Removed {
+			e.pools.reportCold(c.Entry.Service, endpoint, c.Entry.Sequence, c.Entry.ColdFor)
+		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -177,6 +177,7 @@
 	})
 	d.permits = newPermits(d.mesh, d.stopping.Load, d.log)
 	d.pools.permits = d.permits
+	d.pools.coldRatio, d.pools.coldSlack = d.frontSettings.Bounds.ColdRatio, d.frontSettings.Bounds.ColdSlack
 	d.pools.report = func(e balance.Endpoint, l balance.RateLimit) {
 		d.wg.Go(func() { d.permits.report(d.ctx, e, l) })
 	}
@@ -191,6 +192,7 @@
 	d.endpointFeed.stalePeriod = staleEntryPeriod
 	d.setBounds(d.frontSettings.Bounds)
 	d.joined, d.restored = make(chan struct{}), make(chan struct{}, 1)
+	d.permits.joined = d.joined
 	d.endpointFeed.onRestored = d.signalRestored
 	d.configFeed.joined, d.endpointFeed.joined = d.joined, d.joined
 	d.configFeed.primary, d.endpointFeed.onRegained = d.endpointFeed, d.configFeed.requestRead
--- a/internal/front/permits.go
+++ b/internal/front/permits.go
@@ -30,24 +30,33 @@
 	// HighestRanked returns the address of the daemon that ranks first for a key, empty
 	// for this one, which counts if self is true.
 	HighestRanked(key string, self bool) string
+	// Grantor returns the address of the daemon that grants the permits of an endpoint in a
+	// failure domain, empty for this one, which counts if self is true; false if none is in sight.
+	Grantor(key, domain string, self bool) (addr string, ok bool)
+	// GrantsAlone reports whether this daemon may grant them without asking another one.
+	GrantsAlone(key, domain string) bool
 	RequestPermit(ctx context.Context, addr string, r *meshpb.PermitRequest) (*meshpb.PermitReply, error)
 }
 
 // permits obtains and grants leave to send requests to endpoints that limit what they take from
-// all daemons together. One daemon of the fleet, the highest ranked for the endpoint, grants all of
-// its permits, so that the limit is neither exceeded nor left unused where callers are unevenly
-// distributed.
+// all daemons together, or are cold. One daemon of the fleet, the highest ranked for the endpoint,
+// grants all of its permits, so that the limit is neither exceeded nor left unused where callers are
+// unevenly distributed.
 type permits struct {
 	peers    permitPeers
 	stopping func() bool
 	log      zerolog.Logger
 
+	// joined is closed once the daemon knows the registered ones; nil: it does.
+	joined <-chan struct{}
+
 	mu     sync.Mutex
 	issuer *permit.Issuer
+	cold   *permit.ColdIssuer
 }
 
 func newPermits(peers permitPeers, stopping func() bool, log zerolog.Logger) *permits {
-	return &permits{peers: peers, stopping: stopping, log: log, issuer: permit.NewIssuer()}
+	return &permits{peers: peers, stopping: stopping, log: log, issuer: permit.NewIssuer(), cold: permit.NewColdIssuer()}
 }
 
 // permitResult is the answer to a request for a permit.
@@ -98,6 +107,9 @@
 // serve answers a peer's request. A daemon that knows a higher ranked one passes the request on, so
 // that two daemons whose lists of peers differ don't both grant permits.
 func (p *permits) serve(ctx context.Context, r *meshpb.PermitRequest) (*meshpb.PermitReply, error) {
+	if r.ColdRate > 0 {
+		return p.serveCold(ctx, r), nil
+	}
 	if owner := p.owner(r.Endpoint); owner != "" && !r.Forwarded {
 		r.Forwarded = true
 		if reply, err := p.peers.RequestPermit(ctx, owner, r); err == nil {
@@ -134,9 +146,11 @@
 
 // owner returns the address of the daemon that grants an endpoint's permits, empty for this one.
 func (p *permits) owner(endpoint string) string {
-	return p.peers.HighestRanked(fmt.Sprint("endpoint ", endpoint), !p.stopping())
+	return p.peers.HighestRanked(rankKey(endpoint), !p.stopping())
 }
 
+func rankKey(endpoint string) string { return fmt.Sprint("endpoint ", endpoint) }
+
 func keyOf(e balance.Endpoint) permit.Key {
 	return permit.Key{Endpoint: e.ID, Incarnation: e.Incarnation}
 }
--- a/internal/front/permits_test.go
+++ b/internal/front/permits_test.go
@@ -42,6 +42,13 @@
 	return ""
 }
 
+func (n *permitNode) Grantor(_, _ string, self bool) (string, bool) {
+	addr := n.HighestRanked("", self)
+	return addr, addr != "" || self
+}
+
+func (n *permitNode) GrantsAlone(_, _ string) bool { return n.HighestRanked("", true) == "" }
+
 func (n *permitNode) RequestPermit(ctx context.Context, addr string, r *meshpb.PermitRequest) (*meshpb.PermitReply, error) {
 	if n.net.down[addr] {
 		n.suspect[addr] = true
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -24,6 +24,8 @@
 	// the daemon that grants them.
 	permits *permits
 	report  func(e balance.Endpoint, l balance.RateLimit)
+	// coldRatio and coldSlack bound the requests that a cold endpoint gets in one second.
+	coldRatio, coldSlack float64
 
 	mu        sync.Mutex
 	byService map[string]*balance.Pool
@@ -55,7 +57,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range services {
-		l := balance.Limits{MaxConnections: s.MaxConnections}
+		l := balance.Limits{MaxConnections: s.MaxConnections, Cold: balance.ColdLimits{Period: s.ColdPeriod, Rate: s.ColdRate}}
 		if s.Engine != nil {
 			l.KVTokens = s.Engine.KVTokens
 		}
@@ -101,8 +103,8 @@
 	return false
 }
 
-// updateGauges updates the numbers of endpoints that leave and that want no requests for
-// now.
+// updateGauges updates the numbers of endpoints that leave, that want no requests for now, and
+// that are cold.
 func (p *pools) updateGauges(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -111,6 +113,7 @@
 		scope := p.scope.Tagged(map[string]string{"service": service})
 		scope.Gauge("endpoints_leaving").Update(float64(leaving))
 		scope.Gauge("endpoints_paused").Update(float64(paused))
+		scope.Gauge("endpoints_cold").Update(float64(pool.Cold(now)))
 	}
 }
 
@@ -170,7 +173,16 @@
 
 // Permit implements relay.Pools.
 func (p *pools) Permit(ctx context.Context, service string, c balance.Choice, r balance.Request) bool {
+	if !c.NeedsPermit() {
+		return true
+	}
+	if c.Cold && !p.permitCold(ctx, service, c) {
+		return false
+	}
 	if c.Limit.PerSecond == 0 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.pool(service).Permitted(time.Now(), c, r)
 		return true
 	}
 	result := p.permits.acquire(ctx, c.Endpoint, c.Limit)
@@ -188,11 +200,14 @@
 }
 
 func (p *pools) countPermit(service string, granted bool) {
-	result := "denied"
+	p.scope.Tagged(map[string]string{"service": service, "result": permitResultTag(granted)}).Counter("endpoint_permits").Inc(1)
+}
+
+func permitResultTag(granted bool) string {
 	if granted {
-		result = "granted"
+		return "granted"
 	}
-	p.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("endpoint_permits").Inc(1)
+	return "denied"
 }
 
 // EndpointRemoved implements relay.Pools.
@@ -215,6 +230,11 @@
 				Service: service, Endpoint: id, Requests: int64(l.Requests), Reading: l.PrefillTokens, Ok: l.Succeeded, Failed: l.Failed,
 			})
 		}
+		for e, d := range pool.HeardCold(now) {
+			loads = append(loads, &meshpb.EndpointLoad{
+				Service: service, Endpoint: e.ID, Incarnation: e.Incarnation, ColdMs: d.Milliseconds(),
+			})
+		}
 		for e, l := range pool.HeardLimits(now) {
 			loads = append(loads, &meshpb.EndpointLoad{
 				Service: service, Endpoint: e.ID, Incarnation: e.Incarnation, Limit: encodeRateLimit(now, l),
@@ -236,6 +256,8 @@
 		pool, ok := p.byService[l.Service]
 		switch {
 		case !ok:
+		case l.ColdMs > 0:
+			pool.RecordCold(now, balance.Endpoint{ID: l.Endpoint, Incarnation: l.Incarnation}, time.Duration(l.ColdMs)*time.Millisecond, false)
 		case l.Limit != nil:
 			pool.RecordLimit(now, balance.Endpoint{ID: l.Endpoint, Incarnation: l.Incarnation}, decodeRateLimit(now, l.Limit))
 		default:
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/permit"
 )
 
 // permitTimeout bounds a request for a permit; a peer answers in a few ms.
@@ -54,3 +55,59 @@
 	}
 	return best
 }
+
+// Grantor returns the daemon that grants the permits of an endpoint in a failure domain, by its
+// key: the one with the highest score in that domain, or in the whole fleet if no daemon is
+// known there. The address is empty for this daemon, which counts if self is true. It returns
+// false if no daemon is in sight.
+func (m *Mesh) Grantor(key, domain string, self bool) (addr string, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, hash := time.Now(), xxhash.Sum64String(key)
+	domain = m.electorate(domain)
+	highest := uint64(0)
+	if self && inElectorate(domain, m.Domain) {
+		highest, ok = ownerScore(hash, m.addrHash), true
+	}
+	for _, p := range m.peers {
+		if score := ownerScore(hash, p.addrHash); inElectorate(domain, p.domain) && score >= highest && m.rankable(now, p) {
+			addr, highest, ok = p.addr, score, true
+		}
+	}
+	return addr, ok
+}
+
+// GrantsAlone reports whether this daemon may grant the permits of an endpoint in a failure domain
+// without asking another one of those that Grantor selects from. A peer that has not answered a request
+// but is heard still ranks before it.
+func (m *Mesh) GrantsAlone(key, domain string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, hash := time.Now(), xxhash.Sum64String(key)
+	if domain = m.electorate(domain); !inElectorate(domain, m.Domain) {
+		return false
+	}
+	var others []permit.Candidate
+	for _, p := range m.peers {
+		if inElectorate(domain, p.domain) {
+			others = append(others, permit.Candidate{Rank: ownerScore(hash, p.addrHash), Heard: m.live(now, p), Stopping: p.stopping})
+		}
+	}
+	return permit.GrantsAlone(ownerScore(hash, m.addrHash), others)
+}
+
+// electorate returns the failure domain whose daemons grant the permits of the endpoints in a
+// failure domain, empty for all daemons. The caller holds m.mu.
+func (m *Mesh) electorate(domain string) string {
+	if domain == m.Domain {
+		return domain
+	}
+	for _, p := range m.peers {
+		if p.domain == domain {
+			return domain
+		}
+	}
+	return ""
+}
+
+func inElectorate(electorate, domain string) bool { return electorate == "" || electorate == domain }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/permit"
 	"github.com/azurehatch/azurehatch/internal/problem"
 	"github.com/azurehatch/azurehatch/internal/routing"
 	"github.com/azurehatch/azurehatch/internal/upstream"
@@ -127,6 +128,7 @@
 	for denials := 0; ; denials++ {
 		r.WithoutLimited = denials >= maxDenials || time.Since(start) > maxPermitTime
 		choice, ok := x.handler.Pools.Choose(x.service, r)
+		x.chosenAt = time.Now()
 		if !ok || x.handler.Pools.Permit(ctx, x.service, choice, r) {
 			return choice, ok
 		}
@@ -269,6 +271,7 @@
 		Header: x.handler.Codec.ForwardHeaders(x.r.Header, forward), Body: x.body,
 		// A late copy of the refusal of an earlier attempt can't arrive on a new connection.
 		OwnConnection: x.route.Kind == routing.Unsafe || x.sentToAddr[a.choice.Addr] > 1,
+		ConnectWithin: x.connectWithin(a.choice),
 	})
 	if err != nil {
 		return a.sendFailed(err)
@@ -286,6 +289,15 @@
 	return failed
 }
 
+// connectWithin returns the time in which an attempt must have a connection, 0 if it is not bounded. The
+// permit of a cold endpoint counts in the second in which it was granted.
+func (x *exchange) connectWithin(c balance.Choice) time.Duration {
+	if !c.Cold {
+		return 0
+	}
+	return max(permit.UseWithin-time.Since(x.chosenAt), time.Millisecond)
+}
+
 // relay checks the response and relays it.
 func (a *attempt) relay() *attemptFailure {
 	if failed := a.checkHead(); failed != nil {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -77,6 +77,8 @@
 	tried  map[string]bool
 	// sentToAddr counts the attempts by the endpoint's address.
 	sentToAddr map[string]int
+	// chosenAt is when the endpoint of the current attempt was chosen.
+	chosenAt time.Time
 	// runs is the number of attempts in which the request may have run.
 	runs int
 	// offered is the time from start to the first attempt; 0 if there was none.
--- a/internal/relay/head.go
+++ b/internal/relay/head.go
@@ -92,7 +92,7 @@
 	if !a.ownResponse() || a.respMeta.Endpoint != "" && a.respMeta.Endpoint != a.choice.ID {
 		return
 	}
-	announced := balance.Announcement{Leaving: a.respMeta.Leaving, Limit: a.respMeta.Limit}
+	announced := balance.Announcement{Leaving: a.respMeta.Leaving, Limit: a.respMeta.Limit, ColdFor: a.respMeta.ColdFor}
 	if len(a.respMeta.InvalidLimits) > 0 {
 		a.x.handler.Log.Info().Str("request", a.x.meta.ID).Str("endpoint", a.choice.ID).
 			Strs("values", a.respMeta.InvalidLimits).Msg("limits of an endpoint ignored: no number of requests a second")
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -124,6 +124,9 @@
 	// OwnConnection sends the request on a new connection that is not reused: a kept
 	// connection may have been closed, or may deliver a late response to an earlier request.
 	OwnConnection bool
+	// ConnectWithin bounds the time until the call has a connection; 0 means only by the timeout of
+	// connection attempts.
+	ConnectWithin time.Duration
 }
 
 // Do sends the call and returns the response. The caller must close its body, before which
@@ -131,8 +134,10 @@
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	// The transport calls GotConn in the goroutine of RoundTrip, again if it replaces a
 	// connection that the endpoint had closed.
+	ctx, connected, cancel := call.boundConnect(ctx)
 	var use *connUse
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		connected()
 		if use != nil {
 			use.release()
 		}
@@ -140,6 +145,7 @@
 	}}
 	req, err := call.request()
 	if err != nil {
+		cancel()
 		return nil, failure.At(&Error{Endpoint: call.Endpoint, Ran: RanNo, Err: err}, "upstream.request", call.Addr)
 	}
 	transport := c.pooled
@@ -149,6 +155,7 @@
 	//nolint:bodyclose // the caller closes it
 	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
+		cancel()
 		failed := &Error{Endpoint: call.Endpoint, Ran: RanNo, Err: err}
 		if use != nil {
 			failed.Connected, failed.Reused, failed.Written = true, use.reused, use.requestBytes()
@@ -160,10 +167,24 @@
 		return nil, failure.At(failed, "upstream.request", call.Addr)
 	}
 	r := &Response{Response: resp, use: use}
-	r.Body = releasingBody{resp.Body, use}
+	r.Body = releasingBody{resp.Body, use, cancel}
 	return r, nil
 }
 
+// errNotConnected is the cause of a call that had no connection within Call.ConnectWithin.
+var errNotConnected = errors.New("no connection within the time for it")
+
+// boundConnect returns a context that ends if connected is not called within ConnectWithin.
+func (c Call) boundConnect(ctx context.Context) (bounded context.Context, connected, cancel func()) {
+	if c.ConnectWithin == 0 {
+		return ctx, func() {}, func() {}
+	}
+	bounded, end := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(c.ConnectWithin, func() { end(errNotConnected) })
+	stop := func() { timer.Stop() }
+	return bounded, stop, func() { stop(); end(nil) }
+}
+
 // request returns the HTTP request of a call. A request with a body but without GetBody is
 // not repeated by the transport itself. A body that turns out to be empty is sent as none
 // with methods that have none.
@@ -260,11 +281,13 @@
 // releasingBody is a response body whose end of use lets the next call use the connection.
 type releasingBody struct {
 	io.ReadCloser
-	use *connUse
+	use    *connUse
+	cancel func()
 }
 
 // Close implements io.Closer.
 func (b releasingBody) Close() error {
+	defer b.cancel()
 	defer b.use.release()
 	return b.ReadCloser.Close()
 }
