--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -96,7 +96,7 @@
 	// evacuated is true while the endpoint's failure domain is evacuated.
 	evacuated bool
 
-	// deniedUntil is the end of the time for which the endpoint's limit allows no request.
+	// deniedUntil is the end of the time for which no permit is to be had.
 	deniedUntil time.Time
 
 	health
--- a/internal/balance/restriction.go
+++ b/internal/balance/restriction.go
@@ -42,10 +42,6 @@
 	}
 }
 
-// Recovered is called when a failure domain is taken back after an evacuation: its endpoints
-// are idle and may be cold.
-func (p *Pool) Recovered(time.Time, string) {}
-
 // admits reports whether the request may go to the endpoint's failure domain.
 func (r Request) admits(e *endpointState) bool {
 	return !e.evacuated && (r.Domains == nil || r.Domains[e.Domain])
