Give each case of TestRestrictedDomains a pool of its own

Cause: the cases shared a pool and ran in random order, so that prompts cached by one case decided the next one; it failed in some runs. The checks are unchanged.

--- a/internal/balance/restriction_test.go
+++ b/internal/balance/restriction_test.go
@@ -6,10 +6,13 @@
 // to an endpoint of an evacuated failure domain or outside those allowed, whatever order
 // endpoints, evacuations and restarts become known in.
 func TestRestrictedDomains(t *testing.T) {
-	p := newPool(9, 64)
-	p.SetEvacuated(start, map[string]bool{"z1": true})
-	p.Reset("e01")
-	p.Put(Endpoint{ID: "e99", Domain: "z1", Slots: 64})
+	newEvacuated := func() *Pool {
+		p := newPool(9, 64)
+		p.SetEvacuated(start, map[string]bool{"z1": true})
+		p.Reset("e01")
+		p.Put(Endpoint{ID: "e99", Domain: "z1", Slots: 64})
+		return p
+	}
 	for name, c := range map[string]struct {
 		domains     map[string]bool
 		want        string
@@ -22,7 +25,7 @@
 		"that and the evacuated":   {map[string]bool{"z1": true, "z7": true}, "", Evacuated},
 		"none by two restrictions": {map[string]bool{}, "", OutsideDomains},
 	} {
-		got := map[string]bool{}
+		p, got := newEvacuated(), map[string]bool{}
 		for i := range 200 {
 			r := prompt(string(rune('a'+i%20)), 5000, 100)
 			r.Domains = c.domains
@@ -46,6 +49,7 @@
 			t.Errorf("%s: restriction %s, want %s", name, r, c.restriction)
 		}
 	}
+	p := newEvacuated()
 	p.SetEvacuated(start, nil)
 	if r := p.Restriction(map[string]bool{"z1": true}); r != Unrestricted {
 		t.Errorf("restriction %s after the failure domain was taken back", r)
