Refuse early and report not ready when more is asked than the link carries

A daemon to which the balancer's hash sends half of a failure domain's requests fills its incoming link with bodies; calls for tokens, permits and connections then time out behind them, and it says that it is ready all the while. Package overload admits what the known bandwidth carries and ends readiness while the demand is above it; at most 40% of a failure domain's daemons do so at a time.

--- a/internal/dialer/grpc.go
+++ b/internal/dialer/grpc.go
@@ -1,6 +1,8 @@
 package dialer
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"google.golang.org/grpc"
@@ -24,6 +26,8 @@
 	// IdleTimeout is the time without a call after which the connection is closed; the
 	// next call opens it again. 0 means gRPC's default of 30 minutes.
 	IdleTimeout time.Duration
+	// Wrap, if not nil, wraps each new connection.
+	Wrap func(net.Conn) net.Conn
 	// ReadBufferBytes is the size of the read buffer; 0 means gRPC's default of 32 KiB.
 	ReadBufferBytes int
 }
@@ -50,5 +54,14 @@
 	if d.ReadBufferBytes > 0 {
 		options = append(options, grpc.WithReadBufferSize(d.ReadBufferBytes))
 	}
+	if d.Wrap != nil {
+		options = append(options, grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+			if err != nil {
+				return nil, err
+			}
+			return d.Wrap(conn), nil
+		}))
+	}
 	return grpc.NewClient("passthrough:///"+addr, options...)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -96,6 +96,7 @@
 	permits       *permits
 	retryBudget   *retryBudget
 	crashIsolator *crashIsolator
+	link          *link
 	budgets       *budgets.Manager
 	mesh          *mesh.Mesh
 	handler       *relay.Handler
@@ -169,11 +170,12 @@
 	d.scope, d.closeScope, d.metricsExporter = metrics.NewScope(
 		d.frontSettings.Instance.Name, d.frontSettings.Instance.FailureDomain)
 	d.store = d.opts.Store(d.scope)
+	d.link = newLink(d.frontSettings.Machine.LinkMbps, d.log, d.scope)
 	d.pools = newPools(d.frontSettings.Instance.FailureDomain, d.log, d.scope)
 	d.crashIsolator = newCrashIsolator(d.log)
 	d.mesh = mesh.New(mesh.Options{
 		ID: d.id, Addr: d.meshListener.Addr().String(), Domain: d.frontSettings.Instance.FailureDomain,
-		State: meshState{d}, Log: d.log, Scope: d.scope,
+		State: meshState{d}, Log: d.log, Scope: d.scope, Wrap: d.link.control.wrap,
 	})
 	d.permits = newPermits(d.mesh, d.stopping.Load, d.log)
 	d.pools.permits = d.permits
@@ -196,7 +198,7 @@
 	d.configFeed.primary, d.endpointFeed.onRegained = d.endpointFeed, d.configFeed.requestRead
 	d.handler = relay.New(relay.Options{
 		Codec: d.opts.Wire.Codec, Budgets: d.budgets, Pools: d.pools,
-		RetryBudget: d.retryBudget, CrashIsolator: d.crashIsolator,
+		RetryBudget: d.retryBudget, CrashIsolator: d.crashIsolator, Link: d.link,
 		Table: d.table, Outdated: d.outdated, Log: d.log, Scope: d.scope,
 		BufferBytes: d.frontSettings.Machine.Memory.Bytes / bufferMemoryDivisor,
 	})
@@ -212,7 +214,7 @@
 	for _, seed := range d.frontSettings.Listen.Seeds {
 		d.mesh.Add(seed, "")
 	}
-	d.mesh.Serve(d.meshListener)
+	d.mesh.Serve(d.link.control.wrapListener(d.meshListener))
 	d.wg.Go(func() { d.configFeed.run(d.ctx) })
 	d.wg.Go(func() { d.endpointFeed.run(d.ctx) })
 	d.wg.Go(d.housekeeping)
@@ -228,7 +230,7 @@
 		Handler: d.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
 		ConnState: d.pendingConns.trackState,
 	}
-	d.serveHTTP("callers", d.callersServer, d.pendingConns.wrap(d.callersListener))
+	d.serveHTTP("callers", d.callersServer, d.pendingConns.wrap(d.link.callers.wrapListener(d.callersListener)))
 	d.readyServer = &http.Server{Handler: d.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	d.serveHTTP("ready", d.readyServer, d.readyListener)
 	if d.metricsListener != nil {
@@ -265,10 +267,11 @@
 }
 
 // Ready reports whether the daemon should receive new callers: it has endpoints and a
-// configuration that is not known to be out of date, and is not shutting down.
+// configuration that is not known to be out of date, its link carries what callers ask, and it is
+// not shutting down.
 func (d *Daemon) Ready() bool {
 	t, _ := d.table()
-	return t != nil && !d.outdated() && d.pools.hasEndpoints() && !d.stopping.Load()
+	return t != nil && !d.outdated() && d.pools.hasEndpoints() && !d.stopping.Load() && !d.link.overloaded()
 }
 
 // table returns the configuration in use and its age; nil until the peers have confirmed the
@@ -340,6 +343,7 @@
 					Stringer("revision", d.configFeed.currentRevision()).
 					Msg("use of the configuration changed: a peer has a newer one")
 			}
+			d.link.tick(now, d.mesh.LocalOverload)
 			if ready := d.Ready(); ready != wasReady {
 				wasReady = ready
 				d.log.Info().Bool("ready", ready).Msg("readiness changed")
--- /dev/null
+++ b/internal/front/link.go
@@ -0,0 +1,116 @@
+package front
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/overload"
+	"github.com/azurehatch/azurehatch/internal/relay"
+)
+
+// maxOverloadedShare is the share of a failure domain's daemons that may turn new connections away at
+// the same time. Whoever distributes the connections uses all daemons of a domain if it finds fewer
+// than half of them ready, and digests of peers are a second old.
+const maxOverloadedShare = 0.4
+
+// link guards the admission of requests by the machine's link.
+type link struct {
+	log     zerolog.Logger
+	metrics linkMetrics
+	// callers and control count the bytes of callers' connections, and of those to other daemons.
+	callers, control traffic
+
+	mu    sync.Mutex
+	link  *overload.Link
+	sizes *overload.Sizes
+	// asked and refused count requests since the last change of the state.
+	asked, refused int64
+}
+
+type linkMetrics struct {
+	demand, callersIn, control, overloaded tally.Gauge
+	refused                                tally.Counter
+}
+
+var _ relay.Link = (*link)(nil)
+
+func newLink(mbps float64, log zerolog.Logger, scope tally.Scope) *link {
+	return &link{
+		log: log, link: overload.New(mbps), sizes: overload.NewSizes(),
+		metrics: linkMetrics{
+			demand: scope.Gauge("link_demand"), callersIn: scope.Gauge("link_callers"), control: scope.Gauge("link_control"),
+			overloaded: scope.Gauge("link_overloaded"), refused: scope.Counter("link_refusals"),
+		},
+	}
+}
+
+// Admit implements relay.Link.
+func (l *link) Admit(route string, body int64, urgency float64) overload.Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.observe(now)
+	l.asked++
+	d := l.link.Admit(now, l.sizes.Expect(route, body, urgency))
+	if !d.Admitted {
+		l.refused++
+		l.metrics.refused.Inc(1)
+	}
+	return d
+}
+
+// Ended implements relay.Link.
+func (l *link) Ended(route string, body, response int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sizes.Record(route, body, response)
+}
+
+// observe brings the traffic up to date. The caller holds l.mu.
+func (l *link) observe(now time.Time) {
+	l.link.Observe(now, overload.Traffic{
+		CallersIn: l.callers.in.Load(), ControlIn: l.control.in.Load(), ControlOut: l.control.out.Load(),
+	})
+}
+
+// overloaded reports whether the daemon wants no new connections.
+func (l *link) overloaded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.link.State().Overloaded
+}
+
+// tick updates the state. peers returns the number of daemons of the failure domain and how many of
+// the others are overloaded.
+func (l *link) tick(now time.Time, peers func() (daemons, overloaded int)) {
+	daemons, others := peers()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.link.Limited() {
+		return
+	}
+	l.observe(now)
+	changed := l.link.Update(now, float64(others+1) <= maxOverloadedShare*float64(daemons))
+	s := l.link.State()
+	l.metrics.update(s)
+	if changed {
+		l.log.Warn().Bool("overloaded", s.Overloaded).Float64("demand", s.Demand).Float64("callers", s.CallersIn).
+			Float64("control", s.Control).Dur("queue_ms", s.Queue).Dur("hold_ms", s.Hold).Int("daemons", daemons).
+			Int("others_overloaded", others).Int64("asked", l.asked).Int64("refused", l.refused).Msg("load of the link changed")
+		l.asked, l.refused = 0, 0
+	}
+}
+
+func (m linkMetrics) update(s overload.State) {
+	m.demand.Update(s.Demand)
+	m.callersIn.Update(s.CallersIn)
+	m.control.Update(s.Control)
+	overloaded := 0.0
+	if s.Overloaded {
+		overloaded = 1
+	}
+	m.overloaded.Update(overloaded)
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -109,6 +109,8 @@
 	ID, Addr, Domain string
 	State            State
 	Log              zerolog.Logger
+	// Wrap, if not nil, wraps the connections to peers.
+	Wrap func(net.Conn) net.Conn
 	// Scope counts the messages to peers; nil: none.
 	Scope tally.Scope
 }
@@ -119,10 +121,11 @@
 	// addrHash is the hash of addr, for ownerScore.
 	addrHash uint64
 	conn     *grpc.ClientConn
-	// id, domain, balances, stopping and followsStore are from its last digest.
+	// id, domain, balances, stopping, overloaded and followsStore are from its last digest.
 	id, domain   string
 	balances     map[string]int64
 	stopping     bool
+	overloaded   bool
 	followsStore bool
 	// lastStoreContact is when the store last answered the peer, zero if never.
 	lastStoreContact time.Time
@@ -214,7 +217,9 @@
 	if addr == "" || addr == m.Addr || m.peers[addr] != nil {
 		return
 	}
-	conn, err := daemonDialer.Dial(addr)
+	d := daemonDialer
+	d.Wrap = m.Wrap
+	conn, err := d.Dial(addr)
 	if err != nil {
 		m.Log.Error().Err(errors.Wrap(err, "connect to peer")).Str("peer", addr).Msg("peer address refused")
 		return
@@ -362,6 +367,7 @@
 			m.Log.Info().Str("peer", p.addr).Str("peer_id", d.Id).Msg("peer heard")
 		}
 		p.id, p.domain, p.balances, p.stopping, p.unreachable = d.Id, d.Domain, d.Balances, d.Stopping, false
+		p.overloaded = d.Overloaded
 		p.suspectUntil, p.silentRequests = time.Time{}, 0
 		p.lastReceived, p.followsStore, p.lastStoreContact = time.Now(), d.Follows, time.Time{}
 		if d.StoreAgeMs >= 0 {
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -297,6 +297,25 @@
 	return n
 }
 
+// LocalOverload returns the number of live daemons in this daemon's failure domain that are not
+// stopping, including this one, and of how many of the others callers' new connections are not wanted.
+func (m *Mesh) LocalOverload() (daemons, overloaded int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	daemons = 1
+	for _, p := range m.peers {
+		if p.domain != m.Domain || p.stopping || !m.live(now, p) {
+			continue
+		}
+		daemons++
+		if p.overloaded {
+			overloaded++
+		}
+	}
+	return daemons, overloaded
+}
+
 // FollowsStore reports whether this daemon should follow the store itself. In a wide
 // fleet the daemons with the lowest addresses in each failure domain do, as long as the
 // store answers them.
--- /dev/null
+++ b/internal/overload/overload.go
@@ -0,0 +1,259 @@
+// Package overload decides what a daemon does with more requests than its machine's link carries.
+//
+// The load it answers: the callers' connections are distributed by a hash, so that one daemon of a
+// failure domain may get half of the domain's requests, several times what its link carries, while the
+// others are idle. Each request crosses the link four times: its body and its response come in on one
+// connection and go out on another one, and the body of a refused request comes in all the same. A daemon
+// that takes everything queues its own calls for tokens, permits and connections behind bodies, until
+// nothing ends in time.
+//
+// A Link admits the requests that fit, most urgent and smallest first, and refuses the others at once, so
+// that callers return to another daemon while there is time. While more is asked of it than fits, it
+// does not want new connections and ends some of those that it has.
+//
+// A Link performs no I/O and is not safe for concurrent use: the caller serializes the calls and passes
+// the current time.
+package overload
+
+import (
+	"math"
+	"time"
+)
+
+// Shares of the link.
+const (
+	// usableShare of the link is used; the rest is for packet headers, which are not counted, and for
+	// bursts of control messages.
+	usableShare = 0.85
+	// leastShare is what responses may use although bodies and control messages leave less: some
+	// responses must come in even while refused requests fill the link.
+	leastShare = 0.1
+	// The daemon is overloaded while the demand is above tripShare of the link and until it is below
+	// clearShare: the callers that it has lost then come back.
+	tripShare  = 0.85
+	clearShare = 0.5
+	// keptShare is the demand down to which connections are ended. The daemon goes on serving what is
+	// left.
+	keptShare = 0.75
+)
+
+// Times.
+const (
+	// baseDelay is the queue at which no request of the least urgency is admitted, urgentDelay what the
+	// most urgent ones are allowed beyond it. Plain requests have objectives from about 100 ms, of which
+	// the network and the endpoint need some 50 ms.
+	baseDelay   = 30 * time.Millisecond
+	urgentDelay = 50 * time.Millisecond
+	// rateTime and demandTime are the time constants of the mean rates of traffic and of the demand.
+	rateTime   = 300 * time.Millisecond
+	demandTime = 500 * time.Millisecond
+	// An overloaded daemon does not want new connections for firstHold at least. Whoever distributes
+	// the connections notices a change after 2 or 3 s, in which the callers who return overload the
+	// daemon again: a tenth of the time. The hold doubles up to maxHold if the daemon is overloaded
+	// again within againTime of its end.
+	firstHold = 30 * time.Second
+	maxHold   = 2 * time.Minute
+	againTime = 10 * time.Second
+)
+
+// headBytes are the headers of a request and of its response in one direction.
+const headBytes = 700
+
+// Request describes a request for its admission.
+type Request struct {
+	// Body and Answer are the sizes of its body and, as expected, of its response in bytes.
+	Body, Answer int64
+	// Urgency is from 0 to 1, 1 being the most urgent.
+	Urgency float64
+}
+
+// outgoing returns the bytes that the request puts on the outgoing link, incoming those that come in
+// after it is admitted.
+func (r Request) outgoing() float64 { return float64(r.Body + r.Answer + headBytes) }
+func (r Request) incoming() float64 { return float64(r.Answer + headBytes/2) }
+
+// Traffic holds the bytes of a daemon's connections since its start.
+type Traffic struct {
+	// CallersIn are those received from callers, ControlIn and ControlOut those of connections to other
+	// daemons and the store.
+	CallersIn, ControlIn, ControlOut int64
+}
+
+// Link is the state of one machine's link.
+type Link struct {
+	// rate is the bandwidth in bytes a second in each direction; 0 if unknown.
+	rate float64
+	// traffic is what was counted at trafficAt.
+	traffic                          Traffic
+	callersIn, controlIn, controlOut mean
+	// incoming and outgoing are the queues of what admitted requests put on the link, as of drainedAt.
+	incoming, outgoing float64
+	drainedAt          time.Time
+	// answers and bodies are the rates of what all requests would put on the link if admitted.
+	answers, bodies mean
+
+	overloaded bool
+	// heldUntil is the end of the time in which the daemon stays overloaded, hold its length, clearedAt
+	// when the daemon was last no longer overloaded.
+	heldUntil, clearedAt time.Time
+	hold                 time.Duration
+	// closing accumulates the share of the responses that end their connections.
+	closing float64
+}
+
+// New returns a Link with a bandwidth in Mbit/s; 0 means unknown, and nothing is refused.
+func New(mbps float64) *Link {
+	return &Link{
+		rate: mbps * 1e6 / 8, callersIn: mean{time: rateTime}, controlIn: mean{time: rateTime},
+		controlOut: mean{time: rateTime}, answers: mean{time: demandTime}, bodies: mean{time: demandTime},
+	}
+}
+
+// Limited reports whether the bandwidth is known.
+func (l *Link) Limited() bool { return l.rate > 0 }
+
+// Observe records the traffic so far.
+func (l *Link) Observe(now time.Time, t Traffic) {
+	l.drain(now)
+	l.callersIn.add(now, float64(t.CallersIn-l.traffic.CallersIn))
+	l.controlIn.add(now, float64(t.ControlIn-l.traffic.ControlIn))
+	l.controlOut.add(now, float64(t.ControlOut-l.traffic.ControlOut))
+	l.traffic = t
+}
+
+// drain removes from the queues what has crossed the link.
+func (l *Link) drain(now time.Time) {
+	elapsed := now.Sub(l.drainedAt).Seconds()
+	l.incoming = math.Max(0, l.incoming-elapsed*l.freeIn())
+	l.outgoing = math.Max(0, l.outgoing-elapsed*l.freeOut())
+	l.drainedAt = now
+}
+
+// freeIn returns the bytes a second that come in beside callers' bodies and control messages.
+func (l *Link) freeIn() float64 {
+	return math.Max(leastShare*l.rate, usableShare*l.rate-l.callersIn.value-l.controlIn.value)
+}
+
+func (l *Link) freeOut() float64 {
+	return math.Max(leastShare*l.rate, usableShare*l.rate-l.controlOut.value)
+}
+
+// Decision is the result of Admit.
+type Decision struct {
+	Admitted bool
+	// Close ends the caller's connection with the response.
+	Close bool
+}
+
+// Admit decides on a request that has arrived.
+func (l *Link) Admit(now time.Time, r Request) Decision {
+	if !l.Limited() {
+		return Decision{Admitted: true}
+	}
+	l.drain(now)
+	l.answers.add(now, r.incoming())
+	l.bodies.add(now, r.outgoing())
+	limit := (baseDelay + time.Duration(r.Urgency*float64(urgentDelay))).Seconds()
+	d := Decision{Close: l.closes()}
+	d.Admitted = fits(l.incoming, r.incoming(), limit, l.freeIn(), l.rate) &&
+		fits(l.outgoing, r.outgoing(), limit, l.freeOut(), l.rate)
+	if d.Admitted {
+		l.incoming += r.incoming()
+		l.outgoing += r.outgoing()
+	}
+	return d
+}
+
+// fits reports whether bytes may join a queue that drains at the rate free: the queue must drain within
+// limit seconds, and the link at its full rate must carry both in that time, if there is a queue.
+func fits(queue, bytes, limit, free, rate float64) bool {
+	return queue <= limit*free && (queue == 0 || queue+bytes <= limit*rate)
+}
+
+// closes reports whether one more connection ends, so that the demand falls to keptShare.
+func (l *Link) closes() bool {
+	demand := l.demand()
+	if !l.overloaded || demand <= keptShare {
+		return false
+	}
+	l.closing += 1 - keptShare/demand
+	if l.closing < 1 {
+		return false
+	}
+	l.closing--
+	return true
+}
+
+// demand returns what is asked over the bandwidth, in the direction of which more is asked.
+func (l *Link) demand() float64 {
+	in := l.callersIn.value + l.controlIn.value + l.answers.value
+	out := l.bodies.value + l.controlOut.value
+	return math.Max(in, out) / l.rate
+}
+
+// Update brings the state up to date and reports whether it changed. A daemon does not become overloaded
+// while mayTrip is false: others must take its callers.
+func (l *Link) Update(now time.Time, mayTrip bool) (changed bool) {
+	if !l.Limited() {
+		return false
+	}
+	l.drain(now)
+	l.answers.add(now, 0)
+	l.bodies.add(now, 0)
+	switch demand := l.demand(); {
+	case !l.overloaded && mayTrip && demand > tripShare:
+		l.trip(now)
+		return true
+	case l.overloaded && demand < clearShare && !now.Before(l.heldUntil):
+		l.overloaded, l.clearedAt = false, now
+		return true
+	}
+	return false
+}
+
+func (l *Link) trip(now time.Time) {
+	if l.hold > 0 && now.Sub(l.clearedAt) < againTime {
+		l.hold = min(2*l.hold, maxHold)
+	} else {
+		l.hold = firstHold
+	}
+	l.overloaded, l.heldUntil = true, now.Add(l.hold)
+}
+
+// State is a Link's state for logs and metrics.
+type State struct {
+	// Overloaded is true while the daemon wants no new connections.
+	Overloaded bool
+	// Demand is what is asked over the bandwidth. CallersIn and Control are the shares of the link that
+	// callers' bodies and control messages use.
+	Demand, CallersIn, Control float64
+	// Queue is the time in which what was admitted crosses the link.
+	Queue, Hold time.Duration
+}
+
+// State returns the state as of the last Update.
+func (l *Link) State() State {
+	if !l.Limited() {
+		return State{}
+	}
+	queue := math.Max(l.incoming/l.freeIn(), l.outgoing/l.freeOut())
+	return State{
+		Overloaded: l.overloaded, Demand: l.demand(), Hold: l.hold,
+		CallersIn: l.callersIn.value / l.rate, Control: math.Max(l.controlIn.value, l.controlOut.value) / l.rate,
+		Queue: time.Duration(queue * float64(time.Second)),
+	}
+}
+
+// mean is an exponential mean of a rate.
+type mean struct {
+	time  time.Duration
+	value float64
+	at    time.Time
+}
+
+// add adds an amount that has come since the last call.
+func (m *mean) add(now time.Time, amount float64) {
+	elapsed := math.Max(0, now.Sub(m.at).Seconds())
+	m.value = m.value*math.Exp(-elapsed/m.time.Seconds()) + amount/m.time.Seconds()
+	m.at = now
+}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -45,6 +45,7 @@
 	EndpointFailed      Kind = "endpoint-failed"
 	StreamTruncated     Kind = "stream-truncated"
 	ShuttingDown        Kind = "shutting-down"
+	DaemonOverloaded    Kind = "daemon-overloaded"
 )
 
 // kindInfo holds the HTTP status and the title of each kind.
@@ -71,6 +72,7 @@
 	EndpointFailed:      {http.StatusBadGateway, "The endpoint failed while it ran the request."},
 	StreamTruncated:     {http.StatusBadGateway, "The answer ended before it was complete."},
 	ShuttingDown:        {http.StatusServiceUnavailable, "The daemon is stopping."},
+	DaemonOverloaded:    {http.StatusServiceUnavailable, "This daemon is at its capacity."},
 }
 
 // Error is an error to be returned to the caller.
--- /dev/null
+++ b/internal/relay/admit.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/azurehatch/azurehatch/internal/problem"
+)
+
+// A request that the machine's link can't carry now comes back after retryAfterOverloaded and up to
+// as much again. Its new connection reaches another daemon, so there is nothing to wait for but the
+// other requests that are refused at this moment.
+const retryAfterOverloaded = 50 * time.Millisecond
+
+// packetBytes are the headers of a packet, which each write of a stream's events needs.
+const packetBytes = 66
+
+// admit refuses a request that the machine's link can't carry. It is decided before the body is read
+// and tokens are reserved, so that a refusal takes nothing from the requests that are admitted.
+func (x *exchange) admit() error {
+	d := x.handler.Link.Admit(x.route.Name, x.r.ContentLength, x.urgency())
+	if d.Close {
+		x.w.Header().Set("Connection", "close")
+	}
+	if d.Admitted {
+		return nil
+	}
+	wait := retryAfterOverloaded + rand.N(retryAfterOverloaded)
+	return problem.New(problem.DaemonOverloaded, "the daemon's link is at its capacity; retry at another daemon").WithRetryAfter(wait)
+}
+
+// urgency returns the request's urgency from 0 to 1, which is that of priority 0.
+func (x *exchange) urgency() float64 {
+	priority := x.route.Priority
+	if x.account != nil && x.account.Priority != nil {
+		priority = *x.account.Priority
+	}
+	return 1 / float64(1+max(priority, 0))
+}
+
+// countedWriter counts the bytes of a response.
+type countedWriter struct {
+	http.ResponseWriter
+	bytes int64
+}
+
+// Write implements http.ResponseWriter.
+func (w *countedWriter) Write(b []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(b)
+	w.bytes += int64(n) + packetBytes
+	return n, err
+}
+
+// Unwrap is for http.ResponseController.
+func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -42,10 +42,11 @@
 
 // exchange is one caller's request and its response.
 type exchange struct {
-	handler *Handler
-	w       http.ResponseWriter
-	r       *http.Request
-	start   time.Time
+	handler  *Handler
+	w        http.ResponseWriter
+	response *countedWriter
+	r        *http.Request
+	start    time.Time
 
 	table    *routing.Table
 	tableAge time.Duration
@@ -134,6 +135,10 @@
 	if err := x.resolve(); err != nil {
 		return err
 	}
+	if err := x.admit(); err != nil {
+		return err
+	}
+	defer func() { x.handler.Link.Ended(x.route.Name, int64(len(x.body)), x.response.bytes) }()
 	// A caller that stops to read or to write must not hold the request, its tokens and
 	// the endpoint's slot beyond the deadline.
 	x.checkDeadline(conn.SetWriteDeadline(x.deadline.Add(callerGrace)))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/overload"
 	"github.com/azurehatch/azurehatch/internal/poison"
 	"github.com/azurehatch/azurehatch/internal/routing"
 	"github.com/azurehatch/azurehatch/internal/upstream"
@@ -182,6 +183,25 @@
 	Parts []poison.Digest
 }
 
+// Link admits requests by what the machine's link carries.
+type Link interface {
+	// Admit decides on a request of a route whose body has the given size, -1 if unknown.
+	Admit(route string, body int64, urgency float64) overload.Decision
+	// Ended records the sizes of the body and of the response of a request that was admitted.
+	Ended(route string, body, response int64)
+}
+
+// unlimitedLink admits all requests.
+type unlimitedLink struct{}
+
+// Admit implements Link.
+func (unlimitedLink) Admit(string, int64, float64) overload.Decision {
+	return overload.Decision{Admitted: true}
+}
+
+// Ended implements Link.
+func (unlimitedLink) Ended(string, int64, int64) {}
+
 // Options configure a Handler.
 type Options struct {
 	Codec         Codec
@@ -189,6 +209,8 @@
 	Pools         Pools
 	RetryBudget   RetryBudget
 	CrashIsolator CrashIsolator
+	// Link admits requests; nil admits all.
+	Link Link
 	// Table returns the current configuration and the time since it was
 	// installed; nil before the first one.
 	Table func() (*routing.Table, time.Duration)
@@ -224,6 +246,9 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
+	if opts.Link == nil {
+		opts.Link = unlimitedLink{}
+	}
 	client := upstream.New(upstream.Options{
 		ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout, IdlePerEndpoint: maxIdlePerEndpoint, Scope: opts.Scope,
 	})
@@ -254,6 +279,7 @@
 	if h.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{handler: h, w: w, r: r, start: time.Now()}
+	counted := &countedWriter{ResponseWriter: w}
+	x := &exchange{handler: h, w: counted, response: counted, r: r, start: time.Now()}
 	x.serve()
 }
