Close connections after early refusals instead of reading both ways

Cause: full duplex, which set for refusals that don't wait for a body, made the HTTP server panic after the refusal now and then (invalid concurrent Body.Read call; seen once in the tests of internal/relay with -race at a load of 26). Change: a refusal of a request with a long body, or one of unknown length, ends its connection; the server then sends it without reading the body first.

--- a/internal/relay/restriction.go
+++ b/internal/relay/restriction.go
@@ -1,22 +1,23 @@
 package relay
 
 import (
-	"net/http"
-
 	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/problem"
 )
 
+// shortBody is the size up to which a body arrives together with its header.
+const shortBody = 64 << 10
+
 // refuseRestricted returns the error of a request that no endpoint may get, nil if one may. The
-// caller is told at once: before tokens are reserved, and without waiting for the body.
+// caller is told at once: before tokens are reserved, and without waiting for a long body.
 func (x *exchange) refuseRestricted() error {
 	err := x.restricted(x.handler.Pools.Restriction(x.service, x.domains))
 	if err == nil {
 		return nil
 	}
-	// Otherwise the server reads the body before it sends the refusal.
-	if err := http.NewResponseController(x.w).EnableFullDuplex(); err != nil {
-		x.handler.Log.Debug().Err(err).Str("request", x.meta.ID).Msg("refusal waits for the body")
+	if x.r.ContentLength < 0 || x.r.ContentLength > shortBody {
+		// Before it sends a refusal, the server reads the body of a connection that it keeps.
+		x.w.Header().Set("Connection", "close")
 	}
 	return err
 }
