--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -343,7 +343,7 @@
 					Stringer("revision", d.configFeed.currentRevision()).
 					Msg("use of the configuration changed: a peer has a newer one")
 			}
-			d.link.tick(now, d.mesh.LocalOverload)
+			d.link.tick(now, d.mesh.LocalLinks)
 			if ready := d.Ready(); ready != wasReady {
 				wasReady = ready
 				d.log.Info().Bool("ready", ready).Msg("readiness changed")
--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -11,11 +11,6 @@
 	"github.com/azurehatch/azurehatch/internal/relay"
 )
 
-// maxOverloadedShare is the share of a failure domain's daemons that may turn new connections away at
-// the same time. Whoever distributes the connections uses all daemons of a domain if it finds fewer
-// than half of them ready, and digests of peers are a second old.
-const maxOverloadedShare = 0.4
-
 // link guards the admission of requests by the machine's link.
 type link struct {
 	log     zerolog.Logger
@@ -80,26 +75,32 @@
 func (l *link) overloaded() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.link.State().Overloaded
+	return l.link.Overloaded()
+}
+
+// free returns the bytes a second that the link carries beyond what is asked.
+func (l *link) free() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.link.Free())
 }
 
-// tick updates the state. peers returns the number of daemons of the failure domain and how many of
-// the others are overloaded.
-func (l *link) tick(now time.Time, peers func() (daemons, overloaded int)) {
-	daemons, others := peers()
+// tick updates the state. peers describes the links of the other daemons in the failure domain.
+func (l *link) tick(now time.Time, peers func() overload.Peers) {
+	others := peers()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.link.Limited() {
 		return
 	}
 	l.observe(now)
-	changed := l.link.Update(now, float64(others+1) <= maxOverloadedShare*float64(daemons))
+	changed := l.link.Update(now, others)
 	s := l.link.State()
 	l.metrics.update(s)
 	if changed {
 		l.log.Warn().Bool("overloaded", s.Overloaded).Float64("demand", s.Demand).Float64("callers", s.CallersIn).
-			Float64("control", s.Control).Dur("queue_ms", s.Queue).Dur("hold_ms", s.Hold).Int("daemons", daemons).
-			Int("others_overloaded", others).Int64("asked", l.asked).Int64("refused", l.refused).Msg("load of the link changed")
+			Float64("control", s.Control).Dur("queue_ms", s.Queue).Dur("hold_ms", s.Hold).Int("others", others.Daemons).
+			Int("others_overloaded", others.Overloaded).Float64("widest_free", others.WidestFree).Int64("asked", l.asked).Int64("refused", l.refused).Msg("load of the link changed")
 		l.asked, l.refused = 0, 0
 	}
 }
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -246,7 +246,7 @@
 			budgets.KeyPrefix:     int64(d.budgets.At()),
 		},
 		Balances: d.budgets.Balances(), Crashes: d.crashIsolator.entries(now), PartCrashes: d.crashIsolator.partEntries(now), Stopping: d.stopping.Load(),
-		Overloaded: d.link.overloaded(), Follows: d.mesh.FollowsStore(), StoreAgeMs: d.endpointFeed.contactAge(now), BackAgeMs: d.endpointFeed.regainedAge(now),
+		Overloaded: d.link.overloaded(), LinkFree: d.link.free(), Follows: d.mesh.FollowsStore(), StoreAgeMs: d.endpointFeed.contactAge(now), BackAgeMs: d.endpointFeed.regainedAge(now),
 	}
 	if loads {
 		digest.Loads = d.pools.loads(now)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -121,11 +121,12 @@
 	// addrHash is the hash of addr, for ownerScore.
 	addrHash uint64
 	conn     *grpc.ClientConn
-	// id, domain, balances, stopping, overloaded and followsStore are from its last digest.
+	// id, domain, balances, stopping, overloaded, linkFree and followsStore are from its last digest.
 	id, domain   string
 	balances     map[string]int64
 	stopping     bool
 	overloaded   bool
+	linkFree     int64
 	followsStore bool
 	// lastStoreContact is when the store last answered the peer, zero if never.
 	lastStoreContact time.Time
@@ -367,7 +368,7 @@
 			m.Log.Info().Str("peer", p.addr).Str("peer_id", d.Id).Msg("peer heard")
 		}
 		p.id, p.domain, p.balances, p.stopping, p.unreachable = d.Id, d.Domain, d.Balances, d.Stopping, false
-		p.overloaded = d.Overloaded
+		p.overloaded, p.linkFree = d.Overloaded, d.LinkFree
 		p.suspectUntil, p.silentRequests = time.Time{}, 0
 		p.lastReceived, p.followsStore, p.lastStoreContact = time.Now(), d.Follows, time.Time{}
 		if d.StoreAgeMs >= 0 {
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -10,6 +10,7 @@
 	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/overload"
 )
 
 // wide implements Wide. The caller holds m.mu.
@@ -297,23 +298,25 @@
 	return n
 }
 
-// LocalOverload returns the number of live daemons in this daemon's failure domain that are not
-// stopping, including this one, and of how many of the others callers' new connections are not wanted.
-func (m *Mesh) LocalOverload() (daemons, overloaded int) {
+// LocalLinks describes the links of the live daemons in this daemon's failure domain that are not
+// stopping, as far as their last digests tell.
+func (m *Mesh) LocalLinks() overload.Peers {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	daemons = 1
+	var peers overload.Peers
 	for _, p := range m.peers {
 		if p.domain != m.Domain || p.stopping || !m.live(now, p) {
 			continue
 		}
-		daemons++
+		peers.Daemons++
 		if p.overloaded {
-			overloaded++
+			peers.Overloaded++
+		} else {
+			peers.WidestFree = max(peers.WidestFree, float64(p.linkFree))
 		}
 	}
-	return daemons, overloaded
+	return peers
 }
 
 // FollowsStore reports whether this daemon should follow the store itself. In a wide
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -56,6 +56,33 @@
 	againTime = 10 * time.Second
 )
 
+// Shares of a failure domain's daemons that may turn new connections away at the same time.
+// Whoever distributes the connections uses all daemons of a domain if it finds fewer than half of them
+// ready, and digests of peers are a second old, so it is maxOverloadedShare at most. Where no daemon has
+// a link that carries the whole demand, the callers may be one who overloads one daemon after
+// the other, so it is narrowOverloadedShare, but at least one daemon.
+const (
+	maxOverloadedShare    = 0.4
+	narrowOverloadedShare = 0.1
+)
+
+// Peers describes the links of the other daemons in the failure domain.
+type Peers struct {
+	// Daemons is their number, Overloaded that of those that want no new connections.
+	Daemons, Overloaded int
+	// WidestFree is the most bytes a second that one of the others' links carries beyond its demand.
+	WidestFree float64
+}
+
+// allow reports whether one more daemon with a demand in bytes a second may turn connections away.
+func (p Peers) allow(demand float64) bool {
+	daemons, overloaded := float64(p.Daemons+1), float64(p.Overloaded+1)
+	if p.WidestFree < demand && p.Overloaded > 0 {
+		return overloaded <= narrowOverloadedShare*daemons
+	}
+	return overloaded <= maxOverloadedShare*daemons
+}
+
 // headBytes are the headers of a request and of its response in one direction.
 const headBytes = 700
 
@@ -191,9 +218,9 @@
 	return math.Max(in, out) / l.rate
 }
 
-// Update brings the state up to date and reports whether it changed. A daemon does not become overloaded
-// while mayTrip is false: others must take its callers.
-func (l *Link) Update(now time.Time, mayTrip bool) (changed bool) {
+// Update brings the state up to date and reports whether it changed. A daemon becomes overloaded only
+// if its peers can take its callers.
+func (l *Link) Update(now time.Time, peers Peers) (changed bool) {
 	if !l.Limited() {
 		return false
 	}
@@ -201,7 +228,7 @@
 	l.answers.add(now, 0)
 	l.bodies.add(now, 0)
 	switch demand := l.demand(); {
-	case !l.overloaded && mayTrip && demand > tripShare:
+	case !l.overloaded && demand > tripShare && peers.allow(demand*l.rate):
 		l.trip(now)
 		return true
 	case l.overloaded && demand < clearShare && !now.Before(l.heldUntil):
@@ -220,6 +247,20 @@
 	l.overloaded, l.heldUntil = true, now.Add(l.hold)
 }
 
+// unknownFree stands for the free bandwidth of a link whose bandwidth is unknown.
+const unknownFree = 1e9
+
+// Free returns the bytes a second that the link carries beyond what is asked.
+func (l *Link) Free() float64 {
+	if !l.Limited() {
+		return unknownFree
+	}
+	return math.Max(0, usableShare-l.demand()) * l.rate
+}
+
+// Overloaded reports whether the daemon wants no new connections.
+func (l *Link) Overloaded() bool { return l.overloaded }
+
 // State is a Link's state for logs and metrics.
 type State struct {
 	// Overloaded is true while the daemon wants no new connections.
