Learn how fast endpoints are from their reports, and place by it

Cause: placing assumed endpoints that are alike.

The load report states how long work takes at an endpoint. Its median over some seconds is the endpoint's usual time, which peers tell each other; the last report counts for what is left of its time, both ways. Prompts and their stalls are weighed by it, shared prefixes have no home at an endpoint that is 1.5 times as slow as the service's median (until 1.25 times), and streams avoid it by a tenth of the time that their output would take longer.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -37,8 +37,9 @@
 type Request struct {
 	// Prompt lists the parts of the prompt in order; empty for a plain service.
 	Prompt []PromptPart
-	// PromptTokens is the size of the whole prompt.
-	PromptTokens int64
+	// PromptTokens is the size of the whole prompt, OutputTokens the most that the response
+	// holds.
+	PromptTokens, OutputTokens int64
 	// Idempotent requests weigh the risk of a failure less, since they can be
 	// retried.
 	Idempotent bool
@@ -66,13 +67,17 @@
 	PrefillTokens int64
 	// Succeeded and Failed are exponentially decayed counts of outcomes.
 	Succeeded, Failed float64
+	// UsualTime is the endpoint's usual processing time relative to its data sheet, as the
+	// daemon knows it from Reports reports; 0 if it has none.
+	UsualTime float64
+	Reports   int
 }
 
 // LoadReport is the load that an endpoint reports with a response.
 type LoadReport struct {
 	Running, Waiting, Slots int
-	// Slowdown is the ratio of the endpoint's current processing time to its
-	// usual one.
+	// Slowdown is the ratio of the endpoint's current processing time to that of its data
+	// sheet; 0 if not stated.
 	Slowdown float64
 }
 
@@ -99,6 +104,9 @@
 	endpoints map[string]*endpointState
 	// daemons is the number of daemons that share the pool.
 	daemons int
+	// medianTime is the median of the endpoints' usual times as of medianAt.
+	medianTime float64
+	medianAt   time.Time
 	// notices holds what endpoints announced.
 	notices map[incarnation]notice
 }
@@ -187,6 +195,7 @@
 }
 
 func (p *Pool) best(now time.Time, r Request) (*endpointState, Choice) {
+	p.usualTimes(now)
 	preferred := p.preferredEndpoint(r.sharedPrefix())
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
@@ -211,7 +220,8 @@
 }
 
 // preferredEndpoint returns the endpoint that all daemons prefer for a shared
-// prefix: the first one in the order of rendezvous hashing by its last part.
+// prefix: the first one in the order of rendezvous hashing by its last part, among those
+// that don't count as slow.
 func (p *Pool) preferredEndpoint(shared []PromptPart) *endpointState {
 	if len(shared) == 0 {
 		return nil
@@ -220,7 +230,7 @@
 	var best *endpointState
 	var highest uint64
 	for _, e := range p.endpoints {
-		if p.leaves(e) {
+		if p.leaves(e) || e.slow {
 			continue
 		}
 		if score := xxhash.Sum64String(key + "\x00" + e.ID); best == nil || score > highest {
@@ -259,6 +269,7 @@
 func (p *Pool) RecordReport(now time.Time, id string, r LoadReport) {
 	if e, ok := p.endpoints[id]; ok {
 		e.report, e.reportAt = r, now
+		e.speed.report(now, r.Slowdown)
 	}
 }
 
@@ -266,6 +277,7 @@
 func (p *Pool) SetPeerLoad(now time.Time, peer, id string, l Load) {
 	if e, ok := p.endpoints[id]; ok {
 		e.peerLoads[peer] = peerLoad{Load: l, receivedAt: now}
+		e.tell(now, l.UsualTime, l.Reports)
 		e.peerSumAt = time.Time{}
 	}
 }
@@ -277,7 +289,10 @@
 	for id, e := range p.endpoints {
 		e.decay(now)
 		if e.openRequests > 0 || e.succeeded+e.failed > minOutcomeWeight {
-			loads[id] = Load{Requests: e.openRequests, PrefillTokens: e.pendingPrefill, Succeeded: e.succeeded, Failed: e.failed}
+			loads[id] = Load{
+				Requests: e.openRequests, PrefillTokens: e.pendingPrefill, Succeeded: e.succeeded, Failed: e.failed,
+				UsualTime: e.usual, Reports: min(e.count, speedReports),
+			}
 		}
 	}
 	return loads
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -49,6 +49,11 @@
 	// stallPrefillMs, as other prompts may be processed in the same step.
 	stallCostMs    = 350.0
 	stallPrefillMs = 500.0
+	// decodingStepMs is the usual time of one output token, decodingWeight the weight of the
+	// time that a slow endpoint needs for them beyond that of others: a stream that runs
+	// longer is interrupted more often by prompts of others.
+	decodingStepMs = 4.0
+	decodingWeight = 0.1
 )
 
 // Lifetimes of the state kept for each endpoint.
@@ -97,6 +102,7 @@
 	deniedUntil time.Time
 
 	health
+	speed
 }
 
 type peerLoad struct {
@@ -205,15 +211,16 @@
 	var cost float64
 	peers := e.peerTotal(now)
 	requests := e.estimatedRequests(now)
+	factor := e.slowness(now, p.medianTime)
 	if len(r.Prompt) == 0 {
 		cost = plainRequestMs * float64(1+requests) / float64(max(e.Slots, 1))
 		if e.Slots > 0 && requests >= e.Slots {
 			cost += plainRequestMs
 		}
+		cost *= factor
 	} else {
-		cost = p.promptCost(e, r, prefill, peers, requests)
+		cost = p.promptCost(now, e, r, prefill, requests, factor)
 	}
-	cost *= e.slowness(now)
 	if e.Slots > 0 && requests >= e.Slots {
 		cost += excessRequestMs * float64(requests-e.Slots+1)
 	}
@@ -227,25 +234,35 @@
 	return cost + risk*e.failureShare(peers)
 }
 
-func (p *Pool) promptCost(e *endpointState, r Request, prefill int64, peers Load, requests int) float64 {
+// promptCost predicts the time for a request with a prompt at an endpoint at which work takes
+// factor times as long as the data sheet says.
+func (p *Pool) promptCost(now time.Time, e *endpointState, r Request, prefill int64, requests int, factor float64) float64 {
 	var shared int64
 	for _, part := range r.sharedPrefix() {
 		shared += part.Tokens
 	}
 	own := r.PromptTokens - shared
 	repeated := float64(max(0, prefill-own)) * (repeatedPrefillWeight - 1)
-	queue := float64(e.pendingPrefill+peers.PrefillTokens) + float64(prefill) + repeated
+	queue := float64(e.pendingPrefill+e.peerTotal(now).PrefillTokens) + float64(prefill) + repeated
 	cost := queue / prefillTokensPerMs
 	cost += float64(requests) * stepMsPerRequest * stepsPerPrefill
-	stall := math.Min(1, float64(prefill)/prefillTokensPerMs/stallPrefillMs)
-	return cost + stallCostMs*float64(requests)*stall*stall*stall
+	stall := math.Min(1, factor*float64(prefill)/prefillTokensPerMs/stallPrefillMs)
+	cost = factor*cost + stallCostMs*float64(requests)*stall*stall*stall
+	return cost + decodingWeight*float64(r.OutputTokens)*decodingStepMs*p.excessTime(now, e)
 }
 
-// slowness returns the factor by which the endpoint is slower than usual.
-func (e *endpointState) slowness(now time.Time) float64 {
-	s := e.slowEstimate
-	if now.Sub(e.reportAt) < reportMaxAge/2 && e.report.Slowdown > 0 {
-		s = math.Max(s, math.Sqrt(e.report.Slowdown))
+// excessTime returns by how much the usual time of a slow endpoint exceeds the service's
+// median, as a ratio to the data sheet.
+func (p *Pool) excessTime(now time.Time, e *endpointState) float64 {
+	usual, _ := e.usualTime(now)
+	if !e.slow {
+		return 0
 	}
-	return s
+	return usual - p.medianTime
+}
+
+// slowness returns the factor by which work takes longer at the endpoint than its data sheet
+// says, given the service's median.
+func (e *endpointState) slowness(now time.Time, median float64) float64 {
+	return e.slowEstimate * e.timeNow(now, e.report.Slowdown, now.Sub(e.reportAt), median)
 }
