Bound the memory of requests' bodies

Cause: bodies were read whole without a bound over all requests; callers who send slowly could fill the memory of a daemon, which is then killed. Change: bodies take memory of a limit of their own, an eighth of the machine's memory. A request that finds none is refused at once as not run; what was read goes on.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -41,7 +41,8 @@
 	maxHeadBytes  = 64 << 10
 
 	// bufferMemoryDivisor is the part of the process's memory that the unfinished responses of
-	// endpoints may occupy: an eighth, since a daemon needs a quarter or less for all else.
+	// endpoints may occupy, and again the bodies of requests: an eighth each, since a daemon needs a
+	// quarter or less for all else.
 	bufferMemoryDivisor = 8
 )
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/azurehatch/azurehatch/internal/balance"
-	"github.com/azurehatch/azurehatch/internal/poison"
 	"github.com/azurehatch/azurehatch/internal/problem"
 	"github.com/azurehatch/azurehatch/internal/routing"
 	"github.com/azurehatch/azurehatch/internal/upstream"
@@ -35,6 +32,7 @@
 	retryAfterNoEndpoint   = 400 * time.Millisecond
 	retryAfterStopping     = 50 * time.Millisecond
 	retryAfterOutdated     = 50 * time.Millisecond
+	retryAfterNoMemory     = 200 * time.Millisecond
 	// An evacuation lasts seconds or more, and the regions of a configuration longer.
 	retryAfterRestricted = 2 * time.Second
 )
@@ -149,8 +147,10 @@
 	// the endpoint's slot beyond the deadline.
 	x.checkDeadline(conn.SetWriteDeadline(x.deadline.Add(callerGrace)))
 	x.checkDeadline(conn.SetReadDeadline(x.deadline))
+	memory := x.handler.bodies.Buffer()
+	defer memory.Release()
 	bodyRead := x.interruptRead(conn)
-	err := x.readBody()
+	err := x.readBody(memory)
 	bodyRead()
 	if err != nil {
 		return err
@@ -238,44 +238,6 @@
 	return nil
 }
 
-func (x *exchange) readBody() error {
-	limit := x.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return problem.New(problem.TooLarge, "the body is larger than %d bytes", limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return problem.New(problem.TooLarge, "the body is larger than %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		// The rest of the body may follow, so the connection cannot be reused.
-		x.w.Header().Set("Connection", "close")
-		if err := x.handler.stopped(); err != nil {
-			return err
-		}
-		return problem.New(problem.RequestTimeout, "only %d bytes of the body arrived in time", len(body)).WithCause(err)
-	case err != nil:
-		return problem.New(problem.InvalidRequest, "the body could not be read").WithCause(err)
-	}
-	x.body = body
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	key := append([]byte(x.r.Method+" "+x.r.RequestURI+"\x00"+account+"\x00"), body...)
-	// The service is left out: the same request may be sent to another one by a later version
-	// of the configuration.
-	x.fingerprint.Content = poison.DigestOf(x.r.Host, key)
-	for _, part := range x.meta.Prompt[:max(len(x.meta.Prompt)-1, 0)] {
-		x.fingerprint.Parts = append(x.fingerprint.Parts, poison.PartDigest(part.ID))
-	}
-	return nil
-}
-
 // reserve sets aside the most tokens that the request can use.
 func (x *exchange) reserve(ctx context.Context) error {
 	if x.account == nil || x.account.Unlimited || !x.meta.Sized {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -220,8 +220,8 @@
 	// Outdated reports whether the configuration must not be used any more because a
 	// newer one is in force elsewhere.
 	Outdated func() bool
-	// BufferBytes bounds the memory of all unfinished responses together; 0 means
-	// upstream.DefaultBufferBytes.
+	// BufferBytes bounds the memory of all unfinished responses together, and that of all
+	// requests' bodies; 0 means upstream.DefaultBufferBytes.
 	BufferBytes int64
 	Log         zerolog.Logger
 	Scope       tally.Scope
@@ -230,8 +230,9 @@
 // Handler serves callers' requests.
 type Handler struct {
 	Options
-	client  *upstream.Client
-	buffers *upstream.Buffers
+	client *upstream.Client
+	// buffers bounds the memory of unfinished responses, bodies that of requests.
+	buffers, bodies *upstream.Buffers
 	// closing adds "Connection: close" to responses.
 	closing  atomic.Bool
 	shutdown shutdown
@@ -255,7 +256,8 @@
 	client := upstream.New(upstream.Options{
 		ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout, IdlePerEndpoint: maxIdlePerEndpoint, Scope: opts.Scope,
 	})
-	return &Handler{Options: opts, client: client, buffers: upstream.NewBuffers(opts.BufferBytes), shutdown: newShutdown()}
+	return &Handler{Options: opts, client: client, buffers: upstream.NewBuffers(opts.BufferBytes),
+		bodies: upstream.NewBuffers(opts.BufferBytes), shutdown: newShutdown()}
 }
 
 // DisableKeepAlives begins the shutdown: it adds "Connection: close" to all further responses.
