Bring refused callers back when the balancer has noticed; connections to endpoints follow demand

A daemon stays overloaded while one with a wider link carries its callers. A daemon whose neighbours use less than their share of the connections to an endpoint uses more than an even one.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -99,6 +99,9 @@
 	endpoints map[string]*endpointState
 	// daemons is the number of daemons that share the pool.
 	daemons int
+	// domainDaemons is the number of those whose loads are heard, with this one; 0 if it must not use more
+	// than an even share.
+	domainDaemons int
 	// notices holds what endpoints announced.
 	notices map[incarnation]notice
 }
@@ -111,13 +114,31 @@
 // SetDaemons sets the number of daemons that share the pool.
 func (p *Pool) SetDaemons(n int) { p.daemons = max(n, 1) }
 
+// SetDomainDaemons sets the number of daemons whose loads are heard, including this one; 0 means that
+// each daemon uses at most an even share of an endpoint's connections.
+func (p *Pool) SetDomainDaemons(n int) { p.domainDaemons = n }
+
 // SetLimits sets the capacity limits of the endpoints.
 func (p *Pool) SetLimits(l Limits) { p.opts.Limits = l }
 
-// atConnectionLimit reports whether this daemon has used up its share of an
-// endpoint's connections.
-func (p *Pool) atConnectionLimit(e *endpointState) bool {
-	return p.opts.MaxConnections > 0 && e.openRequests >= max(1, p.opts.MaxConnections/p.daemons)
+// Shares of what a failure domain's daemons may connect to one endpoint together. One daemon uses
+// at most half, and a quarter is left for what the others have opened since their last digests, which are
+// a second old.
+const (
+	maxOwnConnectionShare = 0.5
+	usedConnectionShare   = 0.75
+)
+
+// atConnectionLimit reports whether this daemon has used up its share of an endpoint's connections: an
+// even one, or more if the daemons whose loads it hears use less than theirs. The load it answers is a
+// daemon that gets most of its domain's requests while connections of idle daemons are unused.
+func (p *Pool) atConnectionLimit(now time.Time, e *endpointState) bool {
+	own, limit := e.openRequests, p.opts.MaxConnections
+	if limit <= 0 || own < max(1, limit/p.daemons) {
+		return false
+	}
+	domain := float64(limit) * float64(p.domainDaemons) / float64(p.daemons)
+	return float64(own) >= maxOwnConnectionShare*domain || float64(own+e.peerTotal(now).Requests) >= usedConnectionShare*domain
 }
 
 // Put adds an endpoint or updates its description.
@@ -191,7 +212,7 @@
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
 	for _, e := range p.endpoints {
-		if r.Tried[e.ID] || p.atConnectionLimit(e) || p.withheld(now, e) || r.WithoutLimited && p.limited(e) {
+		if r.Tried[e.ID] || p.atConnectionLimit(now, e) || p.withheld(now, e) || r.WithoutLimited && p.limited(e) {
 			continue
 		}
 		choice.Candidates++
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -180,3 +180,30 @@
 		}
 	}
 }
+
+// Guards against refusing the requests of the daemon that gets most of its failure domain's while the
+// others' connections are unused, and against exceeding the domain's part if the others use theirs or
+// none of them is heard.
+func TestConnectionsFollowDemand(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		domain, peers, max int
+	}{
+		{"idle peers", 22, 0, 81}, {"busy peers", 22, 60, 62}, {"full peers", 22, 160, 7}, {"no peer heard", 1, 0, 7}, {"small fleet", 0, 0, 7},
+	} {
+		p := newPool(1, 1000)
+		p.SetLimits(Limits{MaxConnections: 500})
+		p.SetDaemons(68)
+		p.SetDomainDaemons(c.domain)
+		p.SetPeerLoad(start, "peer", "e00", Load{Requests: c.peers})
+		n := 0
+		for ; n < 500; n++ {
+			if _, ok := p.Choose(start, Request{}); !ok {
+				break
+			}
+		}
+		if n != c.max {
+			t.Errorf("%s: %d connections, want %d", c.name, n, c.max)
+		}
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
 	"github.com/azurehatch/azurehatch/internal/mesh"
 	"github.com/azurehatch/azurehatch/internal/metrics"
+	"github.com/azurehatch/azurehatch/internal/overload"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/relay"
 	"github.com/azurehatch/azurehatch/internal/retry"
@@ -330,7 +331,8 @@
 			d.crashIsolator.tick(now)
 			d.observeEra(max(d.configFeed.currentRevision(), d.endpointFeed.currentRevision()))
 			d.budgets.Tick(now)
-			d.pools.setDaemons(d.mesh.Count())
+			links := d.mesh.LocalLinks()
+			d.pools.setDaemons(d.mesh.Count(), d.domainDaemons(links))
 			d.pools.updateGauges(now)
 			if follows := d.mesh.FollowsStore(); follows != followed {
 				followed = follows
@@ -343,7 +345,7 @@
 					Stringer("revision", d.configFeed.currentRevision()).
 					Msg("use of the configuration changed: a peer has a newer one")
 			}
-			d.link.tick(now, d.mesh.LocalLinks)
+			d.link.tick(now, links)
 			if ready := d.Ready(); ready != wasReady {
 				wasReady = ready
 				d.log.Info().Bool("ready", ready).Msg("readiness changed")
@@ -352,6 +354,15 @@
 	}
 }
 
+// domainDaemons returns the number of daemons of the failure domain whose loads are heard, 0 in a fleet
+// that is not wide, where an even share of the connections to an endpoint is large.
+func (d *Daemon) domainDaemons(peers overload.Peers) int {
+	if !d.mesh.Wide() {
+		return 0
+	}
+	return len(peers) + 1
+}
+
 // Reload applies the settings that may change while the daemon runs: the bounds
 // and the seeds. Changes of addresses take effect at the next start.
 func (d *Daemon) Reload(s settings.Front) {
--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -78,16 +78,16 @@
 	return l.link.Overloaded()
 }
 
-// free returns the bytes a second that the link carries beyond what is asked.
-func (l *link) free() int64 {
+// forPeers returns what digests tell: whether the daemon is overloaded, and the bytes a second that the
+// link carries beyond what is asked, and that are asked.
+func (l *link) forPeers() (overloaded bool, free, demand int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return int64(l.link.Free())
+	return l.link.Overloaded(), int64(l.link.Free()), int64(l.link.Demand())
 }
 
-// tick updates the state. peers describes the links of the other daemons in the failure domain.
-func (l *link) tick(now time.Time, peers func() overload.Peers) {
-	others := peers()
+// tick updates the state. others describes the links of the other daemons in the failure domain.
+func (l *link) tick(now time.Time, others overload.Peers) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.link.Limited() {
@@ -99,8 +99,8 @@
 	l.metrics.update(s)
 	if changed {
 		l.log.Warn().Bool("overloaded", s.Overloaded).Float64("demand", s.Demand).Float64("callers", s.CallersIn).
-			Float64("control", s.Control).Dur("queue_ms", s.Queue).Dur("hold_ms", s.Hold).Int("others", others.Daemons).
-			Int("others_overloaded", others.Overloaded).Float64("widest_free", others.WidestFree).Int64("asked", l.asked).Int64("refused", l.refused).Msg("load of the link changed")
+			Float64("control", s.Control).Dur("queue_ms", s.Queue).Dur("hold_ms", s.Hold).Int("others", len(others)).
+			Int("others_overloaded", others.Overloaded()).Int64("asked", l.asked).Int64("refused", l.refused).Msg("load of the link changed")
 		l.asked, l.refused = 0, 0
 	}
 }
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -238,6 +238,7 @@
 // Digest implements mesh.State.
 func (s meshState) Digest(loads bool) *meshpb.Digest {
 	d, now := s.d, time.Now()
+	overloaded, free, demand := d.link.forPeers()
 	digest := &meshpb.Digest{
 		Revisions: map[string]int64{
 			d.configFeed.prefix:   int64(d.configFeed.lastChangeRevision()),
@@ -246,7 +247,7 @@
 			budgets.KeyPrefix:     int64(d.budgets.At()),
 		},
 		Balances: d.budgets.Balances(), Crashes: d.crashIsolator.entries(now), PartCrashes: d.crashIsolator.partEntries(now), Stopping: d.stopping.Load(),
-		Overloaded: d.link.overloaded(), LinkFree: d.link.free(), Follows: d.mesh.FollowsStore(), StoreAgeMs: d.endpointFeed.contactAge(now), BackAgeMs: d.endpointFeed.regainedAge(now),
+		Overloaded: overloaded, LinkFree: free, LinkDemand: demand, Follows: d.mesh.FollowsStore(), StoreAgeMs: d.endpointFeed.contactAge(now), BackAgeMs: d.endpointFeed.regainedAge(now),
 	}
 	if loads {
 		digest.Loads = d.pools.loads(now)
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -29,6 +29,8 @@
 	byService map[string]*balance.Pool
 	limits    map[string]balance.Limits
 	daemons   int
+	// domainDaemons is as in balance.Pool.SetDomainDaemons.
+	domainDaemons int
 }
 
 var _ relay.Pools = (*pools)(nil)
@@ -45,6 +47,7 @@
 	if !ok {
 		pool = balance.New(balance.Options{Domain: p.domain, Limits: p.limits[service]})
 		pool.SetDaemons(p.daemons)
+		pool.SetDomainDaemons(p.domainDaemons)
 		p.byService[service] = pool
 	}
 	return pool
@@ -64,12 +67,14 @@
 	}
 }
 
-func (p *pools) setDaemons(n int) {
+// setDaemons sets the numbers of daemons, and of those in this one's failure domain whose loads are heard.
+func (p *pools) setDaemons(n, domain int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.daemons = n
+	p.daemons, p.domainDaemons = n, domain
 	for _, pool := range p.byService {
 		pool.SetDaemons(n)
+		pool.SetDomainDaemons(domain)
 	}
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/overload"
 	"github.com/azurehatch/azurehatch/internal/platform"
 )
 
@@ -121,12 +122,11 @@
 	// addrHash is the hash of addr, for ownerScore.
 	addrHash uint64
 	conn     *grpc.ClientConn
-	// id, domain, balances, stopping, overloaded, linkFree and followsStore are from its last digest.
+	// id, domain, balances, stopping, link and followsStore are from its last digest.
 	id, domain   string
 	balances     map[string]int64
 	stopping     bool
-	overloaded   bool
-	linkFree     int64
+	link         overload.Peer
 	followsStore bool
 	// lastStoreContact is when the store last answered the peer, zero if never.
 	lastStoreContact time.Time
@@ -368,7 +368,7 @@
 			m.Log.Info().Str("peer", p.addr).Str("peer_id", d.Id).Msg("peer heard")
 		}
 		p.id, p.domain, p.balances, p.stopping, p.unreachable = d.Id, d.Domain, d.Balances, d.Stopping, false
-		p.overloaded, p.linkFree = d.Overloaded, d.LinkFree
+		p.link = overload.Peer{Overloaded: d.Overloaded, Free: float64(d.LinkFree), Demand: float64(d.LinkDemand)}
 		p.suspectUntil, p.silentRequests = time.Time{}, 0
 		p.lastReceived, p.followsStore, p.lastStoreContact = time.Now(), d.Follows, time.Time{}
 		if d.StoreAgeMs >= 0 {
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -306,14 +306,8 @@
 	now := time.Now()
 	var peers overload.Peers
 	for _, p := range m.peers {
-		if p.domain != m.Domain || p.stopping || !m.live(now, p) {
-			continue
-		}
-		peers.Daemons++
-		if p.overloaded {
-			peers.Overloaded++
-		} else {
-			peers.WidestFree = max(peers.WidestFree, float64(p.linkFree))
+		if p.domain == m.Domain && !p.stopping && m.live(now, p) {
+			peers = append(peers, p.link)
 		}
 	}
 	return peers
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -17,6 +17,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -26,7 +27,7 @@
 	// bursts of control messages.
 	usableShare = 0.85
 	// leastShare is what responses may use although bodies and control messages leave less: some
-	// responses must come in even while refused requests fill the link.
+	// must come in even while the bodies of refused requests fill the link.
 	leastShare = 0.1
 	// The daemon is overloaded while the demand is above tripShare of the link and until it is below
 	// clearShare: the callers that it has lost then come back.
@@ -54,6 +55,13 @@
 	firstHold = 30 * time.Second
 	maxHold   = 2 * time.Minute
 	againTime = 10 * time.Second
+	// noticeTime is how long new connections still arrive after the daemon has become overloaded: two
+	// readiness checks, one a second, and what is on its way.
+	noticeTime = 2500 * time.Millisecond
+	// retryAfterElsewhere is for callers whose next connection reaches another daemon, retryAfterHere
+	// for those who come back here, where a queue lasts for less than baseDelay + urgentDelay.
+	retryAfterElsewhere = 50 * time.Millisecond
+	retryAfterHere      = 150 * time.Millisecond
 )
 
 // Shares of a failure domain's daemons that may turn new connections away at the same time.
@@ -66,23 +74,44 @@
 	narrowOverloadedShare = 0.1
 )
 
+// Peer describes the link of another daemon in the failure domain.
+type Peer struct {
+	// Overloaded is true if it wants no new connections.
+	Overloaded bool
+	// Demand are the bytes a second that are asked of its link, Free those that it carries beyond that.
+	Demand, Free float64
+}
+
 // Peers describes the links of the other daemons in the failure domain.
-type Peers struct {
-	// Daemons is their number, Overloaded that of those that want no new connections.
-	Daemons, Overloaded int
-	// WidestFree is the most bytes a second that one of the others' links carries beyond its demand.
-	WidestFree float64
+type Peers []Peer
+
+// Overloaded returns the number of the daemons that want no new connections.
+func (p Peers) Overloaded() (n int) {
+	for _, peer := range p {
+		if peer.Overloaded {
+			n++
+		}
+	}
+	return n
+}
+
+// anyOther reports whether match returns true for a daemon that wants new connections.
+func (p Peers) anyOther(match func(Peer) bool) bool {
+	return slices.ContainsFunc(p, func(peer Peer) bool { return !peer.Overloaded && match(peer) })
 }
 
 // allow reports whether one more daemon with a demand in bytes a second may turn connections away.
 func (p Peers) allow(demand float64) bool {
-	daemons, overloaded := float64(p.Daemons+1), float64(p.Overloaded+1)
-	if p.WidestFree < demand && p.Overloaded > 0 {
+	daemons, overloaded := float64(len(p)+1), float64(p.Overloaded()+1)
+	if overloaded > 1 && !p.anyOther(func(peer Peer) bool { return peer.Free >= demand }) {
 		return overloaded <= narrowOverloadedShare*daemons
 	}
 	return overloaded <= maxOverloadedShare*daemons
 }
 
+// widerLink is the ratio to the own bandwidth from which a link counts as wider.
+const widerLink = 2
+
 // headBytes are the headers of a request and of its response in one direction.
 const headBytes = 700
 
@@ -120,9 +149,9 @@
 	answers, bodies mean
 
 	overloaded bool
-	// heldUntil is the end of the time in which the daemon stays overloaded, hold its length, clearedAt
-	// when the daemon was last no longer overloaded.
-	heldUntil, clearedAt time.Time
+	// trippedAt is when the daemon was last overloaded, hold how long it stays so at least, clearedAt
+	// when that last ended.
+	trippedAt, clearedAt time.Time
 	hold                 time.Duration
 	// closing accumulates the share of the responses that end their connections.
 	closing float64
@@ -170,6 +199,8 @@
 	Admitted bool
 	// Close ends the caller's connection with the response.
 	Close bool
+	// RetryAfter is when a caller who is refused should come back.
+	RetryAfter time.Duration
 }
 
 // Admit decides on a request that has arrived.
@@ -187,10 +218,22 @@
 	if d.Admitted {
 		l.incoming += r.incoming()
 		l.outgoing += r.outgoing()
+	} else {
+		d.RetryAfter = l.retryAfter(now)
 	}
 	return d
 }
 
+// retryAfter returns when a caller who is refused should come back. The hash sends it to this daemon
+// again until whoever distributes the connections has noticed that the daemon is overloaded: requests that
+// return before take the link from those that come for the first time.
+func (l *Link) retryAfter(now time.Time) time.Duration {
+	if !l.overloaded {
+		return retryAfterHere
+	}
+	return max(retryAfterElsewhere, noticeTime-now.Sub(l.trippedAt))
+}
+
 // fits reports whether bytes may join a queue that drains at the rate free: the queue must drain within
 // limit seconds, and the link at its full rate must carry both in that time, if there is a queue.
 func fits(queue, bytes, limit, free, rate float64) bool {
@@ -231,7 +274,7 @@
 	case !l.overloaded && demand > tripShare && peers.allow(demand*l.rate):
 		l.trip(now)
 		return true
-	case l.overloaded && demand < clearShare && !now.Before(l.heldUntil):
+	case l.overloaded && demand < clearShare && l.holdEnded(now, peers):
 		l.overloaded, l.clearedAt = false, now
 		return true
 	}
@@ -244,7 +287,24 @@
 	} else {
 		l.hold = firstHold
 	}
-	l.overloaded, l.heldUntil = true, now.Add(l.hold)
+	l.overloaded, l.trippedAt = true, now
+}
+
+// holdEnded reports whether callers may come back. While a daemon with a wider link is asked for a good part
+// of what this link carries, these are probably the callers that this one lost, who would overload it again.
+func (l *Link) holdEnded(now time.Time, peers Peers) bool {
+	held := now.Sub(l.trippedAt)
+	return held >= maxHold || held >= l.hold && !peers.anyOther(func(peer Peer) bool {
+		return peer.Demand+peer.Free > widerLink*l.rate && peer.Demand > clearShare*l.rate
+	})
+}
+
+// Demand returns the bytes a second that are asked of the link; 0 if its bandwidth is unknown.
+func (l *Link) Demand() float64 {
+	if !l.Limited() {
+		return 0
+	}
+	return l.demand() * l.rate
 }
 
 // unknownFree stands for the free bandwidth of a link whose bandwidth is unknown.
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -3,16 +3,10 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/azurehatch/azurehatch/internal/problem"
 )
 
-// A request that the machine's link can't carry now comes back after retryAfterOverloaded and up to
-// as much again. Its new connection reaches another daemon, so there is nothing to wait for but the
-// other requests that are refused at this moment.
-const retryAfterOverloaded = 50 * time.Millisecond
-
 // packetBytes are the headers of a packet, which each write of a stream's events needs.
 const packetBytes = 66
 
@@ -26,7 +20,8 @@
 	if d.Admitted {
 		return nil
 	}
-	wait := retryAfterOverloaded + rand.N(retryAfterOverloaded)
+	// Callers that are refused at the same time come back over half of the time again.
+	wait := d.RetryAfter + rand.N(d.RetryAfter/2+1)
 	return problem.New(problem.DaemonOverloaded, "the daemon's link is at its capacity; retry at another daemon").WithRetryAfter(wait)
 }
 
