--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -33,6 +33,8 @@
 	daemons   int
 	// evacuated holds the evacuated failure domains.
 	evacuated map[string]bool
+	// domainDaemons is as in balance.Pool.SetDomainDaemons.
+	domainDaemons int
 }
 
 var _ relay.Pools = (*pools)(nil)
@@ -50,6 +52,7 @@
 		pool = balance.New(balance.Options{Domain: p.domain, Limits: p.limits[service]})
 		pool.SetDaemons(p.daemons)
 		pool.SetEvacuated(time.Now(), p.evacuated)
+		pool.SetDomainDaemons(p.domainDaemons)
 		p.byService[service] = pool
 	}
 	return pool
@@ -69,12 +72,14 @@
 	}
 }
 
-func (p *pools) setDaemons(n int) {
+// setDaemons sets the numbers of daemons, and of those in this one's failure domain whose loads are heard.
+func (p *pools) setDaemons(n, domain int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.daemons = n
+	p.daemons, p.domainDaemons = n, domain
 	for _, pool := range p.byService {
 		pool.SetDaemons(n)
+		pool.SetDomainDaemons(domain)
 	}
 }
 
