--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -45,6 +45,9 @@
 	// the network and the endpoint need some 50 ms.
 	baseDelay   = 30 * time.Millisecond
 	urgentDelay = 50 * time.Millisecond
+	// incomingFactor is how much longer the queue of what comes in may be: streams send their responses
+	// over a second or more, so that it is not on the link at once.
+	incomingFactor = 3
 	// rateTime and demandTime are the time constants of the mean rates of traffic and of the demand.
 	rateTime   = 300 * time.Millisecond
 	demandTime = 500 * time.Millisecond
@@ -213,7 +216,7 @@
 	l.bodies.add(now, r.outgoing())
 	limit := (baseDelay + time.Duration(r.Urgency*float64(urgentDelay))).Seconds()
 	d := Decision{Close: l.closes()}
-	d.Admitted = fits(l.incoming, r.incoming(), limit, l.freeIn(), l.rate) &&
+	d.Admitted = fits(l.incoming, r.incoming(), incomingFactor*limit, l.freeIn(), l.rate) &&
 		fits(l.outgoing, r.outgoing(), limit, l.freeOut(), l.rate)
 	if d.Admitted {
 		l.incoming += r.incoming()
