--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -106,13 +106,18 @@
 	// medianTime is the median of the endpoints' usual times as of medianAt.
 	medianTime float64
 	medianAt   time.Time
+	// speedChanged holds the ids of endpoints that were classified anew.
+	speedChanged map[string]bool
 	// notices holds what endpoints announced.
 	notices map[incarnation]notice
 }
 
 // New returns an empty pool.
 func New(o Options) *Pool {
-	return &Pool{opts: o, endpoints: make(map[string]*endpointState), daemons: 1, notices: make(map[incarnation]notice)}
+	return &Pool{
+		opts: o, endpoints: make(map[string]*endpointState), daemons: 1, speedChanged: make(map[string]bool),
+		notices: make(map[incarnation]notice),
+	}
 }
 
 // SetDaemons sets the number of daemons that share the pool.
@@ -194,7 +199,7 @@
 }
 
 func (p *Pool) best(now time.Time, r Request) (*endpointState, Choice) {
-	p.usualTimes(now)
+	p.updateMedian(now)
 	preferred := p.preferredEndpoint(r.sharedPrefix())
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
