--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -37,9 +37,8 @@
 type Request struct {
 	// Prompt lists the parts of the prompt in order; empty for a plain service.
 	Prompt []PromptPart
-	// PromptTokens is the size of the whole prompt, OutputTokens the most that the response
-	// holds.
-	PromptTokens, OutputTokens int64
+	// PromptTokens is the size of the whole prompt.
+	PromptTokens int64
 	// Idempotent requests weigh the risk of a failure less, since they can be
 	// retried.
 	Idempotent bool
@@ -115,6 +114,8 @@
 	// domainDaemons is the number of those whose loads are heard, with this one; 0 if it must not use more
 	// than an even share.
 	domainDaemons int
+	// speedChanged holds the ids of endpoints that were classified anew.
+	speedChanged map[string]bool
 	// notices holds what endpoints announced.
 	notices map[incarnation]notice
 	// evacuated holds the failure domains whose endpoints get no new requests.
@@ -126,8 +127,8 @@
 // New returns an empty pool.
 func New(o Options) *Pool {
 	return &Pool{
-		opts: o, endpoints: make(map[string]*endpointState), daemons: 1, notices: make(map[incarnation]notice),
-		coldStates: make(map[string]*coldState),
+		opts: o, endpoints: make(map[string]*endpointState), daemons: 1, speedChanged: make(map[string]bool),
+		notices: make(map[incarnation]notice), coldStates: make(map[string]*coldState),
 	}
 }
 
@@ -237,7 +238,7 @@
 }
 
 func (p *Pool) best(now time.Time, r Request) (*endpointState, Choice) {
-	p.usualTimes(now)
+	p.updateMedian(now)
 	preferred := p.preferredEndpoint(r)
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
