Pace of endpoints that have started or come back

One daemon grants the requests of the whole fleet to such an endpoint, in a window that opens with answers in time and closes with late and failed ones. Off unless pace.enabled is set; the ramp of 2 s after a pause stays where it is off.

--- a/internal/balance/announce.go
+++ b/internal/balance/announce.go
@@ -8,7 +8,8 @@
 	maxPause = time.Hour
 	// returnTime is the time after a pause in which the requests that a daemon may have
 	// open at the endpoint grow from one to its share of the slots. All daemons that wait
-	// for an endpoint would otherwise fill it at once, and it would refuse again.
+	// for an endpoint would otherwise fill it at once, and it would refuse again. Where endpoints that come
+	// back get requests at a pace, that takes its place.
 	returnTime = 2 * time.Second
 )
 
@@ -130,7 +131,7 @@
 
 // limited reports whether requests to the endpoint need permits.
 func (p *Pool) limited(now time.Time, e *endpointState) bool {
-	return p.LimitOf(e.Endpoint).PerSecond > 0 || p.cold(now, e)
+	return p.LimitOf(e.Endpoint).PerSecond > 0 || p.cold(now, e) || p.paced(now, e)
 }
 
 // pruneNotices removes the notices of incarnations that have been gone for maxPause.
@@ -163,7 +164,7 @@
 // endpoint whose pause ended less than returnTime ago, and whether there is such a limit.
 func (p *Pool) returningSlots(now time.Time, e *endpointState) (int, bool) {
 	since := now.Sub(p.notices[e.incarnation()].pausedUntil)
-	if since < 0 || since >= returnTime {
+	if p.opts.Paced || since < 0 || since >= returnTime {
 		return 0, false
 	}
 	share := float64(e.Slots) / float64(p.daemons)
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -45,6 +45,8 @@
 	Idempotent bool
 	// Tried holds the IDs of the endpoints that the request was already sent to.
 	Tried map[string]bool
+	// Objective is the time in which callers want the answer to begin; 0 if the route names none.
+	Objective time.Duration
 	// WithoutLimited leaves out the endpoints to which requests need permits.
 	WithoutLimited bool
 	// Domains holds the failure domains to which the request may go; nil means all, an empty
@@ -101,6 +103,8 @@
 	MaxConnections int
 	// Cold applies to endpoints that have just started.
 	Cold ColdLimits
+	// Paced endpoints get requests at a pace after they have started or come back.
+	Paced bool
 }
 
 // Pool holds the state of one service's endpoints.
@@ -215,10 +219,16 @@
 	Limit RateLimit
 	// Cold is true if the endpoint is cold or may be.
 	Cold bool
+	// Paced is true if the endpoint has come back, at ReturnedAt, and gets requests at a pace.
+	Paced      bool
+	ReturnedAt time.Time
+	// ChosenAt is when the choice was made, Objective the latency objective of the request.
+	ChosenAt  time.Time
+	Objective time.Duration
 }
 
 // NeedsPermit reports whether a request needs a permit before it is sent to the endpoint.
-func (c Choice) NeedsPermit() bool { return c.Limit.PerSecond > 0 || c.Cold }
+func (c Choice) NeedsPermit() bool { return c.Limit.PerSecond > 0 || c.Cold || c.Paced }
 
 // Choose returns the endpoint with the lowest cost and counts the request
 // there. The caller must call Done exactly once for each choice, and Permitted before it
@@ -256,7 +266,8 @@
 		}
 	}
 	if best != nil {
-		choice.Limit, choice.Cold = p.LimitOf(best.Endpoint), p.cold(now, best)
+		choice.Limit, choice.Cold, choice.Paced = p.LimitOf(best.Endpoint), p.cold(now, best), p.paced(now, best)
+		choice.ReturnedAt, choice.ChosenAt, choice.Objective = p.returnedAt(now, best), now, r.Objective
 	}
 	return best, choice
 }
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -45,20 +45,32 @@
 	return s
 }
 
-// ReportCold records what a report of an endpoint, its entry, says of its coldness. coldFor is 0
-// if it is not cold. A report that is known already is ignored. It returns true if the endpoint has
-// become cold.
-func (p *Pool) ReportCold(now time.Time, e Endpoint, sequence int64, coldFor time.Duration) bool {
+// Report is what an endpoint reports of its state in its entry.
+type Report struct {
+	// Sequence increases with each report of an incarnation.
+	Sequence int64
+	// ColdFor is how long the endpoint stays cold; 0 if it is not cold.
+	ColdFor time.Duration
+	// Initial is true if the report is in the first list that the daemon has read.
+	Initial bool
+}
+
+// RecordEntry records what an endpoint's entry says of its state. A report that is known already is
+// ignored. It returns true if the endpoint has become cold.
+func (p *Pool) RecordEntry(now time.Time, e Endpoint, r Report) bool {
 	s := p.coldState(e)
 	sameLife := s.endpoint.Incarnation == e.Incarnation
-	if s.reported && sameLife && s.sequence == sequence {
+	if s.reported && sameLife && s.sequence == r.Sequence {
 		return false
 	}
+	if state, ok := p.endpoints[e.ID]; ok && !r.Initial && (!s.reported || !sameLife) {
+		state.cameBackAt = now
+	}
 	was := p.coldUntil(now, s)
-	s.endpoint, s.sequence, s.reported = e, sequence, true
+	s.endpoint, s.sequence, s.reported = e, r.Sequence, true
 	switch {
-	case coldFor > 0:
-		s.until, s.restartSuspected = now.Add(coldFor), false
+	case r.ColdFor > 0:
+		s.until, s.restartSuspected = now.Add(r.ColdFor), false
 	case !sameLife || now.Sub(s.suspectedAt) >= coldReportDelay:
 		s.until, s.restartSuspected = time.Time{}, false
 	}
@@ -99,10 +111,11 @@
 }
 
 // Recovered records that the endpoints of a failure domain get requests again after it was out
-// of use. They may be cold, and what their entries say may be older.
+// of use. They may be cold, and what their entries say may be older. They get requests at a pace.
 func (p *Pool) Recovered(now time.Time, domain string) {
 	for _, e := range p.endpoints {
 		if e.Domain == domain {
+			e.cameBackAt = now
 			p.RecordCold(now, e.Endpoint, p.opts.Cold.Period, false)
 		}
 	}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -101,6 +101,10 @@
 	// evacuated is true while the endpoint's failure domain is evacuated.
 	evacuated bool
 
+	// cameBackAt is when the endpoint started or its failure domain got requests again, as far as this
+	// daemon has seen it; paceOverAt is the return whose pace is over.
+	cameBackAt, paceOverAt time.Time
+
 	// deniedUntil is the end of the time for which no permit is to be had.
 	deniedUntil time.Time
 
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -123,7 +123,9 @@
 	case Succeeded:
 		e.succeeded++
 		e.unreachableInRow, e.invalidInRow, e.ejections = 0, 0, 0
-		e.ejectedUntil = time.Time{}
+		if e.ejected(now) {
+			e.ejectedUntil = now
+		}
 	case Refused:
 		e.unreachableInRow = 0
 	case ErrorResponse:
--- a/internal/front/cold_permits.go
+++ b/internal/front/cold_permits.go
@@ -13,14 +13,14 @@
 // the other half of permit.UseWithin for the connection.
 const maxColdPermitTime = permit.UseWithin / 2
 
-// reportCold records what an endpoint's entry says of its coldness.
-func (p *pools) reportCold(service string, e balance.Endpoint, sequence int64, coldFor time.Duration) {
+// recordEntry records what an endpoint's entry says of its state.
+func (p *pools) recordEntry(service string, e balance.Endpoint, r balance.Report) {
 	p.mu.Lock()
-	cold := p.pool(service).ReportCold(time.Now(), e, sequence, coldFor)
+	cold := p.pool(service).RecordEntry(time.Now(), e, r)
 	p.mu.Unlock()
 	if cold {
 		p.log.Info().Str("service", service).Str("endpoint", e.ID).Int64("incarnation", e.Incarnation).
-			Dur("cold_for_ms", coldFor).Msg("endpoint is cold")
+			Dur("cold_for_ms", r.ColdFor).Msg("endpoint is cold")
 	}
 }
 
--- /dev/null
+++ b/internal/front/cold_permits_test.go
@@ -0,0 +1,88 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurehatch/azurehatch/internal/balance"
+	"github.com/azurehatch/azurehatch/internal/discovery"
+	"github.com/azurehatch/azurehatch/internal/pace"
+)
+
+// Guards against a cold endpoint that gets more than it bears, or nothing, whether its first daemon
+// answers, is not known to one of the others, stops, or is lost.
+func TestOneDaemonGrantsThePermitsOfAColdEndpoint(t *testing.T) {
+	const rate, span = 50, 400 * time.Millisecond
+	for name, c := range map[string]struct {
+		prepare func(n *permitNet)
+		granted bool
+	}{
+		"all agree":                      {func(*permitNet) {}, true},
+		"one does not know the first":    {func(n *permitNet) { n.rank["c"] = []string{"b", "c"} }, true},
+		"the first gives no answer":      {func(n *permitNet) { n.down["a"] = true }, true},
+		"the registered are not known":   {func(n *permitNet) { n.daemons["a"].joined = make(chan struct{}) }, false},
+		"each knows only lower ranked":   {func(n *permitNet) { n.rank = map[string][]string{"b": {"c", "b"}, "c": {"a", "c"}, "a": {"b", "a"}} }, false},
+		"the asked one passes it on":     {func(n *permitNet) { n.rank["c"] = []string{"b", "c"}; n.rank["b"] = []string{"a", "b"} }, true},
+		"asked by the first one as well": {func(n *permitNet) { n.rank["b"] = []string{"a", "b"} }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := newPermitNet("a", "b", "c")
+			c.prepare(n)
+			granted := 0
+			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+				for _, addr := range []string{"b", "c"} {
+					if ok, wait := n.daemons[addr].acquireCold(t.Context(), cappedEngine, rate); ok {
+						granted++
+					} else if wait <= 0 {
+						t.Fatalf("denied for %v", wait)
+					}
+				}
+			}
+			if most := int(rate*span.Seconds()) + 1; granted > most || (granted > most/2) != c.granted {
+				t.Errorf("%d permits in %v at %d a second, want some: %v", granted, span, rate, c.granted)
+			}
+		})
+	}
+}
+
+// Guards against answers of a paced endpoint that the daemon that sets the pace never hears of, and
+// against a pace that its daemons don't end.
+func TestPaceOfTheFleet(t *testing.T) {
+	n, _ := newPermitNet("a", "b")
+	newPaced := func(addr string) *pools {
+		p := newPools("z", zerolog.Nop(), tally.NoopScope)
+		p.permits = n.daemons[addr]
+		p.limits["s"] = balance.Limits{Paced: true}
+		e := balance.Endpoint{ID: "e", Slots: 8, Incarnation: 2}
+		p.applyChange(discovery.Put, "s", e)
+		p.recordEntry("s", e, balance.Report{})
+		return p
+	}
+	first, second := newPaced("a"), newPaced("b")
+	send := func(p *pools) (balance.Choice, bool) {
+		c, ok := p.Choose("s", balance.Request{Objective: time.Second})
+		return c, ok && p.Permit(t.Context(), "s", c, balance.Request{})
+	}
+	c, ok := send(second)
+	if !ok || !c.Paced {
+		t.Fatalf("first request: sent %v, paced %v", ok, c.Paced)
+	}
+	if _, ok := send(first); ok {
+		t.Error("two daemons send a request to an endpoint that has not answered one")
+	}
+	second.Started("s", c, 10*time.Millisecond)
+	second.Done("s", c, true)
+	time.Sleep(250 * time.Millisecond)
+	if _, ok := send(first); !ok {
+		t.Error("the answer is not known to the daemon that sets the pace")
+	}
+	key := pace.Key{Endpoint: "e", Incarnation: 2}
+	n.daemons["a"].pace.Answered(time.Now(), key, pace.Answers{OnTime: 1})
+	time.Sleep(1100 * time.Millisecond)
+	if c, ok := send(second); !ok || second.pool("s").Paced(time.Now(), c) {
+		t.Error("the end of the pace is not known")
+	}
+}
--- a/internal/front/endpoints.go
+++ b/internal/front/endpoints.go
@@ -18,6 +18,8 @@
 
 	mu   sync.Mutex
 	list *discovery.Table
+	// listed is true once the first list has been applied.
+	listed bool
 }
 
 func newEndpoints(decode discovery.Decode, p *pools, log zerolog.Logger) *endpoints {
@@ -28,6 +30,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.applyToPools(r, e.list.Replace(r.at, items, at))
+	e.listed = true
 }
 
 func (e *endpoints) apply(r reading, events []platform.Event, at platform.Revision) {
@@ -96,7 +99,9 @@
 		}
 		e.pools.applyChange(c.Kind, c.Entry.Service, endpoint)
 		if c.Kind != discovery.Removed {
-			e.pools.reportCold(c.Entry.Service, endpoint, c.Entry.Sequence, c.Entry.ColdFor)
+			e.pools.recordEntry(c.Entry.Service, endpoint, balance.Report{
+				Sequence: c.Entry.Sequence, ColdFor: c.Entry.ColdFor, Initial: !e.listed,
+			})
 		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -184,6 +184,7 @@
 	})
 	d.permits = newPermits(d.mesh, d.stopping.Load, d.log)
 	d.pools.permits = d.permits
+	d.pools.paced, d.pools.background = d.frontSettings.Pace.Enabled, func(f func()) { d.wg.Go(f) }
 	d.pools.coldRatio, d.pools.coldSlack = d.frontSettings.Bounds.ColdRatio, d.frontSettings.Bounds.ColdSlack
 	d.pools.report = func(e balance.Endpoint, l balance.RateLimit) {
 		d.wg.Go(func() { d.permits.report(d.ctx, e, l) })
--- a/internal/front/permits.go
+++ b/internal/front/permits.go
@@ -12,6 +12,7 @@
 
 	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
+	"github.com/azurehatch/azurehatch/internal/pace"
 	"github.com/azurehatch/azurehatch/internal/permit"
 )
 
@@ -53,10 +54,11 @@
 	mu     sync.Mutex
 	issuer *permit.Issuer
 	cold   *permit.ColdIssuer
+	pace   *pace.Regulator
 }
 
 func newPermits(peers permitPeers, stopping func() bool, log zerolog.Logger) *permits {
-	return &permits{peers: peers, stopping: stopping, log: log, issuer: permit.NewIssuer(), cold: permit.NewColdIssuer()}
+	return &permits{peers: peers, stopping: stopping, log: log, issuer: permit.NewIssuer(), cold: permit.NewColdIssuer(), pace: pace.NewRegulator()}
 }
 
 // permitResult is the answer to a request for a permit.
@@ -107,8 +109,11 @@
 // serve answers a peer's request. A daemon that knows a higher ranked one passes the request on, so
 // that two daemons whose lists of peers differ don't both grant permits.
 func (p *permits) serve(ctx context.Context, r *meshpb.PermitRequest) (*meshpb.PermitReply, error) {
-	if r.ColdRate > 0 {
+	switch {
+	case r.ColdRate > 0:
 		return p.serveCold(ctx, r), nil
+	case r.Pace != nil:
+		return p.servePaced(ctx, r), nil
 	}
 	if owner := p.owner(r.Endpoint); owner != "" && !r.Forwarded {
 		r.Forwarded = true
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -26,6 +26,11 @@
 	report  func(e balance.Endpoint, l balance.RateLimit)
 	// coldRatio and coldSlack bound the requests that a cold endpoint gets in one second.
 	coldRatio, coldSlack float64
+	// paced is true if endpoints that come back get requests at a pace; answers are those not reported yet,
+	// which background sends.
+	paced      bool
+	answers    answerReports
+	background func(func())
 
 	mu        sync.Mutex
 	byService map[string]*balance.Pool
@@ -43,6 +48,7 @@
 	return &pools{
 		domain: domain, log: log, scope: scope, byService: make(map[string]*balance.Pool),
 		limits: make(map[string]balance.Limits), daemons: 1, report: func(balance.Endpoint, balance.RateLimit) {},
+		answers: make(answerReports), background: func(f func()) { go f() },
 	}
 }
 
@@ -63,7 +69,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range services {
-		l := balance.Limits{MaxConnections: s.MaxConnections, Cold: balance.ColdLimits{Period: s.ColdPeriod, Rate: s.ColdRate}}
+		l := balance.Limits{MaxConnections: s.MaxConnections, Cold: balance.ColdLimits{Period: s.ColdPeriod, Rate: s.ColdRate}, Paced: p.paced}
 		if s.Engine != nil {
 			l.KVTokens = s.Engine.KVTokens
 		}
@@ -175,15 +181,19 @@
 // Started implements relay.Pools.
 func (p *pools) Started(service string, c balance.Choice, elapsed time.Duration) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.pool(service).FirstToken(c, elapsed)
+	p.mu.Unlock()
+	p.recordAnswer(service, c, elapsed, false)
 }
 
 // Done implements relay.Pools.
 func (p *pools) Done(service string, c balance.Choice, started bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.pool(service).Done(c, started)
+	p.mu.Unlock()
+	if !started {
+		p.recordAnswer(service, c, time.Since(c.ChosenAt), true)
+	}
 }
 
 // Observe implements relay.Pools.
@@ -224,7 +234,8 @@
 	if !c.NeedsPermit() {
 		return true
 	}
-	if c.Cold && !p.permitCold(ctx, service, c) {
+	switch {
+	case c.Cold && !p.permitCold(ctx, service, c), !c.Cold && c.Paced && !p.permitPaced(ctx, service, c):
 		return false
 	}
 	if c.Limit.PerSecond == 0 {
--- a/internal/mesh/permits_test.go
+++ b/internal/mesh/permits_test.go
@@ -49,3 +49,33 @@
 		t.Errorf("%s is still ranked first", first)
 	}
 }
+
+// Guards against a cold endpoint whose permits several daemons grant, or one of another failure domain, or a
+// daemon that has heard nothing of the others yet; and against one whose permits nobody grants.
+func TestOneGrantorInTheFailureDomain(t *testing.T) {
+	nodes := newNodes(t, 5, 2) // three daemons of z0
+	for _, domain := range []string{"z0", "z1", "without daemons"} {
+		chosen, alone := make(map[string]bool), 0
+		for _, n := range nodes {
+			addr, ok := n.Grantor("endpoint e", domain, true)
+			if addr == "" {
+				addr = n.Addr
+			}
+			chosen[addr] = ok
+			if n.GrantsAlone("endpoint e", domain) {
+				alone++
+				if chosen[n.Addr] = true; domain == "z0" && n.Domain != "z0" {
+					t.Errorf("a daemon of %s grants permits of endpoints in %s", n.Domain, domain)
+				}
+			}
+		}
+		if len(chosen) != 1 || alone != 1 {
+			t.Errorf("%s: daemons %v chosen, %d grant, want one", domain, chosen, alone)
+		}
+	}
+	for _, n := range unservedMeshes(t, 5, 1) {
+		if n.GrantsAlone("endpoint e", "z0") {
+			t.Error("a daemon that has heard no other one grants permits")
+		}
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -282,7 +282,7 @@
 func (x *exchange) balanceRequest() balance.Request {
 	return balance.Request{
 		Prompt: x.meta.Prompt, PromptTokens: x.meta.PromptTokens, OutputTokens: x.meta.MaxOutput, Idempotent: x.route.Idempotent(), Tried: x.tried,
-		Domains: x.domains,
+		Domains: x.domains, Objective: x.route.LatencyObjective,
 	}
 }
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -17,6 +17,7 @@
 	Store    FrontStore    `toml:"store" comment:"The platform's metadata store."`
 	Machine  Machine       `toml:"machine" comment:"What the daemon may use."`
 	Bounds   Bounds        `toml:"bounds" comment:"Bounds that the deployment sets."`
+	Pace     Pace          `toml:"pace" comment:"Endpoints that have just started or come back."`
 	Log      Log           `toml:"log" comment:"Logs are JSON lines on standard output."`
 }
 
@@ -68,6 +69,11 @@
 	ColdSlack float64 `toml:"cold_slack" comment:"Requests beyond that ratio in one second."`
 }
 
+// Pace holds the settings of the pace at which endpoints that come back get requests.
+type Pace struct {
+	Enabled bool `toml:"enabled" comment:"Send requests to an endpoint that has just started or come back at the pace at which it answers in time."`
+}
+
 // DefaultFront returns the default settings.
 func DefaultFront() Front {
 	return Front{
