--- a/internal/soak/announce_test.go
+++ b/internal/soak/announce_test.go
@@ -21,6 +21,13 @@
 	limitDelay  = 3 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
+	// In each second, a cold engine may get coldRatio times coldRate and coldSlack requests from all daemons,
+	// from coldDelay after it became cold, in which its entry reaches the daemons.
+	coldPeriod = 3 * time.Second
+	coldRate   = 2.0
+	coldRatio  = 1.5
+	coldSlack  = 3.0
+	coldDelay  = 700 * time.Millisecond
 )
 
 // heardKey is a daemon and an endpoint's process, as result.leaving identifies it.
@@ -44,6 +51,7 @@
 	for _, e := range tr.bed.endpoints {
 		arrivals := e.Arrivals()
 		tr.checkLimit(e, daemons, arrivals)
+		tr.checkCold(e, arrivals)
 		byDaemon := make(map[string][]platformtest.Arrival)
 		for _, a := range arrivals {
 			byDaemon[a.Sender] = append(byDaemon[a.Sender], a)
@@ -122,3 +130,22 @@
 		}
 	}
 }
+
+// checkCold checks that the daemons together kept to what a cold engine bears, also those that were
+// interrupted.
+func (tr *traffic) checkCold(e *endpoint, arrivals []platformtest.Arrival) {
+	if !tr.bed.cold || e.Service != "llm" {
+		return
+	}
+	var counted []time.Time
+	for _, a := range arrivals {
+		if a.ColdSince.IsZero() || a.At.Sub(a.ColdSince) < coldDelay {
+			continue
+		}
+		counted = slices.DeleteFunc(append(counted, a.At), func(at time.Time) bool { return a.At.Sub(at) >= time.Second })
+		if allowed := coldRatio*coldRate + coldSlack; float64(len(counted)) > allowed && !tr.bed.stalledSince(counted[0]) {
+			tr.bed.addViolation("%s got %d requests in a second %v after it became cold, allowed are %v", e.ID, len(counted), a.At.Sub(a.ColdSince), allowed)
+			return
+		}
+	}
+}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -148,6 +148,31 @@
 	}
 }
 
+// Guards against a check that passes although a cold engine gets more than it bears, and one that counts
+// requests from before its entry could be known.
+func TestChecksFindTooManyRequestsToAColdEngine(t *testing.T) {
+	for name, c := range map[string]struct {
+		perSecond, after float64
+		broken           bool
+	}{"at the bound": {6, 1, false}, "above it": {7, 1, true}, "just after it became cold": {40, 0, false}} {
+		t.Run(name, func(t *testing.T) {
+			tr, d := newBareTraffic(t)
+			tr.bed.cold = true
+			e := &endpoint{Endpoint: &platformtest.Endpoint{ID: "e", Service: "llm", Slots: 8, Runs: tr.bed.runs}}
+			at := time.Now()
+			var arrivals []platformtest.Arrival
+			for i := range int(c.perSecond) {
+				after := c.after + float64(i)/c.perSecond*0.6
+				arrivals = append(arrivals, platformtest.Arrival{Sender: d.name, At: at.Add(time.Duration(after * float64(time.Second))), ColdSince: at})
+			}
+			tr.checkCold(e, arrivals)
+			if broken := len(tr.bed.violations) > 0; broken != c.broken {
+				t.Errorf("broken %v, want %v: %v", broken, c.broken, tr.bed.violations)
+			}
+		})
+	}
+}
+
 // Guards against a check that passes although the daemons together exceed an endpoint's limit.
 func TestChecksFindAnExceededLimit(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/soak/endpoint_faults_test.go
+++ b/internal/soak/endpoint_faults_test.go
@@ -127,3 +127,28 @@
 	s.logFault("%s takes %.2f requests a second for %v", e.ID, limit, d)
 	s.runFault(d, func() { e.SetLimit(limit) }, func() { e.SetLimit(0); s.release(e) })
 }
+
+// coldFaults returns engines that are cold after each start or become cold at some moment, and what
+// overlaps that.
+func coldFaults(s *scenario) []func(time.Duration) {
+	s.bed.cold = true
+	for _, e := range s.bed.endpoints {
+		e.SetColdPeriod(coldPeriod)
+	}
+	s.bed.publishConfig(nil)
+	return []func(time.Duration){
+		s.coolEndpoint, s.coolEndpoint, s.coolEndpoint, s.crashEndpoint, s.crashEndpoint, s.drainEndpoint,
+		s.killDaemon, s.pauseDaemon, s.stopDaemon, s.reconfigure,
+	}
+}
+
+// coolEndpoint lets an endpoint become cold without a restart.
+func (s *scenario) coolEndpoint(d time.Duration) {
+	e := s.randomEndpoint()
+	if !s.claim(e) {
+		return
+	}
+	d = max(d, coldPeriod)
+	s.logFault("%s is cold for %v", e.ID, d)
+	s.runFault(d, func() { e.BecomeCold(d); s.bed.announce(e) }, func() { s.bed.announce(e); s.release(e) })
+}
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -28,7 +28,7 @@
 // Guards against a process that runs out of its memory, or serves no other requests, while
 // many endpoints at once send bytes that are no answer.
 func TestProcessMemoryBesideEndlessAnswers(t *testing.T) {
-	bed := newTestbed(t, 1)
+	bed := newTestbed(t, 1, false)
 	d := bed.daemons[0]
 	d.kill()
 	d.binary = buildWithoutRaceDetector(t)
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -50,6 +50,8 @@
 	callerAddr, readyAddr, meshAddr string
 	store                           *proxy
 	seeds                           []string
+	// paced is true if endpoints that come back get requests at a pace.
+	paced bool
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -79,6 +81,8 @@
 	s.Instance = settings.FrontInstance{Name: d.name, FailureDomain: d.domain, Region: "r", FirstStart: d.starts == 0}
 	s.Listen = settings.FrontListen{Callers: d.callerAddr, Ready: d.readyAddr, Mesh: d.meshAddr, Seeds: d.seeds}
 	s.Store.Address = d.store.addr()
+	s.Bounds.ColdRatio, s.Bounds.ColdSlack = coldRatio, coldSlack
+	s.Pace.Enabled = d.paced
 	s.Bounds.Grace = unit.Seconds(int(gracePeriod.Seconds()))
 	return s
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -214,9 +214,10 @@
 	}
 }
 
-// runSeed runs the scenario of one seed and reports each violated guarantee.
+// runSeed runs the scenario of one seed and reports each violated guarantee. With odd seeds, endpoints that come
+// back get requests at a pace.
 func runSeed(t *testing.T, seed uint64, daemons int, length time.Duration, faults faultList) {
-	bed := newTestbed(t, daemons)
+	bed := newTestbed(t, daemons, seed%2 == 1)
 	tr := newTraffic(bed)
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
@@ -312,6 +313,10 @@
 		t.Parallel()
 		runSeed(t, 1, 3, shortRun+limitWindow, limitFaults)
 	})
+	t.Run("cold", func(t *testing.T) {
+		t.Parallel()
+		runSeed(t, 1, 3, shortRun, coldFaults)
+	})
 }
 
 // TestSoak runs AZUREHATCH_SOAK_SEEDS seeds from AZUREHATCH_SOAK_FIRST on, and the
@@ -350,6 +355,10 @@
 			t.Parallel()
 			runSeed(t, uint64(seed), daemons, longRun, evacuateFaults)
 		})
+		t.Run(fmt.Sprint("cold/seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, uint64(seed), daemons, longRun, coldFaults)
+		})
 	}
 }
 
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -71,6 +71,8 @@
 	config    any
 	evacuated string
 	copies    []memstore.Copy
+	// cold is true if the engines are cold after each start.
+	cold bool
 	// lastStoreFault and lastEndpointFault are the last times at which a fault of
 	// the store or of an endpoint began or ended. openStoreFaults and
 	// openEndpointFaults count the active ones.
@@ -109,7 +111,7 @@
 	return bed.lastStall.After(t)
 }
 
-func newTestbed(t *testing.T, daemons int) *testbed {
+func newTestbed(t *testing.T, daemons int, paced bool) *testbed {
 	t.Helper()
 	bed := &testbed{t: t, store: platformtest.NewStore(), runs: platformtest.NewRuns(), prepaid: make(map[string]int64)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -124,7 +126,7 @@
 		bed.prepaid[a] = firstBudget
 	}
 	bed.publishConfig(nil)
-	bed.startDaemons(daemons, l.Addr().String())
+	bed.startDaemons(daemons, l.Addr().String(), paced)
 	return bed
 }
 
@@ -182,14 +184,14 @@
 	}
 }
 
-func (bed *testbed) startDaemons(n int, store string) {
+func (bed *testbed) startDaemons(n int, store string, paced bool) {
 	dir := bed.t.TempDir()
 	for i := range n {
 		p, err := newProxy(func() string { return store })
 		if err != nil {
 			bed.t.Fatal(err)
 		}
-		d := &daemon{name: fmt.Sprint("d", i), domain: domainOf(i), dir: dir, store: p, binary: binary}
+		d := &daemon{name: fmt.Sprint("d", i), domain: domainOf(i), dir: dir, store: p, binary: binary, paced: paced}
 		for _, addr := range []*string{&d.callerAddr, &d.readyAddr, &d.meshAddr} {
 			if *addr, err = freeAddr(); err != nil {
 				bed.t.Fatal(err)
@@ -297,6 +299,12 @@
 	}
 	slow := route("slow", "/slow/", "unsafe", "desk", 1)
 	slow["timeout_ms"] = slowWork.Milliseconds()
+	engines := map[string]any{
+		"name": "llm", "engine": map[string]any{"slots": engineSlots, "kv_capacity_tokens": 100000, "stride": tokensPerEvent},
+	}
+	if bed.cold {
+		engines["cold_start_s"], engines["cold_per_s"] = coldPeriod.Seconds(), coldRate
+	}
 	value := map[string]any{
 		"version": bed.version,
 		"routes": []map[string]any{
@@ -304,7 +312,7 @@
 			route("look", "/look/", "safe", "desk", 2), route("probe", probePath(bed.version), "safe", "desk", 2),
 		},
 		"services": []map[string]any{
-			{"name": "llm", "engine": map[string]any{"slots": engineSlots, "kv_capacity_tokens": 100000, "stride": tokensPerEvent}}, {"name": "desk"},
+			engines, {"name": "desk"},
 		},
 		"tenants": tenants,
 	}
