--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -95,3 +96,38 @@
 		t.Error("a path that can't be sent unchanged is accepted")
 	}
 }
+
+// Guards against a call that waits for a connection for longer than it may, and against one that is cut
+// because its answer takes longer than the connection.
+func TestConnectWithin(t *testing.T) {
+	const within = 100 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(3 * within)
+		_, _ = io.WriteString(w, "done")
+	}))
+	defer server.Close()
+	call := Call{Addr: server.Listener.Addr().String(), Method: http.MethodGet, Path: "/", Header: http.Header{}, ConnectWithin: within}
+	client := New(Options{})
+	defer client.Close()
+	resp, err := client.Do(t.Context(), call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "done" {
+		t.Errorf("body %q, %v", body, err)
+	}
+	resp.Body.Close()
+
+	blocked := New(Options{})
+	defer blocked.Close()
+	blocked.pooled.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	begin := time.Now()
+	_, err = blocked.Do(t.Context(), call) //nolint:bodyclose // there is no response
+	var failed *Error
+	if !errors.As(err, &failed) || failed.Connected || failed.Ran != RanNo || time.Since(begin) > time.Second {
+		t.Errorf("error %v after %v, want one without a connection", err, time.Since(begin))
+	}
+}
