--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -125,7 +125,7 @@
 		return nil, ctx.Err()
 	}
 	begin := time.Now()
-	_, err = blocked.Do(t.Context(), call) //nolint:bodyclose // there is no response
+	_, err = blocked.Do(t.Context(), call)
 	var failed *Error
 	if !errors.As(err, &failed) || failed.Connected || failed.Ran != RanNo || time.Since(begin) > time.Second {
 		t.Errorf("error %v after %v, want one without a connection", err, time.Since(begin))
