Pace: send without one where its daemon gives no answer

A daemon with a full link ejects endpoints by itself, and would pass over each of them. The bound of cold endpoints follows a reload of the settings.

--- a/internal/front/cold_permits.go
+++ b/internal/front/cold_permits.go
@@ -24,6 +24,13 @@
 	}
 }
 
+// setColdBound sets the bound of the requests that a cold endpoint gets in one second.
+func (p *pools) setColdBound(ratio, slack float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.coldRatio, p.coldSlack = ratio, slack
+}
+
 // coldGrantRate returns the requests a second that one daemon may grant to a cold endpoint of a
 // service.
 func (p *pools) coldGrantRate(service string) float64 {
--- a/internal/front/cold_permits_test.go
+++ b/internal/front/cold_permits_test.go
@@ -85,4 +85,8 @@
 	if c, ok := send(second); !ok || second.pool("s").Paced(time.Now(), c) {
 		t.Error("the end of the pace is not known")
 	}
+	n.down["a"] = true
+	if c, ok := send(newPaced("b")); !ok || !c.Paced {
+		t.Error("no request is sent where the daemon that sets the pace gives no answer")
+	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -185,7 +185,6 @@
 	d.permits = newPermits(d.mesh, d.stopping.Load, d.log)
 	d.pools.permits = d.permits
 	d.pools.paced, d.pools.background = d.frontSettings.Pace.Enabled, func(f func()) { d.wg.Go(f) }
-	d.pools.coldRatio, d.pools.coldSlack = d.frontSettings.Bounds.ColdRatio, d.frontSettings.Bounds.ColdSlack
 	d.pools.report = func(e balance.Endpoint, l balance.RateLimit) {
 		d.wg.Go(func() { d.permits.report(d.ctx, e, l) })
 	}
@@ -388,6 +387,7 @@
 // is read with the configuration: the shorter of its bounds holds for all of it.
 func (d *Daemon) setBounds(b settings.Bounds) {
 	d.grace.Store(int64(b.Grace.Duration))
+	d.pools.setColdBound(b.ColdRatio, b.ColdSlack)
 	operatorBound := min(b.Configuration.Duration, b.Evacuation.Duration)
 	d.maxOutdated.Store(int64(operatorBound / 2))
 	d.configFeed.setChangeBound(operatorBound)
--- a/internal/front/paced_permits.go
+++ b/internal/front/paced_permits.go
@@ -114,7 +114,8 @@
 
 // servePaced answers a request of this daemon or of a peer about an endpoint that has come back. The
 // daemon that ranks first in the endpoint's failure domain sets the pace; one that has no other daemon in
-// sight does so itself.
+// sight does so itself. Without an answer the request is sent: a daemon whose link is full would otherwise pass
+// over each endpoint that it has ejected for that.
 func (p *permits) servePaced(ctx context.Context, r *meshpb.PermitRequest) *meshpb.PermitReply {
 	owner, ok := p.peers.Grantor(rankKey(r.Endpoint), r.Domain, !p.stopping())
 	if !ok || owner == "" || r.Hops >= maxColdHops {
@@ -124,7 +125,7 @@
 	reply, err := p.peers.RequestPermit(ctx, owner, r)
 	if err != nil {
 		p.log.Info().Err(err).Str("endpoint", r.Endpoint).Msg("peer gave no answer to a request for a permit")
-		return &meshpb.PermitReply{WaitMs: permitRetryDelay.Milliseconds()}
+		return &meshpb.PermitReply{Granted: true, PaceOver: true}
 	}
 	return reply
 }
