--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -25,6 +25,14 @@
 	return problem.New(problem.DaemonOverloaded, "the daemon's link is at its capacity; retry at another daemon").WithRetryAfter(wait)
 }
 
+// recordSizes records the sizes of a request that was served: a refusal after the admission does not show
+// how much the route's responses have.
+func (x *exchange) recordSizes() {
+	if x.status/100 == 2 {
+		x.handler.Link.Ended(x.route.Name, int64(len(x.body)), x.response.bytes)
+	}
+}
+
 // urgency returns the request's urgency from 0 to 1, which is that of priority 0.
 func (x *exchange) urgency() float64 {
 	priority := x.route.Priority
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -142,7 +142,7 @@
 	if err := x.admit(); err != nil {
 		return err
 	}
-	defer func() { x.handler.Link.Ended(x.route.Name, int64(len(x.body)), x.response.bytes) }()
+	defer x.recordSizes()
 	// A caller that stops to read or to write must not hold the request, its tokens and
 	// the endpoint's slot beyond the deadline.
 	x.checkDeadline(conn.SetWriteDeadline(x.deadline.Add(callerGrace)))
