Deny requests to cold endpoints that the bound leaves no room for; reload the bound

Where the bound leaves one daemon no permits (a rate of 1 or 2 with the default ratio and slack), a daemon asked its peer with a rate of 0. The peer took that for a request to an endpoint without a limit and granted it, without any bound. Such a request is denied now before it is sent.

SIGHUP left the ratio and slack of cold endpoints at those of the start. They are applied now, under the lock of the pools.

--- a/internal/front/cold_permits.go
+++ b/internal/front/cold_permits.go
@@ -13,6 +13,9 @@
 // the other half of permit.UseWithin for the connection.
 const maxColdPermitTime = permit.UseWithin / 2
 
+// noColdRateDelay is how long a cold endpoint is passed over if the bound leaves no requests for it.
+const noColdRateDelay = time.Second
+
 // reportCold records what an endpoint's entry says of its coldness.
 func (p *pools) reportCold(service string, e balance.Endpoint, sequence int64, coldFor time.Duration) {
 	p.mu.Lock()
@@ -24,6 +27,14 @@
 	}
 }
 
+// setColdBound sets the bound of the requests that a cold endpoint gets in one second: its rate times ratio
+// plus slack.
+func (p *pools) setColdBound(ratio, slack float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.coldRatio, p.coldSlack = ratio, slack
+}
+
 // coldGrantRate returns the requests a second that one daemon may grant to a cold endpoint of a
 // service.
 func (p *pools) coldGrantRate(service string) float64 {
@@ -51,6 +62,10 @@
 // acquireCold requests a permit for one request to a cold endpoint. If no daemon grants them,
 // wait is the time for which the endpoint is passed over.
 func (p *permits) acquireCold(ctx context.Context, e balance.Endpoint, rate float64) (granted bool, wait time.Duration) {
+	// A peer would take a request without a rate for one to an endpoint that is not cold.
+	if rate <= 0 {
+		return false, noColdRateDelay
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxColdPermitTime)
 	defer cancel()
 	r := &meshpb.PermitRequest{Endpoint: e.ID, Incarnation: e.Incarnation, Domain: e.Domain, ColdRate: rate}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,7 +26,6 @@
 	"github.com/azurehatch/azurehatch/internal/overload"
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/relay"
-	"github.com/azurehatch/azurehatch/internal/retry"
 	"github.com/azurehatch/azurehatch/internal/routing"
 	"github.com/azurehatch/azurehatch/internal/settings"
 )
@@ -184,7 +183,6 @@
 	})
 	d.permits = newPermits(d.mesh, d.stopping.Load, d.log)
 	d.pools.permits = d.permits
-	d.pools.coldRatio, d.pools.coldSlack = d.frontSettings.Bounds.ColdRatio, d.frontSettings.Bounds.ColdSlack
 	d.pools.report = func(e balance.Endpoint, l balance.RateLimit) {
 		d.wg.Go(func() { d.permits.report(d.ctx, e, l) })
 	}
@@ -371,32 +369,6 @@
 	return len(peers) + 1
 }
 
-// Reload applies the settings that may change while the daemon runs: the bounds
-// and the seeds. Changes of addresses take effect at the next start.
-func (d *Daemon) Reload(s settings.Front) {
-	for _, seed := range s.Listen.Seeds {
-		d.mesh.Add(seed, "")
-	}
-	d.retryBudget.setOptions(retryOptions(s.Bounds))
-	d.setBounds(s.Bounds)
-	d.log.Info().Float64("retry_ratio", s.Bounds.RetryRatio).Float64("retry_slack", s.Bounds.RetrySlack).
-		Dur("grace_ms", s.Bounds.Grace.Duration).Msg("settings reloaded")
-}
-
-// setBounds applies the bounds that are not those of the retry budget. What the operator writes
-// is read with the configuration: the shorter of its bounds holds for all of it.
-func (d *Daemon) setBounds(b settings.Bounds) {
-	d.grace.Store(int64(b.Grace.Duration))
-	operatorBound := min(b.Configuration.Duration, b.Evacuation.Duration)
-	d.maxOutdated.Store(int64(operatorBound / 2))
-	d.configFeed.setChangeBound(operatorBound)
-	d.endpointFeed.setChangeBound(b.Draining.Duration)
-}
-
-func retryOptions(b settings.Bounds) retry.WindowOptions {
-	return retry.WindowOptions{Ratio: b.RetryRatio, Slack: b.RetrySlack, Span: b.RetryWindow.Duration, UsableShare: retryMargin}
-}
-
 // Close ends the daemon immediately, without returning tokens to the store.
 func (d *Daemon) Close() {
 	d.stopping.Store(true)
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -24,13 +24,13 @@
 	// the daemon that grants them.
 	permits *permits
 	report  func(e balance.Endpoint, l balance.RateLimit)
-	// coldRatio and coldSlack bound the requests that a cold endpoint gets in one second.
-	coldRatio, coldSlack float64
 
 	mu        sync.Mutex
 	byService map[string]*balance.Pool
 	limits    map[string]balance.Limits
 	daemons   int
+	// coldRatio and coldSlack bound the requests that a cold endpoint gets in one second.
+	coldRatio, coldSlack float64
 	// evacuated holds the evacuated failure domains.
 	evacuated map[string]bool
 	// domainDaemons is as in balance.Pool.SetDomainDaemons.
