Refuse too large bodies before the link's admission, and at once

A request with a huge Content-Length counted in full as demand for the link before it was refused: one caller could make a daemon overloaded, not ready for 30 s, or overflow the sum. The size is checked first now.

MaxBytesReader got the writer that counts bytes instead of the server's own, and so no longer closed the connection of a body beyond the limit: the refusal waited for the rest of a chunked body (no answer within 4 s in the test).

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -11,8 +11,12 @@
 const packetBytes = 66
 
 // admit refuses a request that the machine's link can't carry. It is decided before the body is read
-// and tokens are reserved, so that a refusal takes nothing from the requests that are admitted.
+// and tokens are reserved, so that a refusal takes nothing from the requests that are admitted. A body that
+// is announced as larger than allowed is refused first: it must not count as demand for the link.
 func (x *exchange) admit() error {
+	if limit := x.bodyLimit(); x.r.ContentLength > limit {
+		return problem.New(problem.TooLarge, "the body is larger than %d bytes", limit)
+	}
 	d := x.handler.Link.Admit(x.route.Name, x.r.ContentLength, x.urgency())
 	if d.Close {
 		x.w.Header().Set("Connection", "close")
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -12,19 +12,22 @@
 	"github.com/azurehatch/azurehatch/internal/upstream"
 )
 
+// bodyLimit returns the most bytes that the request's body may have.
+func (x *exchange) bodyLimit() int64 {
+	if limit := x.table.Limits.BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultBodyBytes
+}
+
 // readBody reads the request's body into memory, which the caller releases. The bodies of all
 // requests together have a limit of their own: callers who send slowly, or endpoints that read
 // slowly, must not take the memory of responses that are under way. Beyond it a new request is
 // refused, since it has not run anywhere, and those that have been read go on.
 func (x *exchange) readBody(memory *upstream.Buffer) error {
-	limit := x.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return problem.New(problem.TooLarge, "the body is larger than %d bytes", limit)
-	}
-	body, err := readAll(memory, http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
+	limit := x.bodyLimit()
+	// The server's own writer closes the connection beyond the limit instead of reading the rest.
+	body, err := readAll(memory, http.MaxBytesReader(x.response.ResponseWriter, x.r.Body, limit), x.r.ContentLength, limit)
 	var large *http.MaxBytesError
 	switch {
 	case errors.Is(err, io.EOF):
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/heaptest"
+	"github.com/azurehatch/azurehatch/internal/overload"
 )
 
 // Guards against running out of memory when many callers at once send large bodies slowly: the
@@ -74,3 +76,39 @@
 		})
 	}
 }
+
+// askedLink admits all requests and counts them.
+type askedLink struct{ asked atomic.Int64 }
+
+func (l *askedLink) Admit(string, int64, float64) overload.Decision {
+	l.asked.Add(1)
+	return overload.Decision{Admitted: true}
+}
+func (*askedLink) Ended(string, int64, int64) {}
+
+// Guards against a caller with too large a body who is told so only once its rest has arrived, and against one
+// who makes the daemon overloaded by announcing a body that it can't send.
+func TestTooLargeBodiesAreRefusedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name, rest string
+		asked      int64
+	}{
+		{"in chunks", fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n800\r\n%s\r\n", strings.Repeat("u", 0x800)), 1},
+		{"announced", "Content-Length: 9000000000000000000\r\n\r\n", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h, link := newHarness(t, startEndpoint(t, respondWith(response(requestID, 200, "ok"), true))), &askedLink{}
+			h.table, h.handler.Link = newTableFor(t, "desk", "llm", 2*soundTime), link
+			conn := h.sendRaw(t, "/order/x", c.rest)
+			_ = conn.SetReadDeadline(time.Now().Add(soundTime))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusRequestEntityTooLarge || link.asked.Load() != c.asked {
+				t.Errorf("status %d after %d questions to the link, want 413 after %d", resp.StatusCode, link.asked.Load(), c.asked)
+			}
+		})
+	}
+}
