Check the numbers of links and cold endpoints

TOML knows nan and inf: an infinite bandwidth made the link's queue NaN, so that every request was refused.

--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/netip"
 
 	"github.com/pelletier/go-toml/v2"
@@ -108,8 +109,8 @@
 	}{
 		{"machine.link_mbps", s.Machine.LinkMbps}, {"bounds.cold_ratio", s.Bounds.ColdRatio}, {"bounds.cold_slack", s.Bounds.ColdSlack},
 	} {
-		if p.value < 0 {
-			return errors.Errorf("%s must not be negative", p.name)
+		if !(p.value >= 0) || math.IsInf(p.value, 0) { // TOML knows nan and inf
+			return errors.Errorf("%s must be a number that is not negative", p.name)
 		}
 	}
 	if s.Instance.FailureDomain == "" {
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -21,6 +21,9 @@
 		{"bad address", minimalFront + "[store]\naddress = \"store\"", `store.address: "store" is not IP:port`},
 		{"bad metrics address", minimalFront + "[listen]\nmetrics = \"9100\"", "listen.metrics"},
 		{"bad memory", minimalFront + "[machine]\nmemory = \"284\"", "is not a size"},
+		{"bad bandwidth", minimalFront + "[machine]\nlink_mbps = inf", "machine.link_mbps"},
+		{"bad ratio of cold endpoints", minimalFront + "[bounds]\ncold_ratio = nan", "bounds.cold_ratio"},
+		{"negative slack of cold endpoints", minimalFront + "[bounds]\ncold_slack = -1.0", "bounds.cold_slack"},
 		{"bad window", minimalFront + "[bounds]\nretry_window = \"0s\"", "not above zero"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
