Send nothing on a connection that comes when its call has ended

The timer that bounds the wait for a connection could fire just after the call got one. The call then was written and canceled at once, and counted as a crash of the endpoint. Either the timer ends the call now, and the connection is closed before a byte is written, or the connection stands.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -138,6 +139,9 @@
 	var use *connUse
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		connected()
+		if ctx.Err() != nil {
+			i.Conn.Close() // nothing of a call that has ended is sent
+		}
 		if use != nil {
 			use.release()
 		}
@@ -183,15 +187,17 @@
 // errNotConnected is the cause of a call that had no connection within Call.ConnectWithin.
 var errNotConnected = errors.New("no connection within the time for it")
 
-// boundConnect returns a context that ends if connected is not called within ConnectWithin.
+// boundConnect returns a context that ends if connected is not called within ConnectWithin. It does
+// not end because of that after connected has returned.
 func (c Call) boundConnect(ctx context.Context) (bounded context.Context, connected, cancel func()) {
 	if c.ConnectWithin == 0 {
 		return ctx, func() {}, func() {}
 	}
 	bounded, end := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(c.ConnectWithin, func() { end(errNotConnected) })
-	stop := func() { timer.Stop() }
-	return bounded, stop, func() { stop(); end(nil) }
+	var once sync.Once
+	timer := time.AfterFunc(c.ConnectWithin, func() { once.Do(func() { end(errNotConnected) }) })
+	connected = func() { once.Do(func() { timer.Stop() }) }
+	return bounded, connected, func() { connected(); end(nil) }
 }
 
 // request returns the HTTP request of a call. A request with a body but without GetBody is
