Wait for both new endpoints in the tests of evacuations and regions

twoDomains took two known endpoints for the two new ones, but the former one and the first new one are two as well: if no daemon knew the endpoint in z1 yet, all 24 requests bound to its region were refused, rightly.

--- a/internal/front/evacuations_test.go
+++ b/internal/front/evacuations_test.go
@@ -16,19 +16,24 @@
 
 // twoDomains adds endpoints of the service desk in two failure domains to a fleet.
 func (f *fleet) twoDomains() (z0, z1 *cappedEndpoint) {
+	known := func(n int) func() bool {
+		return func() bool {
+			for _, d := range f.daemons {
+				if d.pools.available("desk") != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	// With the former endpoint, two would be known before both new ones are.
+	f.remove("servers/i-2")
+	f.eventually("no daemon knows the former endpoint", known(0))
 	z0, z1 = f.startCapped(""), f.startCapped("")
 	for domain, e := range map[string]*cappedEndpoint{"z0": z0, "z1": z1} {
 		f.put("servers/desk-"+domain, map[string]any{"service": "desk", "address": e.addr, "zone": domain, "slots": 6, "state": "ready"})
 	}
-	f.remove("servers/i-2")
-	f.eventually("all daemons know both endpoints", func() bool {
-		for _, d := range f.daemons {
-			if d.pools.available("desk") != 2 {
-				return false
-			}
-		}
-		return true
-	})
+	f.eventually("all daemons know both endpoints", known(2))
 	return z0, z1
 }
 
