--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,7 +17,6 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/azurehatch/azurehatch/internal/dialer"
 	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
@@ -229,13 +228,6 @@
 	m.Log.Info().Str("peer", addr).Msg("peer known")
 }
 
-// daemonDialer connects to the mesh listeners of peers.
-var daemonDialer = dialer.GRPCOptions{
-	FirstBackoff: initialBackoff, MaxBackoff: maxBackoff, ConnectTimeout: exchangeTimeout,
-	PingInterval: pingInterval, PingTimeout: pingTimeout, MaxMessageBytes: maxMessageBytes,
-	IdleTimeout: idleTimeout, ReadBufferBytes: readBufferBytes,
-}
-
 func (m *Mesh) exchangeLoop() {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
