--- a/internal/front/cold_permits.go
+++ b/internal/front/cold_permits.go
@@ -13,6 +13,9 @@
 // the other half of permit.UseWithin for the connection.
 const maxColdPermitTime = permit.UseWithin / 2
 
+// noColdRateDelay is how long a cold endpoint is passed over if the bound leaves no requests for it.
+const noColdRateDelay = time.Second
+
 // recordEntry records what an endpoint's entry says of its state.
 func (p *pools) recordEntry(service string, e balance.Endpoint, r balance.Report) {
 	p.mu.Lock()
@@ -24,7 +27,8 @@
 	}
 }
 
-// setColdBound sets the bound of the requests that a cold endpoint gets in one second.
+// setColdBound sets the bound of the requests that a cold endpoint gets in one second: its rate times ratio
+// plus slack.
 func (p *pools) setColdBound(ratio, slack float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -58,6 +62,10 @@
 // acquireCold requests a permit for one request to a cold endpoint. If no daemon grants them,
 // wait is the time for which the endpoint is passed over.
 func (p *permits) acquireCold(ctx context.Context, e balance.Endpoint, rate float64) (granted bool, wait time.Duration) {
+	// A peer would take a request without a rate for one to an endpoint that is not cold.
+	if rate <= 0 {
+		return false, noColdRateDelay
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxColdPermitTime)
 	defer cancel()
 	r := &meshpb.PermitRequest{Endpoint: e.ID, Incarnation: e.Incarnation, Domain: e.Domain, ColdRate: rate}
--- a/internal/front/cold_permits_test.go
+++ b/internal/front/cold_permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -10,6 +11,7 @@
 	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/discovery"
 	"github.com/azurehatch/azurehatch/internal/pace"
+	"github.com/azurehatch/azurehatch/internal/routing"
 )
 
 // Guards against a cold endpoint that gets more than it bears, or nothing, whether its first daemon
@@ -29,21 +31,23 @@
 		"asked by the first one as well": {func(n *permitNet) { n.rank["b"] = []string{"a", "b"} }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			n, _ := newPermitNet("a", "b", "c")
-			c.prepare(n)
-			granted := 0
-			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-				for _, addr := range []string{"b", "c"} {
-					if ok, wait := n.daemons[addr].acquireCold(t.Context(), cappedEngine, rate); ok {
-						granted++
-					} else if wait <= 0 {
-						t.Fatalf("denied for %v", wait)
+			synctest.Test(t, func(t *testing.T) {
+				n, _ := newPermitNet("a", "b", "c")
+				c.prepare(n)
+				granted := 0
+				for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+					for _, addr := range []string{"b", "c"} {
+						if ok, wait := n.daemons[addr].acquireCold(t.Context(), cappedEngine, rate); ok {
+							granted++
+						} else if wait <= 0 {
+							t.Fatalf("denied for %v", wait)
+						}
 					}
 				}
-			}
-			if most := int(rate*span.Seconds()) + 1; granted > most || (granted > most/2) != c.granted {
-				t.Errorf("%d permits in %v at %d a second, want some: %v", granted, span, rate, c.granted)
-			}
+				if most := int(rate*span.Seconds()) + 1; granted > most || (granted > most/2) != c.granted {
+					t.Errorf("%d permits in %v at %d a second, want some: %v", granted, span, rate, c.granted)
+				}
+			})
 		})
 	}
 }
@@ -90,3 +94,25 @@
 		t.Error("no request is sent where the daemon that sets the pace gives no answer")
 	}
 }
+
+// Guards against a cold endpoint that gets requests without a bound where the bound leaves none for it: a peer
+// takes a request without a rate for one to an endpoint without a limit, and grants it.
+func TestNoPermitOfAColdEndpointWithoutARate(t *testing.T) {
+	n, _ := newPermitNet("a", "b")
+	for _, addr := range []string{"a", "b"} {
+		if granted, wait := n.daemons[addr].acquireCold(t.Context(), cappedEngine, 0); granted || wait <= 0 {
+			t.Errorf("daemon %s: granted %v, wait %v at a rate of 0; want a denial with a time to wait", addr, granted, wait)
+		}
+	}
+}
+
+// Guards against settings that are read again and leave the former bound of cold endpoints in force.
+func TestReloadAppliesTheBoundOfColdEndpoints(t *testing.T) {
+	d := newFleet(t, 1000).daemons[0]
+	d.pools.configure([]routing.Service{{Name: "llm", ColdPeriod: time.Minute, ColdRate: 10}})
+	s := d.frontSettings
+	s.Bounds.ColdRatio, s.Bounds.ColdSlack = 0.1, 1
+	if d.Reload(s); d.pools.coldGrantRate("llm") != 0 {
+		t.Errorf("a daemon grants %v requests a second to a cold endpoint, want none at 2 for all daemons", d.pools.coldGrantRate("llm"))
+	}
+}
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -24,8 +24,6 @@
 	// the daemon that grants them.
 	permits *permits
 	report  func(e balance.Endpoint, l balance.RateLimit)
-	// coldRatio and coldSlack bound the requests that a cold endpoint gets in one second.
-	coldRatio, coldSlack float64
 	// paced is true if endpoints that come back get requests at a pace; answers are those not reported yet,
 	// which background sends.
 	paced      bool
@@ -36,6 +34,8 @@
 	byService map[string]*balance.Pool
 	limits    map[string]balance.Limits
 	daemons   int
+	// coldRatio and coldSlack bound the requests that a cold endpoint gets in one second.
+	coldRatio, coldSlack float64
 	// evacuated holds the evacuated failure domains.
 	evacuated map[string]bool
 	// domainDaemons is as in balance.Pool.SetDomainDaemons.
