Turn the pace on where the deployment bounds the requests to cold endpoints

Its endpoints return cold and together, which is the load of the pace. Other deployments keep the ramp after a pause.

--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -91,7 +91,7 @@
 		t.Fatal(err)
 	}
 	if all.Instance.Regions["z"] != "r" || all.Machine.LinkMbps != 10 || all.Bounds.Evacuation.Duration != 5*time.Second ||
-		all.Bounds.ColdRatio != 1.5 || all.Bounds.ColdSlack != 5 {
+		all.Bounds.ColdRatio != 1.5 || all.Bounds.ColdSlack != 5 || !all.Pace.Enabled || s.Pace.Enabled {
 		t.Errorf("settings with all sections %+v", all)
 	}
 	if s.Instance.Name != "f1" || s.Listen.Mesh != "10.0.0.1:82" || s.Machine.Memory.Bytes != 284<<20 || s.Bounds.RetrySlack != 54 ||
