--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -37,9 +37,8 @@
 type Request struct {
 	// Prompt lists the parts of the prompt in order; empty for a plain service.
 	Prompt []PromptPart
-	// PromptTokens is the size of the whole prompt, OutputTokens the most that the response
-	// holds.
-	PromptTokens, OutputTokens int64
+	// PromptTokens is the size of the whole prompt.
+	PromptTokens int64
 	// Idempotent requests weigh the risk of a failure less, since they can be
 	// retried.
 	Idempotent bool
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -49,11 +49,6 @@
 	// stallPrefillMs, as other prompts may be processed in the same step.
 	stallCostMs    = 350.0
 	stallPrefillMs = 500.0
-	// decodingStepMs is the usual time of one output token, decodingWeight the weight of the
-	// time that a slow endpoint needs for them beyond that of others: a stream that runs
-	// longer is interrupted more often by prompts of others.
-	decodingStepMs = 4.0
-	decodingWeight = 0.1
 )
 
 // Lifetimes of the state kept for each endpoint.
@@ -222,7 +217,7 @@
 		}
 		cost *= factor
 	} else {
-		cost = p.promptCost(now, e, r, prefill, requests, factor)
+		cost = p.promptCost(e, r, prefill, peers, requests, factor)
 	}
 	if e.Slots > 0 && requests >= e.Slots {
 		cost += excessRequestMs * float64(requests-e.Slots+1)
@@ -239,29 +234,18 @@
 
 // promptCost predicts the time for a request with a prompt at an endpoint at which work takes
 // factor times as long as the data sheet says.
-func (p *Pool) promptCost(now time.Time, e *endpointState, r Request, prefill int64, requests int, factor float64) float64 {
+func (p *Pool) promptCost(e *endpointState, r Request, prefill int64, peers Load, requests int, factor float64) float64 {
 	var shared int64
 	for _, part := range r.sharedPrefix() {
 		shared += part.Tokens
 	}
 	own := r.PromptTokens - shared
 	repeated := float64(max(0, prefill-own)) * (repeatedPrefillWeight - 1)
-	queue := float64(e.pendingPrefill+e.peerTotal(now).PrefillTokens) + float64(prefill) + repeated
+	queue := float64(e.pendingPrefill+peers.PrefillTokens) + float64(prefill) + repeated
 	cost := queue / prefillTokensPerMs
 	cost += float64(requests) * stepMsPerRequest * stepsPerPrefill
 	stall := math.Min(1, factor*float64(prefill)/prefillTokensPerMs/stallPrefillMs)
-	cost = factor*cost + stallCostMs*float64(requests)*stall*stall*stall
-	return cost + decodingWeight*float64(r.OutputTokens)*decodingStepMs*p.excessTime(now, e)
-}
-
-// excessTime returns by how much the usual time of a slow endpoint exceeds the service's
-// median, as a ratio to the data sheet.
-func (p *Pool) excessTime(now time.Time, e *endpointState) float64 {
-	usual, _ := e.usualTime(now)
-	if !e.slow {
-		return 0
-	}
-	return usual - p.medianTime
+	return factor*cost + stallCostMs*float64(requests)*stall*stall*stall
 }
 
 // slowness returns the factor by which work takes longer at the endpoint than its data sheet
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -281,7 +281,7 @@
 // endpoint.
 func (x *exchange) balanceRequest() balance.Request {
 	return balance.Request{
-		Prompt: x.meta.Prompt, PromptTokens: x.meta.PromptTokens, OutputTokens: x.meta.MaxOutput, Idempotent: x.route.Idempotent(), Tried: x.tried,
+		Prompt: x.meta.Prompt, PromptTokens: x.meta.PromptTokens, Idempotent: x.route.Idempotent(), Tried: x.tried,
 		Domains: x.domains,
 	}
 }
