--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -114,6 +114,8 @@
 	// domainDaemons is the number of those whose loads are heard, with this one; 0 if it must not use more
 	// than an even share.
 	domainDaemons int
+	// speedChanged holds the ids of endpoints that were classified anew.
+	speedChanged map[string]bool
 	// notices holds what endpoints announced.
 	notices map[incarnation]notice
 	// evacuated holds the failure domains whose endpoints get no new requests.
@@ -125,8 +127,8 @@
 // New returns an empty pool.
 func New(o Options) *Pool {
 	return &Pool{
-		opts: o, endpoints: make(map[string]*endpointState), daemons: 1, notices: make(map[incarnation]notice),
-		coldStates: make(map[string]*coldState),
+		opts: o, endpoints: make(map[string]*endpointState), daemons: 1, speedChanged: make(map[string]bool),
+		notices: make(map[incarnation]notice), coldStates: make(map[string]*coldState),
 	}
 }
 
@@ -236,7 +238,7 @@
 }
 
 func (p *Pool) best(now time.Time, r Request) (*endpointState, Choice) {
-	p.usualTimes(now)
+	p.updateMedian(now)
 	preferred := p.preferredEndpoint(r)
 	var best *endpointState
 	choice := Choice{Cost: math.Inf(1)}
@@ -262,7 +264,8 @@
 
 // preferredEndpoint returns the endpoint that all daemons prefer for the shared
 // prefix of a request: the first one in the order of rendezvous hashing by its
-// last part, among those to which the request may go and that don't count as slow.
+// last part, among those to which the request may go. One that counts as slow is
+// preferred only if all of them do.
 func (p *Pool) preferredEndpoint(r Request) *endpointState {
 	shared := r.sharedPrefix()
 	if len(shared) == 0 {
@@ -272,10 +275,10 @@
 	var best *endpointState
 	var highest uint64
 	for _, e := range p.endpoints {
-		if p.leaves(e) || e.slow || !r.admits(e) {
+		if p.leaves(e) || !r.admits(e) || best != nil && e.slow && !best.slow {
 			continue
 		}
-		if score := xxhash.Sum64String(key + "\x00" + e.ID); best == nil || score > highest {
+		if score := xxhash.Sum64String(key + "\x00" + e.ID); best == nil || best.slow && !e.slow || score > highest {
 			best, highest = e, score
 		}
 	}
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -23,10 +23,12 @@
 	normalClassRatio = 1.25
 	// usualTimeMaxAge is the age at which a service's median is computed again.
 	usualTimeMaxAge = 500 * time.Millisecond
-	// minReportedTime and maxReportedTime bound what a report is taken for: an endpoint in
-	// trouble may state anything.
+	// minReportedTime and maxReportedTime bound what a report is taken for, and
+	// fastestRatio bounds it by the service's median: an endpoint in trouble may state
+	// anything, and one that seems very fast would get all requests.
 	minReportedTime = 0.1
 	maxReportedTime = 20.0
+	fastestRatio    = 1.0 / 3
 )
 
 // speed is what a daemon knows of the time that work takes at one endpoint, relative to the
@@ -90,15 +92,16 @@
 	if !ok {
 		usual = median
 	}
-	if last <= 0 || age >= reportMaxAge {
-		return usual
+	if last > 0 && age < reportMaxAge {
+		weight := 1 - float64(age)/float64(reportMaxAge)
+		usual *= math.Pow(boundedTime(last)/usual, weight)
 	}
-	weight := 1 - float64(age)/float64(reportMaxAge)
-	return usual * math.Pow(boundedTime(last)/usual, weight)
+	return max(usual, fastestRatio*median)
 }
 
-// classify updates whether the endpoint counts as slow.
-func (s *speed) classify(now time.Time, median float64) {
+// classify updates whether the endpoint counts as slow, and returns true if that changes.
+func (s *speed) classify(now time.Time, median float64) bool {
+	before := s.slow
 	usual, ok := s.usualTime(now)
 	switch {
 	case !ok || usual <= normalClassRatio*median:
@@ -106,15 +109,16 @@
 	case usual >= slowClassRatio*median:
 		s.slow = true
 	}
+	return s.slow != before
 }
 
 func boundedTime(t float64) float64 { return min(max(t, minReportedTime), maxReportedTime) }
 
-// usualTimes returns the median of the usual times of the pool's endpoints, 1 if none is
-// known, and classifies the endpoints each usualTimeMaxAge.
-func (p *Pool) usualTimes(now time.Time) float64 {
+// updateMedian computes the median of the usual times of the pool's endpoints, 1 if none is
+// known, and classifies the endpoints, each usualTimeMaxAge.
+func (p *Pool) updateMedian(now time.Time) {
 	if p.medianTime > 0 && now.Sub(p.medianAt) < usualTimeMaxAge {
-		return p.medianTime
+		return
 	}
 	var times []float64
 	for _, e := range p.endpoints {
@@ -127,8 +131,39 @@
 		slices.Sort(times)
 		p.medianTime = times[(len(times)-1)/2]
 	}
-	for _, e := range p.endpoints {
-		e.classify(now, p.medianTime)
+	for id, e := range p.endpoints {
+		if e.classify(now, p.medianTime) {
+			p.speedChanged[id] = true
+		}
+	}
+}
+
+// SlowEndpoints are the endpoints of a pool that count as slow.
+type SlowEndpoints struct {
+	Count int
+	// Slower and Faster are the endpoints that count as slow, or do no more, since the last
+	// call.
+	Slower, Faster []string
+	// Median is the median of the endpoints' usual times.
+	Median float64
+}
+
+// SlowEndpoints returns the endpoints that count as slow and what has changed since the last
+// call.
+func (p *Pool) SlowEndpoints() SlowEndpoints {
+	s := SlowEndpoints{Median: p.medianTime}
+	for id, e := range p.endpoints {
+		if e.slow {
+			s.Count++
+		}
+		switch {
+		case !p.speedChanged[id]:
+		case e.slow:
+			s.Slower = append(s.Slower, id)
+		default:
+			s.Faster = append(s.Faster, id)
+		}
 	}
-	return p.medianTime
+	clear(p.speedChanged)
+	return s
 }
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -151,8 +151,8 @@
 	return false
 }
 
-// updateGauges updates the numbers of endpoints that leave, that want no requests for now, and
-// that are cold.
+// updateGauges updates the numbers of endpoints that leave, that want no requests for now, that
+// are cold and that count as slow, and logs which count as slow from now on.
 func (p *pools) updateGauges(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -162,6 +162,12 @@
 		scope.Gauge("endpoints_leaving").Update(float64(leaving))
 		scope.Gauge("endpoints_paused").Update(float64(paused))
 		scope.Gauge("endpoints_cold").Update(float64(pool.Cold(now)))
+		slow := pool.SlowEndpoints()
+		scope.Gauge("endpoints_slow").Update(float64(slow.Count))
+		if len(slow.Slower)+len(slow.Faster) > 0 {
+			p.log.Info().Str("service", service).Strs("slower", slow.Slower).Strs("faster", slow.Faster).
+				Float64("median_time", slow.Median).Msg("speeds of endpoints changed")
+		}
 	}
 }
 
