Check the configuration of a platform before it is written

An operator had no way to see what a configuration would do before writing it to the store: "config check" read the TOML configuration of serve only.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -47,7 +47,7 @@
 	var errs config.Errors
 	var transport *url.Error
 	switch {
-	case errors.As(err, &errs):
+	case errors.As(err, &errs), errors.Is(err, errUsage):
 		return ExitUsage
 	case errors.As(err, &transport):
 		return ExitUnavailable
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -50,10 +50,17 @@
 
 func configCheckCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
 	cmd := configGroup(app).Command("check", "Check a configuration file without applying it.")
-	file := cmd.Arg("file", "TOML file.").Required().String()
+	file := cmd.Arg("file", "TOML file, or the JSON file of a platform.").Required().String()
+	against := cmd.Flag("against", "JSON file of the version in force, to show what differs from it.").String()
 	output := addOutputFlag(cmd)
 	return cmd.FullCommand(), func() error {
-		_, err := readConfig(*file)
+		text, err := readConfig(*file)
+		if isPlatformConfig(text) {
+			return checkPlatformConfig(out, *output, text, *against)
+		}
+		if *against != "" {
+			return errUsage
+		}
 		var errs config.Errors
 		if err != nil && !errors.As(err, &errs) {
 			return err
