Mend findings of the review of cold endpoints, overload and speeds

A late report of an endpoint's earlier life ended the cold period of the present one. One announced body of 1 MiB made a daemon with a link of 10 Mbit/s overloaded for 30 s: a request now counts for 50 ms of the link in the demand at most. A speed that is not a number, told by a peer, is dropped. The first two have tests that failed first.

--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -63,6 +63,9 @@
 	if s.reported && sameLife && s.sequence == r.Sequence {
 		return false
 	}
+	if s.endpoint.Incarnation > e.Incarnation && r.ColdFor == 0 && now.Before(s.until) {
+		return false // a late report of an earlier life says nothing of this one
+	}
 	if state, ok := p.endpoints[e.ID]; ok && !r.Initial && (!s.reported || !sameLife) {
 		state.cameBackAt = now
 	}
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -117,3 +117,20 @@
 		})
 	}
 }
+
+// Guards against a late report of an earlier life of an endpoint that ends the cold period of its present one.
+func TestLateReportOfAnEarlierLifeDoesNotWarm(t *testing.T) {
+	p := newPool(1, 8)
+	p.SetLimits(Limits{Cold: ColdLimits{Period: 3 * time.Second, Rate: 10}})
+	e := p.endpoints["e00"].Endpoint
+	e.Incarnation = 1
+	p.Put(e)
+	p.RecordEntry(start, e, Report{Sequence: 1})
+	next := e
+	next.Incarnation = 2
+	p.RecordCold(start, next, 8*time.Second, false)
+	p.RecordEntry(start.Add(3*time.Second), e, Report{Sequence: 2})
+	if p.Cold(start.Add(3*time.Second)) != 1 {
+		t.Error("the endpoint counts as warm")
+	}
+}
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -53,7 +53,7 @@
 
 // report records a report of the endpoint.
 func (s *speed) report(now time.Time, time float64) {
-	if time <= 0 || s.count > 0 && now.Sub(s.keptAt) < speedReportSpacing {
+	if !(time > 0) || s.count > 0 && now.Sub(s.keptAt) < speedReportSpacing {
 		return
 	}
 	s.reports[s.count%speedReports] = boundedTime(time)
@@ -67,7 +67,7 @@
 // tell records the usual time that a peer knows. Of several peers, the one with the most
 // reports counts.
 func (s *speed) tell(now time.Time, usual float64, reports int) {
-	if usual <= 0 || reports <= 0 || reports < s.toldReports && now.Sub(s.toldAt) < toldSpeedMaxAge {
+	if !(usual > 0) || reports <= 0 || reports < s.toldReports && now.Sub(s.toldAt) < toldSpeedMaxAge {
 		return
 	}
 	s.told, s.toldReports, s.toldAt = boundedTime(usual), reports, now
--- a/internal/overload/domain_test.go
+++ b/internal/overload/domain_test.go
@@ -243,3 +243,16 @@
 		t.Errorf("admitted at once: %d of low urgency, %d urgent, %d large", low, urgent, large)
 	}
 }
+
+// Guards against one caller who turns a daemon's other callers away by announcing a large body.
+func TestOneLargeBodyIsNoOverload(t *testing.T) {
+	l, now := New(10), time.Now()
+	l.Update(now, make(Peers, 18))
+	l.Admit(now, Request{Body: 1 << 20, Answer: 3000})
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		if l.Update(now, make(Peers, 18)) {
+			t.Fatalf("overloaded by one request: %+v", l.State())
+		}
+	}
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -49,8 +49,10 @@
 	// over a second or more, so that it is not on the link at once.
 	incomingFactor = 3
 	// rateTime and demandTime are the time constants of the mean rates of traffic and of the demand.
-	rateTime   = 300 * time.Millisecond
-	demandTime = 500 * time.Millisecond
+	rateTime = 300 * time.Millisecond
+	// maxDemandTime is the time of the link that one request counts for in the demand at most.
+	maxDemandTime = 50 * time.Millisecond
+	demandTime    = 500 * time.Millisecond
 	// An overloaded daemon does not want new connections for firstHold at least. Whoever distributes
 	// the connections notices a change after 2 or 3 s, in which the callers who return overload the
 	// daemon again: a tenth of the time. The hold doubles up to maxHold if the daemon is overloaded
@@ -206,14 +208,18 @@
 	RetryAfter time.Duration
 }
 
+// maxDemand returns the bytes that one request adds to the demand at most: one large body, which may never
+// come, is no reason to turn all callers away.
+func (l *Link) maxDemand() float64 { return maxDemandTime.Seconds() * l.rate }
+
 // Admit decides on a request that has arrived.
 func (l *Link) Admit(now time.Time, r Request) Decision {
 	if !l.Limited() {
 		return Decision{Admitted: true}
 	}
 	l.drain(now)
-	l.answers.add(now, r.incoming())
-	l.bodies.add(now, r.outgoing())
+	l.answers.add(now, min(r.incoming(), l.maxDemand()))
+	l.bodies.add(now, min(r.outgoing(), l.maxDemand()))
 	limit := (baseDelay + time.Duration(r.Urgency*float64(urgentDelay))).Seconds()
 	d := Decision{Close: l.closes()}
 	d.Admitted = fits(l.incoming, r.incoming(), incomingFactor*limit, l.freeIn(), l.rate) &&
