Give shared prompts a home where only slow endpoints may serve them

Where evacuated failure domains or regions leave slow endpoints only, a shared prompt had no home, so each daemon would process it at another endpoint. The first of the slow ones is its home then; TestPeersTellSpeeds checks it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -275,7 +275,8 @@
 
 // preferredEndpoint returns the endpoint that all daemons prefer for the shared
 // prefix of a request: the first one in the order of rendezvous hashing by its
-// last part, among those to which the request may go and that don't count as slow.
+// last part, among those to which the request may go. One that counts as slow is
+// preferred only if all of them do.
 func (p *Pool) preferredEndpoint(r Request) *endpointState {
 	shared := r.sharedPrefix()
 	if len(shared) == 0 {
@@ -285,10 +286,10 @@
 	var best *endpointState
 	var highest uint64
 	for _, e := range p.endpoints {
-		if p.leaves(e) || e.slow || !r.admits(e) {
+		if p.leaves(e) || !r.admits(e) || best != nil && e.slow && !best.slow {
 			continue
 		}
-		if score := xxhash.Sum64String(key + "\x00" + e.ID); best == nil || score > highest {
+		if score := xxhash.Sum64String(key + "\x00" + e.ID); best == nil || best.slow && !e.slow || score > highest {
 			best, highest = e, score
 		}
 	}
--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -72,4 +72,10 @@
 	if n := b.SlowEndpoints().Count; n != 1 {
 		t.Errorf("%d slow endpoints by a peer's reports, want 1", n)
 	}
+	// A request that may go to the slow endpoint only has its home there.
+	r := prompt("a", 5000, 100)
+	r.Domains = map[string]bool{"z2": true}
+	if e := b.preferredEndpoint(r); e == nil || e.ID != "e02" {
+		t.Errorf("preferred endpoint %+v, want e02", e)
+	}
 }
