Admit large requests on a link of which little is asked

Cause: a request had to fit into the queue's time at the link's full rate whenever anything was queued, so that a daemon with a link of 10 Mbit/s and a quarter of it in use refused bodies of 70 KB, and one large body refused the small requests after it. Change: size counts only where more than half of the link is asked for, and one request counts for 20 ms of the link at most. Result: TestLargeRequestOnAQuietLink fails without the change; the domain's tests pass.

--- a/internal/overload/domain_test.go
+++ b/internal/overload/domain_test.go
@@ -256,3 +256,21 @@
 		}
 	}
 }
+
+// Guards against a large request that is refused although little is asked of the link, and against small
+// ones that are refused because of it.
+func TestLargeRequestOnAQuietLink(t *testing.T) {
+	l, now := New(10), time.Now()
+	for i := range 50 {
+		now = now.Add(100 * time.Millisecond)
+		body := int64(800)
+		if i%10 == 5 {
+			body = 70_000
+		}
+		for range 2 {
+			if d := l.Admit(now, Request{Body: body, Answer: 3000}); !d.Admitted {
+				t.Fatalf("request %d with %d bytes refused: %+v", i, body, l.State())
+			}
+		}
+	}
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -50,8 +50,9 @@
 	incomingFactor = 3
 	// rateTime and demandTime are the time constants of the mean rates of traffic and of the demand.
 	rateTime = 300 * time.Millisecond
-	// maxDemandTime is the time of the link that one request counts for in the demand at most.
-	maxDemandTime = 50 * time.Millisecond
+	// maxDemandTime is the time of the link that one request counts for at most, less than baseDelay: other
+	// connections share the link with a large body.
+	maxDemandTime = 20 * time.Millisecond
 	demandTime    = 500 * time.Millisecond
 	// An overloaded daemon does not want new connections for firstHold at least. Whoever distributes
 	// the connections notices a change after 2 or 3 s, in which the callers who return overload the
@@ -208,8 +209,8 @@
 	RetryAfter time.Duration
 }
 
-// maxDemand returns the bytes that one request adds to the demand at most: one large body, which may never
-// come, is no reason to turn all callers away.
+// maxDemand returns the bytes that one request adds to the demand and to a queue at most: one large body,
+// which may never come, is no reason to turn other callers away.
 func (l *Link) maxDemand() float64 { return maxDemandTime.Seconds() * l.rate }
 
 // Admit decides on a request that has arrived.
@@ -222,11 +223,13 @@
 	l.bodies.add(now, min(r.outgoing(), l.maxDemand()))
 	limit := (baseDelay + time.Duration(r.Urgency*float64(urgentDelay))).Seconds()
 	d := Decision{Close: l.closes()}
-	d.Admitted = fits(l.incoming, r.incoming(), incomingFactor*limit, l.freeIn(), l.rate) &&
-		fits(l.outgoing, r.outgoing(), limit, l.freeOut(), l.rate)
+	// While little is asked of the link, a large request only takes its time.
+	busy := l.demand() > clearShare
+	d.Admitted = fits(l.incoming, r.incoming(), incomingFactor*limit, l.freeIn(), l.rate, busy) &&
+		fits(l.outgoing, r.outgoing(), limit, l.freeOut(), l.rate, busy)
 	if d.Admitted {
-		l.incoming += r.incoming()
-		l.outgoing += r.outgoing()
+		l.incoming += min(r.incoming(), l.maxDemand())
+		l.outgoing += min(r.outgoing(), l.maxDemand())
 	} else {
 		d.RetryAfter = l.retryAfter(now)
 	}
@@ -244,9 +247,9 @@
 }
 
 // fits reports whether bytes may join a queue that drains at the rate free: the queue must drain within
-// limit seconds, and the link at its full rate must carry both in that time, if there is a queue.
-func fits(queue, bytes, limit, free, rate float64) bool {
-	return queue <= limit*free && (queue == 0 || queue+bytes <= limit*rate)
+// limit seconds and, on a busy link with a queue, the link at its full rate must carry both in that time.
+func fits(queue, bytes, limit, free, rate float64, busy bool) bool {
+	return queue <= limit*free && (!busy || queue == 0 || queue+bytes <= limit*rate)
 }
 
 // closes reports whether one more connection ends, so that the demand falls to keptShare.
