End of a permit's time is no evidence against a cold endpoint

Cause: a request to a cold endpoint needs its connection within 150 ms of asking for the permit. If the permit took most of that, an attempt could end after a few ms and was recorded as an unreachable endpoint: two of them ejected it, and it counted as restarted, so cold for longer.

Change: the cause is upstream.ErrConnectTime, also where the connection came as the time ended. Such an attempt goes to another endpoint as before, and no outcome of it is recorded.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -81,6 +81,8 @@
 	// callerFailed is true if the caller could not be written to, which is no
 	// evidence against the endpoint.
 	callerFailed bool
+	// noEvidence is true if the failure tells nothing about the endpoint.
+	noEvidence bool
 	// corrupt is true if the caller has received bytes that belong to no response,
 	// so that no other endpoint can continue it.
 	corrupt bool
@@ -223,8 +225,8 @@
 	// An attempt that ended because the caller disconnected or the deadline
 	// passed is no evidence against the endpoint, unless the endpoint had
 	// exceeded the first-byte timeout.
-	callerFailed := failed != nil && failed.callerFailed
-	if failed == nil || ctx.Err() == nil && !callerFailed || !a.started && time.Since(a.sentAt) > firstByteTimeout(x.route) {
+	noEvidence := failed != nil && (failed.callerFailed || failed.noEvidence)
+	if failed == nil || ctx.Err() == nil && !noEvidence || !a.started && time.Since(a.sentAt) > firstByteTimeout(x.route) {
 		x.handler.Pools.Observe(x.service, choice.ID, outcome)
 	}
 	if failed != nil && failed.replaced {
@@ -329,6 +331,8 @@
 		return &attemptFailure{err: err, ran: upstream.RanUnknown, outcome: balance.NoValidResponse}
 	}
 	switch {
+	case errors.Is(err, upstream.ErrConnectTime):
+		return &attemptFailure{err: err, ran: upstream.RanNo, notRun: notConnected, notReceived: true, noEvidence: true}
 	case !s.Connected:
 		return &attemptFailure{
 			err: err, ran: upstream.RanNo, notRun: notConnected, outcome: balance.Unreachable, notReceived: true,
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/azurehatch/azurehatch/internal/balance"
 	"github.com/azurehatch/azurehatch/internal/relay"
@@ -58,6 +61,34 @@
 	return &endpoint{addr: l.Addr().String(), listener: l, ended: make(chan struct{}, 16)}
 }
 
+// unacceptingEndpoint returns an endpoint whose queue of connections is full, so that attempts to
+// connect get no answer.
+func unacceptingEndpoint(t *testing.T) *endpoint {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{addr: fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)}
+	for range 8 {
+		c, err := net.DialTimeout("tcp", e.addr, 100*time.Millisecond)
+		if err != nil {
+			return e
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("the queue of connections does not fill up")
+	return nil
+}
+
 func (e *endpoint) accept(handle func(net.Conn)) {
 	for {
 		c, err := e.listener.Accept()
@@ -113,6 +144,8 @@
 	// limit is that of each endpoint; denied are the endpoints whose limits allow no request.
 	limit  float64
 	denied map[string]bool
+	// cold are the endpoints that are cold.
+	cold map[string]bool
 	// restriction is that of each request.
 	restriction balance.Restriction
 	// denials is the number of requests for permits that were denied.
@@ -133,7 +166,7 @@
 			p.mu.Lock()
 			p.chosen++
 			p.mu.Unlock()
-			return balance.Choice{Endpoint: balance.Endpoint{ID: id, Addr: e.addr}, Limit: balance.RateLimit{PerSecond: p.limit}}, true
+			return balance.Choice{Endpoint: balance.Endpoint{ID: id, Addr: e.addr}, Limit: balance.RateLimit{PerSecond: p.limit}, Cold: p.cold[id]}, true
 		}
 	}
 	return balance.Choice{RetryAfter: p.pause}, false
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -215,6 +215,19 @@
 	}
 }
 
+// Guards against a cold endpoint that counts as unreachable, and is ejected, since the time of a permit ended before
+// there was a connection; and against a caller that gets no answer of another endpoint then.
+func TestEndOfAPermitsTimeIsNoFailureOfTheEndpoint(t *testing.T) {
+	h := newHarness(t, unacceptingEndpoint(t), startEndpoint(t, respondWith(response(requestID, 200, "ok"), false)))
+	h.pools.cold = map[string]bool{"a": true}
+	if resp, _, err := h.do(t, h.request(t, "POST", "/order/x", "x")); err != nil || resp.StatusCode != 200 {
+		t.Errorf("got %v, %v; want 200 of the other endpoint", resp, err)
+	}
+	if diff := cmp.Diff([]balance.Outcome{balance.Succeeded}, h.pools.outcomes); diff != "" {
+		t.Errorf("outcomes (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against streams that are truncated or resumed at the wrong event, and
 // against bills that differ from the events delivered.
 func TestStreams(t *testing.T) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -163,6 +163,10 @@
 		resp.Body.Close()
 	}
 	if err != nil {
+		// A connection that came as the time ended was closed, which fails with other errors.
+		if errors.Is(context.Cause(ctx), ErrConnectTime) && !errors.Is(err, ErrConnectTime) {
+			err = errors.Wrap(ErrConnectTime, err.Error())
+		}
 		cancel()
 		failed := &Error{Endpoint: call.Endpoint, Ran: RanNo, Err: err}
 		if use != nil {
@@ -184,9 +188,6 @@
 // passes on all numbers of three digits, and informational ones that switch protocols.
 func validStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
 
-// errNotConnected is the cause of a call that had no connection within Call.ConnectWithin.
-var errNotConnected = errors.New("no connection within the time for it")
-
 // boundConnect returns a context that ends if connected is not called within ConnectWithin. It does
 // not end because of that after connected has returned.
 func (c Call) boundConnect(ctx context.Context) (bounded context.Context, connected, cancel func()) {
@@ -195,7 +196,7 @@
 	}
 	bounded, end := context.WithCancelCause(ctx)
 	var once sync.Once
-	timer := time.AfterFunc(c.ConnectWithin, func() { once.Do(func() { end(errNotConnected) }) })
+	timer := time.AfterFunc(c.ConnectWithin, func() { once.Do(func() { end(ErrConnectTime) }) })
 	connected = func() { once.Do(func() { timer.Stop() }) }
 	return bounded, connected, func() { connected(); end(nil) }
 }
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -127,7 +127,7 @@
 	begin := time.Now()
 	_, err = blocked.Do(t.Context(), call)
 	var failed *Error
-	if !errors.As(err, &failed) || failed.Connected || failed.Ran != RanNo || time.Since(begin) > time.Second {
+	if !errors.As(err, &failed) || failed.Connected || failed.Ran != RanNo || !errors.Is(err, ErrConnectTime) || time.Since(begin) > time.Second {
 		t.Errorf("error %v after %v, want one without a connection", err, time.Since(begin))
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -58,6 +58,10 @@
 	return RanUnknown
 }
 
+// ErrConnectTime is the cause of a call that had no connection within Call.ConnectWithin. It says
+// nothing about the endpoint.
+var ErrConnectTime = errors.New("no connection within the time for it")
+
 // Errors of responses.
 var (
 	// ErrStatus means that the endpoint is up and answered with an error status.
