Pass over a grantor of permits that does not answer before the caller's deadline

Cause: permits of cold and paced endpoints are asked for with a deadline of 75 ms. The mesh took only failures before the caller's deadline for a peer that does not answer, and its own limit is 200 ms. So each request that needed a permit of a frozen daemon waited for 75 ms until the digests showed it, 2.5 s or more.

Change: a request that its caller's deadline ends after 30 ms or more marks the peer as passed over by Grantor for 1 s, or until its next digest. Its other roles (tokens, limits, liveness) stay, and GrantsAlone does not look at the mark, so that no second daemon grants while the first is heard. A daemon that passes a request on has half of the time for it; it would otherwise be taken for the frozen one.

--- a/internal/front/cold_permits.go
+++ b/internal/front/cold_permits.go
@@ -13,6 +13,10 @@
 // the other half of permit.UseWithin for the connection.
 const maxColdPermitTime = permit.UseWithin / 2
 
+// maxForwardTime is the time in which a daemon that passes on a request for a permit must have the answer. The
+// one that has asked would otherwise take it for the daemon that does not answer.
+const maxForwardTime = maxColdPermitTime / 2
+
 // noColdRateDelay is how long a cold endpoint is passed over if the bound leaves no requests for it.
 const noColdRateDelay = time.Second
 
@@ -84,10 +88,8 @@
 	case !ok || owner != "" && r.Hops >= maxColdHops:
 		return denied
 	case owner != "":
-		r.Hops++
-		reply, err := p.peers.RequestPermit(ctx, owner, r)
+		reply, err := p.passOn(ctx, owner, r)
 		if err != nil {
-			p.log.Info().Err(err).Str("endpoint", r.Endpoint).Msg("peer gave no answer to a request for a permit")
 			return denied
 		}
 		return reply
@@ -104,6 +106,21 @@
 // on: the one that needs it, and one that knows a higher ranked one.
 const maxColdHops = 2
 
+// passOn sends a request of this daemon or of a peer to the daemon that decides on it.
+func (p *permits) passOn(ctx context.Context, owner string, r *meshpb.PermitRequest) (*meshpb.PermitReply, error) {
+	if r.Hops > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxForwardTime)
+		defer cancel()
+	}
+	r.Hops++
+	reply, err := p.peers.RequestPermit(ctx, owner, r)
+	if err != nil {
+		p.log.Info().Err(err).Str("endpoint", r.Endpoint).Msg("peer gave no answer to a request for a permit")
+	}
+	return reply, err
+}
+
 // isJoined reports whether the daemon knows the registered ones. Before that it can't tell how many
 // others may grant the same permits.
 func (p *permits) isJoined() bool {
--- a/internal/front/cold_permits_test.go
+++ b/internal/front/cold_permits_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -52,6 +53,24 @@
 	}
 }
 
+// Guards against a daemon that passes a request on to a frozen one and is taken for it, so that all daemons of the
+// failure domain are passed over one after another.
+func TestForwarderOfAFrozenGrantorAnswersInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, _ := newPermitNet("a", "b", "c")
+		n.frozen["a"], n.rank["c"] = true, []string{"b", "c"}
+		start := time.Now()
+		if granted, _ := n.daemons["c"].acquireCold(t.Context(), cappedEngine, 50); granted || time.Since(start) >= maxColdPermitTime {
+			t.Errorf("granted %v after %v, want a denial within %v", granted, time.Since(start), maxColdPermitTime)
+		}
+		for addr, want := range map[string]map[string]bool{"b": {"a": true}, "c": {}} {
+			if diff := cmp.Diff(want, n.daemons[addr].peers.(*permitNode).suspect); diff != "" {
+				t.Errorf("passed over by %s (-want +got):\n%s", addr, diff)
+			}
+		}
+	})
+}
+
 // Guards against answers of a paced endpoint that the daemon that sets the pace never hears of, and
 // against a pace that its daemons don't end.
 func TestPaceOfTheFleet(t *testing.T) {
--- a/internal/front/paced_permits.go
+++ b/internal/front/paced_permits.go
@@ -121,10 +121,8 @@
 	if !ok || owner == "" || r.Hops >= maxColdHops {
 		return p.decidePace(time.Now(), r)
 	}
-	r.Hops++
-	reply, err := p.peers.RequestPermit(ctx, owner, r)
+	reply, err := p.passOn(ctx, owner, r)
 	if err != nil {
-		p.log.Info().Err(err).Str("endpoint", r.Endpoint).Msg("peer gave no answer to a request for a permit")
 		return &meshpb.PermitReply{Granted: true, PaceOver: true}
 	}
 	return reply
--- a/internal/front/permits_test.go
+++ b/internal/front/permits_test.go
@@ -16,11 +16,11 @@
 )
 
 // permitNet connects the permits of daemons. Each daemon ranks the others as its entry in rank says,
-// the highest first; daemons that are down give no answer.
+// the highest first; daemons that are down refuse connections, frozen ones give no answer.
 type permitNet struct {
-	daemons map[string]*permits
-	rank    map[string][]string
-	down    map[string]bool
+	daemons      map[string]*permits
+	rank         map[string][]string
+	down, frozen map[string]bool
 }
 
 // permitNode is one daemon's view of a permitNet.
@@ -54,7 +54,13 @@
 		n.suspect[addr] = true
 		return nil, errors.New("no answer")
 	}
+	if n.net.frozen[addr] {
+		<-ctx.Done()
+	}
 	reply, err := n.net.daemons[addr].serve(ctx, r)
+	if ctx.Err() != nil {
+		reply, err = nil, ctx.Err()
+	}
 	if err != nil {
 		n.suspect[addr] = true
 	}
@@ -62,7 +68,7 @@
 }
 
 func newPermitNet(addrs ...string) (*permitNet, map[string]*atomic.Bool) {
-	n := &permitNet{daemons: make(map[string]*permits), rank: make(map[string][]string), down: make(map[string]bool)}
+	n := &permitNet{daemons: make(map[string]*permits), rank: make(map[string][]string), down: make(map[string]bool), frozen: make(map[string]bool)}
 	stopping := make(map[string]*atomic.Bool)
 	for _, addr := range addrs {
 		stopping[addr] = &atomic.Bool{}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -140,6 +140,9 @@
 	// permits after silentRequests requests for them without an answer.
 	suspectUntil   time.Time
 	silentRequests int
+	// permitSuspectUntil is the end of the time in which the peer is not asked for the permits of its
+	// failure domain alone.
+	permitSuspectUntil time.Time
 }
 
 // Mesh connects this daemon with its peers.
@@ -361,7 +364,7 @@
 		}
 		p.id, p.domain, p.balances, p.stopping, p.unreachable = d.Id, d.Domain, d.Balances, d.Stopping, false
 		p.link = overload.Peer{Overloaded: d.Overloaded, Free: float64(d.LinkFree), Demand: float64(d.LinkDemand)}
-		p.suspectUntil, p.silentRequests = time.Time{}, 0
+		p.suspectUntil, p.silentRequests, p.permitSuspectUntil = time.Time{}, 0, time.Time{}
 		p.lastReceived, p.followsStore, p.lastStoreContact = time.Now(), d.Follows, time.Time{}
 		if d.StoreAgeMs >= 0 {
 			p.lastStoreContact = p.lastReceived.Add(-time.Duration(d.StoreAgeMs) * time.Millisecond)
--- a/internal/mesh/permits.go
+++ b/internal/mesh/permits.go
@@ -12,8 +12,16 @@
 	"github.com/azurehatch/azurehatch/internal/permit"
 )
 
-// permitTimeout bounds a request for a permit; a peer answers in a few ms.
-const permitTimeout = 200 * time.Millisecond
+const (
+	// permitTimeout bounds a request for a permit; a peer answers in a few ms.
+	permitTimeout = 200 * time.Millisecond
+	// permitAnswerTime is the time after which a request for a permit that its caller ends tells that
+	// the peer is slow.
+	permitAnswerTime = 30 * time.Millisecond
+	// permitSuspectTime is the time for which such a peer is not asked for the permits of its
+	// failure domain. It ends with the next digest of the peer.
+	permitSuspectTime = time.Second
+)
 
 // Permit implements meshpb.MeshServer.
 func (m *Mesh) Permit(ctx context.Context, r *meshpb.PermitRequest) (*meshpb.PermitReply, error) {
@@ -26,18 +34,33 @@
 	if conn == nil {
 		return nil, failure.At(errors.New("unknown peer"), "mesh.permit", addr)
 	}
+	asked := time.Now()
 	timed, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	reply, err := meshpb.NewMeshClient(conn).Permit(timed, r)
 	if err != nil {
-		if ctx.Err() == nil {
-			m.suspect(addr, time.Now())
-		}
+		m.permitUnanswered(ctx, addr, asked, time.Now())
 		return nil, failure.At(err, "mesh.permit", addr)
 	}
 	return reply, nil
 }
 
+// permitUnanswered records that a peer gave no answer to a request for a permit. A peer that did not
+// answer until the caller's deadline is only passed over for permits for a short time: the deadline may
+// be too short for a busy link.
+func (m *Mesh) permitUnanswered(ctx context.Context, addr string, asked, now time.Time) {
+	switch {
+	case ctx.Err() == nil:
+		m.suspect(addr, now)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && now.Sub(asked) >= permitAnswerTime:
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if p := m.peers[addr]; p != nil {
+			p.permitSuspectUntil = now.Add(permitSuspectTime)
+		}
+	}
+}
+
 // HighestRanked returns the daemon of the whole fleet with the highest score for a key among the peers
 // that are presumed live and, if self is true, this daemon. The address is empty for this daemon.
 func (m *Mesh) HighestRanked(key string, self bool) string {
@@ -58,8 +81,8 @@
 
 // Grantor returns the daemon that grants the permits of an endpoint in a failure domain, by its
 // key: the one with the highest score in that domain, or in the whole fleet if no daemon is
-// known there. The address is empty for this daemon, which counts if self is true. It returns
-// false if no daemon is in sight.
+// known there, without peers that did not answer such a request a short time ago. The address is empty
+// for this daemon, which counts if self is true. It returns false if no daemon is in sight.
 func (m *Mesh) Grantor(key, domain string, self bool) (addr string, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -70,7 +93,8 @@
 		highest, ok = ownerScore(hash, m.addrHash), true
 	}
 	for _, p := range m.peers {
-		if score := ownerScore(hash, p.addrHash); inElectorate(domain, p.domain) && score >= highest && m.rankable(now, p) {
+		asked := inElectorate(domain, p.domain) && !now.Before(p.permitSuspectUntil) && m.rankable(now, p)
+		if score := ownerScore(hash, p.addrHash); asked && score >= highest {
 			addr, highest, ok = p.addr, score, true
 		}
 	}
--- a/internal/mesh/permits_test.go
+++ b/internal/mesh/permits_test.go
@@ -1,7 +1,12 @@
 package mesh
 
 import (
+	"context"
+	"net"
 	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
 
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
 )
@@ -50,6 +55,45 @@
 	}
 }
 
+// Guards against a grantor that is frozen and costs each request for a permit its caller's deadline; against
+// a deadline that was too short for an answer, or a link that was busy, that counts against the peer for more; and
+// against a daemon that grants the permits in place of a peer that is passed over.
+func TestFrozenGrantorIsPassedOver(t *testing.T) {
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer frozen.Close()
+	addr, n, key := frozen.Addr().String(), &node{}, "endpoint"
+	n.Mesh = New(Options{ID: "d", Addr: "127.0.0.1:1", Domain: "z", State: n, Log: zerolog.Nop()})
+	defer n.Close()
+	heard := &meshpb.Digest{Id: "x", Address: addr, Domain: "z", StoreAgeMs: -1}
+	n.merge(heard)
+	for n.HighestRanked(key, true) != addr {
+		key += "e"
+	}
+	for _, c := range []struct {
+		deadline time.Duration
+		asked    bool
+	}{{5 * time.Millisecond, true}, {75 * time.Millisecond, false}} {
+		ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
+		if _, err := n.RequestPermit(ctx, addr, &meshpb.PermitRequest{Endpoint: "e"}); err == nil {
+			t.Fatal("a frozen peer answered")
+		}
+		cancel()
+		if grantor, _ := n.Grantor(key, "z", true); (grantor == addr) != c.asked {
+			t.Errorf("after no answer in %v: asked again at once %v, want %v", c.deadline, !c.asked, c.asked)
+		}
+	}
+	if n.HighestRanked(key, true) != addr || n.Count() != 2 || n.GrantsAlone(key, "z") {
+		t.Error("a peer that was late with one permit lost its other roles, or is replaced while it is heard")
+	}
+	n.merge(heard)
+	if grantor, _ := n.Grantor(key, "z", true); grantor != addr {
+		t.Error("a peer is not asked after its digest")
+	}
+}
+
 // Guards against a cold endpoint whose permits several daemons grant, or one of another failure domain, or a
 // daemon that has heard nothing of the others yet; and against one whose permits nobody grants.
 func TestOneGrantorInTheFailureDomain(t *testing.T) {
