Deny permits of cold endpoints that a daemon of older code grants

Cause: a daemon that does not know of PermitRequest.cold_rate takes the request for one to an endpoint without a limit and grants it. During a rolling update each cold endpoint whose grantor was not updated yet got requests without a bound.

Change: PermitReply.cold marks a decision on the cold rate; a daemon that asks takes a reply without it for a denial, and logs it.

--- a/internal/front/cold_permits.go
+++ b/internal/front/cold_permits.go
@@ -80,16 +80,21 @@
 // serveCold answers a request for a permit of a cold endpoint, of this daemon or of a peer. The
 // daemon that ranks first in the endpoint's failure domain grants them, if it hears most of the others
 // there. A request that no such daemon answers is denied: unlike a limit, the bound of a cold
-// endpoint must hold where the fleet is cut in two.
+// endpoint must hold where the fleet is cut in two. So is one that a peer of older code answers, which takes it for
+// one to an endpoint without a limit.
 func (p *permits) serveCold(ctx context.Context, r *meshpb.PermitRequest) *meshpb.PermitReply {
-	key, denied := rankKey(r.Endpoint), &meshpb.PermitReply{WaitMs: permitRetryDelay.Milliseconds()}
+	key, denied := rankKey(r.Endpoint), &meshpb.PermitReply{Cold: true, WaitMs: permitRetryDelay.Milliseconds()}
 	owner, ok := p.peers.Grantor(key, r.Domain, !p.stopping())
 	switch {
 	case !ok || owner != "" && r.Hops >= maxColdHops:
 		return denied
 	case owner != "":
 		reply, err := p.passOn(ctx, owner, r)
-		if err != nil {
+		switch {
+		case err != nil:
+			return denied
+		case !reply.Cold:
+			p.log.Info().Str("peer", owner).Str("endpoint", r.Endpoint).Msg("peer does not know of cold endpoints: its reply counts as a denial")
 			return denied
 		}
 		return reply
@@ -99,7 +104,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	granted, wait := p.cold.Take(time.Now(), r.Endpoint, r.ColdRate)
-	return &meshpb.PermitReply{Granted: granted, WaitMs: max(wait.Milliseconds(), 1)}
+	return &meshpb.PermitReply{Cold: true, Granted: granted, WaitMs: max(wait.Milliseconds(), 1)}
 }
 
 // maxColdHops is the number of daemons that may pass a request for a permit of a cold endpoint
--- a/internal/front/cold_permits_test.go
+++ b/internal/front/cold_permits_test.go
@@ -16,7 +16,7 @@
 )
 
 // Guards against a cold endpoint that gets more than it bears, or nothing, whether its first daemon
-// answers, is not known to one of the others, stops, or is lost.
+// answers, is not known to one of the others, stops, is lost, or runs older code, which grants each request.
 func TestOneDaemonGrantsThePermitsOfAColdEndpoint(t *testing.T) {
 	const rate, span = 50, 400 * time.Millisecond
 	for name, c := range map[string]struct {
@@ -26,6 +26,7 @@
 		"all agree":                      {func(*permitNet) {}, true},
 		"one does not know the first":    {func(n *permitNet) { n.rank["c"] = []string{"b", "c"} }, true},
 		"the first gives no answer":      {func(n *permitNet) { n.down["a"] = true }, true},
+		"the first runs older code":      {func(n *permitNet) { n.older["a"] = true }, false},
 		"the registered are not known":   {func(n *permitNet) { n.daemons["a"].joined = make(chan struct{}) }, false},
 		"each knows only lower ranked":   {func(n *permitNet) { n.rank = map[string][]string{"b": {"c", "b"}, "c": {"a", "c"}, "a": {"b", "a"}} }, false},
 		"the asked one passes it on":     {func(n *permitNet) { n.rank["c"] = []string{"b", "c"}; n.rank["b"] = []string{"a", "b"} }, true},
--- a/internal/front/permits_test.go
+++ b/internal/front/permits_test.go
@@ -16,11 +16,12 @@
 )
 
 // permitNet connects the permits of daemons. Each daemon ranks the others as its entry in rank says,
-// the highest first; daemons that are down refuse connections, frozen ones give no answer.
+// the highest first; daemons that are down refuse connections, frozen ones give no answer, and older
+// ones know nothing of cold endpoints.
 type permitNet struct {
-	daemons      map[string]*permits
-	rank         map[string][]string
-	down, frozen map[string]bool
+	daemons             map[string]*permits
+	rank                map[string][]string
+	down, frozen, older map[string]bool
 }
 
 // permitNode is one daemon's view of a permitNet.
@@ -57,6 +58,9 @@
 	if n.net.frozen[addr] {
 		<-ctx.Done()
 	}
+	if n.net.older[addr] {
+		r = &meshpb.PermitRequest{Endpoint: r.Endpoint, Incarnation: r.Incarnation, Limit: r.Limit}
+	}
 	reply, err := n.net.daemons[addr].serve(ctx, r)
 	if ctx.Err() != nil {
 		reply, err = nil, ctx.Err()
@@ -68,7 +72,10 @@
 }
 
 func newPermitNet(addrs ...string) (*permitNet, map[string]*atomic.Bool) {
-	n := &permitNet{daemons: make(map[string]*permits), rank: make(map[string][]string), down: make(map[string]bool), frozen: make(map[string]bool)}
+	n := &permitNet{
+		daemons: make(map[string]*permits), rank: make(map[string][]string),
+		down: make(map[string]bool), frozen: make(map[string]bool), older: make(map[string]bool),
+	}
 	stopping := make(map[string]*atomic.Bool)
 	for _, addr := range addrs {
 		stopping[addr] = &atomic.Bool{}
