Tie the usual times that peers tell to an incarnation of the endpoint

Cause: a load told a peer's usual time of an endpoint without its incarnation. After a restart daemons that had not heard of it told the time of the former one, which counted for up to 10 s and against newer ones with fewer reports. A peer's cold_ms was taken as it came, so one message could keep an endpoint cold for ever.

Change: loads with a usual time name the incarnation (EndpointLoad.incarnation, so far used for limits and coldness); others are ignored. Loads without reports are as before. What a peer tells of coldness counts for at most the service's cold period. Daemons of older code name none, so their usual times don't count until they are updated.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -75,6 +75,8 @@
 	// daemon knows it from Reports reports; 0 if it has none.
 	UsualTime float64
 	Reports   int
+	// Incarnation is that of the endpoint to which UsualTime applies; 0 without one.
+	Incarnation int64
 }
 
 // LoadReport is the load that an endpoint reports with a response.
@@ -329,11 +331,14 @@
 	}
 }
 
-// SetPeerLoad replaces the load that a peer puts on an endpoint.
+// SetPeerLoad replaces the load that a peer puts on an endpoint. The usual time of another incarnation
+// is ignored: a peer may hear of a restart some seconds later.
 func (p *Pool) SetPeerLoad(now time.Time, peer, id string, l Load) {
 	if e, ok := p.endpoints[id]; ok {
 		e.peerLoads[peer] = peerLoad{Load: l, receivedAt: now}
-		e.tell(now, l.UsualTime, l.Reports)
+		if l.Incarnation == e.Incarnation {
+			e.tell(now, l.UsualTime, l.Reports)
+		}
 		e.peerSumAt = time.Time{}
 	}
 }
@@ -345,10 +350,11 @@
 	for id, e := range p.endpoints {
 		e.decay(now)
 		if e.openRequests > 0 || e.succeeded+e.failed > minOutcomeWeight {
-			loads[id] = Load{
-				Requests: e.openRequests, PrefillTokens: e.pendingPrefill, Succeeded: e.succeeded, Failed: e.failed,
-				UsualTime: e.usual, Reports: min(e.count, speedReports),
+			l := Load{Requests: e.openRequests, PrefillTokens: e.pendingPrefill, Succeeded: e.succeeded, Failed: e.failed}
+			if e.usual > 0 {
+				l.UsualTime, l.Reports, l.Incarnation = e.usual, min(e.count, speedReports), e.Incarnation
 			}
+			loads[id] = l
 		}
 	}
 	return loads
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -81,8 +81,9 @@
 	return !was && p.coldUntil(now, s)
 }
 
-// RecordCold records that an endpoint was told to be cold for a time: by a peer, or by a
-// response to this daemon if heard is true. It returns true if the endpoint has become cold.
+// RecordCold records that an endpoint was told to be cold for a time: by a peer, which counts for at most
+// the service's cold period, or by a response to this daemon if heard is true. It returns true if the
+// endpoint has become cold.
 func (p *Pool) RecordCold(now time.Time, e Endpoint, coldFor time.Duration, heard bool) bool {
 	s := p.coldState(e)
 	switch {
@@ -91,6 +92,9 @@
 	case s.endpoint.Incarnation < e.Incarnation:
 		s.endpoint, s.reported = e, false
 	}
+	if !heard {
+		coldFor = min(coldFor, p.opts.Cold.Period)
+	}
 	was := p.coldUntil(now, s)
 	if until := now.Add(coldFor); until.After(s.until) {
 		s.until = until
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -43,7 +43,7 @@
 	keptAt  time.Time
 	// usual is the median of reports, 0 without one.
 	usual float64
-	// told is the usual time that a peer told, toldReports the number of reports behind it.
+	// told is the usual time of this incarnation that a peer told, toldReports the number of reports behind it.
 	told        float64
 	toldReports int
 	toldAt      time.Time
--- a/internal/balance/speed_test.go
+++ b/internal/balance/speed_test.go
@@ -79,3 +79,20 @@
 		t.Errorf("preferred endpoint %+v, want e02", e)
 	}
 }
+
+// Guards against a restarted endpoint that is taken for as slow as its former life, by peers that don't know
+// of the restart yet.
+func TestPeersTellNoSpeedOfAFormerLife(t *testing.T) {
+	p := newPool(3, 32)
+	e := p.endpoints["e00"].Endpoint
+	slow := Load{UsualTime: 1.7, Reports: 9, Incarnation: e.Incarnation}
+	p.SetPeerLoad(start, "a", e.ID, slow)
+	e.Incarnation++
+	p.Put(e)
+	p.Reset(e.ID)
+	p.SetPeerLoad(start.Add(time.Second), "a", e.ID, slow)
+	p.SetPeerLoad(start.Add(2*time.Second), "b", e.ID, Load{UsualTime: 0.7, Reports: 3, Incarnation: e.Incarnation})
+	if usual, ok := p.endpoints[e.ID].usualTime(start.Add(3 * time.Second)); !ok || usual != 0.7 {
+		t.Errorf("usual time %v (known: %v), want 0.7 of the present life", usual, ok)
+	}
+}
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -293,7 +293,7 @@
 		for id, l := range pool.OwnLoads(now) {
 			loads = append(loads, &meshpb.EndpointLoad{
 				Service: service, Endpoint: id, Requests: int64(l.Requests), Reading: l.PrefillTokens, Ok: l.Succeeded, Failed: l.Failed,
-				UsualTime: float32(l.UsualTime), Reports: int32(l.Reports),
+				UsualTime: float32(l.UsualTime), Reports: int32(l.Reports), Incarnation: l.Incarnation,
 			})
 		}
 		for e, d := range pool.HeardCold(now) {
@@ -329,7 +329,7 @@
 		default:
 			pool.SetPeerLoad(now, peer, l.Endpoint, balance.Load{
 				Requests: int(l.Requests), PrefillTokens: l.Reading, Succeeded: l.Ok, Failed: l.Failed,
-				UsualTime: float64(l.UsualTime), Reports: int(l.Reports),
+				UsualTime: float64(l.UsualTime), Reports: int(l.Reports), Incarnation: l.Incarnation,
 			})
 		}
 	}
--- a/internal/front/pools_test.go
+++ b/internal/front/pools_test.go
@@ -35,3 +35,25 @@
 		}
 	}
 }
+
+// Guards against usual times of endpoints that peers lose, or take for those of another life, on their way.
+func TestUsualTimesReachPeersOfTheSameLife(t *testing.T) {
+	newPool := func(incarnation int64) *pools {
+		p := newPools("z", zerolog.Nop(), tally.NoopScope)
+		p.applyChange(discovery.Put, "llm", balance.Endpoint{ID: "e", Slots: 4, Incarnation: incarnation})
+		return p
+	}
+	sender := newPool(2)
+	if _, ok := sender.Choose("llm", balance.Request{}); !ok {
+		t.Fatal("no endpoint chosen")
+	}
+	sender.Reported("llm", "e", balance.LoadReport{Slots: 4, Slowdown: 2})
+	for incarnation, want := range map[int64]float64{1: 1, 2: 2, 3: 1} {
+		p := newPool(incarnation)
+		p.merge(time.Now(), "sender", sender.loads(time.Now()))
+		p.Choose("llm", balance.Request{})
+		if got := p.pool("llm").SlowEndpoints().Median; got != want {
+			t.Errorf("usual time %v at incarnation %d, want %v", got, incarnation, want)
+		}
+	}
+}
