Open wrapped connections to peers with the package's dialer

Cause: connections whose bytes are counted were opened by a plain net.Dialer. gRPC sets TCP_USER_TIMEOUT (to PingTimeout, 2 s between daemons) only on a *net.TCPConn, and takes a wrapped connection as it is. So connections to a machine that had gone lived until a ping, 10 s and 2 s later and only with a call under way, and the kernel's buffer grew without the package's bound.

Change: they are opened by New, as those to endpoints: 3 s without an acknowledgement, 256 KiB, and a keepalive probe for each second of idleness. Connections without Wrap are as before.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -33,7 +33,7 @@
 	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
-// New returns a dialer whose connection attempts fail after timeout.
+// New returns a dialer whose connection attempts fail after timeout; 0 means no timeout of its own.
 func New(timeout time.Duration) *Dialer {
 	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setOptions}
 	return &Dialer{timeout: timeout, dial: d.DialContext}
@@ -45,7 +45,7 @@
 func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
 	start := time.Now()
 	conn, err := d.dial(ctx, network, addr)
-	if err == nil || !isTimeout(err) || ctx.Err() != nil || time.Since(start) < d.timeout+stallTime {
+	if err == nil || !isTimeout(err) || ctx.Err() != nil || d.timeout == 0 || time.Since(start) < d.timeout+stallTime {
 		return conn, err
 	}
 	return d.dial(ctx, network, addr)
--- a/internal/dialer/grpc.go
+++ b/internal/dialer/grpc.go
@@ -26,7 +26,8 @@
 	// IdleTimeout is the time without a call after which the connection is closed; the
 	// next call opens it again. 0 means gRPC's default of 30 minutes.
 	IdleTimeout time.Duration
-	// Wrap, if not nil, wraps each new connection.
+	// Wrap, if not nil, wraps each new connection. gRPC sets TCP_USER_TIMEOUT, to PingTimeout, only
+	// on a *net.TCPConn, so these connections are opened by the package's own dialer.
 	Wrap func(net.Conn) net.Conn
 	// ReadBufferBytes is the size of the read buffer; 0 means gRPC's default of 32 KiB.
 	ReadBufferBytes int
@@ -55,8 +56,9 @@
 		options = append(options, grpc.WithReadBufferSize(d.ReadBufferBytes))
 	}
 	if d.Wrap != nil {
+		dialer := New(0) // ctx bounds the attempt
 		options = append(options, grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
-			conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+			conn, err := dialer.DialContext(ctx, "tcp", addr)
 			if err != nil {
 				return nil, err
 			}
