Close the sending direction of callers' connections first after an unread body

Cause: net/http closes one direction of a connection on which it has not read a request's body, waits for 500 ms and closes it then. Both wrappers of callers' connections, for pending requests and for counted bytes, hid the method for that, so the connection was only reset: a caller that was still sending its upload could lose the refusal.

Change: both have CloseWrite where the connection below has one.

--- a/internal/front/pending_conns.go
+++ b/internal/front/pending_conns.go
@@ -77,6 +77,9 @@
 	return n, err
 }
 
+// CloseWrite implements closeWriter.
+func (c *pendingConn) CloseWrite() error { return closeWrite(c.Conn) }
+
 // SetReadDeadline implements net.Conn. Once reading has ended, the server can't extend the
 // deadline of a connection on which no request is arriving.
 func (c *pendingConn) SetReadDeadline(t time.Time) error {
--- a/internal/front/traffic.go
+++ b/internal/front/traffic.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 )
@@ -47,3 +48,20 @@
 	c.traffic.out.Add(int64(n))
 	return n, err
 }
+
+// CloseWrite implements closeWriter.
+func (c *countedConn) CloseWrite() error { return closeWrite(c.Conn) }
+
+// closeWriter is a connection of which one direction can be closed, as *net.TCPConn. The HTTP server closes
+// that direction first if it has not read a request's body, so that the caller gets the response before the
+// reset.
+type closeWriter interface{ CloseWrite() error }
+
+// closeWrite closes the sending direction of a connection. The error is errors.ErrUnsupported if the
+// connection does not allow it.
+func closeWrite(c net.Conn) error {
+	if w, ok := c.(closeWriter); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
