Count the traffic of the store as control messages of the link

Cause: only connections to other daemons were counted as control messages, though those to the store share the link. On a narrow link a daemon that follows the store, or reads its lists, admitted requests to the part of the link that these answers took.

Change: platform.StoreOptions has Wrap, and the daemon gives the store's client the counter of its link. Where the bandwidth is not set, nothing reads the counts.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -76,7 +77,9 @@
 	signals := hangup.Signals(syscall.SIGTERM, syscall.SIGINT)
 	d, err := front.New(front.Options{
 		Settings: s, Log: log,
-		Store: func(scope tally.Scope) front.Store { return platform.NewStore(s.Store.Address, scope) },
+		Store: func(scope tally.Scope, wrap func(net.Conn) net.Conn) front.Store {
+			return platform.NewStore(s.Store.Address, platform.StoreOptions{Scope: scope, Wrap: wrap})
+		},
 		Wire: front.Wire{
 			Codec: platform.Codec{}, DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint,
 			ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, EndpointPrefix: platform.EndpointPrefix,
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -98,6 +99,12 @@
 	outputTokens = 12
 )
 
+var testWire = Wire{
+	Codec: wire.Codec{}, DecodeConfig: wire.DecodeConfig, DecodeEndpoint: wire.DecodeEndpoint,
+	ConfigPrefix: wire.ConfigPrefix, ConfigKey: wire.ConfigKey, EndpointPrefix: wire.EndpointPrefix,
+	EvacuationPrefix: wire.EvacuationPrefix, ReadyPath: wire.ReadyPath,
+}
+
 func newFleet(t *testing.T, prepaid int64) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: memstore.New(nil), runs: make(map[string]int), statuses: make(map[string]int)}
@@ -204,12 +211,8 @@
 	}
 	s.Bounds.Grace = unit.Seconds(8)
 	d, err := New(Options{
-		Settings: s, Log: zerolog.Nop(), Store: func(tally.Scope) Store { return f.stores[i] },
-		Wire: Wire{
-			Codec: wire.Codec{}, DecodeConfig: wire.DecodeConfig, DecodeEndpoint: wire.DecodeEndpoint,
-			ConfigPrefix: wire.ConfigPrefix, ConfigKey: wire.ConfigKey, EndpointPrefix: wire.EndpointPrefix,
-			EvacuationPrefix: wire.EvacuationPrefix, ReadyPath: wire.ReadyPath,
-		},
+		Settings: s, Log: zerolog.Nop(), Wire: testWire,
+		Store: func(tally.Scope, func(net.Conn) net.Conn) Store { return f.stores[i] },
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -70,8 +70,8 @@
 type Options struct {
 	Settings settings.Front
 	Wire     Wire
-	// Store returns a client of the store that counts its calls in scope.
-	Store func(scope tally.Scope) Store
+	// Store returns a client of the store that counts its calls in scope and wraps its connections.
+	Store func(scope tally.Scope, wrap func(net.Conn) net.Conn) Store
 	Log   zerolog.Logger
 }
 
@@ -173,8 +173,8 @@
 func (d *Daemon) assemble() {
 	d.scope, d.closeScope, d.metricsExporter = metrics.NewScope(
 		d.frontSettings.Instance.Name, d.frontSettings.Instance.FailureDomain)
-	d.store = d.opts.Store(d.scope)
 	d.link = newLink(d.frontSettings.Machine.LinkMbps, d.log, d.scope)
+	d.store = d.opts.Store(d.scope, d.link.control.wrap)
 	d.pools = newPools(d.frontSettings.Instance.FailureDomain, d.log, d.scope)
 	d.crashIsolator = newCrashIsolator(d.log)
 	d.mesh = mesh.New(mesh.Options{
--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -15,7 +15,8 @@
 type link struct {
 	log     zerolog.Logger
 	metrics linkMetrics
-	// callers and control count the bytes of callers' connections, and of those to other daemons.
+	// callers and control count the bytes of callers' connections, and of those to other daemons and the
+	// store.
 	callers, control traffic
 
 	mu    sync.Mutex
