--- a/internal/front/cold_permits.go
+++ b/internal/front/cold_permits.go
@@ -13,6 +13,10 @@
 // the other half of permit.UseWithin for the connection.
 const maxColdPermitTime = permit.UseWithin / 2
 
+// maxForwardTime is the time in which a daemon that passes on a request for a permit must have the answer. The
+// one that has asked would otherwise take it for the daemon that does not answer.
+const maxForwardTime = maxColdPermitTime / 2
+
 // noColdRateDelay is how long a cold endpoint is passed over if the bound leaves no requests for it.
 const noColdRateDelay = time.Second
 
@@ -76,18 +80,21 @@
 // serveCold answers a request for a permit of a cold endpoint, of this daemon or of a peer. The
 // daemon that ranks first in the endpoint's failure domain grants them, if it hears most of the others
 // there. A request that no such daemon answers is denied: unlike a limit, the bound of a cold
-// endpoint must hold where the fleet is cut in two.
+// endpoint must hold where the fleet is cut in two. So is one that a peer of older code answers, which takes it for
+// one to an endpoint without a limit.
 func (p *permits) serveCold(ctx context.Context, r *meshpb.PermitRequest) *meshpb.PermitReply {
-	key, denied := rankKey(r.Endpoint), &meshpb.PermitReply{WaitMs: permitRetryDelay.Milliseconds()}
+	key, denied := rankKey(r.Endpoint), &meshpb.PermitReply{Cold: true, WaitMs: permitRetryDelay.Milliseconds()}
 	owner, ok := p.peers.Grantor(key, r.Domain, !p.stopping())
 	switch {
 	case !ok || owner != "" && r.Hops >= maxColdHops:
 		return denied
 	case owner != "":
-		r.Hops++
-		reply, err := p.peers.RequestPermit(ctx, owner, r)
-		if err != nil {
-			p.log.Info().Err(err).Str("endpoint", r.Endpoint).Msg("peer gave no answer to a request for a permit")
+		reply, err := p.passOn(ctx, owner, r)
+		switch {
+		case err != nil:
+			return denied
+		case !reply.Cold:
+			p.log.Info().Str("peer", owner).Str("endpoint", r.Endpoint).Msg("peer does not know of cold endpoints: its reply counts as a denial")
 			return denied
 		}
 		return reply
@@ -97,13 +104,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	granted, wait := p.cold.Take(time.Now(), r.Endpoint, r.ColdRate)
-	return &meshpb.PermitReply{Granted: granted, WaitMs: max(wait.Milliseconds(), 1)}
+	return &meshpb.PermitReply{Cold: true, Granted: granted, WaitMs: max(wait.Milliseconds(), 1)}
 }
 
 // maxColdHops is the number of daemons that may pass a request for a permit of a cold endpoint
 // on: the one that needs it, and one that knows a higher ranked one.
 const maxColdHops = 2
 
+// passOn sends a request of this daemon or of a peer to the daemon that decides on it.
+func (p *permits) passOn(ctx context.Context, owner string, r *meshpb.PermitRequest) (*meshpb.PermitReply, error) {
+	if r.Hops > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxForwardTime)
+		defer cancel()
+	}
+	r.Hops++
+	reply, err := p.peers.RequestPermit(ctx, owner, r)
+	if err != nil {
+		p.log.Info().Err(err).Str("endpoint", r.Endpoint).Msg("peer gave no answer to a request for a permit")
+	}
+	return reply, err
+}
+
 // isJoined reports whether the daemon knows the registered ones. Before that it can't tell how many
 // others may grant the same permits.
 func (p *permits) isJoined() bool {
--- a/internal/front/cold_permits_test.go
+++ b/internal/front/cold_permits_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -15,7 +16,7 @@
 )
 
 // Guards against a cold endpoint that gets more than it bears, or nothing, whether its first daemon
-// answers, is not known to one of the others, stops, or is lost.
+// answers, is not known to one of the others, stops, is lost, or runs older code, which grants each request.
 func TestOneDaemonGrantsThePermitsOfAColdEndpoint(t *testing.T) {
 	const rate, span = 50, 400 * time.Millisecond
 	for name, c := range map[string]struct {
@@ -25,6 +26,7 @@
 		"all agree":                      {func(*permitNet) {}, true},
 		"one does not know the first":    {func(n *permitNet) { n.rank["c"] = []string{"b", "c"} }, true},
 		"the first gives no answer":      {func(n *permitNet) { n.down["a"] = true }, true},
+		"the first runs older code":      {func(n *permitNet) { n.older["a"] = true }, false},
 		"the registered are not known":   {func(n *permitNet) { n.daemons["a"].joined = make(chan struct{}) }, false},
 		"each knows only lower ranked":   {func(n *permitNet) { n.rank = map[string][]string{"b": {"c", "b"}, "c": {"a", "c"}, "a": {"b", "a"}} }, false},
 		"the asked one passes it on":     {func(n *permitNet) { n.rank["c"] = []string{"b", "c"}; n.rank["b"] = []string{"a", "b"} }, true},
@@ -52,6 +54,24 @@
 	}
 }
 
+// Guards against a daemon that passes a request on to a frozen one and is taken for it, so that all daemons of the
+// failure domain are passed over one after another.
+func TestForwarderOfAFrozenGrantorAnswersInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, _ := newPermitNet("a", "b", "c")
+		n.frozen["a"], n.rank["c"] = true, []string{"b", "c"}
+		start := time.Now()
+		if granted, _ := n.daemons["c"].acquireCold(t.Context(), cappedEngine, 50); granted || time.Since(start) >= maxColdPermitTime {
+			t.Errorf("granted %v after %v, want a denial within %v", granted, time.Since(start), maxColdPermitTime)
+		}
+		for addr, want := range map[string]map[string]bool{"b": {"a": true}, "c": {}} {
+			if diff := cmp.Diff(want, n.daemons[addr].peers.(*permitNode).suspect); diff != "" {
+				t.Errorf("passed over by %s (-want +got):\n%s", addr, diff)
+			}
+		}
+	})
+}
+
 // Guards against answers of a paced endpoint that the daemon that sets the pace never hears of, and
 // against a pace that its daemons don't end.
 func TestPaceOfTheFleet(t *testing.T) {
