--- a/internal/front/link.go
+++ b/internal/front/link.go
@@ -107,7 +107,8 @@
 	if changed {
 		l.log.Warn().Bool("overloaded", s.Overloaded).Float64("demand", s.Demand).Float64("callers", s.CallersIn).
 			Float64("control", s.Control).Dur("queue_ms", s.Queue).Dur("hold_ms", s.Hold).Int("others", len(others)).
-			Int("others_overloaded", others.Overloaded()).Int64("asked", l.asked).Int64("refused", l.refused).Msg("load of the link changed")
+			Int("others_overloaded", others.Overloaded()).Int("accounts", s.Accounts).Str("largest_account", s.Largest).
+			Float64("largest_part", s.LargestPart).Int64("asked", l.asked).Int64("refused", l.refused).Msg("load of the link changed")
 		l.asked, l.refused = 0, 0
 	}
 }
--- a/internal/overload/accounts.go
+++ b/internal/overload/accounts.go
@@ -52,6 +52,22 @@
 	return u.rate.value*float64(len(a.uses)) < a.rate.value
 }
 
+// largest returns the account with the largest part of what is admitted, and that part.
+func (a *accounts) largest(now time.Time) (account string, part float64) {
+	a.rate.add(now, 0)
+	most := 0.0
+	for name, u := range a.uses {
+		u.rate.add(now, 0)
+		if u.rate.value > most {
+			account, most = name, u.rate.value
+		}
+	}
+	if most == 0 {
+		return "", 0
+	}
+	return account, min(1, most/a.rate.value)
+}
+
 // expire removes the accounts that have asked for nothing during shareTime.
 func (a *accounts) expire(now time.Time) {
 	for account, u := range a.uses {
--- a/internal/overload/accounts_test.go
+++ b/internal/overload/accounts_test.go
@@ -8,11 +8,12 @@
 	"time"
 )
 
-// playAccounts plays one daemon with a link of linkMbps, of which a hot account asks hotLinks links and ten
-// others othersLinks together, with requests of several urgencies. It returns the shares of the
-// requests of the hot account and of the others that were served in time.
+// othersLinks is what ten accounts beside the hot one ask together, in links.
 const othersLinks = 0.15
 
+// playAccounts plays one daemon with a link of linkMbps, of which a hot account asks hotLinks and ten others
+// othersLinks, with requests of several urgencies. It returns the shares of the requests of the hot account, of
+// the others and of all that were served in time. Unless apart is true, all requests are of one account.
 func playAccounts(seed uint64, hotLinks float64, apart bool) (hot, others, all float64) {
 	d := &domain{rand: rand.New(rand.NewPCG(seed, 3)), daemons: []*daemon{{
 		in: pipe{mbps: linkMbps}, out: pipe{mbps: linkMbps}, link: New(linkMbps),
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -27,10 +27,12 @@
 	// usableShare of the link is used; the rest is for packet headers, which are not counted, and for
 	// bursts of control messages.
 	usableShare = 0.85
-	// leastShare is what responses may use although bodies and control messages leave less. A caller
-	// that is refused and comes back here puts its body on the link twice, which is more than its
-	// response: 0.1 made the links stay full for twice as long after a burst.
-	leastShare = 0.3
+	// leastShare is what responses may use although bodies and control messages leave less: some must
+	// come in even while the bodies of refused requests fill the link. It is crowdedLeastShare while no
+	// other daemon has room for the callers: a request that is refused then comes again, and its body
+	// crosses a full link once more. With 0.1 the links stayed full for twice as long after a burst.
+	leastShare        = 0.1
+	crowdedLeastShare = 0.5
 	// The daemon is overloaded while the demand is above tripShare of the link and until it is below
 	// clearShare: the callers that it has lost then come back.
 	tripShare  = 0.85
@@ -176,6 +178,8 @@
 	accounts        accounts
 
 	overloaded bool
+	// crowded is true if the others have no room for this daemon's callers.
+	crowded bool
 	// trippedAt is when the daemon was last overloaded, hold how long it stays so at least, clearedAt
 	// when that last ended.
 	trippedAt, clearedAt time.Time
@@ -215,7 +219,11 @@
 
 // freeIn returns the bytes a second that come in beside callers' bodies and control messages.
 func (l *Link) freeIn() float64 {
-	return math.Max(leastShare*l.rate, usableShare*l.rate-l.callersIn.value-l.controlIn.value)
+	least := leastShare
+	if l.crowded {
+		least = crowdedLeastShare
+	}
+	return math.Max(least*l.rate, usableShare*l.rate-l.callersIn.value-l.controlIn.value)
 }
 
 func (l *Link) freeOut() float64 {
@@ -316,11 +324,13 @@
 	l.answers.add(now, 0)
 	l.bodies.add(now, 0)
 	l.accounts.expire(now)
-	switch demand := l.demand(); {
+	demand := l.demand()
+	l.crowded = !peers.carry(demand * l.rate)
+	switch {
 	case !l.overloaded && demand > tripShare && peers.allow(demand*l.rate):
 		l.trip(now)
 		return true
-	case l.overloaded && !peers.carry(demand*l.rate):
+	case l.overloaded && l.crowded:
 		// A burst in the whole failure domain overloads most daemons before they hear of each other.
 		// They take this back before whoever distributes the connections has noticed it.
 		l.overloaded, l.hold = false, 0
@@ -381,6 +391,11 @@
 	Demand, CallersIn, Control float64
 	// Queue is the time in which what was admitted crosses the link.
 	Queue, Hold time.Duration
+	// Accounts is the number of client accounts that ask for something, Largest the one with the largest
+	// part of what is admitted, LargestPart that part.
+	Accounts    int
+	Largest     string
+	LargestPart float64
 }
 
 // State returns the state as of the last Update.
@@ -389,7 +404,9 @@
 		return State{}
 	}
 	queue := math.Max(l.incoming/l.freeIn(), l.outgoing/l.freeOut())
+	largest, part := l.accounts.largest(l.drainedAt)
 	return State{
+		Accounts: len(l.accounts.uses), Largest: largest, LargestPart: part,
 		Overloaded: l.overloaded, Demand: l.demand(), Hold: l.hold,
 		CallersIn: l.callersIn.value / l.rate, Control: math.Max(l.controlIn.value, l.controlOut.value) / l.rate,
 		Queue: time.Duration(queue * float64(time.Second)),
