Keep the owner of a busy account near what it may hold

Change: an owner whose limit allows less than a loss of the store takes draws below 0.9 of its target, and looks each second. What may be held, and lost with the holders, is unchanged, and so are small fleets.

--- a/internal/escrow/budgets/manager.go
+++ b/internal/escrow/budgets/manager.go
@@ -66,9 +66,13 @@
 	// minRebalanceInterval is the least time between two writes that rebalance the
 	// holdings. The interval grows by rebalanceIntervalPerDaemon, which keeps the
 	// fleet at about seven writes per second, far below the platform's limit.
-	// maxRebalanceAttempts bounds the attempts of one write after conflicts.
+	// ownedRebalanceInterval is the least time between two writes that rebalance the
+	// accounts that a daemon of a wide fleet owns: some use up all that may be held of
+	// them in a few seconds. maxRebalanceAttempts bounds the attempts of one write after
+	// conflicts.
 	minRebalanceInterval       = 2 * time.Second
 	rebalanceIntervalPerDaemon = 150 * time.Millisecond
+	ownedRebalanceInterval     = time.Second
 	maxRebalanceAttempts       = 3
 )
 
--- a/internal/escrow/budgets/rebalance.go
+++ b/internal/escrow/budgets/rebalance.go
@@ -25,7 +25,7 @@
 		return
 	}
 	all := now.Sub(m.rebalancedAt) >= m.rebalanceInterval
-	owned := m.Peers.Wide() && now.Sub(m.ownedRebalancedAt) >= minRebalanceInterval
+	owned := m.Peers.Wide() && now.Sub(m.ownedRebalancedAt) >= ownedRebalanceInterval
 	if !all && !owned {
 		return
 	}
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -14,6 +14,9 @@
 	// lowWatermark is the fraction of the target below which tokens are drawn
 	// before a request needs them.
 	lowWatermark = 0.7
+	// limitedLowWatermark replaces lowWatermark at an owner whose limit is below its
+	// need.
+	limitedLowWatermark = 0.9
 	// highWatermark is the multiple of the target above which tokens are
 	// returned to the store.
 	highWatermark = 1.6
@@ -231,7 +234,19 @@
 // BelowTarget reports whether the holding is so far below its target that tokens
 // should be drawn although no request waits.
 func (h *Holding) BelowTarget(now time.Time) bool {
-	return float64(h.Available()) < lowWatermark*float64(h.Target(now)) && h.Drawable(false) > 0
+	return float64(h.Available()) < h.drawBelow(now) && h.Drawable(false) > 0
+}
+
+// drawBelow returns the number of available tokens below which more are drawn ahead of need.
+// The owner of a busy account may hold less than a loss of the store takes, so it keeps near
+// that limit: what is missing at the beginning of the loss is refused in it.
+func (h *Holding) drawBelow(now time.Time) float64 {
+	target := float64(h.Target(now))
+	need := lowWatermark * h.recentRate(now) * targetDuration.Seconds()
+	if !h.owner || need <= lowWatermark*target {
+		return lowWatermark * target
+	}
+	return min(need, limitedLowWatermark*target)
 }
 
 // WriteInFlight reports whether a write to the record is in flight.
