Collect idle tokens of all failure domains in a loss of the store

The distributor and the owner asked nobody but the store.

Change: once neither owner nor store gives tokens, the owner collects from all daemons, a distributor and the daemon itself from their failure domain: up to six at the same time, up to three rounds, none if all known holdings don't cover the smallest request. A reply corrects what is known of a peer until its next digest, so a peer without tokens is asked once. TakeRequest.held_only keeps asked distributors from asking further; a daemon that doesn't know the field obtains tokens as before. The refusal's log line names the three largest holders.

--- a/internal/escrow/budgets/busy_test.go
+++ b/internal/escrow/budgets/busy_test.go
@@ -77,7 +77,7 @@
 
 func (p tricklePeers) TransferSources(string) []string { return []string{"source"} }
 
-func (p tricklePeers) RequestTokens(context.Context, string, string, string, int64, int64) (escrow.Transfer, error) {
+func (p tricklePeers) RequestTokens(context.Context, string, string, string, escrow.TransferRequest) (escrow.Transfer, error) {
 	time.Sleep(time.Millisecond)
 	return escrow.Transfer{Tokens: 1}, nil
 }
--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -31,6 +31,7 @@
 	for {
 		fromStore, fromPeers := m.drawOnce(a)
 		elsewhere, complete := m.Peers.KnownBalance(a.name)
+		holders := m.Peers.KnownHoldings(a.name)
 		m.mu.Lock()
 		if len(a.waiters) == 0 {
 			a.drawing = false
@@ -40,6 +41,7 @@
 		if fromStore != storeDrawn && !fromPeers.gave() {
 			m.refuseWaiters(a, shortage{
 				drawnUp: fromStore == storeExhausted && fromPeers == peersExhausted, elsewhere: elsewhere, allHeard: complete,
+				holders: holders[:min(len(holders), maxLoggedHoldings)],
 			})
 			a.drawing = false
 			m.mu.Unlock()
@@ -290,13 +292,10 @@
 
 // drawFromPeers requests the waiters' shortfall from the peers.
 func (m *Manager) drawFromPeers(a *account) peersResult {
-	var peers []string
 	if m.Peers.Wide() {
-		peers = m.Peers.LocalPeersByTokens(a.name, maxCollectPeers)
-	} else {
-		peers = m.Peers.PeersByTokens(a.name)
+		return m.collect(a, func() (need, least int64) { return a.shortfall(), a.smallestShortfall(false) })
 	}
-	result, _ := m.requestFromPeers(a, peers, a.shortfall, 0)
+	result, _ := m.requestFromPeers(a, m.Peers.PeersByTokens(a.name), a.shortfall, 0)
 	return result
 }
 
@@ -329,7 +328,7 @@
 		case time.Now().After(deadline):
 			return result, exhausted
 		}
-		transfer, err := m.requestTokens(a, peer, need, ahead)
+		transfer, err := m.requestTokens(a, peer, escrow.TransferRequest{Tokens: need, Ahead: ahead})
 		if err != nil {
 			if result == peersExhausted {
 				result = peersUnreachable
@@ -350,27 +349,27 @@
 // requestTokens requests tokens from one peer and adds them to the holding. A request
 // without an answer is retried once in the background with the same id, so that the
 // tokens are not lost with the answer.
-func (m *Manager) requestTokens(a *account, peer string, tokens, ahead int64) (escrow.Transfer, error) {
+func (m *Manager) requestTokens(a *account, peer string, r escrow.TransferRequest) (escrow.Transfer, error) {
 	id := uuid.NewString()
-	transfer, err := m.requestOnce(a, peer, id, tokens, ahead, peerTimeout)
+	transfer, err := m.requestOnce(a, peer, id, r, peerTimeout)
 	if err != nil {
-		m.wg.Go(func() { _, _ = m.requestOnce(a, peer, id, tokens, ahead, peerRetryTimeout) })
+		m.wg.Go(func() { _, _ = m.requestOnce(a, peer, id, r, peerRetryTimeout) })
 	}
 	return transfer, err
 }
 
 func (m *Manager) requestOnce(
-	a *account, peer, id string, tokens, ahead int64, timeout time.Duration,
+	a *account, peer, id string, r escrow.TransferRequest, timeout time.Duration,
 ) (escrow.Transfer, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, timeout)
 	defer cancel()
-	transfer, err := m.Peers.RequestTokens(ctx, peer, id, a.name, tokens, ahead)
+	transfer, err := m.Peers.RequestTokens(ctx, peer, id, a.name, r)
 	if err != nil {
 		m.Log.Info().Err(err).Str("account", a.name).Str("peer", peer).Msg("peer not asked for tokens")
 		return transfer, err
 	}
 	if transfer.Tokens > 0 {
-		m.receive(a, peer, tokens, transfer.Tokens)
+		m.receive(a, peer, r.Tokens, transfer.Tokens)
 	}
 	return transfer, nil
 }
--- a/internal/escrow/budgets/fleet_test.go
+++ b/internal/escrow/budgets/fleet_test.go
@@ -1,6 +1,7 @@
 package budgets
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -68,18 +69,19 @@
 	return sources
 }
 
-func (p fleetMember) LocalPeersByTokens(account string, n int) []string {
-	var names []string
+func (p fleetMember) KnownHoldings(account string) []escrow.KnownHolding {
+	var known []escrow.KnownHolding
 	for i, m := range p.fleet.managers {
-		if i != p.number && i%p.fleet.domains == p.distributor() && len(names) < n && m.Balances()[account] > 0 {
-			names = append(names, fmt.Sprint(i))
+		if tokens := m.Balances()[account]; i != p.number && tokens > 0 {
+			known = append(known, escrow.KnownHolding{Peer: fmt.Sprint(i), Local: i%p.fleet.domains == p.distributor(), Tokens: tokens})
 		}
 	}
-	return names
+	slices.SortFunc(known, func(a, b escrow.KnownHolding) int { return cmp.Compare(b.Tokens, a.Tokens) })
+	return known
 }
 
 func (p fleetMember) RequestTokens(
-	ctx context.Context, peer, _, account string, tokens, ahead int64,
+	ctx context.Context, peer, _, account string, r escrow.TransferRequest,
 ) (escrow.Transfer, error) {
 	var i int
 	if _, err := fmt.Sscan(peer, &i); err != nil {
@@ -90,7 +92,7 @@
 		return escrow.Transfer{}, ctx.Err()
 	}
 	time.Sleep(p.fleet.latency)
-	return p.fleet.managers[i].Transfer(ctx, account, tokens, ahead), nil
+	return p.fleet.managers[i].Transfer(ctx, account, r), nil
 }
 
 func newTestFleet(t *testing.T, store *memstore.Store, daemons, domains, accounts int, prepaid int64) *testFleet {
--- a/internal/escrow/budgets/manager.go
+++ b/internal/escrow/budgets/manager.go
@@ -48,10 +48,8 @@
 	// requests of its failure domain together.
 	transferWait      = 50 * time.Millisecond
 	ownerTransferWait = 120 * time.Millisecond
-	// maxCollectPeers bounds the peers of a wide fleet whose unused tokens are
-	// collected once the store has none left or does not answer: a request waits long
-	// enough only for a few exchanges within a failure domain.
-	maxCollectPeers = 6
+	// maxLoggedHoldings bounds the peers' holdings in the log line of a refusal.
+	maxLoggedHoldings = 3
 	// pendingWritePause is how long a draw waits before it checks again whether
 	// another write of the same record has ended; maxPendingWritePauses limits
 	// these waits to storeTimeout.
@@ -96,9 +94,9 @@
 	Owns(account string) bool
 	Distributes(account string) bool
 	TransferSources(account string) []string
-	// LocalPeersByTokens returns at most n peers of this failure domain that hold
-	// tokens of an account, in descending order of their tokens.
-	LocalPeersByTokens(account string, n int) []string
+	// KnownHoldings returns the tokens of an account that live peers have by their last
+	// digests and replies, in descending order, without peers that have none.
+	KnownHoldings(account string) []escrow.KnownHolding
 	// KnownBalance returns the tokens of an account that live peers have by their last
 	// digests. complete is false if a peer has fallen silent, which may have others.
 	KnownBalance(account string) (tokens int64, complete bool)
@@ -106,9 +104,9 @@
 	Holders() int
 	// Count returns the number of live daemons, including this one.
 	Count() int
-	// RequestTokens requests tokens from a peer, and ahead further ones if the peer
-	// has plenty. A retry with the same id returns the result of the first request.
-	RequestTokens(ctx context.Context, peer, id, account string, tokens, ahead int64) (escrow.Transfer, error)
+	// RequestTokens requests tokens from a peer. A retry with the same id returns the
+	// result of the first request.
+	RequestTokens(ctx context.Context, peer, id, account string, r escrow.TransferRequest) (escrow.Transfer, error)
 	// Members returns all daemons that are known, except this one.
 	Members() []Member
 	// BudgetRecords returns what a peer's Records returns.
--- a/internal/escrow/budgets/manager_test.go
+++ b/internal/escrow/budgets/manager_test.go
@@ -47,8 +47,8 @@
 	return names
 }
 
-func (p testPeers) RequestTokens(ctx context.Context, peer, _, account string, tokens, ahead int64) (escrow.Transfer, error) {
-	return p.managers[peer].Transfer(ctx, account, tokens, ahead), nil
+func (p testPeers) RequestTokens(ctx context.Context, peer, _, account string, r escrow.TransferRequest) (escrow.Transfer, error) {
+	return p.managers[peer].Transfer(ctx, account, r), nil
 }
 
 func (p testPeers) TransferSources(string) []string {
@@ -61,14 +61,14 @@
 
 func (p testPeers) Owns(string) bool { return len(p.sources) == 0 }
 
-func (p testPeers) LocalPeersByTokens(account string, _ int) []string {
-	var names []string
+func (p testPeers) KnownHoldings(account string) []escrow.KnownHolding {
+	var known []escrow.KnownHolding
 	for name, m := range p.managers {
-		if m.Balances()[account] > 0 {
-			names = append(names, name)
+		if tokens := m.Balances()[account]; tokens > 0 {
+			known = append(known, escrow.KnownHolding{Peer: name, Local: true, Tokens: tokens})
 		}
 	}
-	return names
+	return known
 }
 
 func (p testPeers) Wide() bool { return p.wide }
@@ -293,7 +293,7 @@
 	var wg sync.WaitGroup
 	var got atomic.Int64
 	for range 8 {
-		wg.Go(func() { got.Add(a.Transfer(t.Context(), "t", 100, 0).Tokens) })
+		wg.Go(func() { got.Add(a.Transfer(t.Context(), "t", escrow.TransferRequest{Tokens: 100}).Tokens) })
 	}
 	wg.Wait()
 	if got.Load() < 800 || got.Load() > prepaid {
@@ -301,7 +301,7 @@
 	}
 	store.SetFaults(memstore.Faults{LatencyMillis: 5000})
 	start := time.Now()
-	a.Transfer(t.Context(), "t", 300, 0)
+	a.Transfer(t.Context(), "t", escrow.TransferRequest{Tokens: 300})
 	if took := time.Since(start); took > 4*transferWait {
 		t.Errorf("a request took %v, want about %v at most", took, transferWait)
 	}
@@ -353,7 +353,7 @@
 	return names
 }
 
-func (s *silentPeers) RequestTokens(ctx context.Context, _, id, _ string, tokens, _ int64) (escrow.Transfer, error) {
+func (s *silentPeers) RequestTokens(ctx context.Context, _, id, _ string, r escrow.TransferRequest) (escrow.Transfer, error) {
 	s.mu.Lock()
 	s.requests[id]++
 	first := s.requests[id] == 1
@@ -362,7 +362,7 @@
 		<-ctx.Done()
 		return escrow.Transfer{}, ctx.Err()
 	}
-	return escrow.Transfer{Tokens: tokens}, nil
+	return escrow.Transfer{Tokens: r.Tokens}, nil
 }
 
 // Guards against a daemon that asks one silent peer after the other while the store is
--- a/internal/escrow/budgets/restored_test.go
+++ b/internal/escrow/budgets/restored_test.go
@@ -160,12 +160,12 @@
 	return p.testPeers.BudgetRecords(ctx, peer)
 }
 
-func (p deafPeers) RequestTokens(ctx context.Context, peer, id, account string, tokens, ahead int64) (escrow.Transfer, error) {
+func (p deafPeers) RequestTokens(ctx context.Context, peer, id, account string, r escrow.TransferRequest) (escrow.Transfer, error) {
 	if p.deaf[peer] {
 		<-ctx.Done()
 		return escrow.Transfer{}, ctx.Err()
 	}
-	return p.testPeers.RequestTokens(ctx, peer, id, account, tokens, ahead)
+	return p.testPeers.RequestTokens(ctx, peer, id, account, r)
 }
 
 // Guards against draws while a daemon is silent that may have drawn after the copy, against
--- a/internal/escrow/budgets/source_test.go
+++ b/internal/escrow/budgets/source_test.go
@@ -23,7 +23,7 @@
 
 func (slowSource) Owns(string) bool { return false }
 
-func (s slowSource) RequestTokens(context.Context, string, string, string, int64, int64) (escrow.Transfer, error) {
+func (s slowSource) RequestTokens(context.Context, string, string, string, escrow.TransferRequest) (escrow.Transfer, error) {
 	time.Sleep(20 * time.Millisecond)
 	return escrow.Transfer{Tokens: s.gives, StoreUnreachable: true}, nil
 }
--- a/internal/escrow/budgets/transfer.go
+++ b/internal/escrow/budgets/transfer.go
@@ -1,7 +1,9 @@
 package budgets
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/azurehatch/azurehatch/internal/escrow"
@@ -9,46 +11,52 @@
 
 // transferRequest is a peer's request for tokens that the holding does not cover yet.
 type transferRequest struct {
-	tokens, ahead int64
-	done          chan escrow.Transfer
+	escrow.TransferRequest
+	done chan escrow.Transfer
 }
 
-// Transfer answers a peer's request for tokens, and for ahead further ones if there are
-// plenty. If this daemon distributes the account's tokens, it obtains missing ones
-// together for all requests that wait.
-func (m *Manager) Transfer(ctx context.Context, account string, tokens, ahead int64) escrow.Transfer {
+// Transfer answers a peer's request for tokens. If this daemon distributes the account's
+// tokens, it obtains missing ones together for all requests that wait.
+func (m *Manager) Transfer(ctx context.Context, account string, asked escrow.TransferRequest) escrow.Transfer {
 	m.mu.Lock()
 	a, ok := m.accounts[account]
 	if !ok || m.closed {
 		m.mu.Unlock()
 		return escrow.Transfer{}
 	}
-	transfer := m.transferAvailable(a, tokens, ahead)
-	if transfer.Tokens >= tokens || !m.Peers.Distributes(account) || transfer.StoreUnreachable && m.Peers.Owns(account) {
+	transfer := m.transferAvailable(a, asked)
+	if transfer.Tokens >= asked.Tokens || asked.HeldOnly || !m.mayObtain(account, transfer) {
 		m.mu.Unlock()
-		return m.logTransfer(account, tokens, transfer)
+		return m.logTransfer(account, asked.Tokens, transfer)
 	}
-	r := &transferRequest{tokens: tokens - transfer.Tokens, ahead: ahead, done: make(chan escrow.Transfer, 1)}
+	r := &transferRequest{TransferRequest: asked, done: make(chan escrow.Transfer, 1)}
+	r.Tokens -= transfer.Tokens
 	a.transferRequests = append(a.transferRequests, r)
 	m.startTransferDraw(a)
 	m.mu.Unlock()
 	more := m.awaitTransfer(ctx, a, r)
 	more.Tokens += transfer.Tokens
-	return m.logTransfer(account, tokens, more)
+	return m.logTransfer(account, asked.Tokens, more)
+}
+
+// mayObtain reports whether this daemon may obtain tokens that a transfer lacks: as the
+// account's distributor, from the store, the owner or, in a wide fleet, other peers.
+func (m *Manager) mayObtain(account string, t escrow.Transfer) bool {
+	return m.Peers.Distributes(account) && (!t.StoreUnreachable || !m.Peers.Owns(account) || m.Peers.Wide())
 }
 
 // transferAvailable removes the tokens that the holding covers. The caller holds m.mu.
-func (m *Manager) transferAvailable(a *account, tokens, ahead int64) escrow.Transfer {
+func (m *Manager) transferAvailable(a *account, asked escrow.TransferRequest) escrow.Transfer {
 	now := time.Now()
 	transfer := escrow.Transfer{StoreUnreachable: now.Before(m.storeRetryAt)}
 	if !m.Peers.Wide() {
-		transfer.Tokens = a.holding.TransferOut(tokens)
+		transfer.Tokens = a.holding.TransferOut(asked.Tokens)
 		return transfer
 	}
-	transfer.Tokens = a.holding.TransferExact(tokens)
+	transfer.Tokens = a.holding.TransferExact(asked.Tokens)
 	if m.Peers.Distributes(a.name) {
-		if transfer.Tokens == tokens {
-			transfer.Tokens += a.holding.TransferAhead(ahead)
+		if transfer.Tokens == asked.Tokens {
+			transfer.Tokens += a.holding.TransferAhead(asked.Ahead)
 		}
 		a.holding.RecordTransfer(now, transfer.Tokens)
 	}
@@ -97,7 +105,7 @@
 func (m *Manager) transferDrawLoop(a *account) {
 	for {
 		result := m.obtainForPeers(a)
-		if result == storeExhausted && m.collectFromPeers(a) {
+		if result != storeDrawn && m.Peers.Wide() && m.collect(a, a.requestsLack).gave() {
 			result = storeDrawn
 		}
 		m.mu.Lock()
@@ -124,33 +132,10 @@
 			return storeExhausted
 		}
 	}
-	return m.drawAtLeast(a, func() (int64, bool) { return a.requestsShortfall(), false })
-}
-
-// collectFromPeers collects unused tokens from peers of this failure domain once the
-// store has none left. It reports whether the holding then covers the first request.
-func (m *Manager) collectFromPeers(a *account) bool {
-	if !m.Peers.Wide() {
-		return false
-	}
-	for _, peer := range m.Peers.LocalPeersByTokens(a.name, maxCollectPeers) {
-		shortfall := m.firstRequestShortfall(a)
-		if shortfall <= 0 {
-			break
-		}
-		_, _ = m.requestTokens(a, peer, shortfall, 0)
+	if m.storeLost() && m.collect(a, a.requestsLack).gave() {
+		return storeDrawn // a probe of the store takes longer than the requests wait
 	}
-	return m.firstRequestShortfall(a) <= 0
-}
-
-// firstRequestShortfall returns the tokens missing to cover the first request.
-func (m *Manager) firstRequestShortfall(a *account) int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(a.transferRequests) == 0 {
-		return 0
-	}
-	return a.transferRequests[0].tokens - a.holding.Available()
+	return m.drawAtLeast(a, func() (int64, bool) { return a.requestsShortfall(), false })
 }
 
 // requestsShortfall returns the tokens missing to cover all requests, limited to what
@@ -158,7 +143,7 @@
 func (a *account) requestsShortfall() int64 {
 	var sum int64
 	for _, r := range a.transferRequests {
-		sum += r.tokens
+		sum += r.Tokens
 	}
 	shortfall := max(0, sum-max(0, a.holding.Available()))
 	if undrawn := a.holding.Undrawn(); undrawn > 0 {
@@ -169,15 +154,18 @@
 
 // serveTransferRequests answers requests after a draw. If the draw succeeded, only those
 // that the holding covers are answered. Otherwise all are, with the tokens that are
-// left. The caller holds m.mu.
+// left, the smallest first. The caller holds m.mu.
 func (m *Manager) serveTransferRequests(a *account, result drawResult) {
+	if result != storeDrawn {
+		slices.SortStableFunc(a.transferRequests, func(r, s *transferRequest) int { return cmp.Compare(r.Tokens, s.Tokens) })
+	}
 	kept := a.transferRequests[:0]
 	for _, r := range a.transferRequests {
-		if result == storeDrawn && a.holding.Available() < r.tokens {
+		if result == storeDrawn && a.holding.Available() < r.Tokens {
 			kept = append(kept, r)
 			continue
 		}
-		transfer := m.transferAvailable(a, r.tokens, r.ahead)
+		transfer := m.transferAvailable(a, r.TransferRequest)
 		transfer.BudgetExhausted, transfer.StoreUnreachable = result == storeExhausted, result == storeUnreachable
 		r.done <- transfer
 	}
--- a/internal/escrow/budgets/waiters.go
+++ b/internal/escrow/budgets/waiters.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/problem"
 )
 
@@ -118,6 +119,8 @@
 	// if a peer is silent, which may have others.
 	elsewhere int64
 	allHeard  bool
+	// holders are the peers that have most of these tokens.
+	holders []escrow.KnownHolding
 }
 
 // exhausts reports whether the budget has no tokens for a request anywhere.
@@ -129,7 +132,8 @@
 func (m *Manager) refuseWaiters(a *account, s shortage) {
 	for _, w := range a.waiters {
 		m.Log.Warn().Str("account", a.name).Int64("tokens", w.tokens).Int64("available", a.holding.Available()).
-			Int64("undrawn", a.holding.Undrawn()).Int64("elsewhere", s.elsewhere).Bool("all_heard", s.allHeard).
+			Int64("undrawn", a.holding.Undrawn()).Int64("elsewhere", s.elsewhere).Interface("holders", s.holders).
+			Bool("all_heard", s.allHeard).
 			Bool("certain", s.drawnUp).Bool("exhausted", s.exhausts(w.tokens)).Msg("reservation refused")
 		w.done <- refusal(a.name, w.tokens, s)
 	}
--- a/internal/escrow/transfer.go
+++ b/internal/escrow/transfer.go
@@ -2,6 +2,15 @@
 
 import "time"
 
+// TransferRequest is a request for a peer's tokens of an account.
+type TransferRequest struct {
+	Tokens int64
+	// Ahead are further tokens that are wanted if the peer has plenty.
+	Ahead int64
+	// HeldOnly is true if the peer gives only of what it holds and obtains none elsewhere.
+	HeldOnly bool
+}
+
 // Transfer is the reply to a peer's request for tokens.
 type Transfer struct {
 	Tokens int64
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -293,8 +293,8 @@
 }
 
 // TransferTokens implements mesh.State.
-func (s meshState) TransferTokens(ctx context.Context, account string, tokens, ahead int64) escrow.Transfer {
-	return s.d.budgets.Transfer(ctx, account, tokens, ahead)
+func (s meshState) TransferTokens(ctx context.Context, account string, r escrow.TransferRequest) escrow.Transfer {
+	return s.d.budgets.Transfer(ctx, account, r)
 }
 
 // Items implements mesh.State.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -92,8 +92,7 @@
 	// Merge merges a peer's digest into the daemon's state.
 	Merge(d *meshpb.Digest)
 	// TransferTokens removes tokens of an account for a peer.
-	// ahead are tokens that the peer wants beyond those, if there are plenty.
-	TransferTokens(ctx context.Context, account string, tokens, ahead int64) escrow.Transfer
+	TransferTokens(ctx context.Context, account string, r escrow.TransferRequest) escrow.Transfer
 	// Items returns the daemon's copy of the store's items with a prefix.
 	Items(prefix string) ([]platform.Item, platform.Revision)
 	// Pushed handles changes that a follower of the store pushed.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -55,11 +55,11 @@
 	return &meshpb.PermitReply{Granted: r.Endpoint == "e", WaitMs: 7, Limit: r.Limit}, nil
 }
 
-func (n *node) TransferTokens(_ context.Context, _ string, tokens, _ int64) escrow.Transfer {
+func (n *node) TransferTokens(_ context.Context, _ string, r escrow.TransferRequest) escrow.Transfer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.transferred += tokens
-	return escrow.Transfer{Tokens: tokens, BudgetExhausted: true}
+	n.transferred += r.Tokens
+	return escrow.Transfer{Tokens: r.Tokens, BudgetExhausted: true}
 }
 
 func (n *node) Items(prefix string) ([]platform.Item, platform.Revision) {
@@ -145,7 +145,7 @@
 	if l := nodes[0].PeersByTokens("t"); len(l) != 2 {
 		t.Errorf("peers by tokens %v, want both peers", l)
 	}
-	got, err := nodes[0].RequestTokens(t.Context(), nodes[1].Addr, "id", "t", 7, 0)
+	got, err := nodes[0].RequestTokens(t.Context(), nodes[1].Addr, "id", "t", escrow.TransferRequest{Tokens: 7})
 	if err != nil || got.Tokens != 7 || !got.BudgetExhausted || got.StoreUnreachable {
 		t.Errorf("got %+v, %v", got, err)
 	}
@@ -301,7 +301,7 @@
 	first := plain.TransferSources("t")[0]
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	if _, err := plain.RequestTokens(ctx, first, "id", "t", 1, 0); err == nil {
+	if _, err := plain.RequestTokens(ctx, first, "id", "t", escrow.TransferRequest{Tokens: 1}); err == nil {
 		t.Fatal("a peer that does not run answered")
 	}
 	if l := plain.TransferSources("t"); len(l) > 0 && l[0] == first {
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/azurehatch/azurehatch/internal/escrow"
 	"github.com/azurehatch/azurehatch/internal/escrow/budgets"
 	"github.com/azurehatch/azurehatch/internal/failure"
 	"github.com/azurehatch/azurehatch/internal/mesh/meshpb"
@@ -205,18 +206,21 @@
 	return len(domains)
 }
 
-// LocalPeersByTokens returns at most n live peers of this daemon's failure domain that
-// hold tokens of an account, in descending order of their tokens.
-func (m *Mesh) LocalPeersByTokens(account string, n int) []string {
+// KnownHoldings returns the tokens of an account that live peers have, in descending order,
+// without peers that have none.
+func (m *Mesh) KnownHoldings(account string) []escrow.KnownHolding {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var holders []*peer
+	now := time.Now()
+	var known []escrow.KnownHolding
 	for _, p := range m.livePeersByTokens(account) {
-		if len(holders) < n && p.domain == m.Domain && p.balances[account] > 0 {
-			holders = append(holders, p)
+		if p.balances[account] > 0 && !now.Before(p.suspectUntil) {
+			known = append(known, escrow.KnownHolding{
+				Peer: p.addr, Domain: p.domain, Local: p.domain == m.Domain, Tokens: p.balances[account], Age: now.Sub(p.lastReceived),
+			})
 		}
 	}
-	return m.addrs(holders)
+	return known
 }
 
 // KnownBalance returns the tokens of an account that live peers have by their last digests.
--- a/internal/mesh/tokens.go
+++ b/internal/mesh/tokens.go
@@ -30,7 +30,7 @@
 func (m *Mesh) TakeTokens(ctx context.Context, r *meshpb.TakeRequest) (*meshpb.TakeReply, error) {
 	a, first := m.requestByID(r.Id)
 	if first {
-		a.transfer = m.State.TransferTokens(ctx, r.Account, r.Tokens, r.Ahead)
+		a.transfer = m.State.TransferTokens(ctx, r.Account, escrow.TransferRequest{Tokens: r.Tokens, Ahead: r.Ahead, HeldOnly: r.HeldOnly})
 		close(a.done)
 	}
 	select {
@@ -71,20 +71,36 @@
 	return a, true
 }
 
-// RequestTokens requests tokens from a peer, and further ones for requests to come. A
-// retry with the same id returns the result of the first request.
+// RequestTokens requests tokens from a peer. A retry with the same id returns the result
+// of the first request.
 func (m *Mesh) RequestTokens(
-	ctx context.Context, addr, id, account string, tokens, ahead int64,
+	ctx context.Context, addr, id, account string, r escrow.TransferRequest,
 ) (escrow.Transfer, error) {
 	conn := m.connOf(addr)
 	if conn == nil {
 		return escrow.Transfer{}, failure.At(errors.New("unknown peer"), "mesh.take-tokens", addr)
 	}
-	request := &meshpb.TakeRequest{Id: id, Account: account, Tokens: tokens, Ahead: ahead}
+	request := &meshpb.TakeRequest{Id: id, Account: account, Tokens: r.Tokens, Ahead: r.Ahead, HeldOnly: r.HeldOnly}
 	reply, err := meshpb.NewMeshClient(conn).TakeTokens(ctx, request)
 	if err != nil {
 		m.suspect(addr, time.Now())
 		return escrow.Transfer{}, failure.At(err, "mesh.take-tokens", addr)
 	}
+	m.recordTransfer(addr, account, r.Tokens, reply.Tokens)
 	return escrow.Transfer{Tokens: reply.Tokens, BudgetExhausted: reply.Empty, StoreUnreachable: reply.Away}, nil
 }
+
+// recordTransfer corrects what is known of a peer's tokens by its reply, until its next
+// digest: it has none if it gave less than was requested.
+func (m *Mesh) recordTransfer(addr, account string, requested, given int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[addr]
+	if p == nil || p.balances[account] == 0 {
+		return
+	}
+	p.balances[account] = max(0, p.balances[account]-given)
+	if given < requested {
+		p.balances[account] = 0
+	}
+}
