Test the tokens of a busy daemon in a loss of the store

A daemon whose requests wait gives nothing to a peer that collects: it took back what it had given (seen in the test of the owner's collection).

--- a/internal/escrow/budgets/busy_test.go
+++ b/internal/escrow/budgets/busy_test.go
@@ -91,3 +91,25 @@
 		t.Errorf("refused although the store has all %d tokens: %v", prepaid, err)
 	}
 }
+
+// Guards against tokens in other failure domains that nobody asks for in a loss of the store,
+// and against a peer that obtains tokens although it is asked only for those that it holds.
+func TestOwnerCollectsFromAllFailureDomains(t *testing.T) {
+	const piece, busy = 400, 7
+	store := memstore.New(nil)
+	store.SetFaults(memstore.Faults{Outage: true})
+	f := newTestFleet(t, store, 12, 3, 1, 1_000_000)
+	for _, m := range f.managers {
+		m.account("account-0").holding.Receive(piece)
+		m.markStoreUnreachable()
+	}
+	if served, refused := f.loadOne(t, busy, 1, 11*piece, 0); refused > 0 {
+		t.Errorf("%d of %d requests refused that eleven of twelve pieces cover", refused, served+refused)
+	}
+	f.managers[0].StoreContacted()
+	store.SetFaults(memstore.Faults{})
+	held := f.managers[0].Balances()["account-0"]
+	if got := f.managers[0].Transfer(t.Context(), "account-0", escrow.TransferRequest{Tokens: held + piece, HeldOnly: true}); got.Tokens != held {
+		t.Errorf("%d tokens given, want the %d held", got.Tokens, held)
+	}
+}
--- a/internal/escrow/budgets/collect.go
+++ b/internal/escrow/budgets/collect.go
@@ -56,6 +56,9 @@
 	return sum.Load(), failed.Load() == 0
 }
 
+// waits reports whether requests of this daemon or of peers wait for tokens.
+func (a *account) waits() bool { return len(a.waiters) > 0 || len(a.transferRequests) > 0 }
+
 // storeLost reports whether the last call of the store failed in a wide fleet.
 func (m *Manager) storeLost() bool {
 	m.mu.Lock()
--- a/internal/escrow/budgets/transfer.go
+++ b/internal/escrow/budgets/transfer.go
@@ -24,6 +24,10 @@
 		m.mu.Unlock()
 		return escrow.Transfer{}
 	}
+	if asked.HeldOnly && a.waits() {
+		m.mu.Unlock() // what is available is being collected here too
+		return m.logTransfer(account, asked.Tokens, escrow.Transfer{})
+	}
 	transfer := m.transferAvailable(a, asked)
 	if transfer.Tokens >= asked.Tokens || asked.HeldOnly || !m.mayObtain(account, transfer) {
 		m.mu.Unlock()
--- a/internal/mesh/balance_test.go
+++ b/internal/mesh/balance_test.go
@@ -28,3 +28,21 @@
 		t.Errorf("%d tokens, complete %v while a peer is silent, want 30 and false", tokens, complete)
 	}
 }
+
+// Guards against a peer that is asked again and again for tokens that it has given already.
+func TestRepliesCorrectKnownHoldings(t *testing.T) {
+	m := New(Options{Addr: "127.0.0.1:1", Domain: "z0"})
+	defer m.Close()
+	m.Add("127.0.0.1:2", "z0")
+	m.peers["127.0.0.1:2"].lastReceived, m.peers["127.0.0.1:2"].balances = time.Now(), map[string]int64{"t": 30}
+	for _, c := range []struct{ requested, given, want int64 }{{10, 10, 20}, {15, 4, 0}} {
+		m.recordTransfer("127.0.0.1:2", "t", c.requested, c.given)
+		var known int64
+		for _, k := range m.KnownHoldings("t") {
+			known += k.Tokens
+		}
+		if known != c.want {
+			t.Errorf("%d tokens known after %d of %d were given, want %d", known, c.given, c.requested, c.want)
+		}
+	}
+}
