--- a/internal/escrow/collect.go
+++ b/internal/escrow/collect.go
@@ -1,7 +1,5 @@
 package escrow
 
-import "time"
-
 // Bounds of one collection: at most maxCollectRounds rounds of at most
 // maxCollectRequests requests, which are sent at the same time.
 const (
@@ -16,8 +14,8 @@
 	Domain string `json:"domain"`
 	Local  bool   `json:"-"`
 	Tokens int64  `json:"tokens"`
-	// Age is the time since the peer told of the tokens.
-	Age time.Duration `json:"age"`
+	// AgeMs is the time since the peer's last digest.
+	AgeMs int64 `json:"age_ms"`
 }
 
 // Collect obtains available tokens of peers for requests that wait. It answers a loss of the
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -216,7 +216,7 @@
 	for _, p := range m.livePeersByTokens(account) {
 		if p.balances[account] > 0 && !now.Before(p.suspectUntil) {
 			known = append(known, escrow.KnownHolding{
-				Peer: p.addr, Domain: p.domain, Local: p.domain == m.Domain, Tokens: p.balances[account], Age: now.Sub(p.lastReceived),
+				Peer: p.addr, Domain: p.domain, Local: p.domain == m.Domain, Tokens: p.balances[account], AgeMs: now.Sub(p.lastReceived).Milliseconds(),
 			})
 		}
 	}
