Let a busy daemon request tokens ahead

Change: a daemon that gets many requests of an account requests tokens for a second more, if they serve at least eight of its requests. The distributor gives at most an eighth of what it holds.

--- a/internal/escrow/budgets/busy_test.go
+++ b/internal/escrow/budgets/busy_test.go
@@ -72,6 +72,22 @@
 	}
 }
 
+// Guards against a busy daemon that requests tokens for each of its requests: over a full link
+// they came too late, and 220 requests in 11 s were refused beside four million tokens.
+func TestBusyDaemonRequestsTokensAhead(t *testing.T) {
+	const requests = 1500
+	f := newTestFleet(t, memstore.New(nil), 12, 3, 1, 100_000_000)
+	served, _ := f.loadOne(t, 7, requests, 1000, 2*time.Millisecond)
+	if asked := f.asked.Load(); served != requests || asked > requests/2 {
+		t.Errorf("%d of %d requests served with %d requests for tokens, want all with half as many at most", served, requests, asked)
+	}
+	before := f.asked.Load()
+	served, _ = f.loadOne(t, 10, 5, 1000, time.Millisecond)
+	if held := f.managers[10].Balances()["account-0"]; held > 0 || served != 5 || f.asked.Load() == before {
+		t.Errorf("a daemon with five requests holds %d tokens ahead", held)
+	}
+}
+
 // tricklePeers are peers that are asked before the store and give one token a request.
 type tricklePeers struct{ testPeers }
 
--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -299,15 +299,22 @@
 	return result
 }
 
-// aheadOf returns the number of tokens to request ahead of need. Only the distributor of a
-// failure domain does: the tokens that lie with other daemons serve few requests.
+// aheadOf returns the number of tokens to request ahead of need in a wide fleet: as the
+// distributor of a failure domain, or for many requests of this daemon's own.
 func (m *Manager) aheadOf(a *account) int64 {
-	if !m.Peers.Wide() || !m.Peers.Distributes(a.name) {
+	if !m.Peers.Wide() {
 		return 0
 	}
+	distributes := m.Peers.Distributes(a.name)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return a.holding.Ahead(time.Now())
+	switch {
+	case distributes:
+		return a.holding.Ahead(time.Now())
+	case len(a.waiters) == 0:
+		return 0
+	}
+	return a.holding.BusyAhead(time.Now(), a.waiters[0].tokens)
 }
 
 // requestFromPeers asks peers in turn until shortfall, called with m.mu held, returns 0,
--- a/internal/escrow/budgets/fleet_test.go
+++ b/internal/escrow/budgets/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	ownerPerDomain bool
 	// down holds the numbers of the daemons that do not answer.
 	down []int
+	// asked counts the requests for tokens.
+	asked atomic.Int64
 	// latency is the time that a request for tokens takes.
 	latency time.Duration
 }
@@ -83,6 +86,7 @@
 func (p fleetMember) RequestTokens(
 	ctx context.Context, peer, _, account string, r escrow.TransferRequest,
 ) (escrow.Transfer, error) {
+	p.fleet.asked.Add(1)
 	var i int
 	if _, err := fmt.Sscan(peer, &i); err != nil {
 		return escrow.Transfer{}, err
--- a/internal/escrow/holding.go
+++ b/internal/escrow/holding.go
@@ -23,6 +23,10 @@
 	// aheadDuration is the time for which a failure domain's distributor requests
 	// tokens from the account's owner, at the recent rate of its transfers.
 	aheadDuration = 3 * time.Second
+	// busyAheadDuration is the time for which a daemon requests tokens from the distributor
+	// if they serve at least minAheadRequests of its requests.
+	busyAheadDuration = time.Second
+	minAheadRequests  = 8
 	// maxAheadShare is the divisor of the part of a holding that one such request
 	// may take beyond its need.
 	maxAheadShare = 8
--- a/internal/escrow/transfer.go
+++ b/internal/escrow/transfer.go
@@ -55,6 +55,19 @@
 	return max(0, int64(h.recentRate(now)*aheadDuration.Seconds())-max(0, h.Available()))
 }
 
+// BusyAhead returns the number of tokens that a daemon which does not distribute the tokens of
+// an account should request beyond need, the size of a request: those of busyAheadDuration if
+// it gets many requests of the account, none otherwise, since such tokens would lie idle.
+// The load: one daemon gets most requests of an account over a link so full that each
+// request for tokens takes longer than the daemon waits.
+func (h *Holding) BusyAhead(now time.Time, need int64) int64 {
+	ahead := int64(h.recentRate(now) * busyAheadDuration.Seconds())
+	if ahead < minAheadRequests*need {
+		return 0
+	}
+	return ahead
+}
+
 // RecordTransfer adds transferred tokens to the rate of spend, because a daemon that
 // draws for others has to hold what they need.
 func (h *Holding) RecordTransfer(now time.Time, tokens int64) { h.recordSpend(now, tokens) }
