--- a/internal/escrow/budgets/collect.go
+++ b/internal/escrow/budgets/collect.go
@@ -4,27 +4,32 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/azurehatch/azurehatch/internal/escrow"
 )
 
 // collect collects available tokens of peers: the account's owner from all peers, any other
 // daemon from those of its failure domain, whose digests are recent. lack, called with m.mu
-// held, returns the tokens that all waiting requests lack and those that the smallest lacks.
+// held, returns the tokens that all waiting requests lack and those that the smallest lacks. No
+// round begins after ownerTransferWait, since no request of a peer waits longer.
 func (m *Manager) collect(a *account, lack func() (need, least int64)) peersResult {
 	everywhere := m.Peers.Owns(a.name)
-	result := peersExhausted
+	result, deadline := peersExhausted, time.Now().Add(ownerTransferWait)
 	for c := new(escrow.Collect); ; {
-		known := m.Peers.KnownHoldings(a.name)
-		known = slices.DeleteFunc(known, func(k escrow.KnownHolding) bool { return !k.Local && !everywhere })
 		m.mu.Lock()
 		need, least := lack()
 		m.mu.Unlock()
-		requests := c.Next(need, least, known)
 		switch {
 		case need <= 0 && result == peersTransferred:
 			return peersCovered
-		case len(requests) == 0:
+		case need <= 0 || time.Now().After(deadline):
+			return result
+		}
+		known := m.Peers.KnownHoldings(a.name)
+		known = slices.DeleteFunc(known, func(k escrow.KnownHolding) bool { return !k.Local && !everywhere })
+		requests := c.Next(need, least, known)
+		if len(requests) == 0 {
 			return result
 		}
 		received, answered := m.requestHeld(a, requests)
--- a/internal/escrow/budgets/draw.go
+++ b/internal/escrow/budgets/draw.go
@@ -30,19 +30,19 @@
 func (m *Manager) drawLoop(a *account) {
 	for {
 		fromStore, fromPeers := m.drawOnce(a)
-		elsewhere, complete := m.Peers.KnownBalance(a.name)
-		holders := m.Peers.KnownHoldings(a.name)
+		failed := fromStore != storeDrawn && !fromPeers.gave()
+		var s shortage
+		if failed {
+			s = m.shortageOf(a, fromStore == storeExhausted && fromPeers == peersExhausted)
+		}
 		m.mu.Lock()
 		if len(a.waiters) == 0 {
 			a.drawing = false
 			m.mu.Unlock()
 			return
 		}
-		if fromStore != storeDrawn && !fromPeers.gave() {
-			m.refuseWaiters(a, shortage{
-				drawnUp: fromStore == storeExhausted && fromPeers == peersExhausted, elsewhere: elsewhere, allHeard: complete,
-				holders: holders[:min(len(holders), maxLoggedHoldings)],
-			})
+		if failed {
+			m.refuseWaiters(a, s)
 			a.drawing = false
 			m.mu.Unlock()
 			return
--- a/internal/escrow/budgets/waiters.go
+++ b/internal/escrow/budgets/waiters.go
@@ -123,6 +123,15 @@
 	holders []escrow.KnownHolding
 }
 
+// shortageOf returns what is known of an account's tokens elsewhere.
+func (m *Manager) shortageOf(a *account, drawnUp bool) shortage {
+	s := shortage{drawnUp: drawnUp}
+	s.elsewhere, s.allHeard = m.Peers.KnownBalance(a.name)
+	holders := m.Peers.KnownHoldings(a.name)
+	s.holders = holders[:min(len(holders), maxLoggedHoldings)]
+	return s
+}
+
 // exhausts reports whether the budget has no tokens for a request anywhere.
 func (s shortage) exhausts(tokens int64) bool {
 	return s.drawnUp && s.allHeard && s.elsewhere < tokens
