--- a/internal/escrow/budgets/busy_test.go
+++ b/internal/escrow/budgets/busy_test.go
@@ -72,12 +72,28 @@
 	}
 }
 
+// Guards against a busy daemon that requests tokens for each of its requests: over a full link
+// they came too late, and 220 requests in 11 s were refused beside four million tokens.
+func TestBusyDaemonRequestsTokensAhead(t *testing.T) {
+	const requests = 1500
+	f := newTestFleet(t, memstore.New(nil), 12, 3, 1, 100_000_000)
+	served, _ := f.loadOne(t, 7, requests, 1000, 2*time.Millisecond)
+	if asked := f.asked.Load(); served != requests || asked > requests/2 {
+		t.Errorf("%d of %d requests served with %d requests for tokens, want all with half as many at most", served, requests, asked)
+	}
+	before := f.asked.Load()
+	served, _ = f.loadOne(t, 10, 5, 1000, time.Millisecond)
+	if held := f.managers[10].Balances()["account-0"]; held > 0 || served != 5 || f.asked.Load() == before {
+		t.Errorf("a daemon with five requests holds %d tokens ahead", held)
+	}
+}
+
 // tricklePeers are peers that are asked before the store and give one token a request.
 type tricklePeers struct{ testPeers }
 
 func (p tricklePeers) TransferSources(string) []string { return []string{"source"} }
 
-func (p tricklePeers) RequestTokens(context.Context, string, string, string, int64, int64) (escrow.Transfer, error) {
+func (p tricklePeers) RequestTokens(context.Context, string, string, string, escrow.TransferRequest) (escrow.Transfer, error) {
 	time.Sleep(time.Millisecond)
 	return escrow.Transfer{Tokens: 1}, nil
 }
@@ -91,3 +107,25 @@
 		t.Errorf("refused although the store has all %d tokens: %v", prepaid, err)
 	}
 }
+
+// Guards against tokens in other failure domains that nobody asks for in a loss of the store,
+// and against a peer that obtains tokens although it is asked only for those that it holds.
+func TestOwnerCollectsFromAllFailureDomains(t *testing.T) {
+	const piece, busy = 400, 7
+	store := memstore.New(nil)
+	store.SetFaults(memstore.Faults{Outage: true})
+	f := newTestFleet(t, store, 12, 3, 1, 1_000_000)
+	for _, m := range f.managers {
+		m.account("account-0").holding.Receive(piece)
+		m.markStoreUnreachable()
+	}
+	if served, refused := f.loadOne(t, busy, 1, 11*piece, 0); refused > 0 {
+		t.Errorf("%d of %d requests refused that eleven of twelve pieces cover", refused, served+refused)
+	}
+	f.managers[0].StoreContacted()
+	store.SetFaults(memstore.Faults{})
+	held := f.managers[0].Balances()["account-0"]
+	if got := f.managers[0].Transfer(t.Context(), "account-0", escrow.TransferRequest{Tokens: held + piece, HeldOnly: true}); got.Tokens != held {
+		t.Errorf("%d tokens given, want the %d held", got.Tokens, held)
+	}
+}
--- a/internal/escrow/transfer.go
+++ b/internal/escrow/transfer.go
@@ -2,6 +2,15 @@
 
 import "time"
 
+// TransferRequest is a request for a peer's tokens of an account.
+type TransferRequest struct {
+	Tokens int64
+	// Ahead are further tokens that are wanted if the peer has plenty.
+	Ahead int64
+	// HeldOnly is true if the peer gives only of what it holds and obtains none elsewhere.
+	HeldOnly bool
+}
+
 // Transfer is the reply to a peer's request for tokens.
 type Transfer struct {
 	Tokens int64
@@ -46,6 +55,19 @@
 	return max(0, int64(h.recentRate(now)*aheadDuration.Seconds())-max(0, h.Available()))
 }
 
+// BusyAhead returns the number of tokens that a daemon which does not distribute the tokens of
+// an account should request beyond need, the size of a request: those of busyAheadDuration if
+// it gets many requests of the account, none otherwise, since such tokens would lie idle.
+// The load: one daemon gets most requests of an account over a link so full that each
+// request for tokens takes longer than the daemon waits.
+func (h *Holding) BusyAhead(now time.Time, need int64) int64 {
+	ahead := int64(h.recentRate(now) * busyAheadDuration.Seconds())
+	if ahead < minAheadRequests*need {
+		return 0
+	}
+	return ahead
+}
+
 // RecordTransfer adds transferred tokens to the rate of spend, because a daemon that
 // draws for others has to hold what they need.
 func (h *Holding) RecordTransfer(now time.Time, tokens int64) { h.recordSpend(now, tokens) }
