Mend review findings about collected tokens and the daemon's link

Review: a peer that keeps tokens for its own requests counted as having none, so that a caller could be told with 402 that a budget is used up that is not; tokens of this daemon were not counted for that either. Peers that did not answer a collection lost their roles for 2 s; collections raised a distributor's rate of spend; tokens ahead were given before the needs of requests that wait; a debt was left out of what requests lack; one failed call of the store counted as a loss of it until the next write.

--- a/internal/escrow/budgets/collect.go
+++ b/internal/escrow/budgets/collect.go
@@ -19,8 +19,11 @@
 	for c := new(escrow.Collect); ; {
 		m.mu.Lock()
 		need, least := lack()
+		closed := m.closed
 		m.mu.Unlock()
 		switch {
+		case closed:
+			return result
 		case need <= 0 && result == peersTransferred:
 			return peersCovered
 		case need <= 0 || time.Now().After(deadline):
@@ -64,17 +67,18 @@
 // waits reports whether requests of this daemon or of peers wait for tokens.
 func (a *account) waits() bool { return len(a.waiters) > 0 || len(a.transferRequests) > 0 }
 
-// storeLost reports whether the last call of the store failed in a wide fleet.
+// storeLost reports whether the last call of the store failed a short time ago in a wide fleet, or is being
+// repeated.
 func (m *Manager) storeLost() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.storeSuspect && m.Peers.Wide()
+	return m.storeSuspect && (m.storeProbing || time.Now().Before(m.storeRetryAt)) && m.Peers.Wide()
 }
 
 // requestsLack returns the tokens that the waiting requests of peers lack, and those that the
 // smallest of them lacks.
 func (a *account) requestsLack() (need, least int64) {
-	available := max(0, a.holding.Available())
+	available := a.holding.Available() // negative if more was used than reserved
 	if len(a.transferRequests) == 0 {
 		return 0, 0
 	}
--- a/internal/escrow/budgets/transfer.go
+++ b/internal/escrow/budgets/transfer.go
@@ -28,6 +28,9 @@
 		m.mu.Unlock() // what is available is being collected here too
 		return m.logTransfer(account, asked.Tokens, escrow.Transfer{})
 	}
+	if a.waits() {
+		asked.Ahead = 0 // the needs of those that wait go first
+	}
 	transfer := m.transferAvailable(a, asked)
 	if transfer.Tokens >= asked.Tokens || asked.HeldOnly || !m.mayObtain(account, transfer) {
 		m.mu.Unlock()
@@ -62,7 +65,9 @@
 		if transfer.Tokens == asked.Tokens {
 			transfer.Tokens += a.holding.TransferAhead(asked.Ahead)
 		}
-		a.holding.RecordTransfer(now, transfer.Tokens)
+		if !asked.HeldOnly {
+			a.holding.RecordTransfer(now, transfer.Tokens)
+		}
 	}
 	return transfer
 }
@@ -169,6 +174,9 @@
 			kept = append(kept, r)
 			continue
 		}
+		if result != storeDrawn {
+			r.Ahead = 0 // what is left is for the needs of the others
+		}
 		transfer := m.transferAvailable(a, r.TransferRequest)
 		transfer.BudgetExhausted, transfer.StoreUnreachable = result == storeExhausted, result == storeUnreachable
 		r.done <- transfer
--- a/internal/escrow/budgets/waiters.go
+++ b/internal/escrow/budgets/waiters.go
@@ -99,6 +99,9 @@
 			least = min(least, w.tokens)
 		}
 	}
+	if least == math.MaxInt64 {
+		return 0
+	}
 	return max(0, least-a.holding.Available())
 }
 
@@ -115,6 +118,8 @@
 type shortage struct {
 	// drawnUp is true if neither the store nor the peers that were asked have enough.
 	drawnUp bool
+	// available are the tokens of this daemon.
+	available int64
 	// elsewhere are the tokens that live peers have by their last digests, allHeard is false
 	// if a peer is silent, which may have others.
 	elsewhere int64
@@ -134,13 +139,14 @@
 
 // exhausts reports whether the budget has no tokens for a request anywhere.
 func (s shortage) exhausts(tokens int64) bool {
-	return s.drawnUp && s.allHeard && s.elsewhere < tokens
+	return s.drawnUp && s.allHeard && s.elsewhere+max(0, s.available) < tokens
 }
 
 // refuseWaiters refuses all waiters. The caller holds m.mu.
 func (m *Manager) refuseWaiters(a *account, s shortage) {
+	s.available = a.holding.Available()
 	for _, w := range a.waiters {
-		m.Log.Warn().Str("account", a.name).Int64("tokens", w.tokens).Int64("available", a.holding.Available()).
+		m.Log.Warn().Str("account", a.name).Int64("tokens", w.tokens).Int64("available", s.available).
 			Int64("undrawn", a.holding.Undrawn()).Int64("elsewhere", s.elsewhere).Interface("holders", s.holders).
 			Bool("all_heard", s.allHeard).
 			Bool("certain", s.drawnUp).Bool("exhausted", s.exhausts(w.tokens)).Msg("reservation refused")
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -121,8 +121,11 @@
 	addrHash uint64
 	conn     *grpc.ClientConn
 	// id, domain, balances, stopping, link and followsStore are from its last digest.
-	id, domain   string
-	balances     map[string]int64
+	id, domain string
+	balances   map[string]int64
+	// drained holds the accounts of which the peer gave less than was asked for since that digest. It may keep
+	// tokens for its own requests, so they still count in balances.
+	drained      map[string]bool
 	stopping     bool
 	link         overload.Peer
 	followsStore bool
@@ -362,6 +365,7 @@
 			m.Log.Info().Str("peer", p.addr).Str("peer_id", d.Id).Msg("peer heard")
 		}
 		p.id, p.domain, p.balances, p.stopping, p.unreachable = d.Id, d.Domain, d.Balances, d.Stopping, false
+		p.drained = nil
 		p.link = overload.Peer{Overloaded: d.Overloaded, Free: float64(d.LinkFree), Demand: float64(d.LinkDemand)}
 		p.suspectUntil, p.silentRequests, p.permitSuspectUntil = time.Time{}, 0, time.Time{}
 		p.lastReceived, p.followsStore, p.lastStoreContact = time.Now(), d.Follows, time.Time{}
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -207,14 +207,14 @@
 }
 
 // KnownHoldings returns the tokens of an account that live peers have, in descending order,
-// without peers that have none.
+// without peers that have none or gave less than was asked for since their last digests.
 func (m *Mesh) KnownHoldings(account string) []escrow.KnownHolding {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
 	var known []escrow.KnownHolding
 	for _, p := range m.livePeersByTokens(account) {
-		if p.balances[account] > 0 && !now.Before(p.suspectUntil) {
+		if p.balances[account] > 0 && !p.drained[account] && !now.Before(p.suspectUntil) {
 			known = append(known, escrow.KnownHolding{
 				Peer: p.addr, Domain: p.domain, Local: p.domain == m.Domain, Tokens: p.balances[account], AgeMs: now.Sub(p.lastReceived).Milliseconds(),
 			})
--- a/internal/mesh/tokens.go
+++ b/internal/mesh/tokens.go
@@ -83,24 +83,31 @@
 	request := &meshpb.TakeRequest{Id: id, Account: account, Tokens: r.Tokens, Ahead: r.Ahead, HeldOnly: r.HeldOnly}
 	reply, err := meshpb.NewMeshClient(conn).TakeTokens(ctx, request)
 	if err != nil {
-		m.suspect(addr, time.Now())
+		if r.HeldOnly {
+			m.recordTransfer(addr, account, r.Tokens, 0) // it keeps its roles: any daemon is asked for these
+		} else {
+			m.suspect(addr, time.Now())
+		}
 		return escrow.Transfer{}, failure.At(err, "mesh.take-tokens", addr)
 	}
 	m.recordTransfer(addr, account, r.Tokens, reply.Tokens)
 	return escrow.Transfer{Tokens: reply.Tokens, BudgetExhausted: reply.Empty, StoreUnreachable: reply.Away}, nil
 }
 
-// recordTransfer corrects what is known of a peer's tokens by its reply, until its next
-// digest: it has none if it gave less than was requested.
+// recordTransfer corrects what is known of a peer's tokens in a wide fleet by its reply, until its next
+// digest: it is not asked to collect tokens again if it gave less than was requested.
 func (m *Mesh) recordTransfer(addr, account string, requested, given int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[addr]
-	if p == nil || p.balances[account] == 0 {
+	if p == nil || p.balances[account] == 0 || !m.wide() {
 		return
 	}
 	p.balances[account] = max(0, p.balances[account]-given)
 	if given < requested {
-		p.balances[account] = 0
+		if p.drained == nil {
+			p.drained = make(map[string]bool)
+		}
+		p.drained[account] = true
 	}
 }
--- a/internal/overload/accounts.go
+++ b/internal/overload/accounts.go
@@ -49,7 +49,7 @@
 	u := a.uses[account]
 	u.rate.add(now, 0)
 	a.rate.add(now, 0)
-	return u.rate.value*float64(len(a.uses)) < a.rate.value
+	return len(a.uses) > 1 && u.rate.value*float64(len(a.uses)) < a.rate.value
 }
 
 // largest returns the account with the largest part of what is admitted, and that part.
@@ -68,10 +68,13 @@
 	return account, min(1, most/a.rate.value)
 }
 
-// expire removes the accounts that have asked for nothing during shareTime.
+// expire removes the accounts that have asked for nothing during shareTime, and what was admitted for them.
 func (a *accounts) expire(now time.Time) {
+	a.rate.add(now, 0)
 	for account, u := range a.uses {
 		if now.Sub(u.askedAt) > shareTime {
+			u.rate.add(now, 0)
+			a.rate.value = max(0, a.rate.value-u.rate.value)
 			delete(a.uses, account)
 		}
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -114,7 +114,7 @@
 func (p Peers) allow(demand float64) bool {
 	daemons, overloaded := float64(len(p)+1), float64(p.Overloaded()+1)
 	if overloaded > 1 && !p.anyOther(func(peer Peer) bool { return peer.Free >= demand }) {
-		return overloaded <= narrowOverloadedShare*daemons
+		return overloaded <= narrowOverloadedShare*daemons && p.carry(demand)
 	}
 	return overloaded <= maxOverloadedShare*daemons && p.carry(demand)
 }
