--- a/review/standins-2/shared_connection.go
+++ b/review/standins-2/shared_connection.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,14 +27,17 @@
 	feeders    = 50
 	// maxThink is the longest time between two streams of one client.
 	maxThink = 2 * time.Second
-	// Files have 800 to 1,000 KB. The link of a client that reads slowly carries 64 KB/s, so that its time
-	// limit ends before the file has arrived.
-	minFile, fileSpread = 800 << 10, 200 << 10
-	slowRate            = 64 << 10
-	fileLimit           = 8 * time.Second
+	// The link of a client that reads slowly carries slowRate, so that its time limit ends before the
+	// file has arrived.
+	slowRate = 64 << 10
+	slowRead = int(slowRate * fileLimit / time.Second)
+	// A file is longer than what such a client reads and the kernel keeps for it by up to fileSpread, or
+	// shorter by fileMargin.
+	fileMargin, fileSpread = 100 << 10, 140 << 10
+	fileLimit              = 8 * time.Second
 	// A file is asked for each filePause, by a client of its own.
-	filePause = 150 * time.Millisecond
-	trafficS  = 60
+	filePause = 400 * time.Millisecond
+	trafficS  = 55
 )
 
 // exchangeLog counts what clients and workers have seen.
@@ -49,6 +53,8 @@
 	cutAtStop []string
 	other     map[string]int
 	files     map[string]int
+	// kernelBytes is what the kernel keeps of an answer for a client that reads slowly.
+	kernelBytes int
 }
 
 // run is the work of a worker on a stream.
@@ -214,9 +220,50 @@
 	})
 }
 
+// measureKernelBytes returns how many bytes the kernel keeps on a connection to a client that has read slowly
+// until its time limit.
+func measureKernelBytes() int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fail("listen: %v", err)
+	}
+	defer listener.Close()
+	dialer := net.Dialer{Control: slowSocket}
+	client, err := dialer.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		fail("dial: %v", err)
+	}
+	defer client.Close()
+	server, err := listener.Accept()
+	if err != nil {
+		fail("accept: %v", err)
+	}
+	defer server.Close()
+	var written atomic.Int64
+	go func() {
+		for block := make([]byte, 4<<10); ; {
+			n, err := server.Write(block)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}()
+	read, buf, begin := 0, make([]byte, 4<<10), time.Now()
+	for read < slowRead {
+		n, err := client.Read(buf)
+		if err != nil {
+			fail("read: %v", err)
+		}
+		read += n
+		time.Sleep(time.Until(begin.Add(time.Duration(read) * time.Second / slowRate)))
+	}
+	return int(written.Load()) - read
+}
+
 // file asks for one file. A slow client reads at slowRate and leaves at its time limit.
 func (l *exchangeLog) file(d *daemon, n int, slow bool) {
-	id, size := fmt.Sprintf("file-%d", n), minFile+rand.N(fileSpread)
+	id, size := fmt.Sprintf("file-%d", n), slowRead+l.kernelBytes-fileMargin+rand.N(fileSpread)
 	dialer := net.Dialer{}
 	if slow {
 		dialer.Control = slowSocket
@@ -300,7 +347,8 @@
 			l.feeder(d, n, stop)
 		})
 	}
-	time.Sleep(5 * time.Second)
+	l.kernelBytes = measureKernelBytes()
+	note("the kernel keeps %d bytes for a client that reads slowly", l.kernelBytes)
 	for n := range int(trafficS * time.Second / filePause) {
 		reading.Go(func() { l.file(d, n, trouble) })
 		time.Sleep(filePause)
