Find registered daemons that were forgotten in a long cut

Daemons that do not hear each other for two minutes forget each other.

Change: the registrations are read again, by one daemon of the fleet, or of each part of it, every 30 s on average, and by each daemon every 2 minutes or less often. Mesh.Find exchanges digests with the registered daemons that are not known and adds those that answer; a name whose daemon has ended has no effect on who counts as live. A daemon whose own registration is gone writes it again.

A cut of over two minutes was not played with processes.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -73,6 +73,8 @@
 	// Store returns a client of the store that counts its calls in scope and wraps its connections.
 	Store func(scope tally.Scope, wrap func(net.Conn) net.Conn) Store
 	Log   zerolog.Logger
+	// findInterval replaces the function of that name in tests.
+	findInterval func(daemons int) time.Duration
 }
 
 // Daemon is a running entry daemon.
@@ -124,6 +126,9 @@
 
 // New opens the listeners and starts the daemon.
 func New(opts Options) (*Daemon, error) {
+	if opts.findInterval == nil {
+		opts.findInterval = findInterval
+	}
 	d := &Daemon{
 		opts: opts, frontSettings: opts.Settings,
 		id: escrow.HolderID(opts.Settings.Instance.Name, uuid.NewString()[:8]),
--- a/internal/front/registration.go
+++ b/internal/front/registration.go
@@ -24,8 +24,19 @@
 	checkRegistrationInterval = 25 * time.Millisecond
 	minCheckBackoff           = time.Second
 	maxCheckBackoff           = 16 * time.Second
+	// Daemons that were cut off from each other for long have forgotten each other. So one daemon of a
+	// fleet, and of each part of one that is cut, reads the registrations again each sharedFindInterval on
+	// average, and each daemon at intervals of at least minFindInterval on average.
+	sharedFindInterval = 30 * time.Second
+	minFindInterval    = 2 * time.Minute
 )
 
+// findInterval returns the mean interval at which each of a number of daemons reads the registrations
+// again.
+func findInterval(daemons int) time.Duration {
+	return max(time.Duration(daemons)*sharedFindInterval, minFindInterval)
+}
+
 // registration is the registered value of a daemon: the address of its mesh listener and
 // its failure domain. Daemons know from it at once who does what in their domain.
 func registration(addr, domain string) []byte { return []byte(addr + " " + domain) }
@@ -59,13 +70,19 @@
 	}
 }
 
-// stayRegistered registers the daemon, again if a restored store has lost the registration.
+// stayRegistered registers the daemon, again if a restored store has lost the registration, and looks
+// for registered daemons that it does not know.
 func (d *Daemon) stayRegistered() {
 	d.register()
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
+		case <-time.After(jitter(d.opts.findInterval(d.mesh.Count()))):
+			if err := d.findRegistered(); err != nil {
+				d.log.Warn().Err(err).Msg("registered daemons not looked for")
+			}
+			continue
 		case <-d.restored:
 		}
 		pause.Sleep(d.ctx, time.Duration(rand.Float64()*float64(d.mesh.Count())*float64(checkRegistrationInterval)))
@@ -80,6 +97,26 @@
 	}
 }
 
+// findRegistered reads the registrations again, joins registered daemons that it does not know, and
+// registers this one again if its registration is gone.
+func (d *Daemon) findRegistered() error {
+	items, _, err := d.store.Range(d.ctx, registryPrefix)
+	if err != nil {
+		return errors.Wrap(err, "read registrations of daemons")
+	}
+	addrs, registered := make([]string, 0, len(items)), false
+	for _, i := range items {
+		addr, _ := decodeRegistration(i.Value)
+		addrs = append(addrs, addr)
+		registered = registered || addr == d.mesh.Addr
+	}
+	d.mesh.Find(addrs)
+	if registered {
+		return nil
+	}
+	return d.checkRegistration()
+}
+
 // checkRegistration writes the daemon's registration if the store does not have it.
 func (d *Daemon) checkRegistration() error {
 	write := d.registrationWrite()
@@ -94,7 +131,7 @@
 	if _, err := d.store.CompareAndSwap(d.ctx, write); err != nil {
 		return errors.Wrap(err, "write registration")
 	}
-	d.log.Info().Msg("daemon registered again with the restored store")
+	d.log.Info().Msg("daemon registered again")
 	return nil
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -233,6 +233,43 @@
 	m.Log.Info().Str("peer", addr).Msg("peer known")
 }
 
+// Find exchanges digests with the daemons at those addresses that are no peers, and adds the ones that
+// answer. Addresses of daemons that have ended have no effect.
+func (m *Mesh) Find(addrs []string) {
+	var wg sync.WaitGroup
+	digest, limit := m.newDigest(false), make(chan struct{}, fanout)
+	for _, addr := range addrs {
+		if addr == "" || addr == m.Addr || m.connOf(addr) != nil || m.ctx.Err() != nil {
+			continue
+		}
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limit }()
+			m.find(addr, digest)
+		})
+	}
+	wg.Wait()
+}
+
+func (m *Mesh) find(addr string, digest *meshpb.Digest) {
+	d := daemonDialer
+	d.Wrap = m.Wrap
+	conn, err := d.Dial(addr)
+	if err != nil {
+		m.Log.Error().Err(errors.Wrap(err, "connect to daemon")).Str("peer", addr).Msg("peer address refused")
+		return
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(m.ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := meshpb.NewMeshClient(conn).Exchange(ctx, digest)
+	if err != nil {
+		m.Log.Debug().Err(failure.At(err, "mesh.find", addr)).Msg("registered daemon does not answer")
+		return
+	}
+	m.merge(reply)
+}
+
 func (m *Mesh) exchangeLoop() {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
