Let every deployment fill in the template of the settings

Cause: deploy/settings.toml had five sections for values that only some deployments have. A stand-in of the platform that fills in plain placeholders left them as they are, and the daemon ended with "toml: invalid character at start of key: U+007B '{'". Each further optional value would have broken it again.

Change: the template holds plain placeholders for values that all deployments have. The regions, the bandwidth of the link and the bounds of evacuations and of cold endpoints are flags with environment variables, which deploy/system.toml sets. An empty text leaves the default; one that can't be read, such as an unfilled placeholder, ends the start with an error that names the setting. "daemon started" logs the values in force. The price: a change of the bounds of evacuations or of cold endpoints waits for the next start of a daemon, while the template is filled in again whenever the settings change.

TestDeploymentTemplateParses filled in sections, which are gone. In its place it fails on any placeholder that not all deployments fill in, and checks the same five values as overrides.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -33,38 +33,67 @@
 
 func frontCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
 	cmd := app.Command("front", "Run an entry daemon on the users' platform until SIGTERM. SIGHUP reads the settings again.")
-	file := cmd.Flag("settings", "Settings file.").Required().String()
+	source := frontSettingsSource{file: cmd.Flag("settings", "Settings file.").Required().String(), overrides: overrideFlags(cmd)}
 	return cmd.FullCommand(), func() error {
-		s, err := readFrontSettings(*file)
+		s, err := source.read()
 		if err != nil {
 			return err
 		}
-		return runFront(*file, s, out)
+		return runFront(source, s, out)
 	}
 }
 
 func frontCheckCommand(app *kingpin.Application, out io.Writer) (string, func() error) {
 	cmd := app.GetCommand("settings").Command("check-front", "Check a settings file of an entry daemon.")
-	file := cmd.Arg("file", "Settings file.").Required().String()
+	source := frontSettingsSource{file: cmd.Arg("file", "Settings file.").Required().String(), overrides: overrideFlags(cmd)}
 	return cmd.FullCommand(), func() error {
-		s, err := readFrontSettings(*file)
+		s, err := source.read()
 		if err != nil {
 			return err
 		}
-		_, err = fmt.Fprintf(out, "%s: settings of instance %s are valid\n", *file, s.Instance.Name)
+		_, err = fmt.Fprintf(out, "%s: settings of instance %s are valid\n", *source.file, s.Instance.Name)
 		return err
 	}
 }
 
-func readFrontSettings(file string) (settings.Front, error) {
-	text, err := os.ReadFile(file)
+// frontSettingsSource is where the settings of an entry daemon come from.
+type frontSettingsSource struct {
+	file      *string
+	overrides *settings.Overrides
+}
+
+// overrideFlags adds the flags, and their environment variables, of settings that only some deployments have.
+func overrideFlags(cmd *kingpin.CmdClause) *settings.Overrides {
+	var o settings.Overrides
+	for _, f := range []struct {
+		name, envar, help string
+		to                *string
+	}{
+		{"regions", "AZUREHATCH_REGIONS", "JSON object with the region of each failure domain; replaces instance.regions.", &o.Regions},
+		{"link-mbps", "AZUREHATCH_LINK_MBPS", "Replaces machine.link_mbps.", &o.LinkMbps},
+		{"evacuation-ms", "AZUREHATCH_EVACUATION_MS", "Replaces bounds.evacuation, in milliseconds.", &o.EvacuationMs},
+		{"cold-ratio", "AZUREHATCH_COLD_RATIO", "Replaces bounds.cold_ratio and enables pace.", &o.ColdRatio},
+		{"cold-slack", "AZUREHATCH_COLD_SLACK", "Replaces bounds.cold_slack.", &o.ColdSlack},
+	} {
+		cmd.Flag(f.name, f.help).Envar(f.envar).StringVar(f.to)
+	}
+	return &o
+}
+
+// read reads the settings file and applies the overrides.
+func (c frontSettingsSource) read() (settings.Front, error) {
+	text, err := os.ReadFile(*c.file)
 	if err != nil {
 		return settings.Front{}, errors.Wrap(err, "read settings")
 	}
-	return settings.ParseFront(file, text)
+	s, err := settings.ParseFront(*c.file, text)
+	if err != nil {
+		return settings.Front{}, err
+	}
+	return s.Override(*c.overrides)
 }
 
-func runFront(file string, s settings.Front, out io.Writer) error {
+func runFront(source frontSettingsSource, s settings.Front, out io.Writer) error {
 	level, err := zerolog.ParseLevel(s.Log.Level)
 	if err != nil {
 		return errors.Errorf("log level %q is not one of debug, info, warn, error", s.Log.Level)
@@ -93,7 +122,7 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		reloadFrontSettings(file, d, log)
+		reloadFrontSettings(source, d, log)
 	}
 	// A second interrupt from a terminal ends the process. A second SIGTERM must not cut
 	// off the requests that the shutdown waits for.
@@ -103,8 +132,8 @@
 
 // reloadFrontSettings reads the settings file again and applies the settings that
 // may change while a daemon runs.
-func reloadFrontSettings(file string, d *front.Daemon, log zerolog.Logger) {
-	s, err := readFrontSettings(file)
+func reloadFrontSettings(source frontSettingsSource, d *front.Daemon, log zerolog.Logger) {
+	s, err := source.read()
 	if err != nil {
 		log.Error().Err(err).Msg("settings not reloaded; the previous settings remain in effect")
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -143,7 +143,10 @@
 	d.start()
 	d.log.Info().Str("id", d.id).Str("callers", d.callersListener.Addr().String()).
 		Str("mesh", d.meshListener.Addr().String()).Str("store", d.frontSettings.Store.Address).
-		Bool("first_start", d.frontSettings.Instance.FirstStart).Msg("daemon started")
+		Bool("first_start", d.frontSettings.Instance.FirstStart).Int("regions", len(d.frontSettings.Instance.Regions)).
+		Float64("link_mbps", d.frontSettings.Machine.LinkMbps).Dur("evacuation_ms", d.frontSettings.Bounds.Evacuation.Duration).
+		Float64("cold_ratio", d.frontSettings.Bounds.ColdRatio).Float64("cold_slack", d.frontSettings.Bounds.ColdSlack).
+		Bool("pace", d.frontSettings.Pace.Enabled).Msg("daemon started")
 	return d, nil
 }
 
--- a/internal/front/reload.go
+++ b/internal/front/reload.go
@@ -7,7 +7,7 @@
 
 // Reload applies the settings that may change while the daemon runs: the bounds
 // and the seeds. All others, such as addresses, regions and the bandwidth of the link, take effect at the
-// next start.
+// next start, as do bounds that a flag or the environment overrides.
 func (d *Daemon) Reload(s settings.Front) {
 	for _, seed := range s.Listen.Seeds {
 		d.mesh.Add(seed, "")
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -1,8 +1,8 @@
 package settings
 
 import (
+	"bytes"
 	"os"
-	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -51,24 +51,10 @@
 	}
 }
 
-// templateSection is a section of the template that is rendered if its name has a value.
-var templateSection = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
-
-// renderSections renders the sections of the names with values and removes the others.
-func renderSections(text string, values map[string]string) string {
-	return templateSection.ReplaceAllStringFunc(text, func(section string) string {
-		m := templateSection.FindStringSubmatch(section)
-		value, ok := values[m[1]]
-		if !ok {
-			return ""
-		}
-		return strings.NewReplacer("{{@}}", "z", "{{.|json}}", value, "{{.}}", value).Replace(m[2])
-	})
-}
-
-// Guards against a deployment template that sets an unknown key, or that can't be parsed on a
-// deployment that lacks some bounds.
-func TestDeploymentTemplateParses(t *testing.T) {
+// deployTemplate returns the template of the settings in the deploy file, filled in with the values that
+// all deployments have.
+func deployTemplate(t *testing.T) []byte {
+	t.Helper()
 	text, err := os.ReadFile("../../deploy/settings.toml")
 	if err != nil {
 		t.Fatal(err)
@@ -79,23 +65,66 @@
 		"{{seeds|json}}", `["10.0.0.2:82"]`, "{{ip}}", "10.0.0.1", "{{internal_ports.0}}", "83", "{{platform.address|json}}", `"10.0.0.9:83"`, "{{limits.memory_mb}}", "284",
 		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10", "{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000", "{{bounds.drain_ms}}", "2000",
 	)
-	rendered := values.Replace(string(text))
-	s, err := ParseFront("settings.toml", []byte(renderSections(rendered, nil)))
+	return []byte(values.Replace(string(text)))
+}
+
+// Guards against a deployment template that sets an unknown key, or that can't be parsed on a
+// deployment that lacks some bounds: it must hold only placeholders that all deployments fill in.
+func TestDeploymentTemplateParses(t *testing.T) {
+	text := deployTemplate(t)
+	if at := bytes.Index(text, []byte("{{")); at >= 0 {
+		t.Fatalf("a deployment without all optional values leaves %.40q", text[at:])
+	}
+	s, err := ParseFront("settings.toml", text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	all, err := ParseFront("settings.toml", []byte(renderSections(rendered, map[string]string{
-		"zones": `"r"`, "limits.link_mbps": "10.0", "bounds.evacuation_ms": "5000", "bounds.cold_over": "1.5", "bounds.cold_slack": "5",
-	})))
+	if s.Instance.Name != "f1" || s.Listen.Mesh != "10.0.0.1:82" || s.Machine.Memory.Bytes != 284<<20 || s.Bounds.RetrySlack != 54 ||
+		s.Bounds.Configuration.Duration != 2*time.Second || s.Pace.Enabled {
+		t.Errorf("settings %+v", s)
+	}
+	plain, err := s.Override(Overrides{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(s, plain); diff != "" {
+		t.Errorf("empty overrides change settings (-without +with):\n%s", diff)
+	}
+	all, err := s.Override(Overrides{Regions: `{"z": "r"}`, LinkMbps: "10.0", EvacuationMs: "5000", ColdRatio: "1.5", ColdSlack: "5"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if all.Instance.Regions["z"] != "r" || all.Machine.LinkMbps != 10 || all.Bounds.Evacuation.Duration != 5*time.Second ||
-		all.Bounds.ColdRatio != 1.5 || all.Bounds.ColdSlack != 5 || !all.Pace.Enabled || s.Pace.Enabled {
-		t.Errorf("settings with all sections %+v", all)
+		all.Bounds.ColdRatio != 1.5 || all.Bounds.ColdSlack != 5 || !all.Pace.Enabled {
+		t.Errorf("settings with all overrides %+v", all)
 	}
-	if s.Instance.Name != "f1" || s.Listen.Mesh != "10.0.0.1:82" || s.Machine.Memory.Bytes != 284<<20 || s.Bounds.RetrySlack != 54 ||
-		s.Bounds.Configuration.Duration != 2*time.Second {
-		t.Errorf("settings %+v", s)
+}
+
+// Guards against an override that is ignored because it can't be read, such as a placeholder that was not
+// filled in.
+func TestOverridesAreChecked(t *testing.T) {
+	s, err := ParseFront("f.toml", []byte(minimalFront))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		o    Overrides
+		want string
+	}{
+		{"placeholder for regions", Overrides{Regions: "{{zones}}"}, `override of instance.regions: "{{zones}}"`},
+		{"regions that are no texts", Overrides{Regions: `{"z": 1}`}, "override of instance.regions"},
+		{"placeholder for a number", Overrides{LinkMbps: "{{limits.link_mbps}}"}, `override of machine.link_mbps: "{{limits.link_mbps}}"`},
+		{"no number", Overrides{LinkMbps: "NaN"}, "machine.link_mbps must be a number that is not negative"},
+		{"negative number", Overrides{ColdSlack: "-1"}, "bounds.cold_slack must be"},
+		{"no ratio", Overrides{ColdRatio: "many"}, "override of bounds.cold_ratio"},
+		{"placeholder for a time", Overrides{EvacuationMs: "{{bounds.evacuation_ms}}"}, `override of bounds.evacuation: "{{bounds.evacuation_ms}}"`},
+		{"no time", Overrides{EvacuationMs: "0"}, "override of bounds.evacuation"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := s.Override(c.o); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want an error with %q", err, c.want)
+			}
+		})
 	}
 }
