Read the record of crashes before requests are let through

A fleet that restarted let a request that crashes endpoints through until the store's record of crashes was read: the record was read once the daemon was registered, while requests ran as soon as the configuration was read and peers were heard. After a lost answer to the registration the record was never read.

Change: the record is read as soon as the store has answered a feed, whatever becomes of the registration.

--- a/internal/front/crash_records.go
+++ b/internal/front/crash_records.go
@@ -92,6 +92,7 @@
 			pause.Sleep(ctx, jitter(crashRecordRetryDelay))
 			continue
 		}
+		c.recordRead.Store(true)
 		select {
 		case <-ctx.Done():
 		case <-c.isolated:
--- a/internal/front/crash_records_test.go
+++ b/internal/front/crash_records_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/azurehatch/azurehatch/internal/platform"
 	"github.com/azurehatch/azurehatch/internal/platform/memstore"
@@ -91,3 +93,35 @@
 		t.Error("the request is not isolated")
 	}
 }
+
+// slowRecords is a store that answers reads of the record of crashes only once answer is closed.
+type slowRecords struct {
+	*memstore.Store
+	answer chan struct{}
+}
+
+func (s slowRecords) Get(ctx context.Context, key string) (platform.Item, error) {
+	if key == crashRecordKey {
+		select {
+		case <-s.answer:
+		case <-ctx.Done():
+			return platform.Item{}, platform.ErrUnavailable
+		}
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Guards against a restarted fleet that lets an isolated request through before it has read the record.
+func TestDaemonServesOnceItKnowsTheIsolatedRequests(t *testing.T) {
+	f := &fleet{t: t, store: memstore.New(nil), runs: make(map[string]int)}
+	f.put("servers/i-1", map[string]any{"service": "desk", "address": f.endpoint(), "zone": "z", "slots": 6, "state": "ready"})
+	f.configure(1, 10000, "/plan/")
+	store := slowRecords{f.store, make(chan struct{})}
+	d := startUnseeded(t, "alone", func(tally.Scope, func(net.Conn) net.Conn) Store { return store }, 0)
+	f.eventually("the configuration is read", func() bool { return d.config.version() > 0 })
+	if table, _ := d.table(); table != nil {
+		t.Error("the daemon serves before it has read the record of crashes")
+	}
+	close(store.answer)
+	f.eventually("the daemon is ready and has the record", func() bool { return d.Ready() && d.crashIsolator.recordRead.Load() })
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -92,6 +92,9 @@
 	configFeed, endpointFeed *feed
 	// joined is closed once the daemon knows the registered peers.
 	joined chan struct{}
+	// storeContact is closed once the store has responded to a feed.
+	storeContact     chan struct{}
+	storeContactOnce sync.Once
 	// restored signals that the store was restored from an older copy.
 	restored      chan struct{}
 	config        *configuration
@@ -202,11 +205,11 @@
 	d.startVersion.log = d.log
 	d.endpoints = newEndpoints(d.opts.Wire.DecodeEndpoint, d.pools, d.log)
 	d.evacuations = newEvacuations(d.opts.Wire.EvacuationPrefix, d.pools, d.log, d.scope)
-	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, operatorItems{d.config, d.evacuations}, d.mesh, d.budgets.StoreContacted, d.log)
-	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.budgets.StoreContacted, d.log)
+	d.configFeed = newFeed(d.opts.Wire.ConfigPrefix, d.store, operatorItems{d.config, d.evacuations}, d.mesh, d.recordStoreContact, d.log)
+	d.endpointFeed = newFeed(d.opts.Wire.EndpointPrefix, d.store, d.endpoints, d.mesh, d.recordStoreContact, d.log)
 	d.endpointFeed.stalePeriod = staleEntryPeriod
 	d.setBounds(d.frontSettings.Bounds)
-	d.joined, d.restored = make(chan struct{}), make(chan struct{}, 1)
+	d.joined, d.storeContact, d.restored = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	d.permits.joined = d.joined
 	d.endpointFeed.onRestored = d.signalRestored
 	d.configFeed.joined, d.endpointFeed.joined = d.joined, d.joined
@@ -219,6 +222,12 @@
 	})
 }
 
+// recordStoreContact records that the store responded to a feed.
+func (d *Daemon) recordStoreContact() {
+	d.storeContactOnce.Do(func() { close(d.storeContact) })
+	d.budgets.StoreContacted()
+}
+
 // applyConfiguration applies a new configuration to the budgets and the pools.
 func (d *Daemon) applyConfiguration(t *routing.Table) {
 	d.budgets.Configure(t.Accounts)
@@ -236,7 +245,7 @@
 	d.wg.Go(d.stayRegistered)
 	d.wg.Go(func() {
 		select {
-		case <-d.joined:
+		case <-d.storeContact:
 			d.crashIsolator.keepCrashRecord(d.ctx, d.store)
 		case <-d.ctx.Done():
 		}
@@ -289,40 +298,6 @@
 	return t != nil && !d.outdated() && d.pools.hasEndpoints() && !d.stopping.Load() && !d.link.overloaded()
 }
 
-// table returns the configuration in use and its age; nil until the peers have confirmed the
-// first one.
-func (d *Daemon) table() (*routing.Table, time.Duration) {
-	if !d.startVersion.confirmed.Load() && !d.startVersion.usable(time.Now(), d.config.version(), d.otherDaemons()) {
-		return nil, 0
-	}
-	return d.config.table()
-}
-
-// otherDaemons returns the number of other daemons, -1 if it is not known yet.
-func (d *Daemon) otherDaemons() int {
-	select {
-	case <-d.joined:
-		return d.mesh.Count() - 1
-	default:
-		return -1
-	}
-}
-
-// confirmedVersion returns the version of the configuration in use, 0 if there is none.
-func (d *Daemon) confirmedVersion() int64 {
-	if t, _ := d.table(); t == nil {
-		return 0
-	}
-	return d.config.version()
-}
-
-// outdated reports whether the daemon has known for too long that it lacks a newer
-// configuration: half of the time in which a change must be in force, since it may hear of a
-// change late.
-func (d *Daemon) outdated() bool {
-	return d.configFeed.outdatedFor(time.Now()) > time.Duration(d.maxOutdated.Load())
-}
-
 // CallersAddr returns the address of the callers' listener.
 func (d *Daemon) CallersAddr() string { return d.callersListener.Addr().String() }
 
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -93,6 +94,8 @@
 	log zerolog.Logger
 	// isolated receives a value when a crash at this daemon isolates a request or a part.
 	isolated chan struct{}
+	// recordRead is true once the store's record of crashes is known.
+	recordRead atomic.Bool
 
 	mu       sync.Mutex
 	registry *poison.Registry
