Record isolations that peers' reports bring about

An isolation ended with all daemons if no single daemon had seen all crashes of the request when it saw its own: the record of crashes was written only by a daemon at which a crash, not a peer's report, isolated a request or a part of prompts. It ended as well if the daemon that saw all crashes was lost before it wrote, although all others isolated the request.

Change: Registry.Merge tells which digests a report isolates, as Parts.Merge does. Daemons that observed a crash of one write the record; of the others four on average check it three seconds later. A record that holds all crashes is not written again, so that several writers cost reads instead of conflicts.

Result: TestIsolationByCrashesAtSeveralDaemonsIsRecorded and TestIsolationIsRecordedForADaemonThatEnded failed before (not within 10 s), TestCompleteCrashRecordIsNotWrittenAgain without the comparison (revisions 1, 2 and 3).

--- a/internal/front/crash_records.go
+++ b/internal/front/crash_records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,10 @@
 	maxRecordedCrashes = 120
 	// crashRecordRetryDelay is the delay after a call to the store that failed.
 	crashRecordRetryDelay = time.Second
+	// A daemon that has heard of an isolation checks crashRecordCheckDelay later that the record has it, in
+	// case those that observed the crashes have ended. On average crashRecordCheckers daemons of a fleet do.
+	crashRecordCheckDelay = 3 * time.Second
+	crashRecordCheckers   = 4
 )
 
 // crashRecord is the value of crashRecordKey.
@@ -47,6 +52,25 @@
 	return out
 }
 
+// holdsAll reports whether recorded, which has been merged into what is known, has as many crashes of each
+// digest as known.
+func holdsAll(recorded, known []recordedCrash) bool {
+	count := func(list []recordedCrash) map[uint64]int {
+		n := make(map[uint64]int)
+		for _, c := range list {
+			n[c.Digest]++
+		}
+		return n
+	}
+	have := count(recorded)
+	for d, n := range count(known) {
+		if have[d] < n {
+			return false
+		}
+	}
+	return true
+}
+
 // crashEntries returns the entries of recorded crashes. A time in the future, as after a jump
 // of the time of day, counts as now.
 func crashEntries(now time.Time, recorded []recordedCrash) []poison.Entry {
@@ -83,6 +107,17 @@
 	}
 }
 
+// recordIsolations makes the record hold what peers' reports have isolated. The daemons that observed one
+// of the crashes write it: none of them knew all when it observed its own. Some of the others check it later.
+func (c *crashIsolator) recordIsolations(observed bool, daemons int) {
+	switch {
+	case observed:
+		c.signalIsolated()
+	case rand.Float64()*float64(daemons) < crashRecordCheckers:
+		time.AfterFunc(jitter(crashRecordCheckDelay), c.signalIsolated)
+	}
+}
+
 // keepCrashRecord reads the record of the store, and merges into it what this daemon isolates,
 // until ctx ends.
 func (c *crashIsolator) keepCrashRecord(ctx context.Context, store platform.Records) {
@@ -101,15 +136,15 @@
 	}
 }
 
-// syncCrashRecord merges the record of the store into what is known, and writes all of it if
-// write is true.
+// syncCrashRecord merges the record of the store into what is known. If write is true, it writes all of
+// that unless the record holds it.
 func (c *crashIsolator) syncCrashRecord(ctx context.Context, store platform.Records, write bool) error {
 	item, err := store.Get(ctx, crashRecordKey)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return errors.Wrap(err, "read record of crashes")
 	}
+	var stored crashRecord
 	if err == nil {
-		var stored crashRecord
 		if err := json.Unmarshal(item.Value, &stored); err != nil {
 			c.log.Error().Err(err).Stringer("revision", item.Revision).Msg("record of crashes not readable; it is replaced by the next one")
 		}
@@ -119,6 +154,9 @@
 		return nil
 	}
 	r := c.record(time.Now())
+	if holdsAll(stored.Requests, r.Requests) && holdsAll(stored.Parts, r.Parts) {
+		return nil
+	}
 	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "encode record of crashes")
--- a/internal/front/crash_records_test.go
+++ b/internal/front/crash_records_test.go
@@ -94,6 +94,97 @@
 	}
 }
 
+// recordedIsolation reports whether a daemon that starts now isolates a request.
+func recordedIsolation(t *testing.T, store platform.Records, f relay.Fingerprint) bool {
+	t.Helper()
+	c := newCrashIsolator(zerolog.Nop())
+	if err := c.syncCrashRecord(t.Context(), store, false); err != nil {
+		t.Fatal(err)
+	}
+	_, allowed := c.Begin(f)
+	return !allowed
+}
+
+// exchangeCrashes tells each isolator what the others know.
+func exchangeCrashes(isolators ...*crashIsolator) {
+	now := time.Now()
+	for _, to := range isolators {
+		for _, from := range isolators {
+			if to != from {
+				to.merge(now, "peer", len(isolators), from.entries(now), from.partEntries(now))
+			}
+		}
+	}
+}
+
+// Guards against an isolation that ends with all daemons because no daemon knew of all crashes when it
+// observed its own, so that none recorded it.
+func TestIsolationByCrashesAtSeveralDaemonsIsRecorded(t *testing.T) {
+	store := memstore.New(nil)
+	deadly, tainted := relay.Fingerprint{Content: 1}, relay.Fingerprint{Content: 2, Parts: []poison.Digest{7}}
+	var daemons []*crashIsolator
+	for i := range crashesToIsolate {
+		c, end := startIsolator(t, store)
+		defer end()
+		c.Crashed(deadly, fmt.Sprint("e", i))
+		c.PartsCrashed(tainted, fmt.Sprint("p", i))
+		time.Sleep(300 * time.Millisecond) // crashes within 250 ms count as one
+		daemons = append(daemons, c)
+	}
+	exchangeCrashes(daemons...)
+	awaitCondition(t, "both are recorded", func() bool {
+		return recordedIsolation(t, store, deadly) && recordedIsolation(t, store, relay.Fingerprint{Content: 3, Parts: tainted.Parts})
+	})
+}
+
+// Guards against an isolation that ends with all daemons because the one that observed the crashes ended
+// before it could record them.
+func TestIsolationIsRecordedForADaemonThatEnded(t *testing.T) {
+	store := memstore.New(nil)
+	deadly := relay.Fingerprint{Content: 1}
+	ended := newCrashIsolator(zerolog.Nop())
+	for i := range crashesToIsolate {
+		ended.Crashed(deadly, fmt.Sprint("e", i))
+	}
+	peer, end := startIsolator(t, store)
+	defer end()
+	exchangeCrashes(ended, peer)
+	awaitCondition(t, "the request is recorded", func() bool { return recordedIsolation(t, store, deadly) })
+}
+
+// Guards against daemons that all write the record of the same crashes, each over the other's.
+func TestCompleteCrashRecordIsNotWrittenAgain(t *testing.T) {
+	store := memstore.New(nil)
+	deadly := relay.Fingerprint{Content: 1}
+	first := newCrashIsolator(zerolog.Nop())
+	for i := range crashesToIsolate {
+		first.Crashed(deadly, fmt.Sprint("e", i))
+	}
+	second := newCrashIsolator(zerolog.Nop())
+	exchangeCrashes(first, second)
+	var revisions []platform.Revision
+	for _, c := range []*crashIsolator{first, second, second} {
+		if err := c.syncCrashRecord(t.Context(), store, true); err != nil {
+			t.Fatal(err)
+		}
+		item, err := store.Get(t.Context(), crashRecordKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		revisions = append(revisions, item.Revision)
+	}
+	if revisions[1] != revisions[0] || revisions[2] != revisions[0] {
+		t.Errorf("revisions %v of the record, want one write", revisions)
+	}
+	second.Crashed(deadly, "another")
+	if err := second.syncCrashRecord(t.Context(), store, true); err != nil {
+		t.Fatal(err)
+	}
+	if item, err := store.Get(t.Context(), crashRecordKey); err != nil || item.Revision == revisions[0] {
+		t.Errorf("record at %v (%v): a further crash is not recorded", item.Revision, err)
+	}
+}
+
 // slowRecords is a store that answers reads of the record of crashes only once answer is closed.
 type slowRecords struct {
 	*memstore.Store
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,7 +93,8 @@
 // peers share.
 type crashIsolator struct {
 	log zerolog.Logger
-	// isolated receives a value when a crash at this daemon isolates a request or a part.
+	// isolated receives a value when the store's record of crashes may lack a request or a part that is
+	// isolated here.
 	isolated chan struct{}
 	// recordRead is true once the store's record of crashes is known.
 	recordRead atomic.Bool
@@ -204,11 +206,16 @@
 	return encodeCrashes(now, c.parts.Entries(now, crashEntryAge, maxCrashEntries))
 }
 
-func (c *crashIsolator) merge(now time.Time, peer string, crashes, parts []*meshpb.Crash) {
+// merge records the crashes that a peer reports in a fleet of a number of daemons.
+func (c *crashIsolator) merge(now time.Time, peer string, daemons int, crashes, parts []*meshpb.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.registry.Merge(now, decodeCrashes(now, crashes))
-	c.logBlocked(c.parts.Merge(now, decodeCrashes(now, parts)), peer)
+	isolated, blocked := c.registry.Merge(now, decodeCrashes(now, crashes)), c.parts.Merge(now, decodeCrashes(now, parts))
+	c.logBlocked(blocked, peer)
+	if len(isolated)+len(blocked) > 0 {
+		observed := slices.ContainsFunc(isolated, c.registry.ObservedCrash) || slices.ContainsFunc(blocked, c.parts.ObservedCrash)
+		c.recordIsolations(observed, daemons)
+	}
 }
 
 func encodeCrashes(now time.Time, entries []poison.Entry) []*meshpb.Crash {
@@ -262,7 +269,7 @@
 func (s meshState) Merge(m *meshpb.Digest) {
 	d, now := s.d, time.Now()
 	d.pools.merge(now, m.Address, m.Loads)
-	d.crashIsolator.merge(now, m.Address, m.Crashes, m.PartCrashes)
+	d.crashIsolator.merge(now, m.Address, d.mesh.Count(), m.Crashes, m.PartCrashes)
 	d.endpointFeed.mergeRegained(now, m.BackAgeMs)
 	if m.Follows && m.StoreAgeMs >= 0 {
 		d.endpointFeed.recordPeerContact(now, now.Add(-time.Duration(m.StoreAgeMs)*time.Millisecond))
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -91,7 +91,7 @@
 	var blocked []Digest
 	for _, d := range parts {
 		before := p.records[d] != nil && p.records[d].guilty()
-		if p.addCrash(now, d, crash{endpoint: endpoint, at: now}) && !before && p.records[d].guilty() {
+		if p.addCrash(now, d, crash{endpoint: endpoint, at: now, own: true}) && !before && p.records[d].guilty() {
 			blocked = append(blocked, d)
 		}
 	}
@@ -167,6 +167,12 @@
 	return blocked
 }
 
+// ObservedCrash reports whether this daemon observed a crash of a part itself.
+func (p *Parts) ObservedCrash(d Digest) bool {
+	rec := p.records[d]
+	return rec != nil && slices.ContainsFunc(rec.crashes, func(c crash) bool { return c.own })
+}
+
 // Tick removes crashes older than partCrashWindow. It must be called every few seconds.
 func (p *Parts) Tick(now time.Time) {
 	for d, rec := range p.records {
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -35,6 +35,8 @@
 	at       time.Time
 	// learnedAt is when this daemon learned of the crash.
 	learnedAt time.Time
+	// own is true if this daemon observed the crash itself.
+	own bool
 }
 
 // record holds the crashes of one digest.
@@ -138,7 +140,7 @@
 		if r.completedRecently(now, d) {
 			continue
 		}
-		if r.addCrash(d, crash{endpoint: endpoint, at: now, learnedAt: now}) {
+		if r.addCrash(d, crash{endpoint: endpoint, at: now, learnedAt: now, own: true}) {
 			r.pending = append(r.pending, Entry{Digest: d, Endpoint: endpoint, At: now})
 		}
 	}
@@ -167,10 +169,13 @@
 	return out
 }
 
-// Merge records the entries of another daemon.
-func (r *Registry) Merge(now time.Time, entries []Entry) {
-	changed := make(map[string]bool)
+// Merge records the entries of another daemon and returns the digests that they isolate.
+func (r *Registry) Merge(now time.Time, entries []Entry) []Digest {
+	changed, wasIsolated := make(map[string]bool), make(map[Digest]bool)
 	for _, e := range entries {
+		if _, seen := wasIsolated[e.Digest]; !seen {
+			wasIsolated[e.Digest] = r.isolated(now, e.Digest)
+		}
 		switch {
 		case e.Completed:
 			r.mergeCompletion(now, e)
@@ -185,6 +190,25 @@
 	for endpoint := range changed {
 		r.updateIsolations(endpoint)
 	}
+	var isolated []Digest
+	for d, was := range wasIsolated {
+		if !was && r.isolated(now, d) {
+			isolated = append(isolated, d)
+		}
+	}
+	slices.Sort(isolated)
+	return isolated
+}
+
+func (r *Registry) isolated(now time.Time, d Digest) bool {
+	rec := r.records[d]
+	return rec != nil && now.Before(rec.isolatedUntil)
+}
+
+// ObservedCrash reports whether this daemon observed a crash of a digest itself.
+func (r *Registry) ObservedCrash(d Digest) bool {
+	rec := r.records[d]
+	return rec != nil && slices.ContainsFunc(rec.crashes, func(c crash) bool { return c.own })
 }
 
 // addCrash records a crash of d and returns false if it was already recorded. The
