Record isolations again in a restored store

A store that comes back from an older copy may lack the record of crashes. The daemons went on to isolate the request, but the isolation ended with them.

Change: after a restore each daemon that isolates something checks the record, in the same random order as its registration, and writes what it lacks.

--- a/internal/front/crash_records.go
+++ b/internal/front/crash_records.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// checkRecord makes keepCrashRecord write the record if it lacks something that is isolated here, as after
+// the store was restored from an older copy.
+func (c *crashIsolator) checkRecord() {
+	if r := c.record(time.Now()); len(r.Requests)+len(r.Parts) > 0 {
+		c.signalIsolated()
+	}
+}
+
 // keepCrashRecord reads the record of the store, and merges into it what this daemon isolates,
 // until ctx ends.
 func (c *crashIsolator) keepCrashRecord(ctx context.Context, store platform.Records) {
--- a/internal/front/crash_records_test.go
+++ b/internal/front/crash_records_test.go
@@ -185,6 +185,24 @@
 	}
 }
 
+// Guards against an isolation that ends with all daemons after the store was restored from a copy without it.
+func TestIsolationIsRecordedAgainInARestoredStore(t *testing.T) {
+	f := &fleet{t: t, store: memstore.New(nil)}
+	f.configure(1, 10000, "/plan/")
+	d := startUnseeded(t, "alone", func(tally.Scope, func(net.Conn) net.Conn) Store { return f.store }, 0)
+	f.eventually("the configuration is in use", func() bool { return d.confirmedVersion() > 0 })
+	copied := f.store.Copy()
+	deadly := relay.Fingerprint{Content: 1}
+	for i := range crashesToIsolate {
+		d.crashIsolator.Crashed(deadly, fmt.Sprint("e", i))
+	}
+	f.eventually("the request is recorded", func() bool { return recordedIsolation(t, f.store, deadly) })
+	if err := f.store.Restore(copied); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("the request is recorded again", func() bool { return recordedIsolation(t, f.store, deadly) })
+}
+
 // slowRecords is a store that answers reads of the record of crashes only once answer is closed.
 type slowRecords struct {
 	*memstore.Store
--- a/internal/front/registration.go
+++ b/internal/front/registration.go
@@ -86,6 +86,7 @@
 		case <-d.restored:
 		}
 		pause.Sleep(d.ctx, time.Duration(rand.Float64()*float64(d.mesh.Count())*float64(checkRegistrationInterval)))
+		d.crashIsolator.checkRecord()
 		for backoff := minCheckBackoff; d.ctx.Err() == nil; backoff = min(2*backoff, maxCheckBackoff) {
 			err := d.checkRegistration()
 			if err == nil {
