Keep whole requests in a full record of crashes

The record of crashes holds 120 of them. With more than 40 isolated requests it held some crashes of each, in random order, and three are needed to isolate one: hardly any isolation outlived the daemons.

Change: the record holds a request with all its crashes or not at all, those that crashed last first.

Result: TestFullCrashRecordHoldsTheLastIsolations (120 requests) failed before and passes.

--- a/internal/front/crash_records.go
+++ b/internal/front/crash_records.go
@@ -1,9 +1,12 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,12 +45,28 @@
 	AtMs int64 `json:"at_ms"`
 }
 
+// recordCrashes returns the crashes among the entries, those of the digests that crashed last if there are
+// more than maxRecordedCrashes. A digest is recorded with all its crashes or not at all.
 func recordCrashes(entries []poison.Entry) []recordedCrash {
-	var out []recordedCrash
+	byDigest := make(map[uint64][]recordedCrash)
 	for _, e := range entries {
-		if !e.Completed && len(out) < maxRecordedCrashes {
-			out = append(out, recordedCrash{Digest: uint64(e.Digest), Endpoint: e.Endpoint, AtMs: e.At.UnixMilli()})
+		if !e.Completed {
+			c := recordedCrash{Digest: uint64(e.Digest), Endpoint: e.Endpoint, AtMs: e.At.UnixMilli()}
+			byDigest[c.Digest] = append(byDigest[c.Digest], c)
+		}
+	}
+	lastCrash := func(digest uint64) int64 {
+		return slices.MaxFunc(byDigest[digest], func(a, b recordedCrash) int { return cmp.Compare(a.AtMs, b.AtMs) }).AtMs
+	}
+	digests := slices.SortedFunc(maps.Keys(byDigest), func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(lastCrash(b), lastCrash(a)), cmp.Compare(a, b))
+	})
+	var out []recordedCrash
+	for _, d := range digests {
+		if len(out)+len(byDigest[d]) > maxRecordedCrashes {
+			break
 		}
+		out = append(out, byDigest[d]...)
 	}
 	return out
 }
--- a/internal/front/crash_records_test.go
+++ b/internal/front/crash_records_test.go
@@ -203,6 +203,30 @@
 	f.eventually("the request is recorded again", func() bool { return recordedIsolation(t, f.store, deadly) })
 }
 
+// Guards against a full record that holds some of the crashes of each request, which isolate none.
+func TestFullCrashRecordHoldsTheLastIsolations(t *testing.T) {
+	store := memstore.New(nil)
+	c := newCrashIsolator(zerolog.Nop())
+	const requests = maxRecordedCrashes // three times as many crashes
+	now := time.Now()
+	for d := range requests {
+		var crashes []poison.Entry
+		for i := range crashesToIsolate {
+			crashes = append(crashes, poison.Entry{Digest: poison.Digest(d + 1), Endpoint: fmt.Sprint("e", d, "-", i), At: now.Add(time.Duration(d-requests) * time.Second)})
+		}
+		c.merge(now, "peer", 1, encodeCrashes(now, crashes), nil)
+	}
+	if err := c.syncCrashRecord(t.Context(), store, true); err != nil {
+		t.Fatal(err)
+	}
+	for d := range requests {
+		want := d >= requests-maxRecordedCrashes/crashesToIsolate
+		if got := recordedIsolation(t, store, relay.Fingerprint{Content: poison.Digest(d + 1)}); got != want {
+			t.Fatalf("request %d of %d: recorded %v, want %v", d+1, requests, got, want)
+		}
+	}
+}
+
 // slowRecords is a store that answers reads of the record of crashes only once answer is closed.
 type slowRecords struct {
 	*memstore.Store
