Bill output of engines that is no stream of events

Cause: output was billed as the number of events times the most tokens of an event wherever the engine states that number. A whole answer has no events, so its output was billed as 0 and the reservation given back. The log line of such a request has reserved 700, billed 100 and events 0.

Change: output is counted by events only where the caller got nothing but events. Any other body of a 2xx answer costs the declared limit: whole answers, streams on routes of another type, and answers on streaming routes that have blank lines but are no events. What the caller did not get is not billed, also where the engine does not state the number: errors, empty answers, answers to HEAD, and those that break off before the caller has a part. "request ended" has output_counted false for a bill at the declared limit.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -53,6 +53,25 @@
 	return len(bytes.TrimSpace(rest)) == 0
 }
 
+// wellFormed reports whether each line of complete events is empty, a comment, or a field with a name of
+// lower-case letters, digits and hyphens. An engine that answers a streaming route with something else than
+// events, such as a JSON document with blank lines, sends any number of tokens between these.
+func wellFormed(events []byte) bool {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, _, isField := bytes.Cut(line, []byte(":"))
+		if len(line) == 0 {
+			continue
+		}
+		if !isField || bytes.ContainsFunc(name, func(r rune) bool {
+			return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-'
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
 // lastEventID returns the id of the last event that has one.
 func lastEventID(events []byte) (string, bool) {
 	field := []byte("id:")
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -70,6 +70,8 @@
 	billed int64
 	// events is the number of stream events sent to the caller.
 	events int64
+	// uncounted is true if the caller gets output whose tokens can't be counted by events.
+	uncounted bool
 	// lastEvent is when events last arrived, longestGap the longest time between
 	// two arrivals.
 	lastEvent  time.Time
@@ -261,22 +263,32 @@
 }
 
 // settle bills the tokens that the request used: none if it did not run, else the
-// prompt and the output delivered to the caller. Where the output can't be
-// counted, the declared limit is billed.
+// prompt and the output delivered to the caller.
 func (x *exchange) settle() {
 	if x.reservation == nil {
 		return
 	}
 	if x.ran != upstream.RanNo {
-		output := x.meta.MaxOutput
-		if x.engine != nil && x.engine.MaxTokensPerEvent > 0 {
-			output = min(output, x.events*x.engine.MaxTokensPerEvent)
-		}
-		x.billed = x.meta.PromptTokens + output
+		x.billed = x.meta.PromptTokens + x.outputTokens()
 	}
 	x.reservation.Settle(x.billed)
 }
 
+// outputTokens returns an upper bound of the output tokens that the caller got. It is the declared limit
+// where they can't be counted: only the events of an engine's stream have a largest number of tokens.
+func (x *exchange) outputTokens() int64 {
+	if x.engine == nil || x.uncounted {
+		return x.meta.MaxOutput
+	}
+	if x.events == 0 {
+		return 0
+	}
+	if x.engine.MaxTokensPerEvent <= 0 || x.events > x.meta.MaxOutput/x.engine.MaxTokensPerEvent {
+		return x.meta.MaxOutput
+	}
+	return x.events * x.engine.MaxTokensPerEvent
+}
+
 // balanceRequest returns the description of the request by which a pool chooses an
 // endpoint.
 func (x *exchange) balanceRequest() balance.Request {
@@ -345,6 +357,9 @@
 	if begun := x.handler.stopBegun.Load(); begun != nil {
 		entry.Dur("stopping_ms", time.Since(*begun))
 	}
+	if x.reservation != nil && x.uncounted {
+		entry.Bool("output_counted", false)
+	}
 	entry.Str("request", x.meta.ID).Str("route", route).Str("service", x.service).Str("account", account).
 		Strs("endpoints", x.sentTo).Int("status", x.status).Str("ran", string(x.ran)).
 		Int64("reserved", x.reserved).Int64("billed", x.billed).Int64("events", x.events).
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -82,6 +82,7 @@
 		x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	a.recordWhole(len(body))
 	x.commit(a.resp)
 	if _, err := x.w.Write(body); err != nil && x.r.Method != http.MethodHead {
 		x.handler.Log.Debug().Err(err).Str("request", x.meta.ID).Msg("response not delivered")
@@ -97,6 +98,7 @@
 	if a.resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
+	a.recordWhole(len(head))
 	x.commit(a.resp)
 	if _, err := x.w.Write(head); err != nil {
 		return a.truncated(err)
@@ -113,6 +115,14 @@
 	}
 }
 
+// recordWhole records that the caller gets a body of some bytes that is no stream. The body of an error
+// holds no output.
+func (a *attempt) recordWhole(bytes int) {
+	if bytes > 0 && a.resp.StatusCode/100 == 2 && a.x.r.Method != http.MethodHead {
+		a.x.uncounted = true
+	}
+}
+
 // reportServerError records a response with a server error against the endpoint,
 // although the response went to the caller.
 func (a *attempt) reportServerError() *attemptFailure {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -85,6 +85,7 @@
 		return a.notDelivered(err)
 	}
 	x.events += int64(bytes.Count(complete, eventEnd))
+	x.uncounted = x.uncounted || !wellFormed(complete)
 	if id, ok := lastEventID(complete); ok {
 		x.meta.LastEventID = id
 	}
