Bill the events of a write that fails

Events counted only after the write that delivers them had succeeded. A caller that leaves, or stops to read until its deadline, gets a part of the last write, which was not billed.

Change: events count before the write. The bill may be too high by the events of that write, and never too low.

Result: TestEventsOfAFailedWriteAreBilled failed before (billed 100 of 106) and passes.

--- a/internal/relay/bill_test.go
+++ b/internal/relay/bill_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 
 	"github.com/azurehatch/azurehatch/internal/routing"
 )
@@ -87,3 +90,26 @@
 		}
 	}
 }
+
+// failingWriter fails to write events to the caller, of which a part may have arrived.
+type failingWriter struct{ *httptest.ResponseRecorder }
+
+func (failingWriter) Write([]byte) (int, error) { return 0, errors.New("the caller has left") }
+
+// Guards against events that are not billed because the write that delivers a part of them fails.
+func TestEventsOfAFailedWriteAreBilled(t *testing.T) {
+	h := newHarness(t, startEndpoint(t, respondWith(chunkedStream(requestID, true, event(1)), true)))
+	req := h.request(t, "POST", "/plan/x", "x", "X-Token-Count", "100,60")
+	req.RequestURI = "/plan/x"
+	func() {
+		defer func() {
+			if p := recover(); p != nil && !errors.Is(p.(error), http.ErrAbortHandler) {
+				panic(p)
+			}
+		}()
+		h.handler.ServeHTTP(failingWriter{httptest.NewRecorder()}, req)
+	}()
+	if diff := cmp.Diff([]int64{106}, h.budgets.bills()); diff != "" {
+		t.Errorf("bills (-want +got):\n%s", diff)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -77,6 +77,9 @@
 	a.begun.Store(true)
 	a.resetStallTimer()
 	x := a.x
+	// A write that fails may have delivered a part, so events count before it.
+	x.events += int64(bytes.Count(complete, eventEnd))
+	x.uncounted = x.uncounted || !wellFormed(complete)
 	x.commit(a.resp)
 	if _, err := x.w.Write(complete); err != nil {
 		return a.notDelivered(err)
@@ -84,8 +87,6 @@
 	if err := flush.Flush(); err != nil {
 		return a.notDelivered(err)
 	}
-	x.events += int64(bytes.Count(complete, eventEnd))
-	x.uncounted = x.uncounted || !wellFormed(complete)
 	if id, ok := lastEventID(complete); ok {
 		x.meta.LastEventID = id
 	}
