Keep the mesh's lock and late peers out of crash reports and searches

Reading the change again: merging a peer's crash reports took the lock of the mesh while it held its own, and counted all peers with each digest, although the number is needed only when a report isolates something. And a search for registered daemons could add a peer after Mesh.Close had closed all connections.

crashIsolator.merge now returns what the report brings about, and the caller counts daemons only then. Close waits for a search that has begun.

--- a/internal/front/crash_records.go
+++ b/internal/front/crash_records.go
@@ -126,8 +126,9 @@
 	}
 }
 
-// recordIsolations makes the record hold what peers' reports have isolated. The daemons that observed one
-// of the crashes write it: none of them knew all when it observed its own. Some of the others check it later.
+// recordIsolations makes the record hold what a peer's report has isolated. The daemons that observed one
+// of the crashes write it: none of them knew all when it observed its own. Of the others in a fleet of a
+// number of daemons, some check it later.
 func (c *crashIsolator) recordIsolations(observed bool, daemons int) {
 	switch {
 	case observed:
--- a/internal/front/crash_records_test.go
+++ b/internal/front/crash_records_test.go
@@ -110,8 +110,11 @@
 	now := time.Now()
 	for _, to := range isolators {
 		for _, from := range isolators {
-			if to != from {
-				to.merge(now, "peer", len(isolators), from.entries(now), from.partEntries(now))
+			if to == from {
+				continue
+			}
+			if isolates, observed := to.merge(now, "peer", from.entries(now), from.partEntries(now)); isolates {
+				to.recordIsolations(observed, len(isolators))
 			}
 		}
 	}
@@ -214,7 +217,7 @@
 		for i := range crashesToIsolate {
 			crashes = append(crashes, poison.Entry{Digest: poison.Digest(d + 1), Endpoint: fmt.Sprint("e", d, "-", i), At: now.Add(time.Duration(d-requests) * time.Second)})
 		}
-		c.merge(now, "peer", 1, encodeCrashes(now, crashes), nil)
+		c.merge(now, "peer", encodeCrashes(now, crashes), nil)
 	}
 	if err := c.syncCrashRecord(t.Context(), store, true); err != nil {
 		t.Fatal(err)
--- a/internal/front/peer_state.go
+++ b/internal/front/peer_state.go
@@ -206,16 +206,15 @@
 	return encodeCrashes(now, c.parts.Entries(now, crashEntryAge, maxCrashEntries))
 }
 
-// merge records the crashes that a peer reports in a fleet of a number of daemons.
-func (c *crashIsolator) merge(now time.Time, peer string, daemons int, crashes, parts []*meshpb.Crash) {
+// merge records the crashes that a peer reports. It returns whether they isolate a request or a part, and
+// whether this daemon observed one of the crashes of these itself.
+func (c *crashIsolator) merge(now time.Time, peer string, crashes, parts []*meshpb.Crash) (isolates, observed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isolated, blocked := c.registry.Merge(now, decodeCrashes(now, crashes)), c.parts.Merge(now, decodeCrashes(now, parts))
 	c.logBlocked(blocked, peer)
-	if len(isolated)+len(blocked) > 0 {
-		observed := slices.ContainsFunc(isolated, c.registry.ObservedCrash) || slices.ContainsFunc(blocked, c.parts.ObservedCrash)
-		c.recordIsolations(observed, daemons)
-	}
+	return len(isolated)+len(blocked) > 0,
+		slices.ContainsFunc(isolated, c.registry.ObservedCrash) || slices.ContainsFunc(blocked, c.parts.ObservedCrash)
 }
 
 func encodeCrashes(now time.Time, entries []poison.Entry) []*meshpb.Crash {
@@ -269,7 +268,9 @@
 func (s meshState) Merge(m *meshpb.Digest) {
 	d, now := s.d, time.Now()
 	d.pools.merge(now, m.Address, m.Loads)
-	d.crashIsolator.merge(now, m.Address, d.mesh.Count(), m.Crashes, m.PartCrashes)
+	if isolates, observed := d.crashIsolator.merge(now, m.Address, m.Crashes, m.PartCrashes); isolates {
+		d.crashIsolator.recordIsolations(observed, d.mesh.Count())
+	}
 	d.endpointFeed.mergeRegained(now, m.BackAgeMs)
 	if m.Follows && m.StoreAgeMs >= 0 {
 		d.endpointFeed.recordPeerContact(now, now.Add(-time.Duration(m.StoreAgeMs)*time.Millisecond))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -236,10 +236,18 @@
 // Find exchanges digests with the daemons at those addresses that are no peers, and adds the ones that
 // answer. Addresses of daemons that have ended have no effect.
 func (m *Mesh) Find(addrs []string) {
+	m.mu.Lock()
+	if m.ctx.Err() != nil {
+		m.mu.Unlock()
+		return
+	}
+	m.wg.Add(1) // Close waits: no peer may be added after it
+	m.mu.Unlock()
+	defer m.wg.Done()
 	var wg sync.WaitGroup
 	digest, limit := m.newDigest(false), make(chan struct{}, fanout)
 	for _, addr := range addrs {
-		if addr == "" || addr == m.Addr || m.connOf(addr) != nil || m.ctx.Err() != nil {
+		if addr == "" || addr == m.Addr || m.connOf(addr) != nil {
 			continue
 		}
 		limit <- struct{}{}
