--- a/internal/front/registration_test.go
+++ b/internal/front/registration_test.go
@@ -1,14 +1,10 @@
 package front
 
 import (
-	"bytes"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,27 +18,6 @@
 	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
 
-// lossyStore serves a store. While losing is true, it executes the next write and sends no response to it.
-func lossyStore(t *testing.T, losing *atomic.Bool) (addr string) {
-	t.Helper()
-	s := platformtest.NewStore()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		if r.Method != http.MethodPost || !losing.CompareAndSwap(true, false) {
-			s.ServeHTTP(w, r)
-			return
-		}
-		s.ServeHTTP(httptest.NewRecorder(), r)
-		<-r.Context().Done()
-	}))
-	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
-}
-
 // startUnseeded starts a daemon that finds others by the store only. It reads the registrations again
 // each findInterval, 0 for the usual interval.
 func startUnseeded(t *testing.T, name string, store func(tally.Scope, func(net.Conn) net.Conn) Store, findInterval time.Duration) *Daemon {
@@ -65,19 +40,20 @@
 // Guards against a daemon that stays unknown to all others, and grants permits beside them, because the
 // response to the write of its registration is lost.
 func TestDaemonsFindEachOtherAfterALostRegistrationResponse(t *testing.T) {
-	var losing atomic.Bool
-	addr := lossyStore(t, &losing)
+	standIn := platformtest.NewStore()
+	server := httptest.NewServer(standIn)
+	t.Cleanup(server.Close)
 	store := func(scope tally.Scope, wrap func(net.Conn) net.Conn) Store {
-		return wire.NewStore(addr, wire.StoreOptions{Scope: scope, Wrap: wrap})
+		return wire.NewStore(strings.TrimPrefix(server.URL, "http://"), wire.StoreOptions{Scope: scope, Wrap: wrap})
 	}
 	first := startUnseeded(t, "d1", store, 0)
 	awaitCondition(t, "the first daemon is registered", func() bool { return first.otherDaemons() >= 0 })
-	losing.Store(true)
+	standIn.SetFaults(memstore.Faults{LoseAnswers: 1})
 	second := startUnseeded(t, "d2", store, 0)
 	awaitCondition(t, "the daemons know each other", func() bool {
 		return first.mesh.Count() == 2 && second.mesh.Count() == 2
 	})
-	if losing.Load() {
+	if standIn.Faults().LoseAnswers > 0 {
 		t.Error("no response was lost")
 	}
 }
