Share the stand-in of the template's values and the dial of peers

Two tests filled in the template of the deploy file with the same list of placeholders; platformtest.Deployment does it now, with the same values and checks.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -222,60 +222,23 @@
 	if addr == "" || addr == m.Addr || m.peers[addr] != nil {
 		return
 	}
-	d := daemonDialer
-	d.Wrap = m.Wrap
-	conn, err := d.Dial(addr)
-	if err != nil {
-		m.Log.Error().Err(errors.Wrap(err, "connect to peer")).Str("peer", addr).Msg("peer address refused")
+	conn, ok := m.dial(addr)
+	if !ok {
 		return
 	}
 	m.peers[addr] = &peer{addr: addr, addrHash: xxhash.Sum64String(addr), domain: domain, conn: conn, addedAt: time.Now()}
 	m.Log.Info().Str("peer", addr).Msg("peer known")
 }
 
-// Find exchanges digests with the daemons at those addresses that are no peers, and adds the ones that
-// answer. Addresses of daemons that have ended have no effect.
-func (m *Mesh) Find(addrs []string) {
-	m.mu.Lock()
-	if m.ctx.Err() != nil {
-		m.mu.Unlock()
-		return
-	}
-	m.wg.Add(1) // Close waits: no peer may be added after it
-	m.mu.Unlock()
-	defer m.wg.Done()
-	var wg sync.WaitGroup
-	digest, limit := m.newDigest(false), make(chan struct{}, fanout)
-	for _, addr := range addrs {
-		if addr == "" || addr == m.Addr || m.connOf(addr) != nil {
-			continue
-		}
-		limit <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-limit }()
-			m.find(addr, digest)
-		})
-	}
-	wg.Wait()
-}
-
-func (m *Mesh) find(addr string, digest *meshpb.Digest) {
+// dial returns a connection to a daemon, which is established on first use.
+func (m *Mesh) dial(addr string) (conn *grpc.ClientConn, ok bool) {
 	d := daemonDialer
 	d.Wrap = m.Wrap
 	conn, err := d.Dial(addr)
 	if err != nil {
-		m.Log.Error().Err(errors.Wrap(err, "connect to daemon")).Str("peer", addr).Msg("peer address refused")
-		return
-	}
-	defer conn.Close()
-	ctx, cancel := context.WithTimeout(m.ctx, exchangeTimeout)
-	defer cancel()
-	reply, err := meshpb.NewMeshClient(conn).Exchange(ctx, digest)
-	if err != nil {
-		m.Log.Debug().Err(failure.At(err, "mesh.find", addr)).Msg("registered daemon does not answer")
-		return
+		m.Log.Error().Err(errors.Wrap(err, "connect to peer")).Str("peer", addr).Msg("peer address refused")
 	}
-	m.merge(reply)
+	return conn, err == nil
 }
 
 func (m *Mesh) exchangeLoop() {
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -1,13 +1,14 @@
 package settings
 
 import (
-	"bytes"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
 
 const minimalFront = "[instance]\nname = \"f1\"\n"
@@ -51,31 +52,21 @@
 	}
 }
 
-// deployTemplate returns the template of the settings in the deploy file, filled in with the values that
-// all deployments have.
-func deployTemplate(t *testing.T) []byte {
-	t.Helper()
-	text, err := os.ReadFile("../../deploy/settings.toml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	values := strings.NewReplacer(
-		"{{node_name|json}}", `"f1"`, "{{zone|json}}", `"z"`, "{{region|json}}", `"r"`, "{{bootstrap}}", "true",
-		"{{listen.front|json}}", `"10.0.0.1:80"`, "{{listen.ready|json}}", `"10.0.0.1:81"`, "{{listen.control|json}}", `"10.0.0.1:82"`,
-		"{{seeds|json}}", `["10.0.0.2:82"]`, "{{ip}}", "10.0.0.1", "{{internal_ports.0}}", "83", "{{platform.address|json}}", `"10.0.0.9:83"`, "{{limits.memory_mb}}", "284",
-		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10", "{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000", "{{bounds.drain_ms}}", "2000",
-	)
-	return []byte(values.Replace(string(text)))
-}
-
 // Guards against a deployment template that sets an unknown key, or that can't be parsed on a
 // deployment that lacks some bounds: it must hold only placeholders that all deployments fill in.
 func TestDeploymentTemplateParses(t *testing.T) {
-	text := deployTemplate(t)
-	if at := bytes.Index(text, []byte("{{")); at >= 0 {
+	template, err := os.ReadFile("../../deploy/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := platformtest.Deployment{
+		Name: "f1", Domain: "z", Callers: "10.0.0.1:80", Ready: "10.0.0.1:81", Mesh: "10.0.0.1:82", Metrics: "10.0.0.1:83",
+		Store: "10.0.0.9:83", Seeds: []string{"10.0.0.2:82"},
+	}.Fill(string(template))
+	if at := strings.Index(text, "{{"); at >= 0 {
 		t.Fatalf("a deployment without all optional values leaves %.40q", text[at:])
 	}
-	s, err := ParseFront("settings.toml", text)
+	s, err := ParseFront("settings.toml", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/deploy_test.go
+++ b/internal/soak/deploy_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +12,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/azurehatch/azurehatch/platform/platformtest"
 )
 
 // deployFile is the part of the deploy file that starts an entry daemon.
@@ -88,18 +88,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ip, port, err := net.SplitHostPort(metrics)
-	if err != nil {
-		t.Fatal(err)
-	}
-	settings := strings.NewReplacer(
-		"{{node_name|json}}", `"deployed"`, "{{zone|json}}", `"z0"`, "{{region|json}}", `"r"`, "{{bootstrap}}", "true",
-		"{{listen.front|json}}", strconv.Quote(d.callerAddr), "{{listen.ready|json}}", strconv.Quote(d.readyAddr), "{{listen.control|json}}", strconv.Quote(d.meshAddr),
-		"{{seeds|json}}", fmt.Sprintf("[%q]", bed.daemons[0].meshAddr), "{{ip}}", ip, "{{internal_ports.0}}", port,
-		"{{platform.address|json}}", strconv.Quote(bed.daemons[0].store.addr()), "{{limits.memory_mb}}", "284",
-		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "54", "{{bounds.retry_window_s}}", "10",
-		"{{bounds.grace_s}}", "8", "{{bounds.config_ms}}", "2000", "{{bounds.drain_ms}}", "2000",
-	).Replace(template)
+	settings := platformtest.Deployment{
+		Name: "deployed", Domain: "z0", Callers: d.callerAddr, Ready: d.readyAddr, Mesh: d.meshAddr, Metrics: metrics,
+		Store: bed.daemons[0].store.addr(), Seeds: []string{bed.daemons[0].meshAddr},
+	}.Fill(template)
 	env := make(map[string]string)
 	for name, value := range f.Roles.Entry.Env {
 		env[name] = placeholder.ReplaceAllString(value, "") // as for a value that a deployment lacks
