--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -10,7 +10,10 @@
 // cases are the scripts, by the number of their folder. Each returns what broke the rule, empty
 // if it held; an error means that the case could not run.
 var cases = map[string]func(w *world) (broken string, err error){
-	"odd-entry": oddEntry,
+	"odd-entry":    oddEntry,
+	"drill-term":   budgetDrill("term"),
+	"drill-kill":   budgetDrill("kill"),
+	"drill-freeze": budgetDrill("freeze"),
 }
 
 func main() {
--- a/review/standins-3/oddentry.go
+++ b/review/standins-3/oddentry.go
@@ -62,7 +62,9 @@
 					}
 				}
 			})
-			wg.Go(func() { w.send(w.daemons[n%len(w.daemons)], "POST", "/reserve/2f", key, "", 2500*time.Millisecond, "order") })
+			wg.Go(func() {
+				w.send(w.daemons[n%len(w.daemons)], "POST", "/reserve/2f", key, "", 2500*time.Millisecond, "order")
+			})
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
