--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -11,6 +11,7 @@
 // if it held; an error means that the case could not run.
 var cases = map[string]func(w *world) (broken string, err error){
 	"odd-entry":    oddEntry,
+	"bad-release":  badRelease,
 	"dropped-key":  droppedKey,
 	"drill-term":   budgetDrill("term"),
 	"drill-kill":   budgetDrill("kill"),
--- a/review/standins-3/world.go
+++ b/review/standins-3/world.go
@@ -413,6 +413,8 @@
 	header  http.Header
 }
 
+var ctx = context.Background()
+
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 // send sends one request. tokens is the value of X-Token-Count, empty for none.
