--- a/review/standins-3/oddentry.go
+++ b/review/standins-3/oddentry.go
@@ -71,6 +71,11 @@
 	time.Sleep(contactTime)
 	sendAll(2 * time.Second)
 	if w.trouble {
+		// The entry lies in the store until the worker's next report.
+		reports := desk.beats.Load()
+		if err := w.await(2*heartbeat, "the worker reports", func() bool { return desk.beats.Load() > reports }); err != nil {
+			return "", err
+		}
 		w.note("another writer writes servers/%s without version, cold_remaining_ms and sequence", desk.id)
 		if err := w.put("servers/"+desk.id, map[string]any{"service": "llm", "address": desk.addr, "zone": desk.zone, "slots": desk.slots, "state": "ready"}); err != nil {
 			return "", err
