--- a/review/standins-3/release.go
+++ b/review/standins-3/release.go
@@ -66,7 +66,7 @@
 	}
 	var old []*worker
 	for i := range 4 {
-		k, err := w.addWorker(fmt.Sprintf("i-%d", i), "desk", []string{"pos-a", "cgs-b", "arm-c", "sfd-d"}[i], 6, 30*time.Millisecond, 0)
+		k, err := w.addWorker(fmt.Sprintf("i-%d", i), "desk", []string{"pos-a", "cgs-b", "arm-c", "sfd-d"}[i], 6, 60*time.Millisecond, 0)
 		if err != nil {
 			return "", err
 		}
@@ -97,14 +97,14 @@
 	var over atomic.Bool
 	var wg sync.WaitGroup
 	var lost atomic.Int64
-	for n := range 3 {
+	for n := range 6 {
 		wg.Go(func() {
 			for i := 0; !over.Load(); i++ {
-				a := w.send(w.daemons[n], "POST", fmt.Sprintf("/reserve/%d", i), key, "", 2500*time.Millisecond, fmt.Sprint("order ", n, i))
+				a := w.send(w.daemons[n%3], "POST", fmt.Sprintf("/reserve/%d", i), key, "", 2500*time.Millisecond, fmt.Sprint("order ", n, i))
 				if a.status != http.StatusOK && len(w.ranAt(a.id)) > 0 {
 					lost.Add(1)
 				}
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(60 * time.Millisecond)
 			}
 		})
 	}
